Add the decisions, the ports, the stand-ins and the example trees

The tree, ledger, first-fit packing, leases, orders and routing stand in trackfront_core without I/O; trackfront_adapters has the ports on hyper and h2; trackfront_standin has the systems outside.

Unit tests and the example trees' checks pass; nothing serves yet.

--- /dev/null
+++ b/trackfront_adapters/src/http_client.rs
@@ -0,0 +1,128 @@
+//! An HTTP client whose errors say whether anything was sent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use thiserror::Error;
+
+/// How long a connection may take to open: several times the way to the farthest hall.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The largest answer that is read whole, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why there is no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum HttpError {
+    /// Nothing was sent.
+    #[error("{0}")]
+    NotSent(String),
+    /// The request was sent, wholly or in part, and no whole answer came.
+    #[error("{0}")]
+    Lost(String),
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A client that keeps connections open. It never repeats a request by itself.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+}
+
+impl HttpClient {
+    /// Sends `request` and returns once the answer's head is there.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpError> {
+        self.client.request(request).await.map_err(|error| {
+            let detail = chain(&error);
+            if error.is_connect() { HttpError::NotSent(detail) } else { HttpError::Lost(detail) }
+        })
+    }
+
+    /// Sends `request` and reads the whole answer within `time`.
+    pub async fn fetch(
+        &self,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result<Answer, HttpError> {
+        let fetched = tokio::time::timeout(time, async {
+            let response = self.send(request).await?;
+            read_answer(response).await
+        });
+        match fetched.await {
+            Ok(answer) => answer,
+            Err(_) => Err(HttpError::Lost(format!("no answer within {} ms", time.as_millis()))),
+        }
+    }
+}
+
+/// Reads the rest of an answer.
+pub async fn read_answer(response: Response<Incoming>) -> Result<Answer, HttpError> {
+    let (parts, body) = response.into_parts();
+    let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let body = collected.map_err(|error| HttpError::Lost(error.to_string()))?.to_bytes();
+    Ok(Answer { status: parts.status, headers: parts.headers, body })
+}
+
+/// Makes a request builder for a path on a server.
+pub fn request(method: Method, address: &str, path: &str) -> http::request::Builder {
+    Request::builder().method(method).uri(format!("http://{address}{path}"))
+}
+
+/// Adds a body to a builder. Addresses and paths are checked where they are read, so a failure
+/// means that a caller's path has characters that no URI has.
+pub fn with_body(
+    builder: http::request::Builder,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, HttpError> {
+    builder
+        .body(Full::new(body.into()))
+        .map_err(|error| HttpError::NotSent(format!("the request cannot be made: {error}")))
+}
+
+/// Returns an error's message with those of its causes.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
--- /dev/null
+++ b/trackfront_adapters/src/lib.rs
@@ -0,0 +1,18 @@
+//! The ports of trackfront on real libraries.
+//!
+//! Everything that knows an outside system's paths, field names or headers stands in
+//! [`wire`]; the modules beside it turn those into the traits of [`trackfront_core::ports`].
+
+#![warn(clippy::all)]
+
+pub mod audit;
+pub mod clock;
+pub mod engine;
+pub mod http_client;
+pub mod http_server;
+pub mod key;
+pub mod metrics;
+pub mod peers;
+pub mod plain;
+pub mod platform;
+pub mod wire;
--- /dev/null
+++ b/trackfront_adapters/src/peers.rs
@@ -0,0 +1,251 @@
+//! Messages between entry boxes: `bincode` over streams of `h2`.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use h2::{RecvStream, SendStream};
+use http::{Method, Request, Response, StatusCode};
+use parking_lot::Mutex;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use trackfront_core::ports::peers::{PeerAnswer, PeerMessage};
+use trackfront_core::ports::{PeerError, Peers};
+
+use crate::http_server::stopped;
+use crate::key::DeploymentKey;
+
+/// The path of the one kind of request there is. A change of the messages changes it.
+const PATH: &str = "/peer/1";
+
+/// How long a peer may take to answer.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// The largest message, in bytes: a tree's snapshot with room to spare.
+const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+
+/// The links to the other boxes; one connection is kept open to each.
+pub struct H2Peers {
+    key: DeploymentKey,
+    links: Mutex<HashMap<String, SendRequest<Bytes>>>,
+}
+
+impl H2Peers {
+    /// Makes links that show `key`.
+    pub fn new(key: DeploymentKey) -> Self {
+        Self { key, links: Mutex::default() }
+    }
+
+    /// Returns the open link to `address`, or opens one.
+    async fn link(&self, address: &str) -> Result<SendRequest<Bytes>, PeerError> {
+        let kept = self.links.lock().get(address).cloned();
+        if let Some(link) = kept
+            && let Ok(link) = link.ready().await
+        {
+            return Ok(link);
+        }
+        let stream = TcpStream::connect(address).await.map_err(unavailable)?;
+        let _ = stream.set_nodelay(true);
+        let (link, connection) = h2::client::handshake(stream).await.map_err(unavailable)?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("a peer link ended: {error}");
+            }
+        });
+        let link = link.ready().await.map_err(unavailable)?;
+        self.links.lock().insert(address.to_string(), link.clone());
+        Ok(link)
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        message: &PeerMessage,
+    ) -> Result<PeerAnswer, PeerError> {
+        let mut link = self.link(address).await?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{PATH}"))
+            .header(http::header::AUTHORIZATION, self.key.authorization())
+            .body(())
+            .map_err(unavailable)?;
+        let (response, mut body) = link.send_request(request, false).map_err(unavailable)?;
+        send_all(&mut body, encode(message)).await.map_err(unavailable)?;
+        let response = response.await.map_err(unavailable)?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::UNAUTHORIZED => return Err(PeerError::Refused),
+            status => return Err(PeerError::BadAnswer(format!("status {status}"))),
+        }
+        let bytes = read_all(response.into_body()).await.map_err(unavailable)?;
+        decode(&bytes).map_err(PeerError::BadAnswer)
+    }
+}
+
+#[async_trait]
+impl Peers for H2Peers {
+    async fn ask(&self, address: &str, message: PeerMessage) -> Result<PeerAnswer, PeerError> {
+        let asked = tokio::time::timeout(ANSWER_TIME, self.exchange(address, &message)).await;
+        let answer = asked.unwrap_or_else(|_| Err(unavailable("no answer in time")));
+        if matches!(answer, Err(PeerError::Unavailable(_))) {
+            self.links.lock().remove(address);
+        }
+        answer
+    }
+}
+
+/// Answers peers on `listener` with `handler` until `stop` turns true.
+pub async fn serve_peers<H, F>(
+    listener: TcpListener,
+    key: DeploymentKey,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) where
+    H: Fn(PeerMessage) -> F + Send + Sync + 'static,
+    F: Future<Output = PeerAnswer> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(&mut stop) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let link = serve_link(stream, key.clone(), handler.clone(), stop.clone());
+                tokio::spawn(link);
+            }
+            Err(error) => {
+                log::warn!("a peer link could not be accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// Answers one peer until the link closes.
+async fn serve_link<H, F>(
+    stream: TcpStream,
+    key: DeploymentKey,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<bool>,
+) where
+    H: Fn(PeerMessage) -> F + Send + Sync + 'static,
+    F: Future<Output = PeerAnswer> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let Ok(mut connection) = h2::server::handshake(stream).await else {
+        return;
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            () = stopped(&mut stop) => {
+                connection.graceful_shutdown();
+                // The streams in progress are answered while the connection is driven on.
+                while connection.accept().await.is_some() {}
+                return;
+            },
+        };
+        let Some(Ok((request, respond))) = accepted else {
+            return;
+        };
+        let (key, handler) = (key.clone(), handler.clone());
+        tokio::spawn(async move {
+            if let Err(error) = answer(request, respond, &key, handler.as_ref()).await {
+                log::debug!("a peer was not answered: {error}");
+            }
+        });
+    }
+}
+
+/// Answers one message.
+async fn answer<H, F>(
+    request: Request<RecvStream>,
+    mut respond: h2::server::SendResponse<Bytes>,
+    key: &DeploymentKey,
+    handler: &H,
+) -> Result<(), h2::Error>
+where
+    H: Fn(PeerMessage) -> F,
+    F: Future<Output = PeerAnswer>,
+{
+    if !key.is_shown_by(request.headers()) {
+        log::warn!("a peer showed a wrong key or none and was refused");
+        return refuse(&mut respond, StatusCode::UNAUTHORIZED);
+    }
+    if request.uri().path() != PATH {
+        return refuse(&mut respond, StatusCode::NOT_FOUND);
+    }
+    let bytes = read_all(request.into_body()).await?;
+    let message = match decode(&bytes) {
+        Ok(message) => message,
+        Err(error) => {
+            log::warn!("a peer's message does not decode: {error}");
+            return refuse(&mut respond, StatusCode::BAD_REQUEST);
+        }
+    };
+    let answer = encode(&handler(message).await);
+    let mut body = respond.send_response(Response::new(()), false)?;
+    send_all(&mut body, answer).await
+}
+
+fn refuse(
+    respond: &mut h2::server::SendResponse<Bytes>,
+    status: StatusCode,
+) -> Result<(), h2::Error> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    respond.send_response(response, true).map(|_| ())
+}
+
+/// Sends a whole body as the peer's window allows.
+async fn send_all(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), h2::Error> {
+    while !bytes.is_empty() {
+        stream.reserve_capacity(bytes.len());
+        let granted = std::future::poll_fn(|context| stream.poll_capacity(context)).await;
+        let granted = granted.transpose()?.unwrap_or(0);
+        if granted == 0 {
+            return Err(h2::Reason::CANCEL.into());
+        }
+        stream.send_data(bytes.split_to(granted.min(bytes.len())), false)?;
+    }
+    stream.send_data(Bytes::new(), true)
+}
+
+/// Reads a whole body, up to the largest message.
+async fn read_all(mut stream: RecvStream) -> Result<Bytes, h2::Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk?;
+        if bytes.len() + chunk.len() > MAX_MESSAGE_BYTES {
+            return Err(h2::Reason::ENHANCE_YOUR_CALM.into());
+        }
+        stream.flow_control().release_capacity(chunk.len())?;
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes.freeze())
+}
+
+fn encode(value: &impl Serialize) -> Bytes {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .expect("our own types always encode")
+        .into()
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+    bincode::serde::decode_from_slice(bytes, config)
+        .map(|(value, _)| value)
+        .map_err(|error| error.to_string())
+}
+
+fn unavailable(error: impl ToString) -> PeerError {
+    PeerError::Unavailable(error.to_string())
+}
--- /dev/null
+++ b/trackfront_adapters/src/plain.rs
@@ -0,0 +1,88 @@
+//! A server of a plain service over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use trackfront_core::ids::RequestId;
+use trackfront_core::ports::plain::http_parts::Header;
+use trackfront_core::ports::{PlainCall, PlainError, PlainReply, PlainService};
+
+use crate::http_client::{HttpClient, HttpError, request, with_body};
+use crate::wire::engine::REQUEST_ID_HEADER;
+
+/// How long a call may take at most; the caller's own deadline is mostly shorter.
+const CALL_TIME: Duration = Duration::from_secs(60);
+
+/// Headers that belong to one connection, or to us, and are not passed on.
+const OWN_HEADERS: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "authorization",
+    "content-length",
+];
+
+/// One server of a plain service at an address.
+#[derive(Clone, Debug)]
+pub struct HttpPlainService {
+    client: HttpClient,
+    address: String,
+}
+
+impl HttpPlainService {
+    /// Uses the server at `address`.
+    pub fn new(client: HttpClient, address: impl Into<String>) -> Self {
+        Self { client, address: address.into() }
+    }
+}
+
+#[async_trait]
+impl PlainService for HttpPlainService {
+    async fn call(&self, call: PlainCall) -> Result<PlainReply, PlainError> {
+        let method = Method::from_bytes(call.method.as_bytes())
+            .map_err(|error| PlainError::Unreachable(error.to_string()))?;
+        let mut builder = request(method, &self.address, &call.path_and_query)
+            .header(REQUEST_ID_HEADER, call.id.as_str());
+        for header in &call.headers {
+            builder = builder.header(&header.name, header.value.as_slice());
+        }
+        let request = with_body(builder, call.body).map_err(plain_error)?;
+        let answer = self.client.fetch(request, CALL_TIME).await.map_err(plain_error)?;
+        let request = answer.headers.get(REQUEST_ID_HEADER).and_then(|id| id.to_str().ok());
+        Ok(PlainReply {
+            request: request.map(RequestId::from),
+            status: answer.status.as_u16(),
+            headers: passed_on(&answer.headers),
+            body: answer.body,
+        })
+    }
+}
+
+/// Returns the headers that are passed on.
+pub fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    headers
+        .iter()
+        .filter(|(name, _)| !is_own(name))
+        .map(|(name, value): (&HeaderName, &HeaderValue)| Header {
+            name: name.as_str().to_string(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+fn is_own(name: &HeaderName) -> bool {
+    name.as_str() == REQUEST_ID_HEADER || OWN_HEADERS.contains(&name.as_str())
+}
+
+fn plain_error(error: HttpError) -> PlainError {
+    match error {
+        HttpError::NotSent(detail) => PlainError::Unreachable(detail),
+        HttpError::Lost(detail) => PlainError::Broke(detail),
+    }
+}
--- /dev/null
+++ b/trackfront_adapters/src/wire/mod.rs
@@ -0,0 +1,6 @@
+//! The paths, headers and field names of the systems outside.
+//!
+//! The users' own systems are met here and nowhere else: another system is another module.
+
+pub mod engine;
+pub mod platform;
--- /dev/null
+++ b/trackfront_core/src/fleet.rs
@@ -0,0 +1,288 @@
+//! What a box knows of the engines: their latest digests, and what it has itself sent since.
+//!
+//! The state is split into shards, each under its own lock. A routing decision locks one
+//! index shard and then each candidate in turn; it allocates nothing.
+
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{BackendId, HallName, ItemKey};
+use crate::ports::{LoadReport, ReportedState};
+use crate::units::Moment;
+
+/// How many shards the index has: several times the threads that use it.
+const SHARDS: usize = 64;
+
+/// How long an engine that could not be reached gets no new requests while others can take them.
+const SUSPECT_FOR: Duration = Duration::from_secs(2);
+
+/// The part of an engine's report that routing needs, as boxes pass it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineDigest {
+    /// The engine.
+    pub engine: BackendId,
+    /// The engine's incarnation.
+    pub incarnation: u64,
+    /// The report's sequence within the incarnation.
+    pub sequence: u64,
+    /// How old the figures were when this was sent, in milliseconds.
+    pub age_ms: u64,
+    /// The items that answer requests.
+    pub ready: Vec<ItemKey>,
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+impl EngineDigest {
+    /// Makes the digest of a report.
+    pub fn of(engine: BackendId, report: &LoadReport) -> Self {
+        let ready = report
+            .items
+            .iter()
+            .filter(|item| item.state == ReportedState::Ready)
+            .map(|item| item.item.clone())
+            .collect();
+        Self {
+            engine,
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            age_ms: report.age_ms,
+            ready,
+            running: report.running,
+            queued: report.queued,
+        }
+    }
+}
+
+/// One engine as routing sees it.
+#[derive(Debug)]
+pub struct EngineEntry {
+    /// The engine.
+    pub id: BackendId,
+    /// The engine's hall.
+    pub hall: HallName,
+    /// The items under which the entry stands in the index. Held while the index is changed;
+    /// the order of locks is this one, then an index shard, then `load`.
+    indexed: Mutex<Vec<ItemKey>>,
+    load: Mutex<EngineLoad>,
+}
+
+#[derive(Debug, Default)]
+struct EngineLoad {
+    incarnation: u64,
+    sequence: u64,
+    /// When the figures were taken, on this box's clock.
+    taken_at: Option<Moment>,
+    reported: u32,
+    in_flight: u32,
+    /// Requests sent from here since the figures were taken, which they cannot show yet.
+    sent_since: u32,
+    suspect_until: Moment,
+    leaving: bool,
+}
+
+impl EngineLoad {
+    /// Takes in a digest's figures unless newer ones are known. Returns whether it did.
+    fn take_in(&mut self, digest: &EngineDigest, now: Moment) -> bool {
+        let taken_at = Moment(now.0.saturating_sub(Duration::from_millis(digest.age_ms)));
+        let same_run = self.incarnation == digest.incarnation;
+        if same_run && self.sequence > digest.sequence {
+            return false;
+        }
+        // Incarnations have no order, so between two of them the younger figures count.
+        if !same_run && self.taken_at.is_some_and(|known| known > taken_at) {
+            return false;
+        }
+        self.incarnation = digest.incarnation;
+        self.sequence = digest.sequence;
+        self.taken_at = self.taken_at.max(Some(taken_at));
+        self.reported = digest.running + digest.queued;
+        self.sent_since = 0;
+        self.suspect_until = Moment::default();
+        true
+    }
+}
+
+impl EngineEntry {
+    /// Returns the load to expect: what was reported, corrected by what was sent since.
+    pub fn expected_load(&self) -> u32 {
+        let load = self.load.lock();
+        load.reported + load.sent_since
+    }
+
+    /// Returns whether new requests may go here at `now`.
+    pub fn takes_new_work(&self, now: Moment) -> bool {
+        let load = self.load.lock();
+        !load.leaving && now >= load.suspect_until
+    }
+
+    /// Returns whether the engine is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.load.lock().leaving
+    }
+
+    /// Returns how old the engine's figures are at `now`; `None` if there are none.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.load.lock().taken_at.map(|taken| now.since(taken))
+    }
+
+    /// Counts a request that is sent there.
+    pub fn begin(&self) {
+        let mut load = self.load.lock();
+        load.in_flight += 1;
+        load.sent_since += 1;
+    }
+
+    /// Counts a request that ended there.
+    pub fn end(&self) {
+        let mut load = self.load.lock();
+        assert!(load.in_flight > 0, "a request ends once");
+        load.in_flight -= 1;
+    }
+
+    /// Notes that the engine could not be reached at `now`.
+    pub fn suspect(&self, now: Moment) {
+        self.load.lock().suspect_until = now + SUSPECT_FOR;
+    }
+}
+
+type Shard = Mutex<HashMap<ItemKey, Vec<Arc<EngineEntry>>>>;
+
+/// All engines that a box knows.
+pub struct Fleet {
+    hasher: RandomState,
+    index: Vec<Shard>,
+    engines: Mutex<HashMap<BackendId, Arc<EngineEntry>>>,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            hasher: RandomState::new(),
+            index: (0..SHARDS).map(|_| Shard::default()).collect(),
+            engines: Mutex::default(),
+        }
+    }
+}
+
+impl Fleet {
+    /// Sets which engines there are. Engines that stay keep their figures.
+    pub fn set_engines(&self, wanted: &[(BackendId, HallName)]) {
+        let mut engines = self.engines.lock();
+        let gone: Vec<Arc<EngineEntry>> = engines
+            .values()
+            .filter(|entry| !wanted.iter().any(|(id, hall)| *id == entry.id && *hall == entry.hall))
+            .cloned()
+            .collect();
+        for entry in gone {
+            engines.remove(&entry.id);
+            for item in std::mem::take(&mut *entry.indexed.lock()) {
+                self.remove_from_index(&item, &entry.id);
+            }
+        }
+        for (id, hall) in wanted {
+            engines.entry(id.clone()).or_insert_with(|| {
+                Arc::new(EngineEntry {
+                    id: id.clone(),
+                    hall: hall.clone(),
+                    indexed: Mutex::default(),
+                    load: Mutex::default(),
+                })
+            });
+        }
+    }
+
+    /// Returns the engine `id`.
+    pub fn engine(&self, id: &BackendId) -> Option<Arc<EngineEntry>> {
+        self.engines.lock().get(id).cloned()
+    }
+
+    /// Takes in a digest that reached this box at `now`. Older figures than those known are
+    /// dropped. Returns whether it was newer.
+    pub fn observe(&self, digest: &EngineDigest, now: Moment) -> bool {
+        let Some(entry) = self.engine(&digest.engine) else {
+            return false;
+        };
+        let mut indexed = entry.indexed.lock();
+        if !entry.load.lock().take_in(digest, now) {
+            return false;
+        }
+        let old = std::mem::replace(&mut *indexed, digest.ready.clone());
+        for item in old.iter().filter(|item| !digest.ready.contains(item)) {
+            self.remove_from_index(item, &entry.id);
+        }
+        for item in digest.ready.iter().filter(|item| !old.contains(item)) {
+            self.index_shard(item).lock().entry(item.clone()).or_default().push(entry.clone());
+        }
+        true
+    }
+
+    /// Marks the engines that are leaving; they get no new work.
+    pub fn set_leaving(&self, is_leaving: impl Fn(&BackendId) -> bool) {
+        for entry in self.engines.lock().values() {
+            entry.load.lock().leaving = is_leaving(&entry.id);
+        }
+    }
+
+    /// Calls `visit` for each engine on which `item` answers, under the index shard's lock.
+    pub fn for_each_ready(&self, item: &ItemKey, mut visit: impl FnMut(&Arc<EngineEntry>)) {
+        if let Some(entries) = self.index_shard(item).lock().get(item) {
+            entries.iter().for_each(&mut visit);
+        }
+    }
+
+    /// Returns how many engines answer for `item`.
+    pub fn ready_count(&self, item: &ItemKey) -> usize {
+        self.index_shard(item).lock().get(item).map_or(0, Vec::len)
+    }
+
+    fn index_shard(&self, item: &ItemKey) -> &Shard {
+        &self.index[self.hasher.hash_one(item) as usize % SHARDS]
+    }
+
+    fn remove_from_index(&self, item: &ItemKey, engine: &BackendId) {
+        let mut shard = self.index_shard(item).lock();
+        if let Some(entries) = shard.get_mut(item) {
+            entries.retain(|entry| entry.id != *engine);
+            if entries.is_empty() {
+                shard.remove(item);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn digest(sequence: u64, ready: &[ItemKey]) -> EngineDigest {
+        EngineDigest {
+            engine: "e".into(),
+            incarnation: 1,
+            sequence,
+            age_ms: 0,
+            ready: ready.to_vec(),
+            running: 2,
+            queued: 0,
+        }
+    }
+
+    #[test]
+    fn a_late_digest_does_not_replace_a_newer_one() {
+        let item = ItemKey { model: "m".into(), adapter: None, version: "1".into() };
+        let fleet = Fleet::default();
+        fleet.set_engines(&[("e".into(), "h".into())]);
+        assert!(fleet.observe(&digest(2, std::slice::from_ref(&item)), Moment::default()));
+        assert!(!fleet.observe(&digest(1, &[]), Moment::default()));
+        assert_eq!(fleet.ready_count(&item), 1);
+        fleet.set_engines(&[]);
+        assert_eq!(fleet.ready_count(&item), 0);
+    }
+}
--- /dev/null
+++ b/trackfront_core/src/lease.rs
@@ -0,0 +1,194 @@
+//! The lease on a shard, with a fencing token that only grows.
+//!
+//! No wall clocks are compared. A holder counts its time from before it sent the write that
+//! renewed the lease; another box takes over only after it has itself watched the row
+//! unchanged for longer than the lease lasts.
+
+// The state machine macro generates items that cannot carry doc comments.
+#![allow(missing_docs)]
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use statig::prelude::*;
+
+use crate::ids::{BoxId, Fence};
+use crate::units::Moment;
+
+/// The share of the lease's time by which a holder stops early, for clocks that run unevenly.
+const MARGIN_DIVISOR: u32 = 5;
+
+/// The value of a lease's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRow {
+    /// The holder; `None` after it was given up.
+    pub holder: Option<BoxId>,
+    /// The fencing token; it grows with each change of holder.
+    pub fence: Fence,
+    /// How long the lease lasts after each write, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// A lease's row as this box has seen it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenLease {
+    /// The row's version in the table.
+    pub version: u64,
+    /// The row's value.
+    pub row: LeaseRow,
+    /// When this box first saw this version.
+    pub since: Moment,
+}
+
+/// What happens to a lease.
+#[derive(Clone, Debug)]
+pub enum LeaseEvent {
+    /// The write that takes or renews the lease was applied; it was sent at `sent_at`.
+    Written {
+        /// The fencing token in the row.
+        fence: Fence,
+        /// When the write was sent.
+        sent_at: Moment,
+    },
+    /// The row shows another holder or a larger token, or an engine has seen a larger one.
+    Superseded,
+    /// The present moment.
+    Tick(Moment),
+    /// The box gives the lease up.
+    Released,
+}
+
+/// A box's view of one lease that it may hold.
+#[derive(Debug)]
+pub struct LeaseHolder {
+    ttl: Duration,
+    largest: Fence,
+}
+
+/// The life of a lease in one box.
+#[state_machine(
+    initial = "LeaseState::watching()",
+    state(name = "LeaseState", derive(Debug, Clone, PartialEq, Eq)),
+    after_transition = "Self::log_transition"
+)]
+impl LeaseHolder {
+    /// Another box holds the lease, or nobody.
+    #[state]
+    fn watching(&mut self, event: &LeaseEvent) -> Outcome<LeaseState> {
+        match event {
+            LeaseEvent::Written { fence, sent_at } => {
+                assert!(*fence > self.largest, "a lease is only taken with a larger token");
+                self.largest = *fence;
+                Transition(LeaseState::holding(*fence, self.valid_until(*sent_at)))
+            }
+            _ => Handled,
+        }
+    }
+
+    /// This box holds the lease until a moment on its own clock.
+    #[state]
+    fn holding(
+        &mut self,
+        fence: &mut Fence,
+        until: &mut Moment,
+        event: &LeaseEvent,
+    ) -> Outcome<LeaseState> {
+        match event {
+            LeaseEvent::Written { fence: written, sent_at } => {
+                assert_eq!(written, fence, "a renewal keeps the token");
+                *until = (*until).max(self.valid_until(*sent_at));
+                Handled
+            }
+            LeaseEvent::Tick(now) if now >= until => Transition(LeaseState::watching()),
+            LeaseEvent::Tick(_) => Handled,
+            LeaseEvent::Superseded | LeaseEvent::Released => Transition(LeaseState::watching()),
+        }
+    }
+}
+
+impl LeaseHolder {
+    /// Watches a lease that lasts `ttl` after each write.
+    pub fn new(ttl: Duration) -> Self {
+        Self { ttl, largest: Fence(0) }
+    }
+
+    /// Returns the moment until which a lease written at `sent_at` may be used.
+    fn valid_until(&self, sent_at: Moment) -> Moment {
+        sent_at + (self.ttl - self.ttl / MARGIN_DIVISOR)
+    }
+
+    /// Logs one line for each transition.
+    fn log_transition(&mut self, from: &LeaseState, to: &LeaseState, _: &mut ()) {
+        log::debug!("lease: {from:?} -> {to:?}");
+    }
+}
+
+impl LeaseState {
+    /// Returns the fencing token if the lease may be used at `now`. To be asked last thing
+    /// before each send.
+    pub fn usable(&self, now: Moment) -> Option<Fence> {
+        match self {
+            LeaseState::Holding { fence, until } if now < *until => Some(*fence),
+            _ => None,
+        }
+    }
+}
+
+/// Returns the row that would take the lease over for `me`, if that is allowed at `now`:
+/// nobody holds it, or this box has watched one version for longer than it lasts.
+pub fn takeover(
+    seen: Option<&SeenLease>,
+    me: &BoxId,
+    ttl: Duration,
+    now: Moment,
+) -> Option<LeaseRow> {
+    let fence = match seen {
+        None => Fence(1),
+        Some(lease) if lease.row.holder.is_none() => Fence(lease.row.fence.0 + 1),
+        Some(lease) => {
+            let lasts = Duration::from_millis(lease.row.ttl_ms);
+            let watched = now.since(lease.since);
+            // The margin on this side covers a watcher's clock that runs fast.
+            if watched < lasts + lasts / MARGIN_DIVISOR {
+                return None;
+            }
+            Fence(lease.row.fence.0 + 1)
+        }
+    };
+    Some(LeaseRow { holder: Some(me.clone()), fence, ttl_ms: ttl.as_millis() as u64 })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TTL: Duration = Duration::from_secs(10);
+
+    fn at(secs: u64) -> Moment {
+        Moment(Duration::from_secs(secs))
+    }
+
+    fn seen(holder: Option<&str>, since: u64) -> SeenLease {
+        let row = LeaseRow { holder: holder.map(BoxId::from), fence: Fence(4), ttl_ms: 10_000 };
+        SeenLease { version: 1, row, since: at(since) }
+    }
+
+    #[test]
+    fn a_paused_holder_wakes_without_the_lease() {
+        let mut lease = LeaseHolder::new(TTL).state_machine();
+        lease.handle(&LeaseEvent::Written { fence: Fence(5), sent_at: at(0) });
+        assert_eq!(lease.state().usable(at(7)), Some(Fence(5)));
+        assert_eq!(lease.state().usable(at(8)), None);
+        lease.handle(&LeaseEvent::Tick(at(30)));
+        assert_eq!(lease.state(), &LeaseState::Watching {});
+    }
+
+    #[test]
+    fn a_takeover_waits_longer_than_the_holder_acts() {
+        let me = BoxId::from("b");
+        assert_eq!(takeover(Some(&seen(Some("a"), 0)), &me, TTL, at(11)), None);
+        let row = takeover(Some(&seen(Some("a"), 0)), &me, TTL, at(12)).expect("the lease lapsed");
+        assert_eq!(row.fence, Fence(5));
+        assert!(takeover(Some(&seen(None, 0)), &me, TTL, at(0)).is_some());
+    }
+}
--- /dev/null
+++ b/trackfront_core/src/lib.rs
@@ -0,0 +1,20 @@
+//! The decisions of trackfront, free of I/O.
+//!
+//! Nothing here reads a clock, opens a socket or draws a random number by itself: time and
+//! randomness come in as arguments, and everything outside is reached through the traits of
+//! [`ports`].
+
+#![warn(clippy::all)]
+
+pub mod audit;
+pub mod fleet;
+pub mod ids;
+pub mod lease;
+pub mod ledger;
+pub mod order;
+pub mod outcome;
+pub mod placement;
+pub mod ports;
+pub mod routing;
+pub mod tree;
+pub mod units;
--- /dev/null
+++ b/trackfront_core/src/ports/mod.rs
@@ -0,0 +1,23 @@
+//! The ports: everything that the decisions need from outside, as traits.
+//!
+//! Each trait is a contract. What may be slow, lost, late, repeated or unknown is in its
+//! types, so that a caller cannot fold "unknown" into "failed".
+
+pub mod box_list;
+pub mod clock;
+pub mod engine;
+pub mod objects;
+pub mod peers;
+pub mod plain;
+pub mod table;
+
+pub use box_list::{BoxList, BoxListError, ListedBox, ListedRole, ListedState};
+pub use clock::Clock;
+pub use engine::{
+    CacheEvent, CacheEvents, Engine, EngineError, Frame, FrameBody, FrameStream, GenerateError,
+    GenerateRequest, KvBlob, LoadReport, OrderReply, ReportedItem, ReportedState,
+};
+pub use objects::{ObjectError, Objects};
+pub use peers::{PeerError, Peers};
+pub use plain::{PlainCall, PlainError, PlainReply, PlainService};
+pub use table::{CommitOutcome, Expect, Row, RowKey, Table, TableError, Transaction, Write};
--- /dev/null
+++ b/trackfront_core/src/tree/mod.rs
@@ -0,0 +1,299 @@
+//! The tree: what operators declare, from broad defaults at the root down to adapters.
+//!
+//! A tree is a folder of TOML files, one for each level:
+//!
+//! ```text
+//! root.toml
+//! REGION/region.toml
+//! REGION/SERVICE/service.toml
+//! REGION/SERVICE/MODEL/model.toml
+//! REGION/SERVICE/MODEL/ADAPTER.toml
+//! ```
+//!
+//! [`files`] holds the files as text, [`schema`] their keys, [`policy`] the keys that are
+//! inherited, [`build`] puts them together, and [`check`] proves that the whole can be run.
+
+pub mod build;
+pub mod check;
+pub mod diff;
+pub mod error;
+pub mod explain;
+pub mod files;
+pub mod policy;
+pub mod schema;
+pub mod snapshot;
+
+use std::collections::BTreeMap;
+
+use crate::ids::{
+    AdapterName, BackendId, CallerName, HallName, ItemKey, ModelName, RegionName, ServiceName,
+    ShardId, Version,
+};
+use crate::placement::{Bundle, SizedItem};
+use crate::units::Mib;
+
+pub use build::build;
+pub use error::{TreeError, TreeErrors};
+pub use files::TreeFiles;
+pub use policy::Policy;
+pub use snapshot::Snapshot;
+
+/// A tree whose files have been read and put together.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    /// The name of the deployment.
+    pub deployment: String,
+    /// The callers.
+    pub callers: BTreeMap<CallerName, Caller>,
+    /// The regions.
+    pub regions: BTreeMap<RegionName, Region>,
+}
+
+/// A caller.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The BLAKE3 hash, in hexadecimal, of the key by which the caller is known.
+    pub key_blake3: String,
+}
+
+/// A region.
+#[derive(Clone, Debug)]
+pub struct Region {
+    /// The halls of the region.
+    pub halls: Vec<HallName>,
+    /// The services of the region.
+    pub services: BTreeMap<ServiceName, Service>,
+}
+
+/// A service: models on engines, or a plain service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// What the service runs on.
+    pub kind: ServiceKind,
+    /// The policy at the service's level.
+    pub policy: Policy,
+    /// The backend servers.
+    pub backends: BTreeMap<BackendId, Backend>,
+}
+
+/// What a service runs on.
+#[derive(Clone, Debug)]
+pub enum ServiceKind {
+    /// Models on engines.
+    Engines {
+        /// The models.
+        models: BTreeMap<ModelName, Model>,
+    },
+    /// A plain service.
+    Plain {
+        /// The routes that are marked; the first that fits a call decides.
+        routes: Vec<Route>,
+    },
+}
+
+/// A marked route of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The method; `None` fits all.
+    pub method: Option<String>,
+    /// The path below the service that the route covers, with all below it.
+    pub path: String,
+    /// Whether calls may be repeated.
+    pub repeatable: bool,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Backend {
+    /// The IP address and port.
+    pub address: String,
+    /// The hall.
+    pub hall: HallName,
+    /// The memory of each accelerator; empty for a plain service.
+    pub accelerators: Vec<Mib>,
+    /// Whether the engine checks fencing tokens.
+    pub checks_fence: bool,
+}
+
+/// A model.
+#[derive(Clone, Debug)]
+pub struct Model {
+    /// The version of the weights.
+    pub version: Version,
+    /// The memory of the weights over all accelerators together.
+    pub weights: Mib,
+    /// The policy at the model's level.
+    pub policy: Policy,
+    /// The adapters.
+    pub adapters: BTreeMap<AdapterName, Adapter>,
+}
+
+/// An adapter of a model.
+#[derive(Clone, Debug)]
+pub struct Adapter {
+    /// The version of the weights.
+    pub version: Version,
+    /// The memory of the weights over all accelerators together.
+    pub weights: Mib,
+    /// The policy at the adapter's level.
+    pub policy: Policy,
+}
+
+/// A model or adapter by the name that callers use, in one region.
+#[derive(Clone, Copy, Debug)]
+pub struct Target<'a> {
+    /// The model.
+    pub model_name: &'a ModelName,
+    /// The model's settings.
+    pub model: &'a Model,
+    /// The adapter, if the name is an adapter's.
+    pub adapter: Option<(&'a AdapterName, &'a Adapter)>,
+}
+
+impl<'a> Target<'a> {
+    /// Returns the policy of the model or adapter.
+    pub fn policy(&self) -> &'a Policy {
+        match self.adapter {
+            Some((_, adapter)) => &adapter.policy,
+            None => &self.model.policy,
+        }
+    }
+
+    /// Returns the item that has to be resident to answer.
+    pub fn item(&self) -> ItemKey {
+        match self.adapter {
+            Some((name, adapter)) => ItemKey {
+                model: self.model_name.clone(),
+                adapter: Some(name.clone()),
+                version: adapter.version.clone(),
+            },
+            None => ItemKey {
+                model: self.model_name.clone(),
+                adapter: None,
+                version: self.model.version.clone(),
+            },
+        }
+    }
+}
+
+impl Model {
+    /// Returns the model and its adapters as one bundle to place.
+    pub fn bundle(&self, name: &ModelName) -> Bundle {
+        let own = SizedItem {
+            item: ItemKey { model: name.clone(), adapter: None, version: self.version.clone() },
+            total: self.weights,
+        };
+        let adapters = self.adapters.iter().map(|(adapter_name, adapter)| SizedItem {
+            item: ItemKey {
+                model: name.clone(),
+                adapter: Some(adapter_name.clone()),
+                version: adapter.version.clone(),
+            },
+            total: adapter.weights,
+        });
+        Bundle { items: std::iter::once(own).chain(adapters).collect() }
+    }
+}
+
+impl Service {
+    /// Returns the service's models; a plain service has none.
+    pub fn models(&self) -> impl Iterator<Item = (&ModelName, &Model)> {
+        match &self.kind {
+            ServiceKind::Engines { models } => Some(models),
+            ServiceKind::Plain { .. } => None,
+        }
+        .into_iter()
+        .flatten()
+    }
+
+    /// Returns the bundles to place on the service's engines.
+    pub fn bundles(&self) -> Vec<Bundle> {
+        self.models().map(|(name, model)| model.bundle(name)).collect()
+    }
+
+    /// Returns whether a call may be repeated: as marked, else by what the method promises.
+    pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
+        let ServiceKind::Plain { routes } = &self.kind else {
+            return true;
+        };
+        routes
+            .iter()
+            .find(|route| route.fits(method, path))
+            .map_or(matches!(method, "GET" | "HEAD" | "OPTIONS"), |route| route.repeatable)
+    }
+}
+
+impl Route {
+    /// Returns whether the route covers the call.
+    fn fits(&self, method: &str, path: &str) -> bool {
+        let method_fits = self.method.as_deref().is_none_or(|wanted| wanted == method);
+        let rest = path.strip_prefix(self.path.trim_end_matches('/'));
+        method_fits && rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+}
+
+impl Tree {
+    /// Returns the service of a shard.
+    pub fn service(&self, shard: &ShardId) -> Option<&Service> {
+        self.regions.get(&shard.region)?.services.get(&shard.service)
+    }
+
+    /// Returns all shards with their services.
+    pub fn shards(&self) -> impl Iterator<Item = (ShardId, &Service)> {
+        self.regions.iter().flat_map(|(region_name, region)| {
+            region.services.iter().map(move |(service_name, service)| {
+                let shard = ShardId { region: region_name.clone(), service: service_name.clone() };
+                (shard, service)
+            })
+        })
+    }
+
+    /// Returns all backend servers.
+    pub fn backends(&self) -> impl Iterator<Item = (&BackendId, &Backend)> {
+        self.regions
+            .values()
+            .flat_map(|region| region.services.values())
+            .flat_map(|service| &service.backends)
+    }
+
+    /// Returns all models and adapters of a region by the names that callers use.
+    pub fn targets<'a>(
+        &'a self,
+        region: &RegionName,
+    ) -> impl Iterator<Item = (&'a str, Target<'a>)> {
+        self.regions
+            .get(region)
+            .into_iter()
+            .flat_map(|region| region.services.values())
+            .flat_map(Service::models)
+            .flat_map(|(model_name, model)| {
+                let own = Target { model_name, model, adapter: None };
+                let adapters = model.adapters.iter().map(move |(name, adapter)| {
+                    (name.as_str(), Target { adapter: Some((name, adapter)), ..own })
+                });
+                std::iter::once((model_name.as_str(), own)).chain(adapters)
+            })
+    }
+
+    /// Finds the caller that has `key`.
+    pub fn caller_by_key(&self, key: &str) -> Option<&CallerName> {
+        let hash = blake3::hash(key.as_bytes()).to_hex();
+        self.callers
+            .iter()
+            .find(|(_, caller)| caller.key_blake3 == hash.as_str())
+            .map(|(name, _)| name)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_route_covers_its_path_and_all_below() {
+        let route = Route { method: None, path: "/bookings".into(), repeatable: false };
+        assert!(route.fits("POST", "/bookings"));
+        assert!(route.fits("POST", "/bookings/7"));
+        assert!(!route.fits("POST", "/bookingsx"));
+    }
+}
--- /dev/null
+++ b/trackfront_core/src/tree/policy.rs
@@ -0,0 +1,120 @@
+//! The keys that every level may set and that the levels below inherit.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+use super::error::line_of;
+
+/// A file of the tree, for naming where a value was set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// The path below the tree's folder.
+    pub path: Arc<str>,
+}
+
+/// A value and where it was set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sourced<T> {
+    /// The value.
+    pub value: T,
+    /// The file that set it; `None` for the built-in default.
+    pub file: Option<Arc<str>>,
+    /// The line that set it, from one.
+    pub line: usize,
+}
+
+/// One key's effective value as text, with where it was set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExplainedKey {
+    /// The key.
+    pub key: &'static str,
+    /// The value, as it would stand in TOML.
+    pub value: String,
+    /// The file that set it; `None` for the built-in default.
+    pub file: Option<Arc<str>>,
+    /// The line that set it, from one.
+    pub line: usize,
+    /// What the key is for.
+    pub about: &'static str,
+}
+
+/// Declares the inherited keys once: the raw table, the effective policy, and how to explain it.
+macro_rules! policy_keys {
+    ($($(#[doc = $about:literal])* $key:ident: $type:ty = $default:expr;)*) => {
+        /// The `[policy]` table of one file.
+        #[derive(Clone, Debug, Default, Deserialize)]
+        #[serde(deny_unknown_fields, default)]
+        pub struct PolicyTable {
+            $($(#[doc = $about])* pub $key: Option<Spanned<$type>>,)*
+        }
+
+        /// The effective policy at one level.
+        #[derive(Clone, Debug, PartialEq)]
+        pub struct Policy {
+            $($(#[doc = $about])* pub $key: Sourced<$type>,)*
+        }
+
+        impl Policy {
+            /// The names of all keys.
+            pub const KEYS: &'static [&'static str] = &[$(stringify!($key)),*];
+
+            /// Returns the built-in defaults.
+            pub fn built_in() -> Policy {
+                Policy {
+                    $($key: Sourced { value: $default, file: None, line: 0 },)*
+                }
+            }
+
+            /// Returns the policy of a level below: `table`, found in `path` with `text`, goes
+            /// before what is inherited.
+            pub fn inherit(&self, table: &PolicyTable, path: &Arc<str>, text: &str) -> Policy {
+                Policy {
+                    $($key: match &table.$key {
+                        Some(spanned) => Sourced {
+                            value: spanned.get_ref().clone(),
+                            file: Some(path.clone()),
+                            line: line_of(text, spanned.span().start),
+                        },
+                        None => self.$key.clone(),
+                    },)*
+                }
+            }
+
+            /// Returns all keys with their values and origins.
+            pub fn explain(&self) -> Vec<ExplainedKey> {
+                vec![$(ExplainedKey {
+                    key: stringify!($key),
+                    value: serde_json::to_string(&self.$key.value).unwrap_or_default(),
+                    file: self.$key.file.clone(),
+                    line: self.$key.line,
+                    about: concat!($($about),*).trim_ascii(),
+                }),*]
+            }
+        }
+    };
+}
+
+policy_keys! {
+    /// Milliseconds within which the first token has to come.
+    first_token_ms: u64 = 520;
+    /// Milliseconds between two tokens.
+    token_gap_ms: u64 = 76;
+    /// Milliseconds within which the whole answer has to come, unless the caller asks for less.
+    deadline_ms: u64 = 30_000;
+    /// The priority at the engine, 0 to 9; a larger number goes first.
+    priority: u8 = 5;
+    /// The callers that may use it; `*` stands for all that the root names.
+    callers: Vec<String> = vec!["*".into()];
+    /// The largest body that is taken, in KiB.
+    max_body_kib: u64 = 1_024;
+    /// Memory on each accelerator that is kept for the KV cache, in MiB.
+    kv_floor_mib: u64 = 2_048;
+    /// How many engines of a service may be lost with everything still fitting.
+    spare_engines: u64 = 1;
+    /// How many further backend servers a request may be sent to after the first.
+    max_retries: u64 = 2;
+    /// How much attainment a move must earn, in requests met for each move.
+    move_cost: u64 = 50;
+}
--- /dev/null
+++ b/trackfront_core/src/tree/snapshot.rs
@@ -0,0 +1,88 @@
+//! A committed tree as it is stored and passed on.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::ids::{Revision, TxnId};
+
+use super::files::TreeFiles;
+
+/// A committed tree: its files, its number and its checksum.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The revision.
+    pub revision: Revision,
+    /// The checksum over the files, from [`TreeFiles::digest`].
+    pub digest: String,
+    /// The files.
+    pub files: TreeFiles,
+}
+
+/// The value of the table's head row: which tree is accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The revision.
+    pub revision: Revision,
+    /// The checksum of its files.
+    pub digest: String,
+    /// The transaction that committed it.
+    pub txn: TxnId,
+    /// Who asked for it.
+    pub author: String,
+    /// The reason given.
+    pub reason: String,
+}
+
+/// Why a snapshot is refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SnapshotError {
+    /// It does not decode.
+    #[error("the snapshot does not decode: {0}; it is fetched again from elsewhere")]
+    Undecodable(String),
+    /// The files do not match the checksum.
+    #[error("the snapshot of revision {0} does not match its checksum; it is fetched again")]
+    BadChecksum(Revision),
+}
+
+impl Snapshot {
+    /// Makes the snapshot of `files` as `revision`.
+    pub fn new(revision: Revision, files: TreeFiles) -> Snapshot {
+        Snapshot { revision, digest: files.digest(), files }
+    }
+
+    /// Returns the name of the object that holds it.
+    pub fn object_name(revision: Revision, digest: &str) -> String {
+        format!("tree/{:012}-{digest}", revision.0)
+    }
+
+    /// Encodes the snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a snapshot is maps and text only")
+    }
+
+    /// Decodes a snapshot and checks its checksum.
+    pub fn decode(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
+        let snapshot: Snapshot = serde_json::from_slice(bytes)
+            .map_err(|error| SnapshotError::Undecodable(error.to_string()))?;
+        if snapshot.files.digest() != snapshot.digest {
+            return Err(SnapshotError::BadChecksum(snapshot.revision));
+        }
+        Ok(snapshot)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_changed_byte_is_found() {
+        let files = TreeFiles([("root.toml".to_string(), "deployment = \"a\"".to_string())].into());
+        let mut bytes = Snapshot::new(Revision(1), files).encode();
+        assert!(Snapshot::decode(&bytes).is_ok());
+        let place = bytes.windows(3).position(|window| window == b"dep").expect("it is there");
+        bytes[place] = b'x';
+        assert_eq!(Snapshot::decode(&bytes), Err(SnapshotError::BadChecksum(Revision(1))));
+        assert!(Snapshot::decode(&bytes[..20]).is_err());
+    }
+}
