Serve the whole path: tree, boxes, engines, answers

Cause: nothing ran end to end.

Change: trackfrontd follows the accepted tree, owns shards by leases, packs models through the ledger, orders engines, and answers callers; trackfront checks and applies trees; the quickstart starts all of it in one process; trackfront_bench measures the way through a box.

Conclusion: the path is thin but whole; the claim of an unrepeatable call is still one table write each, and load digests are sent whole.

--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -1,7 +1,6 @@
 //! An HTTP/1.1 and HTTP/2 server with limits, for every listener of ours.
 
 use std::future::Future;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +14,8 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 /// How many headers a request may have: more than any client library sends.
 const MAX_HEADERS: usize = 64;
@@ -100,24 +100,19 @@
     F: Future<Output = Result<Response<Body>, Abort>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    // The connections belong to this task, so that they end with it if it is aborted.
+    let mut connections = JoinSet::new();
     loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else {
-            break;
-        };
+        let has_slot = connections.len() < MAX_CONNECTIONS;
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if has_slot => accepted,
+            Some(_) = connections.join_next() => continue,
             () = stopped(&mut stop) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                let handler = handler.clone();
                 let watcher = graceful.watcher();
-                let connection = serve_connection(stream, handler, watcher);
-                tokio::spawn(async move {
-                    connection.await;
-                    drop(slot);
-                });
+                connections.spawn(serve_connection(stream, handler.clone(), watcher));
             }
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
--- a/trackfront_adapters/src/peers.rs
+++ b/trackfront_adapters/src/peers.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use trackfront_core::ports::peers::{PeerAnswer, PeerMessage};
 use trackfront_core::ports::{PeerError, Peers};
 
@@ -111,15 +112,17 @@
     F: Future<Output = PeerAnswer> + Send + 'static,
 {
     let handler = Arc::new(handler);
+    // The links belong to this task, so that they end with it if it is aborted.
+    let mut links = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stopped(&mut stop) => return,
+            Some(_) = links.join_next() => continue,
+            () = stopped(&mut stop) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                let link = serve_link(stream, key.clone(), handler.clone(), stop.clone());
-                tokio::spawn(link);
+                links.spawn(serve_link(stream, key.clone(), handler.clone(), stop.clone()));
             }
             Err(error) => {
                 log::warn!("a peer link could not be accepted: {error}");
--- a/trackfront_adapters/src/wire/mod.rs
+++ b/trackfront_adapters/src/wire/mod.rs
@@ -3,4 +3,5 @@
 //! The users' own systems are met here and nowhere else: another system is another module.
 
 pub mod engine;
+pub mod operator;
 pub mod platform;
--- a/trackfront_core/src/fleet.rs
+++ b/trackfront_core/src/fleet.rs
@@ -21,6 +21,9 @@
 /// How long an engine that could not be reached gets no new requests while others can take them.
 const SUSPECT_FOR: Duration = Duration::from_secs(2);
 
+/// How long a digest that this box has read is passed on to peers.
+pub const PASS_ON_FOR: Duration = Duration::from_secs(2);
+
 /// The part of an engine's report that routing needs, as boxes pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineDigest {
@@ -160,6 +163,14 @@
     hasher: RandomState,
     index: Vec<Shard>,
     engines: Mutex<HashMap<BackendId, Arc<EngineEntry>>>,
+    /// The digests that this box has read itself, to be passed on to peers.
+    own: Mutex<HashMap<BackendId, OwnDigest>>,
+}
+
+/// A digest that this box has read itself.
+struct OwnDigest {
+    digest: EngineDigest,
+    read_at: Moment,
 }
 
 impl Default for Fleet {
@@ -168,6 +179,7 @@
             hasher: RandomState::new(),
             index: (0..SHARDS).map(|_| Shard::default()).collect(),
             engines: Mutex::default(),
+            own: Mutex::default(),
         }
     }
 }
@@ -224,6 +236,26 @@
         true
     }
 
+    /// Takes in a report that this box has read itself at `now`.
+    pub fn observe_report(&self, engine: &BackendId, report: &LoadReport, now: Moment) {
+        let digest = EngineDigest::of(engine.clone(), report);
+        if self.observe(&digest, now) {
+            self.own.lock().insert(engine.clone(), OwnDigest { digest, read_at: now });
+        }
+    }
+
+    /// Returns the digests that this box has read itself within [`PASS_ON_FOR`], aged to `now`.
+    pub fn own_digests(&self, now: Moment) -> Vec<EngineDigest> {
+        let mut own = self.own.lock();
+        own.retain(|_, own| now.since(own.read_at) <= PASS_ON_FOR);
+        own.values()
+            .map(|own| {
+                let held = now.since(own.read_at).as_millis() as u64;
+                EngineDigest { age_ms: own.digest.age_ms + held, ..own.digest.clone() }
+            })
+            .collect()
+    }
+
     /// Marks the engines that are leaving; they get no new work.
     pub fn set_leaving(&self, is_leaving: impl Fn(&BackendId) -> bool) {
         for entry in self.engines.lock().values() {
--- a/trackfront_core/src/lease.rs
+++ b/trackfront_core/src/lease.rs
@@ -135,7 +135,8 @@
 }
 
 /// Returns the row that would take the lease over for `me`, if that is allowed at `now`:
-/// nobody holds it, or this box has watched one version for longer than it lasts.
+/// nobody holds it, or this box has watched one version for longer than it lasts. A box that
+/// lost track of its own lease, as after a lost reply, takes it again under a larger token.
 pub fn takeover(
     seen: Option<&SeenLease>,
     me: &BoxId,
@@ -144,7 +145,9 @@
 ) -> Option<LeaseRow> {
     let fence = match seen {
         None => Fence(1),
-        Some(lease) if lease.row.holder.is_none() => Fence(lease.row.fence.0 + 1),
+        Some(lease) if lease.row.holder.as_ref().is_none_or(|holder| holder == me) => {
+            Fence(lease.row.fence.0 + 1)
+        }
         Some(lease) => {
             let lasts = Duration::from_millis(lease.row.ttl_ms);
             let watched = now.since(lease.since);
--- a/trackfront_core/src/lib.rs
+++ b/trackfront_core/src/lib.rs
@@ -6,13 +6,16 @@
 
 #![warn(clippy::all)]
 
+pub mod answer;
 pub mod audit;
 pub mod fleet;
 pub mod ids;
 pub mod lease;
 pub mod ledger;
+pub mod members;
 pub mod order;
 pub mod outcome;
+pub mod owner;
 pub mod placement;
 pub mod ports;
 pub mod routing;
--- /dev/null
+++ b/trackfront_core/src/members.rs
@@ -0,0 +1,189 @@
+//! The entry boxes that a box knows: the platform's lagging list, and what peers say.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{BoxId, HallName, Revision};
+use crate::ports::peers::{Heartbeat, PeerState};
+use crate::ports::{ListedBox, ListedRole, ListedState};
+use crate::units::Moment;
+
+/// How long a box counts as live after it was last heard: three heartbeats.
+pub const LIVE_FOR: Duration = Duration::from_secs(3);
+
+/// How long a box that is neither listed nor heard is remembered.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// Another entry box.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its identity, once it was heard.
+    pub id: Option<BoxId>,
+    /// Its hall.
+    pub hall: HallName,
+    /// Its state, by its own word; leaving is never taken back.
+    pub state: PeerState,
+    /// The revision in force there.
+    pub revision: Revision,
+    /// When it was last heard.
+    pub heard: Option<Moment>,
+    /// What the platform says of it; `None` if it is not in the list.
+    pub listed: Option<ListedState>,
+    /// When it was first known.
+    pub known: Moment,
+}
+
+/// A change that is worth a line in the audit trail.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberChange {
+    /// The box.
+    pub id: BoxId,
+    /// Its new state.
+    pub state: PeerState,
+}
+
+/// All other entry boxes by their peer address.
+#[derive(Debug, Default)]
+pub struct Members {
+    by_address: BTreeMap<String, Member>,
+}
+
+impl Members {
+    /// Takes in the platform's list. `own_address` is left out.
+    pub fn set_list(&mut self, list: &[ListedBox], own_address: &str, now: Moment) {
+        for member in self.by_address.values_mut() {
+            member.listed = None;
+        }
+        let others = list
+            .iter()
+            .filter(|listed| listed.role == ListedRole::Entry && listed.address != own_address);
+        for listed in others {
+            let member = self.by_address.entry(listed.address.clone()).or_insert(Member {
+                id: None,
+                hall: listed.hall.clone(),
+                state: PeerState::Joining,
+                revision: Revision::default(),
+                heard: None,
+                listed: None,
+                known: now,
+            });
+            member.listed = Some(listed.state);
+        }
+        self.by_address.retain(|_, member| {
+            let last = member.heard.unwrap_or(member.known);
+            member.listed.is_some() || now.since(last) < FORGET_AFTER
+        });
+    }
+
+    /// Takes in a heartbeat. A box that comes back with another identity is another box.
+    pub fn heard(&mut self, heartbeat: &Heartbeat, now: Moment) -> Option<MemberChange> {
+        let member = self.by_address.entry(heartbeat.address.clone()).or_insert(Member {
+            id: None,
+            hall: heartbeat.hall.clone(),
+            state: PeerState::Joining,
+            revision: Revision::default(),
+            heard: None,
+            listed: None,
+            known: now,
+        });
+        let same = member.id.as_ref() == Some(&heartbeat.from);
+        let state = match (same, member.state) {
+            (true, PeerState::Leaving) => PeerState::Leaving,
+            _ => heartbeat.state,
+        };
+        let changed = !same || state != member.state;
+        member.id = Some(heartbeat.from.clone());
+        member.hall = heartbeat.hall.clone();
+        member.state = state;
+        // A heartbeat can be overtaken by a later one, and a box's revision never goes down.
+        member.revision = match same {
+            true => member.revision.max(heartbeat.revision),
+            false => heartbeat.revision,
+        };
+        member.heard = Some(now);
+        changed.then(|| MemberChange { id: heartbeat.from.clone(), state })
+    }
+
+    /// Returns the addresses of all known boxes.
+    pub fn addresses(&self) -> Vec<String> {
+        self.by_address.keys().cloned().collect()
+    }
+
+    /// Returns all known boxes.
+    pub fn all(&self) -> impl Iterator<Item = (&String, &Member)> {
+        self.by_address.iter()
+    }
+
+    /// Returns the boxes that were heard lately and take new work.
+    pub fn live(&self, now: Moment) -> impl Iterator<Item = (&String, &Member)> {
+        self.by_address.iter().filter(move |(_, member)| {
+            member.state == PeerState::Serving
+                && member.listed != Some(ListedState::Leaving)
+                && member.heard.is_some_and(|heard| now.since(heard) < LIVE_FOR)
+        })
+    }
+
+    /// Returns the identities of the live boxes.
+    pub fn live_ids(&self, now: Moment) -> Vec<BoxId> {
+        self.live(now).filter_map(|(_, member)| member.id.clone()).collect()
+    }
+}
+
+/// Returns the place of `me` among `others` for `subject`, from zero: rendezvous hashing, by
+/// which all boxes that see the same members agree without a word.
+pub fn rank(subject: &str, me: &BoxId, others: &[BoxId]) -> usize {
+    let own = weight(subject, me);
+    others.iter().filter(|other| weight(subject, other) > own).count()
+}
+
+fn weight(subject: &str, member: &BoxId) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(subject.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(member.as_str().as_bytes());
+    *hasher.finalize().as_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn heartbeat(id: &str, state: PeerState, revision: u64) -> Heartbeat {
+        Heartbeat {
+            from: id.into(),
+            address: "127.0.0.1:1".into(),
+            hall: "h".into(),
+            state,
+            revision: Revision(revision),
+            digests: vec![],
+        }
+    }
+
+    #[test]
+    fn leaving_is_sticky_and_a_new_identity_is_a_new_box() {
+        let now = Moment::default();
+        let mut members = Members::default();
+        members.heard(&heartbeat("a", PeerState::Leaving, 7), now);
+        members.heard(&heartbeat("a", PeerState::Serving, 6), now);
+        assert_eq!(members.live_ids(now), vec![]);
+        assert_eq!(members.all().next().expect("one").1.revision, Revision(7));
+        let change = members.heard(&heartbeat("b", PeerState::Serving, 0), now);
+        assert_eq!(change, Some(MemberChange { id: "b".into(), state: PeerState::Serving }));
+        assert_eq!(members.live_ids(now), vec!["b".into()]);
+        assert_eq!(members.live_ids(now + LIVE_FOR), vec![]);
+    }
+
+    #[test]
+    fn all_boxes_agree_on_the_ranks() {
+        let ids: Vec<BoxId> = (0..5).map(|index| BoxId::from(format!("b{index}"))).collect();
+        let mut ranks: Vec<usize> = ids
+            .iter()
+            .map(|me| {
+                let others: Vec<BoxId> = ids.iter().filter(|id| *id != me).cloned().collect();
+                rank("shard", me, &others)
+            })
+            .collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, vec![0, 1, 2, 3, 4]);
+    }
+}
--- a/trackfront_core/src/tree/build.rs
+++ b/trackfront_core/src/tree/build.rs
@@ -214,7 +214,8 @@
     }
 
     fn check_places(&mut self) {
-        let stray = self.files.0.keys().filter_map(|path| Place::of(path).err());
+        let stray =
+            self.files.0.keys().filter_map(|path| Place::of(path).err()).map(|error| *error);
         self.errors.extend(stray);
     }
 
--- a/trackfront_core/src/tree/files.rs
+++ b/trackfront_core/src/tree/files.rs
@@ -79,7 +79,7 @@
 
 impl<'a> Place<'a> {
     /// Finds the level of the file at `path`.
-    pub fn of(path: &'a str) -> Result<Place<'a>, TreeError> {
+    pub fn of(path: &'a str) -> Result<Place<'a>, Box<TreeError>> {
         let parts: Vec<&str> = path.split('/').collect();
         match parts[..] {
             ["root.toml"] => Ok(Place::Root),
@@ -89,7 +89,7 @@
             [region, service, model, file] if file.ends_with(".toml") => {
                 Ok(Place::Adapter(region, service, model, file.trim_end_matches(".toml")))
             }
-            _ => Err(stray_file(path, parts.len())),
+            _ => Err(Box::new(stray_file(path, parts.len()))),
         }
     }
 }
--- a/trackfront_core/src/tree/snapshot.rs
+++ b/trackfront_core/src/tree/snapshot.rs
@@ -31,6 +31,43 @@
     pub author: String,
     /// The reason given.
     pub reason: String,
+    /// The latest changes, newest first, by which a repeated request is known.
+    pub recent: Vec<RecentApply>,
+}
+
+/// A change that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecentApply {
+    /// The transaction that committed it.
+    pub txn: TxnId,
+    /// The revision that it became.
+    pub revision: Revision,
+}
+
+/// How many changes the head row remembers: more than come in the longest outage of a reply.
+const MAX_RECENT: usize = 64;
+
+impl Head {
+    /// Returns the head that follows `before`.
+    pub fn next(
+        before: Option<&Head>,
+        digest: String,
+        txn: TxnId,
+        author: String,
+        reason: String,
+    ) -> Head {
+        let revision = Revision(before.map_or(0, |head| head.revision.0) + 1);
+        let older = before.map(|head| head.recent.as_slice()).unwrap_or_default();
+        let recent = std::iter::once(RecentApply { txn: txn.clone(), revision })
+            .chain(older.iter().take(MAX_RECENT - 1).cloned())
+            .collect();
+        Head { revision, digest, txn, author, reason, recent }
+    }
+
+    /// Returns the revision that the transaction `txn` became, if it was accepted lately.
+    pub fn accepted(&self, txn: &TxnId) -> Option<Revision> {
+        self.recent.iter().find(|apply| apply.txn == *txn).map(|apply| apply.revision)
+    }
 }
 
 /// Why a snapshot is refused.
--- a/trackfront_standin/src/lib.rs
+++ b/trackfront_standin/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(clippy::all)]
 
 pub mod box_list;
+pub mod boxes;
 pub mod control;
 pub mod deployment;
 pub mod engine;
--- /dev/null
+++ b/trackfrontd/src/gateway/caller.rs
@@ -0,0 +1,28 @@
+//! Finds out who calls.
+
+use http::HeaderMap;
+use trackfront_adapters::key::bearer;
+use trackfront_core::ids::CallerName;
+use trackfront_core::outcome::RequestError;
+
+use crate::in_force::{RequestLimits, TreeInForce};
+
+/// Returns the caller whose key the headers show.
+pub fn identify(headers: &HeaderMap, tree: &TreeInForce) -> Result<CallerName, RequestError> {
+    bearer(headers)
+        .and_then(|key| tree.tree.caller_by_key(key))
+        .cloned()
+        .ok_or(RequestError::UnknownCaller)
+}
+
+/// Fails unless `caller` may use what `limits` are for.
+pub fn authorize(
+    caller: &CallerName,
+    limits: &RequestLimits,
+    name: &str,
+) -> Result<(), RequestError> {
+    if limits.allows(caller) {
+        return Ok(());
+    }
+    Err(RequestError::NotAllowed { caller: caller.to_string(), name: name.to_string() })
+}
--- /dev/null
+++ b/trackfrontd/src/gateway/mod.rs
@@ -0,0 +1,130 @@
+//! Answers callers.
+
+mod answer;
+mod caller;
+mod claims;
+mod generate;
+mod models;
+mod plain;
+mod problem;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body, response};
+use trackfront_adapters::wire::engine::REQUEST_ID_HEADER;
+use trackfront_core::ids::RequestId;
+use trackfront_core::outcome::RequestError;
+use trackfront_core::ports::engine::GenerateKind;
+use trackfront_core::ports::peers::PeerState;
+
+use crate::in_force::{RequestLimits, TreeInForce};
+use crate::shared::Shared;
+
+/// How long a request's body may take to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// The largest body that is read before its model is known, in bytes.
+const MAX_UNKNOWN_BODY: usize = 16 * 1024 * 1024;
+
+/// When to come back while the box has no tree: after the next poll of the head row.
+const NO_TREE_RETRY: Duration = Duration::from_secs(2);
+
+/// Where the plain services are, followed by a service's name.
+const SERVICES_PATH: &str = "/services/";
+
+/// The caller's own deadline for the whole answer, in milliseconds.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// The caller's key for a call that may run once.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Answers one request of a caller.
+pub async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Abort> {
+    let id = RequestId::from(shared.draw_id("req"));
+    let answered = route(&shared, &id, request).await;
+    let mut response = answered.unwrap_or_else(|error| problem::response(&error, &id));
+    if let Ok(value) = id.as_str().parse() {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    Ok(response)
+}
+
+/// Finds what a path is for.
+async fn route(
+    shared: &Arc<Shared>,
+    id: &RequestId,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, RequestError> {
+    let path = request.uri().path().to_string();
+    match (request.method(), path.as_str()) {
+        (_, "/healthz") => Ok(response(StatusCode::OK, "text/plain", "alive\n")),
+        (_, "/readyz") => Ok(ready(shared)),
+        (&Method::GET, "/v1/models") => models::list(shared, request.headers()),
+        (&Method::POST, "/v1/completions") => {
+            generate::handle(shared, id, request, GenerateKind::Completion).await
+        }
+        (&Method::POST, "/v1/chat/completions") => {
+            generate::handle(shared, id, request, GenerateKind::Chat).await
+        }
+        (_, "/v1/models") => Err(RequestError::MethodNotAllowed { allowed: "GET".into() }),
+        (_, "/v1/completions" | "/v1/chat/completions") => {
+            Err(RequestError::MethodNotAllowed { allowed: "POST".into() })
+        }
+        (_, path) if path.starts_with(SERVICES_PATH) => plain::handle(shared, id, request).await,
+        _ => Err(RequestError::NoSuchPath),
+    }
+}
+
+/// Tells the balancer whether this box takes new work.
+pub fn ready(shared: &Shared) -> Response<Body> {
+    match shared.state() {
+        PeerState::Serving => response(StatusCode::OK, "text/plain", "ready\n"),
+        PeerState::Joining => {
+            response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no tree yet\n")
+        }
+        PeerState::Leaving => response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "leaving\n"),
+    }
+}
+
+/// Returns the tree in force.
+fn tree(shared: &Shared) -> Result<Arc<TreeInForce>, RequestError> {
+    shared.in_force.current().ok_or(RequestError::NotReady { retry_after: NO_TREE_RETRY })
+}
+
+/// Reads a request's body of at most `limit` bytes.
+async fn body(request: Request<Incoming>, limit: usize) -> Result<Bytes, RequestError> {
+    let read = read_body(request.into_body(), limit, BODY_TIME).await;
+    read.map_err(|error| match error {
+        ReadBodyError::TooLarge => too_large(limit),
+        ReadBodyError::TooSlow => {
+            RequestError::BodyTooSlow { limit_ms: BODY_TIME.as_millis() as u64 }
+        }
+        ReadBodyError::Broken(detail) => RequestError::BodyBroken { detail },
+    })
+}
+
+fn too_large(limit: usize) -> RequestError {
+    RequestError::BodyTooLarge { limit_kib: limit as u64 / 1024 }
+}
+
+/// Returns the time for the whole answer: the caller's, if it gives one, else the tree's.
+fn deadline(headers: &HeaderMap, limits: &RequestLimits) -> Result<Duration, RequestError> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(limits.deadline);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    match millis {
+        Some(millis) if millis > 0 => Ok(Duration::from_millis(millis).min(limits.deadline)),
+        _ => Err(RequestError::BadHeader {
+            header: DEADLINE_HEADER,
+            detail: "it is a whole number of milliseconds above zero".into(),
+        }),
+    }
+}
--- /dev/null
+++ b/trackfrontd/src/logging.rs
@@ -0,0 +1,43 @@
+//! Logs as JSON lines on standard error.
+
+use std::fmt;
+use std::time::SystemTime;
+
+use anyhow::Context;
+use serde::Serialize;
+
+use crate::settings::LogSettings;
+
+/// One line of the log.
+#[derive(Serialize)]
+struct Line<'a> {
+    time: String,
+    level: &'a str,
+    target: &'a str,
+    message: String,
+}
+
+/// Starts logging. Fails if it was started before.
+pub fn start(settings: &LogSettings) -> anyhow::Result<()> {
+    fern::Dispatch::new()
+        .level(settings.level)
+        .level_for("hyper", log::LevelFilter::Warn)
+        .level_for("h2", log::LevelFilter::Warn)
+        .format(|out, message, record| {
+            out.finish(format_args!("{}", line(message, record)));
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .context("cannot start logging")
+}
+
+/// Formats one record.
+fn line(message: &fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    let line = Line {
+        time: humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
+        level: record.level().as_str(),
+        target: record.target(),
+        message: message.to_string(),
+    };
+    serde_json::to_string(&line).unwrap_or_default()
+}
--- /dev/null
+++ b/trackfrontd/src/peering.rs
@@ -0,0 +1,132 @@
+//! Heartbeats with the other boxes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use trackfront_core::audit::AuditEvent;
+use trackfront_core::fleet::EngineDigest;
+use trackfront_core::ids::BackendId;
+use trackfront_core::ports::peers::{Heartbeat, PeerAnswer, PeerMessage};
+use trackfront_core::ports::{ListedBox, ListedRole, ListedState};
+
+use crate::follower;
+use crate::shared::Shared;
+
+/// How often each peer gets a heartbeat.
+const HEARTBEAT_EVERY: Duration = Duration::from_secs(1);
+
+/// How often the platform's list is read.
+const LIST_EVERY: Duration = Duration::from_secs(1);
+
+/// Reads the platform's list until the task is stopped.
+pub async fn run_list(shared: Arc<Shared>) {
+    loop {
+        match shared.outside.boxes.boxes().await {
+            Ok(list) => take_list(&shared, &list),
+            Err(error) => log::warn!("{error}"),
+        }
+        shared.rest(LIST_EVERY).await;
+    }
+}
+
+/// Takes in the platform's list: the other boxes, and which engines are leaving.
+fn take_list(shared: &Shared, list: &[ListedBox]) {
+    let now = shared.outside.clock.now();
+    shared.members.lock().set_list(list, &shared.peer_address, now);
+    let Some(current) = shared.in_force.current() else {
+        return;
+    };
+    let leaving: Vec<&str> = list
+        .iter()
+        .filter(|listed| listed.role == ListedRole::Backend && listed.state == ListedState::Leaving)
+        .map(|listed| listed.address.as_str())
+        .collect();
+    let is_leaving = |id: &BackendId| {
+        let backend = current.tree.backends().find(|(known, _)| *known == id);
+        backend.is_some_and(|(_, backend)| leaving.contains(&backend.address.as_str()))
+    };
+    shared.fleet.set_leaving(is_leaving);
+}
+
+/// Sends heartbeats until the task is stopped.
+pub async fn run_heartbeats(shared: Arc<Shared>) {
+    loop {
+        beat(&shared).await;
+        shared.rest(HEARTBEAT_EVERY).await;
+    }
+}
+
+/// Sends one heartbeat to each peer and takes in the answers.
+pub async fn beat(shared: &Arc<Shared>) {
+    let addresses = shared.members.lock().addresses();
+    let heartbeat = own_heartbeat(shared, true);
+    let beats = addresses.into_iter().map(|address| {
+        let message = PeerMessage::Heartbeat(heartbeat.clone());
+        let shared = shared.clone();
+        async move {
+            match shared.outside.peers.ask(&address, message).await {
+                Ok(PeerAnswer::Heartbeat(answer)) => heard(&shared, &answer).await,
+                Ok(_) => log::warn!("the peer {address} answered a heartbeat with something else"),
+                Err(error) => log::debug!("{address}: {error}"),
+            }
+        }
+    });
+    futures::future::join_all(beats).await;
+    let now = shared.outside.clock.now();
+    let live = shared.members.lock().live(now).count();
+    shared.metrics.live_peers.set(live as i64);
+}
+
+/// Answers a peer's message.
+pub async fn answer(shared: Arc<Shared>, message: PeerMessage) -> PeerAnswer {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) => {
+            // The fetch of a newer tree must not hold the answer up.
+            let answer = own_heartbeat(&shared, false);
+            tokio::spawn(async move { heard(&shared, &heartbeat).await });
+            PeerAnswer::Heartbeat(answer)
+        }
+        PeerMessage::FetchTree { newer_than } => match shared.in_force.current() {
+            Some(current) if current.snapshot.revision > newer_than => {
+                PeerAnswer::Tree { snapshot: Bytes::from(current.snapshot.encode()) }
+            }
+            _ => PeerAnswer::NoNewerTree,
+        },
+    }
+}
+
+/// Takes in a peer's heartbeat.
+async fn heard(shared: &Shared, heartbeat: &Heartbeat) {
+    let now = shared.outside.clock.now();
+    let change = shared.members.lock().heard(heartbeat, now);
+    if let Some(change) = change {
+        let state = format!("{:?}", change.state).to_lowercase();
+        shared.audit.record(AuditEvent::MemberChanged { member: change.id, state });
+    }
+    for digest in &heartbeat.digests {
+        shared.fleet.observe(digest, now);
+    }
+    if heartbeat.revision > shared.in_force.revision()
+        && let Err(error) = follower::fetch_from_peer(shared, &heartbeat.address).await
+    {
+        log::warn!("the tree of {} cannot be fetched: {error}", heartbeat.address);
+    }
+}
+
+/// Returns this box's heartbeat, with the digests that it has read itself if asked for.
+fn own_heartbeat(shared: &Shared, with_digests: bool) -> Heartbeat {
+    let digests: Vec<EngineDigest> = if with_digests {
+        shared.fleet.own_digests(shared.outside.clock.now())
+    } else {
+        Vec::new()
+    };
+    Heartbeat {
+        from: shared.me.clone(),
+        address: shared.peer_address.clone(),
+        hall: shared.place.hall.clone(),
+        state: shared.state(),
+        revision: shared.in_force.revision(),
+        digests,
+    }
+}
