--- a/trackfront_bench/src/path.rs
+++ b/trackfront_bench/src/path.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use anyhow::{Context, ensure};
 use futures::StreamExt;
@@ -15,27 +15,15 @@
 use http_body_util::BodyDataStream;
 use serde::Serialize;
 use serde_json::json;
-use tokio::net::TcpListener;
 use trackfront_adapters::http_client::{HttpClient, request, with_body};
 use trackfront_adapters::wire::engine::{MODEL_HEADER, REQUEST_ID_HEADER, VERSION_HEADER};
-use trackfront_adapters::wire::operator::{ApplyAnswer, ApplyRequest};
-use trackfront_core::ids::Revision;
-use trackfront_core::tree::{TreeFiles, build};
-use trackfront_core::units::Mib;
-use trackfront_standin::boxes;
-use trackfront_standin::deployment::{Platform, WeightSpeed};
-use trackfront_standin::engine::{EngineConfig, EngineStandin, WeightStore};
-use trackfront_standin::table::TableLimits;
-use trackfrontd::daemon::Daemon;
+use trackfront_standin::small::{CALLER_KEY, Small, Spec};
 
 use crate::cli::Path;
 use crate::figures::{Quantiles, Times, print, processor_time};
 
-/// How long the model may take to be loaded.
-const LOAD_TIME: Duration = Duration::from_secs(20);
-
-/// The key of the only caller.
-const CALLER_KEY: &str = "bench-caller-key";
+/// The only model.
+const MODEL: &str = "letter";
 
 /// How many requests are sent at once to measure the processor time of a request.
 const FULL_LOAD: usize = 64;
@@ -129,38 +117,31 @@
     box_address: String,
     tokens: u64,
     next: AtomicUsize,
-    _platform: Platform,
-    _engine: trackfront_standin::server::Listening,
-    _boxes: Vec<Daemon>,
+    _small: Small,
 }
 
 impl Bench {
     async fn start(tokens: u64) -> anyhow::Result<Arc<Bench>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let engine_address = listener.local_addr()?.to_string();
-        let files = tree_files(&engine_address);
-        let tree = build(&files)?;
-        let platform = Platform::start("127.0.0.1", TableLimits::default()).await?;
-        let speed = WeightSpeed::default();
-        let weights = WeightStore::new(speed.loads_per_second, speed.slots, speed.ms_per_gib);
-        let mut config = EngineConfig::ordinary("engine".into(), vec![Mib(24_576)], true);
-        config.max_batch = FULL_LOAD;
-        config.token_us = 2_000;
-        config.token_us_per_request = 0;
-        let engine = EngineStandin::new(config, 1, weights).start(listener)?;
-        let boxes = boxes::start(&platform, &tree, 1).await?;
-        let daemon = boxes.first().context("there is a box")?;
-        apply(daemon, files).await?;
-        boxes::wait_reachable(&boxes, LOAD_TIME).await?;
+        let spec = Spec {
+            halls: vec!["a".into()],
+            engines: 1,
+            models: vec![(MODEL.into(), vec![])],
+            policy: "spare_engines = 0".into(),
+            ..Spec::default()
+        };
+        let small = Small::start(&spec, 1).await?;
+        let (_, engine) = small
+            .tree
+            .backends()
+            .find(|(id, _)| id.as_str() == "engine-0")
+            .context("there is an engine")?;
         Ok(Arc::new(Bench {
             client: HttpClient::default(),
-            engine_address,
-            box_address: daemon.listen.callers.to_string(),
+            engine_address: engine.address.clone(),
+            box_address: small.callers(0),
             tokens,
             next: AtomicUsize::new(0),
-            _platform: platform,
-            _engine: engine,
-            _boxes: boxes,
+            _small: small,
         }))
     }
 
@@ -204,7 +185,7 @@
     /// Sends one request and times its tokens.
     async fn one(&self, way: Way, taken: &mut Taken) -> anyhow::Result<()> {
         let body = json!({
-            "model": "m", "prompt": "Draft the letter.", "stream": true,
+            "model": MODEL, "prompt": "Draft the letter.", "stream": true,
             "max_tokens": self.tokens,
         });
         let address = match way {
@@ -215,7 +196,7 @@
         let builder = request(Method::POST, address, "/v1/completions")
             .header("authorization", format!("Bearer {CALLER_KEY}"))
             .header(REQUEST_ID_HEADER, format!("bench-{number}"))
-            .header(MODEL_HEADER, "m")
+            .header(MODEL_HEADER, MODEL)
             .header(VERSION_HEADER, "1");
         let start = Instant::now();
         let response = self.client.send(with_body(builder, body.to_string())?).await?;
@@ -235,50 +216,3 @@
         Ok(())
     }
 }
-
-/// Applies the tree through the box's operator listener.
-async fn apply(daemon: &Daemon, files: TreeFiles) -> anyhow::Result<()> {
-    let client = HttpClient::default();
-    let wanted = ApplyRequest {
-        txn: "bench".into(),
-        base: Revision(0),
-        files,
-        author: "bench".into(),
-        reason: "first tree".into(),
-        allow_removals: false,
-    };
-    let path = trackfront_adapters::wire::operator::APPLY_PATH;
-    let builder = request(Method::POST, &daemon.listen.operators.to_string(), path)
-        .header("authorization", boxes::key().authorization());
-    let request = with_body(builder, serde_json::to_vec(&wanted)?)?;
-    let answer = client.fetch(request, LOAD_TIME).await?;
-    let answer: ApplyAnswer = serde_json::from_slice(&answer.body)?;
-    ensure!(matches!(answer, ApplyAnswer::Accepted { .. }), "not applied: {answer:?}");
-    Ok(())
-}
-
-/// A tree with one engine and one model.
-fn tree_files(engine_address: &str) -> TreeFiles {
-    let hash = blake3_hex(CALLER_KEY);
-    let files = [
-        (
-            "root.toml",
-            format!("deployment = \"bench\"\n[callers.bench]\nkey_blake3 = \"{hash}\"\n"),
-        ),
-        ("r/region.toml", "halls = [\"h\"]\n".to_string()),
-        (
-            "r/s/service.toml",
-            format!(
-                "kind = \"engines\"\n[policy]\nspare_engines = 0\n[[backends]]\nid = \"engine\"\n\
-                 address = \"{engine_address}\"\nhall = \"h\"\naccelerators = 1\n\
-                 accelerator_mib = 24576\nchecks_fence = true\n"
-            ),
-        ),
-        ("r/s/m/model.toml", "version = \"1\"\nweights_mib = 1024\n".to_string()),
-    ];
-    TreeFiles(files.into_iter().map(|(path, text)| (path.to_string(), text)).collect())
-}
-
-fn blake3_hex(text: &str) -> String {
-    blake3::hash(text.as_bytes()).to_hex().to_string()
-}
--- a/trackfront_standin/src/deployment.rs
+++ b/trackfront_standin/src/deployment.rs
@@ -92,6 +92,15 @@
 impl Backends {
     /// Starts a stand-in at the address of each backend server in `tree`.
     pub async fn start(tree: &Tree, speed: WeightSpeed) -> anyhow::Result<Backends> {
+        Backends::start_on(tree, speed, HashMap::new()).await
+    }
+
+    /// Starts the stand-ins, on `listeners` where those have the address already.
+    pub async fn start_on(
+        tree: &Tree,
+        speed: WeightSpeed,
+        mut listeners: HashMap<String, TcpListener>,
+    ) -> anyhow::Result<Backends> {
         let weights = WeightStore::new(speed.loads_per_second, speed.slots, speed.ms_per_gib);
         let mut backends = Backends::default();
         let mut incarnation = 0;
@@ -99,9 +108,12 @@
             let runs = Arc::new(Mutex::new(HashMap::new()));
             for (id, backend) in &service.backends {
                 incarnation += 1;
-                let listener = TcpListener::bind(&backend.address)
-                    .await
-                    .with_context(|| format!("cannot listen on {} for {id}", backend.address))?;
+                let listener = match listeners.remove(&backend.address) {
+                    Some(listener) => listener,
+                    None => TcpListener::bind(&backend.address).await.with_context(|| {
+                        format!("cannot listen on {} for {id}", backend.address)
+                    })?,
+                };
                 let listening = match service.kind {
                     ServiceKind::Engines { .. } => {
                         let config = EngineConfig::ordinary(
--- a/trackfront_standin/src/lib.rs
+++ b/trackfront_standin/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod objects;
 pub mod plain;
 pub mod server;
+pub mod small;
 pub mod table;
--- a/trackfrontd/src/daemon.rs
+++ b/trackfrontd/src/daemon.rs
@@ -23,6 +23,9 @@
 /// How long a leaving box still takes new connections, while the balancer learns of it.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
 
+/// How long operators and peers are given to read their last answers.
+const LAST_ANSWERS: Duration = Duration::from_secs(2);
+
 /// A running box.
 pub struct Daemon {
     /// The addresses that the box listens on.
@@ -116,8 +119,11 @@
             task.abort();
         }
         self.audit.flush().await;
-        self.operators.finish().await;
-        self.peers.finish().await;
+        // Operators and peers may keep idle connections open; they are not waited for.
+        let rest = async { tokio::join!(self.operators.finish(), self.peers.finish()) };
+        if tokio::time::timeout(LAST_ANSWERS, rest).await.is_err() {
+            log::warn!("operators or peers still had requests open");
+        }
         log::info!("box {} has left", self.shared.me);
     }
 
--- a/trackfrontd/src/logging.rs
+++ b/trackfrontd/src/logging.rs
@@ -31,6 +31,15 @@
         .context("cannot start logging")
 }
 
+/// Ends the process when an assertion fails, after a line in the log: a box that would break a
+/// guarantee is replaced, as one that was lost.
+pub fn abort_on_panic() {
+    std::panic::set_hook(Box::new(|info| {
+        log::error!("the box ends itself: {info}");
+        std::process::abort();
+    }));
+}
+
 /// Formats one record.
 fn line(message: &fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
     let line = Line {
