Plan replicas for the hot and repairs by demand

Cause: each model stood on one engine whatever it was asked for, and a lost one was placed by size only.

Change: boxes measure and tell each other the demand of models; the planner repairs the most asked for first, adds replicas where an engine is asked for more than it can answer and that earns more than move_cost, and gives replicas up only where their room is needed. Leaving engines are emptied by loads elsewhere.

Figures: unit tests: no moves in a steady shard, none taken back after a rise or a lull, only what was lost moves after a loss.

--- a/trackfront_core/src/engine_load.rs
+++ b/trackfront_core/src/engine_load.rs
@@ -152,6 +152,16 @@
         self.in_flight.iter().sum()
     }
 
+    /// Returns how many requests can be in progress at once with `gap` between tokens, as far as
+    /// that was measured: at most what the engine batches.
+    pub fn capacity(&self, gap: Duration) -> Option<f64> {
+        let by_gap = self.gap.x_of(micros(gap));
+        match (self.batch_limit.map(f64::from), by_gap) {
+            (Some(limit), Some(by_gap)) => Some(limit.min(by_gap.max(1.0))),
+            (limit, by_gap) => limit.or(by_gap.map(|by_gap| by_gap.max(1.0))),
+        }
+    }
+
     /// Returns how long `sent` would take; `None` before anything was measured.
     pub fn estimate(&self, sent: &Sent, now: Moment) -> Option<Estimate> {
         let others = f64::from(self.expected_requests()) * self.slow_start(now);
--- a/trackfront_core/src/estimate.rs
+++ b/trackfront_core/src/estimate.rs
@@ -58,13 +58,29 @@
             return None;
         }
         let (mean_x, mean_y) = (self.x / self.count, self.y / self.count);
+        Some((mean_y + self.slope() * (x - mean_x)).max(0.0))
+    }
+
+    /// Returns where the line has the value `y`; `None` while it has no slope.
+    pub fn x_of(&self, y: f64) -> Option<f64> {
+        let slope = self.slope();
+        if slope <= 0.0 {
+            return None;
+        }
+        let (mean_x, mean_y) = (self.x / self.count, self.y / self.count);
+        Some(mean_x + (y - mean_y) / slope)
+    }
+
+    fn slope(&self) -> f64 {
+        if self.count < LINE_SAMPLES {
+            return 0.0;
+        }
+        let (mean_x, mean_y) = (self.x / self.count, self.y / self.count);
         let spread = self.xx / self.count - mean_x * mean_x;
-        let slope = if self.count < LINE_SAMPLES || spread < 1e-6 {
-            0.0
-        } else {
-            ((self.xy / self.count - mean_x * mean_y) / spread).max(0.0)
-        };
-        Some((mean_y + slope * (x - mean_x)).max(0.0))
+        if spread < 1e-6 {
+            return 0.0;
+        }
+        ((self.xy / self.count - mean_x * mean_y) / spread).max(0.0)
     }
 }
 
--- a/trackfront_core/src/fleet.rs
+++ b/trackfront_core/src/fleet.rs
@@ -101,6 +101,11 @@
         self.load.lock().expected_requests()
     }
 
+    /// Returns how many requests can be in progress there at once with `gap` between tokens.
+    pub fn capacity(&self, gap: Duration) -> Option<f64> {
+        self.load.lock().capacity(gap)
+    }
+
     /// Returns how long a request would take there; `None` if nothing was measured yet.
     pub fn estimate(&self, sent: &Sent, now: Moment) -> Option<Estimate> {
         self.load.lock().estimate(sent, now)
--- a/trackfront_core/src/ledger.rs
+++ b/trackfront_core/src/ledger.rs
@@ -166,6 +166,21 @@
         }
     }
 
+    /// Notes that `item` answers, for tests that carry moves out at once.
+    #[cfg(test)]
+    pub fn complete(&mut self, item: &ItemKey) {
+        if let Some(entry) = self.entries.get_mut(item) {
+            entry.holding = Holding::Ready;
+            entry.ordered = false;
+        }
+    }
+
+    /// Notes that `item` is gone, for tests that carry moves out at once.
+    #[cfg(test)]
+    pub fn remove(&mut self, item: &ItemKey) {
+        self.entries.remove(item);
+    }
+
     /// Returns the size of the smallest accelerator.
     fn smallest(&self) -> Mib {
         self.accelerators.iter().copied().min().unwrap_or_default()
--- a/trackfront_core/src/lib.rs
+++ b/trackfront_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod audit;
 pub mod claims;
+pub mod demand;
 pub mod engine_load;
 pub mod estimate;
 pub mod fleet;
--- a/trackfront_core/src/members.rs
+++ b/trackfront_core/src/members.rs
@@ -184,6 +184,7 @@
             digests: vec![],
             claims: vec![],
             demand: vec![],
+            items: vec![],
         }
     }
 
--- a/trackfront_core/src/owner.rs
+++ b/trackfront_core/src/owner.rs
@@ -4,16 +4,17 @@
 //! An intent counts in the ledger from before it is written to the table until the engine's
 //! own report proves what became of it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
-use crate::ids::{BackendId, Fence, OrderId, ShardId, draw_id};
+use crate::demand::Demand;
+use crate::ids::{BackendId, Fence, ItemKey, OrderId, ShardId, draw_id};
 use crate::ledger::EngineLedger;
 use crate::order::{Action, Intent, Order, OrderEvent, OrderLife, OrderResult, OrderState};
-use crate::placement::{EngineState, Move, plan};
+use crate::placement::{EngineState, Move, PlanInput, PlanMoves};
 use crate::ports::{LoadReport, OrderReply};
 use crate::tree::{Backend, Service};
 use crate::units::{Mib, Moment};
@@ -171,18 +172,42 @@
 
     /// Plans the next moves at `now` and reserves their memory. They are sent once
     /// [`ShardOwner::written`] says that the table has them.
-    pub fn plan(&mut self, service: &Service, now: Moment, rng: &mut impl rand::Rng) {
+    pub fn plan(
+        &mut self,
+        service: &Service,
+        planner: &mut dyn PlanMoves,
+        demand: &HashMap<ItemKey, Demand>,
+        now: Moment,
+        rng: &mut impl rand::Rng,
+    ) {
         self.mark_lost(now);
         if !self.knows_all(now) {
             return;
         }
         let states: BTreeMap<BackendId, EngineState> =
             self.engines.iter().map(|(id, engine)| (id.clone(), engine.state.clone())).collect();
-        for planned in plan(&states, &service.bundles()) {
+        let open_loads =
+            self.orders.iter().filter(|open| open.intent.order.action == Action::Load).count();
+        let input = PlanInput {
+            engines: &states,
+            bundles: &service.bundles(),
+            demand,
+            move_cost: service.policy.move_cost.value as f64,
+            max_loads: (service.policy.max_loads.value as usize).saturating_sub(open_loads),
+        };
+        for planned in planner.plan(&input) {
             self.open_order(planned, rng);
         }
     }
 
+    /// Notes what an engine can answer at once, and whether it is leaving.
+    pub fn set_engine_facts(&mut self, id: &BackendId, capacity: Option<f64>, leaving: bool) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.state.capacity = capacity;
+            engine.state.leaving = leaving;
+        }
+    }
+
     /// Marks the engines that have been silent for too long.
     fn mark_lost(&mut self, now: Moment) {
         for (id, engine) in &mut self.engines {
@@ -301,7 +326,13 @@
     fn new(backend: &Backend, floor: Mib) -> Self {
         let ledger = EngineLedger::new(backend.accelerators.clone(), floor);
         Self {
-            state: EngineState { accelerators: backend.accelerators.len(), ledger, usable: false },
+            state: EngineState {
+                accelerators: backend.accelerators.len(),
+                ledger,
+                usable: false,
+                leaving: false,
+                capacity: None,
+            },
             checks_fence: backend.checks_fence,
             last_report: None,
             incarnation: None,
--- a/trackfront_core/src/ports/peers.rs
+++ b/trackfront_core/src/ports/peers.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 
 use crate::claims::{Claim, ClaimKey, ClaimReply, RecordedAnswer, RequestHash};
+use crate::demand::ItemDemand;
 use crate::fleet::EngineDigest;
 use crate::ids::{BoxId, Fence, HallName, Revision, ShardId};
 use crate::limits::CallerDemand;
@@ -50,6 +51,8 @@
     pub claims: Vec<ClaimsKept>,
     /// How much of callers' demand the sender sees.
     pub demand: Vec<CallerDemand>,
+    /// How much of the models' and adapters' demand the sender sees.
+    pub items: Vec<ItemDemand>,
 }
 
 /// A message to a peer.
--- a/trackfront_core/src/tree/policy.rs
+++ b/trackfront_core/src/tree/policy.rs
@@ -117,6 +117,8 @@
     max_retries: u64 = 2;
     /// Minutes for which a key of a call that may run once is remembered, at least.
     claim_keep_min: u64 = 360;
+    /// How many loads a service may have under way at once: its share of the weight store.
+    max_loads: u64 = 16;
     /// How much attainment a move must earn, in requests met for each move.
     move_cost: u64 = 50;
 }
--- a/trackfront_standin/src/memory/mod.rs
+++ b/trackfront_standin/src/memory/mod.rs
@@ -20,7 +20,7 @@
 use trackfront_core::tree::{ServiceKind, Tree, TreeFiles, build};
 use trackfrontd::node::Node;
 use trackfrontd::operators::apply::apply;
-use trackfrontd::outside::{MakeChooser, Outside, make_router};
+use trackfrontd::outside::{MakeChooser, MakePlanner, Outside, make_planner, make_router};
 use trackfrontd::settings::Place;
 
 pub use clock::MemoryClock;
@@ -52,6 +52,8 @@
     pub weights: WeightSpeed,
     /// Makes the chooser of engines of each box.
     pub make_chooser: MakeChooser,
+    /// Makes the planner of each shard.
+    pub make_planner: MakePlanner,
     /// Changes each engine's settings.
     pub tune: fn(&mut EngineConfig),
     /// The seed of all random numbers.
@@ -66,6 +68,7 @@
             boxes_per_hall,
             weights: WeightSpeed::default(),
             make_chooser: make_router,
+            make_planner: make_planner(),
             tune: |_| {},
             seed: 1,
         }
@@ -96,6 +99,7 @@
     pub nodes: HashMap<String, Node>,
     links: Arc<ports::Links>,
     make_chooser: MakeChooser,
+    make_planner: MakePlanner,
     started: u64,
     seed: u64,
 }
@@ -148,6 +152,7 @@
             nodes: HashMap::new(),
             links: Arc::new(links),
             make_chooser: spec.make_chooser,
+            make_planner: spec.make_planner,
             started: 0,
             seed: spec.seed,
             tree,
@@ -194,6 +199,7 @@
             peers: Arc::new(MemoryPeers::new(&net, &from)),
             backends: Arc::new(MemoryBackends::new(&net, &from, self.links.clone())),
             make_chooser: self.make_chooser,
+            make_planner: self.make_planner.clone(),
         };
         let place = Place { name: address.clone(), region, hall: hall.clone() };
         let seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(self.started);
--- a/trackfrontd/src/gateway/answer.rs
+++ b/trackfrontd/src/gateway/answer.rs
@@ -92,9 +92,12 @@
         self.pieces += 1;
     }
 
-    /// Notes that the answer is whole.
-    fn whole(&mut self) {
+    /// Notes that the answer is whole. What it waited for a place in the batch does not count as
+    /// demand, as far as it can be told from the time of the tokens.
+    fn whole(&mut self, name: &str) {
         self.ended.whole = Some(self.began.elapsed());
+        let tokens_took = self.first_at.map_or(Duration::ZERO, |first| first.elapsed());
+        self.shared.demand.stayed(name, tokens_took);
     }
 }
 
@@ -228,7 +231,7 @@
                     return Ok(Piece::Data(data));
                 }
                 Verdict::End => {
-                    self.at.whole();
+                    self.at.whole(&self.wanted.name);
                     return Ok(Piece::End);
                 }
                 Verdict::OtherRequest => self.at.shared.metrics.frame_dropped("other_request"),
--- a/trackfrontd/src/gateway/text.rs
+++ b/trackfrontd/src/gateway/text.rs
@@ -111,6 +111,7 @@
     tree: &TreeInForce,
     wanted: Wanted,
 ) -> Result<(Answer, Piece), RequestError> {
+    shared.demand.arrived(&wanted.name, shared.outside.clock.now());
     let tokens = wanted.prompt_tokens + wanted.output_tokens;
     caller::take_share(shared, tree, &wanted.caller, tokens)?;
     let caller = wanted.caller.clone();
--- a/trackfrontd/src/outside.rs
+++ b/trackfrontd/src/outside.rs
@@ -12,6 +12,7 @@
 use trackfront_adapters::platform::{HttpBoxList, HttpObjects, HttpTable};
 use trackfront_core::fleet::Fleet;
 use trackfront_core::ids::HallName;
+use trackfront_core::placement::{PlanMoves, Planner};
 use trackfront_core::ports::{
     BoxList, Clock, CommitOutcome, Engine, Objects, Peers, PlainService, Row, RowKey, Table,
     TableError, Transaction,
@@ -46,6 +47,16 @@
     pub backends: Arc<dyn Backends>,
     /// Makes the chooser of engines.
     pub make_chooser: MakeChooser,
+    /// Makes the planner of each shard that this box owns.
+    pub make_planner: MakePlanner,
+}
+
+/// Makes a planner. Benchmarks put baselines here.
+pub type MakePlanner = Arc<dyn Fn() -> Box<dyn PlanMoves> + Send + Sync>;
+
+/// Makes the planner.
+pub fn make_planner() -> MakePlanner {
+    Arc::new(|| Box::new(Planner))
 }
 
 /// Makes a chooser over a box's engines, for a box in a hall. Benchmarks put baselines here.
@@ -70,6 +81,7 @@
             peers: Arc::new(H2Peers::new(settings.key.clone())),
             backends: Arc::new(HttpBackends { client }),
             make_chooser: make_router,
+            make_planner: make_planner(),
         }
     }
 
--- a/trackfrontd/src/peering.rs
+++ b/trackfrontd/src/peering.rs
@@ -116,6 +116,7 @@
         shared.audit.record(AuditEvent::MemberChanged { member: change.id, state });
     }
     shared.limits.heard(&heartbeat.from, &heartbeat.demand, now);
+    shared.demand.heard(&heartbeat.from, &heartbeat.items, now);
     for digest in &heartbeat.digests {
         shared.fleet.observe(digest, now);
     }
@@ -140,5 +141,6 @@
         digests,
         claims: shared.claims.kept(),
         demand: shared.limits.demand(now),
+        items: shared.demand.told(now),
     }
 }
--- a/trackfrontd/src/shards/placement.rs
+++ b/trackfrontd/src/shards/placement.rs
@@ -1,6 +1,6 @@
 //! Places the models of one shard while this box holds its lease.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,9 +8,11 @@
 use tokio::sync::watch;
 use trackfront_adapters::wire::operator::{EngineStatus, ShardStatus};
 use trackfront_core::audit::AuditEvent;
-use trackfront_core::ids::{Fence, ShardId};
+use trackfront_core::demand::Demand;
+use trackfront_core::ids::{Fence, ItemKey, ShardId};
 use trackfront_core::order::{Intent, OrderResult};
 use trackfront_core::owner::{OrdersRow, ShardOwner};
+use trackfront_core::placement::PlanMoves;
 use trackfront_core::ports::{Expect, RowKey};
 use trackfront_core::tree::Service;
 use trackfront_core::units::Moment;
@@ -37,6 +39,7 @@
 /// An owned shard, with its orders row as the table has it.
 struct Owned {
     owner: ShardOwner,
+    planner: Box<dyn PlanMoves>,
     expect: Expect,
     row: OrdersRow,
 }
@@ -117,7 +120,8 @@
         let now = self.now();
         let owner = ShardOwner::new(self.shard.clone(), fence, service, found.clone(), now);
         let expect = Expect::unchanged(row.as_ref());
-        self.owned = Some(Owned { owner, expect, row: found });
+        let planner = (self.shared.outside.make_planner)();
+        self.owned = Some(Owned { owner, planner, expect, row: found });
     }
 
     /// Does one round of an owner's work.
@@ -140,7 +144,13 @@
                 result: result_name(&order.result).into(),
             });
         }
-        self.shared.with_rng(|rng| owned.owner.plan(service, now, rng));
+        let demand = item_demand(&self.shared, service, now);
+        set_engine_facts(&self.shared, service, &mut owned.owner);
+        let Owned { owner, planner, .. } = owned;
+        self.shared.with_rng(|rng| owner.plan(service, planner.as_mut(), &demand, now, rng));
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
         let changed = owned.owner.has_unwritten() || !ended.is_empty();
         if (changed || self.lease.is_due()) && !self.write_down().await {
             return;
@@ -290,6 +300,32 @@
     }
 }
 
+/// Returns how much each item of a service is asked for, over all boxes.
+fn item_demand(shared: &Shared, service: &Service, now: Moment) -> HashMap<ItemKey, Demand> {
+    let by_name = shared.demand.total(now);
+    let mut by_item = HashMap::new();
+    for sized in service.bundles().into_iter().flat_map(|bundle| bundle.items) {
+        let name = match &sized.item.adapter {
+            Some(adapter) => adapter.as_str(),
+            None => sized.item.model.as_str(),
+        };
+        if let Some(demand) = by_name.get(name) {
+            by_item.insert(sized.item, *demand);
+        }
+    }
+    by_item
+}
+
+/// Tells the owner what this box has measured of its engines.
+fn set_engine_facts(shared: &Shared, service: &Service, owner: &mut ShardOwner) {
+    let gap = Duration::from_millis(service.policy.token_gap_ms.value);
+    for id in service.backends.keys() {
+        if let Some(entry) = shared.fleet.engine(id) {
+            owner.set_engine_facts(id, entry.capacity(gap), entry.is_leaving());
+        }
+    }
+}
+
 fn result_name(result: &OrderResult) -> &'static str {
     match result {
         OrderResult::Done => "done",
--- a/trackfrontd/src/shared.rs
+++ b/trackfrontd/src/shared.rs
@@ -11,6 +11,7 @@
 use trackfront_adapters::metrics::Metrics;
 use trackfront_adapters::wire::operator::ShardStatus;
 use trackfront_core::audit::AuditSink;
+use trackfront_core::demand::DemandMeter;
 use trackfront_core::fleet::Fleet;
 use trackfront_core::ids::{BoxId, ShardId, draw_id};
 use trackfront_core::limits::CallerLimits;
@@ -50,6 +51,8 @@
     pub router: Box<dyn ChooseEngine>,
     /// How long answers of each model are, on average.
     pub outputs: OutputMeans,
+    /// How much models and adapters are asked for.
+    pub demand: DemandMeter,
     /// The limits of callers.
     pub limits: CallerLimits,
     /// How many retries may be sent.
@@ -84,6 +87,7 @@
             in_force: InForce::default(),
             router: outside.chooser(fleet.clone(), &place.hall),
             outputs: OutputMeans::default(),
+            demand: DemandMeter::default(),
             limits: CallerLimits::default(),
             retries: RetryBudget::default(),
             claims: ClaimDesks::default(),
