Level replicas by what they earn and pack tightly

Cause: burst showed that at twice the usual load a tenth of all requests came late while engines stood idle: packing by most room left no gap that took a replica, the planner filled gaps with whatever fitted first, and a replica counted as needed while any other engine of its model was busy.

Change: bundles go where they fit most tightly; each round adds the one replica that is worth the most after the moves it takes, with room found by giving up replicas or by moving one bundle; demand is levelled over replicas before it is judged. A bundle moved to make room stays for two minutes, since two choices took turns undoing each other.

--- a/trackfront_bench/src/cli.rs
+++ b/trackfront_bench/src/cli.rs
@@ -16,6 +16,10 @@
 pub enum Question {
     /// The cost of the way through an entry box.
     Path(Path),
+    /// The cost of a routing decision.
+    Route(Route),
+    /// Attainment under shifting demand.
+    Burst(Burst),
 }
 
 /// What a streamed answer through an entry box costs beside the same load sent directly to the
@@ -35,3 +39,48 @@
     #[argh(option, default = "16")]
     pub tokens: u64,
 }
+
+/// The time and memory of a routing decision at growing numbers of engines and models.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "route")]
+pub struct Route {
+    /// engines at the largest size
+    #[argh(option, default = "1300")]
+    pub engines: usize,
+
+    /// models at the largest size
+    #[argh(option, default = "850")]
+    pub models: usize,
+
+    /// entry boxes; a decision does not depend on them
+    #[argh(option, default = "320")]
+    pub nodes: usize,
+}
+
+/// Attainment under a demand that shifts tenfold, beside baselines in the same run.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "burst")]
+pub struct Burst {
+    /// the tree's folder
+    #[argh(positional)]
+    pub tree: String,
+
+    /// the seconds of demand
+    #[argh(option, default = "300")]
+    pub seconds: u64,
+
+    /// the seed of the demand
+    #[argh(option, default = "1")]
+    pub seed: u64,
+
+    /// loads to try, as multiples of the usual, separated by commas
+    #[argh(option, default = "String::from(\"0.5,1,1.5,2,3\")")]
+    pub load: String,
+}
+
+impl Burst {
+    /// Returns the loads to try.
+    pub fn loads(&self) -> Vec<f64> {
+        self.load.split(',').filter_map(|text| text.trim().parse().ok()).collect()
+    }
+}
--- a/trackfront_bench/src/figures.rs
+++ b/trackfront_bench/src/figures.rs
@@ -12,6 +12,9 @@
 /// The clock ticks a second in /proc, which Linux fixes at this for programs.
 const TICKS_PER_SECOND: f64 = 100.0;
 
+/// The bytes of a page of memory.
+const PAGE_BYTES: u64 = 4_096;
+
 /// Times of one kind, in microseconds.
 pub struct Times(Histogram<u64>);
 
@@ -73,3 +76,67 @@
 pub fn print(figures: &impl Serialize) {
     println!("{}", serde_json::to_string(figures).unwrap_or_default());
 }
+
+/// Times of one kind, in nanoseconds.
+pub struct Nanos(Histogram<u64>);
+
+impl Default for Nanos {
+    fn default() -> Self {
+        Self(Histogram::new(DIGITS).expect("the number of digits is valid"))
+    }
+}
+
+impl Nanos {
+    /// Adds a time.
+    pub fn add(&mut self, time: Duration) {
+        self.0.record(time.as_nanos() as u64).expect("the histogram grows by itself");
+    }
+
+    /// Returns the median and the time under which 99 in 100 stay.
+    pub fn p50_p99(&self) -> (u64, u64) {
+        (self.0.value_at_quantile(0.50), self.0.value_at_quantile(0.99))
+    }
+}
+
+/// Returns the memory of this process that is in use.
+pub fn resident_bytes() -> anyhow::Result<u64> {
+    let statm = std::fs::read_to_string("/proc/self/statm").context("cannot read /proc")?;
+    let pages = statm.split_whitespace().nth(1).context("/proc/self/statm is short")?;
+    Ok(pages.parse::<u64>()? * PAGE_BYTES)
+}
+
+/// Returns the slope of the straight line through some points.
+pub fn slope(points: &[(f64, f64)]) -> f64 {
+    fit(points).slope
+}
+
+/// A straight line through points.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Fit {
+    /// The value at zero.
+    pub base: f64,
+    /// How much the value grows by one.
+    pub slope: f64,
+    /// The root of the mean square of what the line leaves over.
+    pub residual: f64,
+}
+
+impl Fit {
+    /// Returns the value at `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+}
+
+/// Fits a straight line by least squares.
+pub fn fit(points: &[(f64, f64)]) -> Fit {
+    let count = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|point| (point.0 - mean_x).powi(2)).sum();
+    let common: f64 = points.iter().map(|point| (point.0 - mean_x) * (point.1 - mean_y)).sum();
+    let slope = if spread > 0.0 { common / spread } else { 0.0 };
+    let base = mean_y - slope * mean_x;
+    let left: f64 = points.iter().map(|point| (point.1 - base - slope * point.0).powi(2)).sum();
+    Fit { base, slope, residual: (left / count).sqrt() }
+}
--- a/trackfront_bench/src/main.rs
+++ b/trackfront_bench/src/main.rs
@@ -2,16 +2,27 @@
 
 #![warn(clippy::all)]
 
+mod baselines;
+mod burst;
 mod cli;
+mod demand;
 mod figures;
 mod path;
+mod paused;
+mod route;
 
 use cli::{Cli, Question};
 
-#[tokio::main]
-async fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<()> {
     let cli: Cli = argh::from_env();
     match cli.question {
-        Question::Path(args) => path::run(&args).await,
+        Question::Path(args) => real(path::run(&args)),
+        Question::Route(args) => route::run(&args),
+        Question::Burst(args) => burst::run(&args),
     }
 }
+
+/// Runs `job` on several threads and the real clock.
+fn real(job: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    tokio::runtime::Runtime::new()?.block_on(job)
+}
--- a/trackfront_core/src/engine_load.rs
+++ b/trackfront_core/src/engine_load.rs
@@ -25,6 +25,9 @@
 /// How many times its load a returning engine seems to have at first.
 const SLOW_START_FACTOR: f64 = 4.0;
 
+/// How many times this box's own requests at an engine all of them can be taken to be.
+const MAX_ALL_TO_OWN: f64 = 16.0;
+
 /// How many priorities there are.
 const PRIORITIES: usize = 10;
 
@@ -72,10 +75,8 @@
     queued: u32,
     /// This box's own requests there, by priority.
     in_flight: [u32; PRIORITIES],
-    /// Requests sent from here since the figures were taken.
-    sent_since: u32,
-    /// Requests from here that ended since.
-    ended_since: u32,
+    /// This box's own requests there when the figures came.
+    own_then: u32,
     /// The most that ran while others waited: how many the engine batches.
     batch_limit: Option<u32>,
     prompt: Line,
@@ -110,8 +111,7 @@
         }
         self.running = digest.running;
         self.queued = digest.queued;
-        self.sent_since = 0;
-        self.ended_since = 0;
+        self.own_then = self.own_in_flight();
         if digest.queued > 0 {
             self.batch_limit = self.batch_limit.max(Some(digest.running.max(1)));
         }
@@ -141,11 +141,16 @@
         }
     }
 
-    /// Returns how many requests are expected there: what was reported, and what this box has
-    /// sent and seen end since.
+    /// Returns how many requests are expected there: what was reported, and by how much this
+    /// box's own have grown since. The other boxes get their part of the same callers, so what
+    /// they cannot tell yet is taken to have grown in proportion.
     pub fn expected_requests(&self) -> u32 {
-        let reported = self.running + self.queued + self.sent_since;
-        reported.saturating_sub(self.ended_since).max(self.own_in_flight())
+        let reported = f64::from(self.running + self.queued);
+        let own = f64::from(self.own_in_flight());
+        let then = f64::from(self.own_then);
+        let all_to_own = (reported / then.max(1.0)).clamp(1.0, MAX_ALL_TO_OWN);
+        let expected = reported + all_to_own * (own - then);
+        expected.max(own) as u32
     }
 
     fn own_in_flight(&self) -> u32 {
@@ -205,7 +210,6 @@
     /// Counts a request that is sent there.
     pub fn begin(&mut self, sent: &Sent, now: Moment) {
         self.in_flight[priority_index(sent)] += 1;
-        self.sent_since += 1;
         if self.paused_until.is_some_and(|until| now >= until) {
             self.probing = true;
         }
@@ -217,7 +221,6 @@
         let own = &mut self.in_flight[priority_index(sent)];
         assert!(*own > 0, "a request ends once");
         *own -= 1;
-        self.ended_since += 1;
         self.measure(sent, ended, in_batch);
         if ended.failed {
             self.failed(now);
--- a/trackfront_core/src/owner.rs
+++ b/trackfront_core/src/owner.rs
@@ -194,6 +194,7 @@
             demand,
             move_cost: service.policy.move_cost.value as f64,
             max_loads: (service.policy.max_loads.value as usize).saturating_sub(open_loads),
+            now,
         };
         for planned in planner.plan(&input) {
             self.open_order(planned, rng);
--- a/trackfront_core/src/placement/mod.rs
+++ b/trackfront_core/src/placement/mod.rs
@@ -1,10 +1,14 @@
 //! Which items go on which engine of a shard.
 //!
 //! A model and its adapters form a bundle that is placed on one engine, or on several where it
-//! is asked for a lot. [`pack`] tells whether all bundles fit; [`plan`](plan::plan) decides on
+//! is asked for a lot. [`pack`] tells whether all bundles fit; [`Planner`] decides on
 //! the next moves. What is held stays where it is, so that a steady shard has no moves.
 
+mod draft;
 pub mod plan;
+mod repair;
+mod replicate;
+mod stale;
 
 use std::cmp::Reverse;
 
--- a/trackfrontd/src/outside.rs
+++ b/trackfrontd/src/outside.rs
@@ -56,7 +56,7 @@
 
 /// Makes the planner.
 pub fn make_planner() -> MakePlanner {
-    Arc::new(|| Box::new(Planner))
+    Arc::new(|| Box::new(Planner::default()))
 }
 
 /// Makes a chooser over a box's engines, for a box in a hall. Benchmarks put baselines here.
