End stuck orders, stopped boxes' tasks and version changes short of room

A box that had left started its shard tasks again, and they spun once their release channel was dropped. An order that an engine refused after a takeover stayed in doubt for ever and was sent again. Full engines with several old versions left no room for the new one, and callers got none meanwhile. A leaving engine refused at once what no other engine had.

Change: a leaving box starts no tasks; engines answer repeated orders alike, so a refusal is final; where room is short one old copy is kept; callers get the version before until the new one answers; a leaving engine takes what only it has for 2.5 s while that is loaded elsewhere.

--- a/trackfront_adapters/src/metrics.rs
+++ b/trackfront_adapters/src/metrics.rs
@@ -114,6 +114,12 @@
         self.requests.get_or_create(&RequestLabels { kind, result }).inc();
     }
 
+    /// Returns how many completions were answered whole.
+    pub fn text_answers(&self) -> u64 {
+        let labels = RequestLabels { kind: "completion", result: "answered" };
+        self.requests.get_or_create(&labels).get()
+    }
+
     /// Counts a dropped frame.
     pub fn frame_dropped(&self, reason: &'static str) {
         self.dropped_frames.get_or_create(&FrameLabels { reason }).inc();
--- a/trackfront_bench/src/cli.rs
+++ b/trackfront_bench/src/cli.rs
@@ -20,6 +20,14 @@
     Route(Route),
     /// Attainment under shifting demand.
     Burst(Burst),
+    /// Calls that may run once.
+    Repeat(Repeat),
+    /// Planned stops.
+    Drain(Drain),
+    /// The cost of a round of planning.
+    Plan(Plan),
+    /// Stale owners and late orders.
+    Fences(Fences),
 }
 
 /// What a streamed answer through an entry box costs beside the same load sent directly to the
@@ -84,3 +92,48 @@
         self.load.split(',').filter_map(|text| text.trim().parse().ok()).collect()
     }
 }
+
+/// Calls that may run once, with duplicates, dying boxes and store outages.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "repeat")]
+pub struct Repeat {
+    /// how many calls are sent
+    #[argh(option, default = "100000")]
+    pub calls: usize,
+}
+
+/// Planned stops of boxes and engines under load.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub struct Drain {
+    /// how many stops
+    #[argh(option, default = "1000")]
+    pub stops: usize,
+}
+
+/// The time and memory of a round of planning, for each hall's shard.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "plan")]
+pub struct Plan {
+    /// engines in all halls
+    #[argh(option, default = "1300")]
+    pub engines: usize,
+
+    /// models in all halls
+    #[argh(option, default = "850")]
+    pub models: usize,
+}
+
+/// Random steps of pauses, takeovers, lost and late orders, for engines that check fencing
+/// tokens and engines that do not.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fences")]
+pub struct Fences {
+    /// how many steps
+    #[argh(option, default = "100000")]
+    pub steps: u64,
+
+    /// the seed
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
--- a/trackfront_bench/src/demand.rs
+++ b/trackfront_bench/src/demand.rs
@@ -66,8 +66,6 @@
 pub struct DemandPlan {
     /// The requests.
     pub arrivals: Vec<Arrival>,
-    /// The times at which each model is hot: model, from and to, in seconds.
-    pub hot: Vec<(String, f64, f64)>,
 }
 
 /// A model with its names and its usual share of the demand.
@@ -92,7 +90,7 @@
             draw_model(model, all * model.weight, day, &hot, &mut rng, tree, &mut arrivals);
         }
         arrivals.sort_by(|a, b| a.at.cmp(&b.at).then(a.name.cmp(&b.name)));
-        DemandPlan { arrivals, hot }
+        DemandPlan { arrivals }
     }
 }
 
--- a/trackfront_bench/src/figures.rs
+++ b/trackfront_bench/src/figures.rs
@@ -121,13 +121,6 @@
     pub residual: f64,
 }
 
-impl Fit {
-    /// Returns the value at `x`.
-    pub fn at(&self, x: f64) -> f64 {
-        self.base + self.slope * x
-    }
-}
-
 /// Fits a straight line by least squares.
 pub fn fit(points: &[(f64, f64)]) -> Fit {
     let count = points.len().max(1) as f64;
--- a/trackfront_bench/src/main.rs
+++ b/trackfront_bench/src/main.rs
@@ -6,9 +6,13 @@
 mod burst;
 mod cli;
 mod demand;
+mod drain;
+mod fences;
 mod figures;
 mod path;
 mod paused;
+mod plan;
+mod repeat;
 mod route;
 
 use cli::{Cli, Question};
@@ -19,6 +23,10 @@
         Question::Path(args) => real(path::run(&args)),
         Question::Route(args) => route::run(&args),
         Question::Burst(args) => burst::run(&args),
+        Question::Repeat(args) => repeat::run(&args),
+        Question::Drain(args) => drain::run(&args),
+        Question::Plan(args) => plan::run(&args),
+        Question::Fences(args) => fences::run(&args),
     }
 }
 
--- a/trackfront_core/src/engine_load.rs
+++ b/trackfront_core/src/engine_load.rs
@@ -28,6 +28,9 @@
 /// How many times this box's own requests at an engine all of them can be taken to be.
 const MAX_ALL_TO_OWN: f64 = 16.0;
 
+/// How long a leaving engine still gets what no other engine answers for.
+const LEAVING_GRACE: Duration = Duration::from_millis(2_500);
+
 /// How many priorities there are.
 const PRIORITIES: usize = 10;
 
@@ -87,7 +90,7 @@
     paused_until: Option<Moment>,
     probing: bool,
     returned_at: Option<Moment>,
-    leaving: bool,
+    leaving_since: Option<Moment>,
 }
 
 impl EngineLoad {
@@ -118,14 +121,23 @@
         true
     }
 
-    /// Sets whether the engine is leaving.
-    pub fn set_leaving(&mut self, leaving: bool) {
-        self.leaving = leaving;
+    /// Notes at `now` whether the engine is leaving.
+    pub fn set_leaving(&mut self, leaving: bool, now: Moment) {
+        self.leaving_since = match (leaving, self.leaving_since) {
+            (true, since) => since.or(Some(now)),
+            (false, _) => None,
+        };
     }
 
     /// Returns whether the engine is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.leaving_since.is_some()
+    }
+
+    /// Returns whether the engine is leaving and gets no new work any more, whatever else there
+    /// is. Before that it gets what no other engine answers for, while that is loaded elsewhere.
+    pub fn has_left(&self, now: Moment) -> bool {
+        self.leaving_since.is_some_and(|since| now.since(since) >= LEAVING_GRACE)
     }
 
     /// Returns how old the figures are at `now`; `None` if there are none.
--- a/trackfront_core/src/fleet.rs
+++ b/trackfront_core/src/fleet.rs
@@ -85,6 +85,11 @@
         self.load.lock().is_leaving()
     }
 
+    /// Returns whether the engine is leaving and gets no new work any more.
+    pub fn has_left(&self, now: Moment) -> bool {
+        self.load.lock().has_left(now)
+    }
+
     /// Returns whether new requests may go here at `now`: the breaker is closed, or one probe
     /// may pass.
     pub fn takes_new_work(&self, now: Moment) -> bool {
@@ -217,10 +222,10 @@
             .collect()
     }
 
-    /// Marks the engines that are leaving; they get no new work.
-    pub fn set_leaving(&self, is_leaving: impl Fn(&BackendId) -> bool) {
+    /// Notes at `now` which engines are leaving.
+    pub fn set_leaving(&self, is_leaving: impl Fn(&BackendId) -> bool, now: Moment) {
         for entry in self.engines.lock().values() {
-            entry.load.lock().set_leaving(is_leaving(&entry.id));
+            entry.load.lock().set_leaving(is_leaving(&entry.id), now);
         }
     }
 
@@ -231,6 +236,16 @@
         }
     }
 
+    /// Returns another version of `item` that some engine answers for, while the wanted one is
+    /// still on its way. This looks at every item, so it is only for the time of a change.
+    pub fn other_version(&self, item: &ItemKey) -> Option<ItemKey> {
+        self.index.iter().find_map(|shard| {
+            let shard = shard.lock();
+            let mut known = shard.keys();
+            known.find(|k| k.model == item.model && k.adapter == item.adapter).cloned()
+        })
+    }
+
     /// Returns how many engines answer for `item`.
     pub fn ready_count(&self, item: &ItemKey) -> usize {
         self.index_shard(item).lock().get(item).map_or(0, Vec::len)
--- a/trackfront_core/src/ledger.rs
+++ b/trackfront_core/src/ledger.rs
@@ -166,9 +166,8 @@
         }
     }
 
-    /// Notes that `item` answers, for tests that carry moves out at once.
-    #[cfg(test)]
-    pub fn complete(&mut self, item: &ItemKey) {
+    /// Notes that `item` answers and that the order behind it is settled, as a report would.
+    pub fn report_ready(&mut self, item: &ItemKey) {
         if let Some(entry) = self.entries.get_mut(item) {
             entry.holding = Holding::Ready;
             entry.ordered = false;
--- a/trackfront_core/src/order.rs
+++ b/trackfront_core/src/order.rs
@@ -61,7 +61,7 @@
 pub enum OrderResult {
     /// The engine's report shows the order's effect.
     Done,
-    /// The engine refused it at the first send, so it never took effect.
+    /// The engine refused it, so it never took effect.
     Refused(String),
     /// The engine has seen a larger fencing token: this box no longer owns the shard.
     Stale(Fence),
@@ -84,7 +84,6 @@
 #[derive(Debug)]
 pub struct OrderLife {
     order: Order,
-    sends: u32,
 }
 
 /// One order from its intent to its end.
@@ -98,10 +97,7 @@
     #[state]
     fn written(&mut self, event: &OrderEvent<'_>) -> Outcome<OrderState> {
         match event {
-            OrderEvent::Sent => {
-                self.sends += 1;
-                Transition(OrderState::in_doubt())
-            }
+            OrderEvent::Sent => Transition(OrderState::in_doubt()),
             OrderEvent::Reported(report) => self.judge(report),
             OrderEvent::Replied(_) => Super,
         }
@@ -111,16 +107,13 @@
     #[state]
     fn in_doubt(&mut self, event: &OrderEvent<'_>) -> Outcome<OrderState> {
         match event {
-            OrderEvent::Sent => {
-                self.sends += 1;
-                Handled
-            }
+            OrderEvent::Sent => Handled,
             OrderEvent::Replied(OrderReply::Accepted) => Transition(OrderState::accepted()),
             OrderEvent::Replied(OrderReply::Stale { seen }) => {
                 Transition(OrderState::ended(OrderResult::Stale(*seen)))
             }
-            // After several sends an earlier one may have been taken, so only reports decide.
-            OrderEvent::Replied(OrderReply::Refused { reason }) if self.sends == 1 => {
+            // An engine answers a repeat as it answered before, so no earlier send was taken.
+            OrderEvent::Replied(OrderReply::Refused { reason }) => {
                 Transition(OrderState::ended(OrderResult::Refused(reason.clone())))
             }
             OrderEvent::Replied(_) => Handled,
@@ -134,10 +127,7 @@
         match event {
             OrderEvent::Reported(report) => self.judge(report),
             // An engine that restarted has forgotten the order and gets it again.
-            OrderEvent::Sent => {
-                self.sends += 1;
-                Transition(OrderState::in_doubt())
-            }
+            OrderEvent::Sent => Transition(OrderState::in_doubt()),
             OrderEvent::Replied(_) => Handled,
         }
     }
@@ -151,14 +141,9 @@
 }
 
 impl OrderLife {
-    /// Starts the life of an order whose intent was just written.
+    /// Starts the life of an order whose intent was written, now or by a former owner.
     pub fn new(order: Order) -> Self {
-        Self { order, sends: 0 }
-    }
-
-    /// Starts the life of an order found in the table: it may have been sent any number of times.
-    pub fn found(order: Order) -> Self {
-        Self { order, sends: 2 }
+        Self { order }
     }
 
     /// Returns the order.
@@ -239,14 +224,11 @@
     }
 
     #[test]
-    fn a_refusal_after_a_lost_reply_proves_nothing() {
+    fn a_lost_reply_leaves_the_order_in_doubt_until_a_report() {
         let mut life = OrderLife::new(order(Action::Load)).state_machine();
         life.handle(&OrderEvent::Sent);
         let lost = OrderReply::Unknown(EngineError::Unavailable("reset".into()));
         life.handle(&OrderEvent::Replied(&lost));
-        life.handle(&OrderEvent::Sent);
-        let refused = OrderReply::Refused { reason: "no room".into() };
-        life.handle(&OrderEvent::Replied(&refused));
         assert_eq!(life.state(), &OrderState::InDoubt {});
         life.handle(&OrderEvent::Reported(&report(&["o1"], Some(ReportedState::Ready))));
         assert_eq!(life.state(), &OrderState::Ended { result: OrderResult::Done });
--- a/trackfront_core/src/owner.rs
+++ b/trackfront_core/src/owner.rs
@@ -88,7 +88,7 @@
             if let Some(engine) = owner.engines.get_mut(&intent.engine) {
                 engine.state.ledger.count_intent(&intent);
             }
-            let life = OrderLife::found(intent.order.clone()).state_machine();
+            let life = OrderLife::new(intent.order.clone()).state_machine();
             owner.orders.push(OpenOrder { intent, life, written: false, last_sent: None });
         }
         owner
--- a/trackfront_core/src/placement/draft.rs
+++ b/trackfront_core/src/placement/draft.rs
@@ -61,10 +61,27 @@
     }
 }
 
+/// How a bundle's demand is spread over its engines.
+struct Spread {
+    model: ItemKey,
+    demand: f64,
+    homes: Vec<(BackendId, f64)>,
+}
+
+impl Spread {
+    fn even(bundle: &Bundle, demand: f64, homes: Vec<BackendId>) -> Self {
+        let each = demand / homes.len().max(1) as f64;
+        let homes = homes.into_iter().map(|id| (id, each)).collect();
+        Self { model: bundle.model().clone(), demand, homes }
+    }
+}
+
 /// The shard as it would be after the moves so far.
 pub struct Draft<'a> {
     pub input: &'a PlanInput<'a>,
     recent: &'a [RecentLoad],
+    /// Whether something found no room in this round.
+    pub short_of_room: bool,
     /// The part of each model's demand that each of its engines gets.
     shares: HashMap<ItemKey, HashMap<BackendId, f64>>,
     pub engines: BTreeMap<BackendId, DraftEngine>,
@@ -77,8 +94,15 @@
     pub fn new(input: &'a PlanInput<'a>, recent: &'a [RecentLoad]) -> Self {
         let engines =
             input.engines.iter().map(|(id, state)| (id.clone(), DraftEngine::new(state))).collect();
-        let mut draft =
-            Self { input, recent, shares: HashMap::new(), engines, moves: Vec::new(), loads: 0 };
+        let mut draft = Self {
+            input,
+            recent,
+            short_of_room: false,
+            shares: HashMap::new(),
+            engines,
+            moves: Vec::new(),
+            loads: 0,
+        };
         draft.spread_load();
         draft
     }
@@ -91,28 +115,24 @@
     /// Spreads each bundle's demand over the engines that have it so that their loads are level,
     /// as the routers do.
     fn spread_load(&mut self) {
-        let mut shares: Vec<(ItemKey, f64, Vec<(BackendId, f64)>)> = self
+        let mut spreads: Vec<Spread> = self
             .input
             .bundles
             .iter()
-            .map(|bundle| (bundle.model(), self.demand(bundle).concurrency, self.homes(bundle)))
-            .filter(|(_, demand, homes)| *demand > 0.0 && !homes.is_empty())
-            .map(|(model, demand, homes)| {
-                let each = demand / homes.len() as f64;
-                (model.clone(), demand, homes.into_iter().map(|id| (id, each)).collect())
-            })
+            .map(|bundle| Spread::even(bundle, self.demand(bundle).concurrency, self.homes(bundle)))
+            .filter(|spread| spread.demand > 0.0 && !spread.homes.is_empty())
             .collect();
-        for (id, each) in shares.iter().flat_map(|(_, _, homes)| homes) {
-            self.add_load(id, *each);
+        for (id, share) in spreads.iter().flat_map(|spread| &spread.homes) {
+            self.add_load(id, *share);
         }
         for _ in 0..LEVEL_ROUNDS {
-            for (_, demand, homes) in shares.iter_mut().filter(|(_, _, homes)| homes.len() > 1) {
-                self.level(*demand, homes);
+            for spread in spreads.iter_mut().filter(|spread| spread.homes.len() > 1) {
+                self.level(spread.demand, &mut spread.homes);
             }
         }
-        self.shares = shares
+        self.shares = spreads
             .into_iter()
-            .map(|(model, _, homes)| (model, homes.into_iter().collect()))
+            .map(|spread| (spread.model, spread.homes.into_iter().collect()))
             .collect();
     }
 
--- a/trackfront_core/src/placement/plan.rs
+++ b/trackfront_core/src/placement/plan.rs
@@ -167,7 +167,7 @@
                     Action::Load => {
                         let (item, size) = (planned.item.clone(), planned.per_accelerator);
                         ledger.reserve(item.clone(), size).expect("there is room");
-                        ledger.complete(&item);
+                        ledger.report_ready(&item);
                     }
                     Action::Unload => ledger.remove(&planned.item),
                 }
--- a/trackfront_core/src/placement/repair.rs
+++ b/trackfront_core/src/placement/repair.rs
@@ -104,6 +104,7 @@
                 return;
             }
         }
+        self.short_of_room = true;
         log::warn!("there is no room for {} now; it is tried again", items[0].item);
     }
 
--- a/trackfront_core/src/placement/stale.rs
+++ b/trackfront_core/src/placement/stale.rs
@@ -22,7 +22,8 @@
             let gone = engine.held.iter().filter(|(item, holding)| {
                 **holding == Holding::Ready
                     && !wanted.contains(item)
-                    && self.replacement_ready(&wanted, item)
+                    && (self.replacement_ready(&wanted, item)
+                        || (self.short_of_room && self.answers_elsewhere(id, item)))
             });
             stale.extend(gone.map(|(item, _)| (id.clone(), item.clone())));
         }
@@ -40,4 +41,19 @@
             .filter(|item| item.model == old.model && item.adapter == old.adapter)
             .all(|item| self.engines.values().any(|engine| engine.is_ready(item)))
     }
+
+    /// Returns whether another engine answers for the same model or adapter, in any version. Where
+    /// room is short, one old copy is enough until the new version is there.
+    fn answers_elsewhere(&self, id: &BackendId, item: &ItemKey) -> bool {
+        // Of several engines with an old copy, the first keeps it.
+        let keeper = self.engines.iter().find(|(_, engine)| {
+            engine.usable
+                && engine.held.iter().any(|(held, holding)| {
+                    *holding == Holding::Ready
+                        && held.model == item.model
+                        && held.adapter == item.adapter
+                })
+        });
+        keeper.is_some_and(|(keeper, _)| keeper != id)
+    }
 }
--- a/trackfront_core/src/ports/engine.rs
+++ b/trackfront_core/src/ports/engine.rs
@@ -174,7 +174,7 @@
     pub queued_prompt_tokens: u64,
     /// The largest fencing token seen.
     pub fence: Fence,
-    /// The orders carried out lately, newest last.
+    /// The orders answered lately, refused ones included, newest last.
     pub recent_orders: Vec<OrderId>,
 }
 
@@ -242,7 +242,8 @@
     /// Tells the engine to stop a request; repeating this is harmless.
     async fn cancel(&self, request: &RequestId) -> Result<(), EngineError>;
 
-    /// Sends an order.
+    /// Sends an order. An engine remembers the orders that it has answered lately: a repeat is
+    /// answered as before and has no further effect.
     async fn order(&self, order: &Order) -> OrderReply;
 
     /// Reads the engine's latest report.
--- a/trackfront_core/src/routing.rs
+++ b/trackfront_core/src/routing.rs
@@ -107,7 +107,7 @@
 /// The best engine so far.
 struct Best {
     pick: Pick,
-    /// Whether the breaker holds requests off, then the time until the answer is whole, then
+    /// Whether it is leaving or its breaker holds requests off, then the time until the answer is whole, then
     /// the requests there.
     score: (bool, Duration, u32),
 }
@@ -138,7 +138,7 @@
             Estimate { first: estimate.first + way, whole: estimate.whole + way }
         });
         let whole = estimate.map_or(Duration::ZERO, |estimate| estimate.whole);
-        let held_off = !entry.takes_new_work(query.now);
+        let held_off = entry.is_leaving() || !entry.takes_new_work(query.now);
         let score = (held_off, whole, entry.expected_requests());
         Best { pick: Pick { entry: entry.clone(), sent, estimate }, score }
     }
@@ -163,7 +163,7 @@
         };
         let mut best: Option<Best> = None;
         self.fleet.for_each_ready(query.item, |entry| {
-            if query.tried.contains(&entry.id) || entry.is_leaving() {
+            if query.tried.contains(&entry.id) || entry.has_left(query.now) {
                 return;
             }
             let judged = self.judge(entry, query, &cached);
--- a/trackfront_standin/src/box_list.rs
+++ b/trackfront_standin/src/box_list.rs
@@ -51,6 +51,12 @@
         self.states.lock().coming.push_back((Instant::now() + self.lag, boxes));
     }
 
+    /// Returns the list as it will be shown once the lag is over.
+    pub fn coming(&self) -> Vec<ListedBox> {
+        let states = self.states.lock();
+        states.coming.back().map_or(&states.shown, |(_, boxes)| boxes).clone()
+    }
+
     /// Returns the list as it is shown now.
     pub fn shown(&self) -> Vec<ListedBox> {
         let mut states = self.states.lock();
--- a/trackfront_standin/src/engine/mod.rs
+++ b/trackfront_standin/src/engine/mod.rs
@@ -142,7 +142,21 @@
 #[derive(Default)]
 struct Orders {
     fence: Fence,
-    recent: VecDeque<OrderId>,
+    recent: VecDeque<(OrderId, OrderAnswer)>,
+}
+
+impl Orders {
+    /// Returns what was answered to an order before: a repeat is answered alike and has no effect.
+    fn answered(&self, id: &OrderId) -> Option<OrderAnswer> {
+        self.recent.iter().find(|(known, _)| known == id).map(|(_, answer)| answer.clone())
+    }
+
+    fn remember(&mut self, id: OrderId, answer: OrderAnswer) {
+        self.recent.push_back((id, answer));
+        if self.recent.len() > RECENT_ORDERS {
+            self.recent.pop_front();
+        }
+    }
 }
 
 impl EngineStandin {
@@ -251,7 +265,7 @@
         // The orders are read first: an order that is named has its effect in the items.
         let (fence, recent_orders) = {
             let orders = self.inner.orders.lock();
-            (orders.fence, orders.recent.iter().cloned().collect())
+            (orders.fence, orders.recent.iter().map(|(id, _)| id.clone()).collect())
         };
         LoadReport {
             incarnation: self.inner.incarnation,
@@ -289,37 +303,33 @@
     /// Takes an order, once.
     fn carry_out(&self, order: Order) -> OrderAnswer {
         let mut orders = self.inner.orders.lock();
-        if order.fence < orders.fence {
-            let mut counts = self.inner.counts.lock();
-            if self.inner.config.checks_fence {
-                counts.stale_orders += 1;
-                return OrderAnswer::Stale { seen: orders.fence.0 };
-            }
-            counts.stale_taken += 1;
+        let stale = order.fence < orders.fence;
+        if stale && self.inner.config.checks_fence {
+            self.inner.counts.lock().stale_orders += 1;
+            return OrderAnswer::Stale { seen: orders.fence.0 };
         }
         orders.fence = orders.fence.max(order.fence);
-        if orders.recent.contains(&order.id) {
-            return OrderAnswer::Accepted;
+        if let Some(answer) = orders.answered(&order.id) {
+            return answer;
+        }
+        if stale {
+            self.inner.counts.lock().stale_taken += 1;
         }
         let effect = self.inner.memory.lock().apply(&order);
-        match effect {
+        let answer = match &effect {
             OrderEffect::Overcommit { reason } => {
                 self.inner.counts.lock().overcommits += 1;
-                return OrderAnswer::Refused { reason };
+                OrderAnswer::Refused { reason: reason.clone() }
             }
-            OrderEffect::Refused { reason } => return OrderAnswer::Refused { reason },
-            OrderEffect::None => {}
-            OrderEffect::Loading | OrderEffect::Unloading => {
-                let engine = self.clone();
-                let done = order.clone();
-                tokio::spawn(async move { engine.finish_order(done, effect).await });
-            }
-        }
-        orders.recent.push_back(order.id);
-        if orders.recent.len() > RECENT_ORDERS {
-            orders.recent.pop_front();
+            OrderEffect::Refused { reason } => OrderAnswer::Refused { reason: reason.clone() },
+            _ => OrderAnswer::Accepted,
+        };
+        orders.remember(order.id.clone(), answer.clone());
+        if matches!(effect, OrderEffect::Loading | OrderEffect::Unloading) {
+            let engine = self.clone();
+            tokio::spawn(async move { engine.finish_order(order, effect).await });
         }
-        OrderAnswer::Accepted
+        answer
     }
 
     /// Loads or unloads for as long as that takes.
--- a/trackfront_standin/src/memory/load.rs
+++ b/trackfront_standin/src/memory/load.rs
@@ -51,6 +51,8 @@
     if let Err(error) = read_text(shared, &request, start, &mut result).await {
         result.error = Some(error);
     }
+    let word = result.error.as_ref().map_or("answered", RequestError::kind);
+    shared.metrics.request_ended("completion", word);
     result.whole = start.elapsed();
     result
 }
--- a/trackfront_standin/src/memory/mod.rs
+++ b/trackfront_standin/src/memory/mod.rs
@@ -219,6 +219,27 @@
         self.list_boxes();
     }
 
+    /// Ends a box that has left, after its last request.
+    pub async fn finish_box(&mut self, address: &str) {
+        if let Some(node) = self.nodes.remove(address) {
+            node.finish().await;
+        }
+        self.net.remove(address);
+        self.list_boxes();
+    }
+
+    /// Lets the platform's list say something else of a backend server.
+    pub fn list_backend(&self, id: &BackendId, state: ListedState) {
+        let backend = self.tree.backends().find(|(known, _)| *known == id);
+        let mut list = self.box_list.coming();
+        for listed in &mut list {
+            if backend.is_some_and(|(_, backend)| backend.address == listed.address) {
+                listed.state = state;
+            }
+        }
+        self.box_list.set(list);
+    }
+
     /// Returns the boxes' addresses in the order in which they were started.
     pub fn box_addresses(&self) -> Vec<String> {
         let mut addresses: Vec<String> = self.nodes.keys().cloned().collect();
--- a/trackfrontd/src/gateway/answer.rs
+++ b/trackfrontd/src/gateway/answer.rs
@@ -132,13 +132,13 @@
     pub async fn start(
         shared: &Arc<Shared>,
         tree: &TreeInForce,
-        wanted: Wanted,
+        mut wanted: Wanted,
     ) -> Result<(Answer, Piece), RequestError> {
         shared.retries.earn();
         let mut tried: Vec<BackendId> = Vec::new();
         let mut last: Option<RequestError> = None;
         loop {
-            let pick = match choose(shared, &wanted, &tried) {
+            let pick = match choose(shared, &mut wanted, &tried) {
                 Ok(pick) => pick,
                 // What an engine said before tells more than that no other is left.
                 Err(refused) => return Err(last.unwrap_or(refused)),
@@ -281,7 +281,7 @@
             return Err(Failed::last(passed(&self.wanted, Outcome::Ran)));
         }
         let shared = self.at.shared.clone();
-        let pick = choose(&shared, &self.wanted, &self.tried).map_err(Failed::last)?;
+        let pick = choose(&shared, &mut self.wanted, &self.tried).map_err(Failed::last)?;
         self.tried.push(pick.entry.id.clone());
         let engine = link(tree, &self.wanted, &pick)?;
         let from = StartFrom::Continue { offset, delivered: self.delivered.clone() };
@@ -351,8 +351,29 @@
     tree.engines.get(&pick.entry.id).cloned().ok_or_else(|| Failed::retry(missing))
 }
 
-/// Chooses an engine and notes the choice.
-fn choose(shared: &Shared, wanted: &Wanted, tried: &[BackendId]) -> Result<Pick, RequestError> {
+/// Chooses an engine and notes the choice. While no engine has the wanted version yet, the one
+/// before goes on answering.
+fn choose(shared: &Shared, wanted: &mut Wanted, tried: &[BackendId]) -> Result<Pick, RequestError> {
+    match choose_item(shared, wanted, tried) {
+        Err(Refusal::NoEngine { .. }) if shared.fleet.ready_count(&wanted.request.item) == 0 => {
+            if let Some(other) = shared.fleet.other_version(&wanted.request.item) {
+                wanted.request.item = other;
+            }
+            choose_item(shared, wanted, tried)
+        }
+        chosen => chosen,
+    }
+    .map_err(|refusal| match refusal {
+        Refusal::NoEngine { retry_after } => {
+            RequestError::NoBackend { name: wanted.name.clone(), retry_after }
+        }
+        Refusal::TooLate { retry_after } => {
+            RequestError::Overloaded { name: wanted.name.clone(), retry_after }
+        }
+    })
+}
+
+fn choose_item(shared: &Shared, wanted: &Wanted, tried: &[BackendId]) -> Result<Pick, Refusal> {
     let query = RouteQuery {
         item: &wanted.request.item,
         prompt_tokens: wanted.prompt_tokens,
@@ -363,18 +384,9 @@
         tried,
         now: shared.outside.clock.now(),
     };
-    match shared.router.choose(&query) {
-        Ok(pick) => {
-            shared.router.sent(&query, &pick);
-            Ok(pick)
-        }
-        Err(Refusal::NoEngine { retry_after }) => {
-            Err(RequestError::NoBackend { name: wanted.name.clone(), retry_after })
-        }
-        Err(Refusal::TooLate { retry_after }) => {
-            Err(RequestError::Overloaded { name: wanted.name.clone(), retry_after })
-        }
-    }
+    let pick = shared.router.choose(&query)?;
+    shared.router.sent(&query, &pick);
+    Ok(pick)
 }
 
 fn passed(wanted: &Wanted, outcome: Outcome) -> RequestError {
--- a/trackfrontd/src/peering.rs
+++ b/trackfrontd/src/peering.rs
@@ -46,7 +46,7 @@
         let backend = current.tree.backends().find(|(known, _)| *known == id);
         backend.is_some_and(|(_, backend)| leaving.contains(&backend.address.as_str()))
     };
-    shared.fleet.set_leaving(is_leaving);
+    shared.fleet.set_leaving(is_leaving, now);
 }
 
 /// Sends heartbeats until the task is stopped.
--- a/trackfrontd/src/shards/claims.rs
+++ b/trackfrontd/src/shards/claims.rs
@@ -21,6 +21,7 @@
 use trackfront_core::ports::{Expect, ObjectError, Row, RowKey, TableError, Write};
 use trackfront_core::units::UnixMillis;
 
+use super::goes_on;
 use super::lease::{LeaseKeeper, write};
 use crate::shared::Shared;
 
@@ -246,11 +247,10 @@
 
     /// Keeps the claims until `released` turns true, then gives them up.
     pub async fn run(mut self, mut released: watch::Receiver<bool>) {
-        while !*released.borrow() {
+        loop {
             self.step().await;
-            tokio::select! {
-                () = self.wait_for_work() => {},
-                _ = released.changed() => {},
+            if !goes_on(self.wait_for_work(), &mut released).await {
+                break;
             }
         }
         // What waits is committed before the lease is given up.
--- a/trackfrontd/src/shards/mod.rs
+++ b/trackfrontd/src/shards/mod.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join_all;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -60,12 +59,29 @@
     }
 }
 
+/// Waits for `pause`, or until the task is released. Returns whether it goes on.
+async fn goes_on(pause: impl Future<Output = ()>, released: &mut watch::Receiver<bool>) -> bool {
+    tokio::select! {
+        () = pause => true,
+        // A sender that is gone releases the task, too.
+        _ = released.wait_for(|released| *released) => false,
+    }
+}
+
 /// The tasks of all shards.
 #[derive(Default)]
 pub struct ShardTasks {
-    tasks: Mutex<BTreeMap<(ShardId, Job), ShardTask>>,
+    tasks: Mutex<Tasks>,
+}
+
+#[derive(Default)]
+struct Tasks {
+    running: BTreeMap<(ShardId, Job), ShardTask>,
+    /// Whether the box is leaving and starts no more tasks.
+    closed: bool,
 }
 
+/// A running task. It ends when it is released, or by itself when this is dropped.
 struct ShardTask {
     handle: JoinHandle<()>,
     release: watch::Sender<bool>,
@@ -75,7 +91,7 @@
     /// Starts a shard's task unless it runs.
     fn ensure(&self, shared: &Arc<Shared>, shard: ShardId, job: Job) {
         let mut tasks = self.tasks.lock();
-        if tasks.contains_key(&(shard.clone(), job)) {
+        if tasks.closed || tasks.running.contains_key(&(shard.clone(), job)) {
             return;
         }
         let (release, released) = watch::channel(false);
@@ -87,22 +103,34 @@
                 tokio::spawn(ClaimKeeper::new(shared.clone(), shard.clone()).run(released))
             }
         };
-        tasks.insert((shard, job), ShardTask { handle, release });
+        tasks.running.insert((shard, job), ShardTask { handle, release });
     }
 
     /// Stops all tasks at once, without giving leases up.
     pub fn abort(&self) {
-        for task in self.tasks.lock().values() {
+        let mut tasks = self.tasks.lock();
+        tasks.closed = true;
+        for task in tasks.running.values() {
             task.handle.abort();
         }
     }
 
     /// Gives all leases up and waits for that.
     pub async fn release(&self) {
-        let tasks = std::mem::take(&mut *self.tasks.lock());
-        for task in tasks.values() {
+        let running = {
+            let mut tasks = self.tasks.lock();
+            tasks.closed = true;
+            std::mem::take(&mut tasks.running)
+        };
+        for task in running.values() {
             task.release.send_replace(true);
         }
-        join_all(tasks.into_values().map(|task| task.handle)).await;
+        // The senders live until the tasks have ended, so that none sees its own dropped.
+        let ended: Vec<_> = running.into_values().map(|task| (task.release, task.handle)).collect();
+        for (_release, handle) in ended {
+            if handle.await.is_err() {
+                log::error!("a shard's task has failed");
+            }
+        }
     }
 }
--- a/trackfrontd/src/shards/placement.rs
+++ b/trackfrontd/src/shards/placement.rs
@@ -17,6 +17,7 @@
 use trackfront_core::tree::Service;
 use trackfront_core::units::Moment;
 
+use super::goes_on;
 use super::lease::{LeaseKeeper, write};
 use crate::in_force::TreeInForce;
 use crate::reader;
@@ -53,13 +54,12 @@
 
     /// Keeps the shard until `released` turns true, then gives it up.
     pub async fn run(mut self, mut released: watch::Receiver<bool>) {
-        while !*released.borrow() {
+        loop {
             self.step().await;
             let busy = self.owned.as_ref().is_some_and(|owned| owned.owner.has_open());
             let pause = if busy { STEP_EVERY_BUSY } else { STEP_EVERY };
-            tokio::select! {
-                () = self.shared.rest(pause) => {},
-                _ = released.changed() => {},
+            if !goes_on(self.shared.rest(pause), &mut released).await {
+                break;
             }
         }
         self.lease.give_up().await;
