--- a/trackfront_bench/src/cli.rs
+++ b/trackfront_bench/src/cli.rs
@@ -28,6 +28,8 @@
     Plan(Plan),
     /// Stale owners and late orders.
     Fences(Fences),
+    /// Moves and attainment of planners.
+    Moves(Moves),
 }
 
 /// What a streamed answer through an entry box costs beside the same load sent directly to the
@@ -137,3 +139,25 @@
     #[argh(option, default = "1")]
     pub seed: u64,
 }
+
+/// Moves and attainment over a demand with tenfold shifts, a lost engine and new versions, beside
+/// other planners in the same run.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "moves")]
+pub struct Moves {
+    /// the tree's folder
+    #[argh(positional)]
+    pub tree: String,
+
+    /// the seconds of demand
+    #[argh(option, default = "600")]
+    pub seconds: u64,
+
+    /// the load, as a multiple of the usual
+    #[argh(option, default = "1.0")]
+    pub load: f64,
+
+    /// the seed of the demand
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
--- a/trackfront_bench/src/main.rs
+++ b/trackfront_bench/src/main.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod fences;
 mod figures;
+mod moves;
 mod path;
 mod paused;
 mod plan;
@@ -27,6 +28,7 @@
         Question::Drain(args) => drain::run(&args),
         Question::Plan(args) => plan::run(&args),
         Question::Fences(args) => fences::run(&args),
+        Question::Moves(args) => moves::run(&args),
     }
 }
 
--- a/trackfront_standin/src/engine/memory.rs
+++ b/trackfront_standin/src/engine/memory.rs
@@ -88,6 +88,15 @@
         matches!(self.items.get(item), Some((ReportedState::Ready, _)))
     }
 
+    /// Returns whether any version of `item` is ready.
+    pub fn answers_for(&self, item: &ItemKey) -> bool {
+        self.items.iter().any(|(held, (state, _))| {
+            held.model == item.model
+                && held.adapter == item.adapter
+                && *state == ReportedState::Ready
+        })
+    }
+
     /// Starts what `order` asks for.
     pub fn apply(&mut self, order: &Order) -> OrderEffect {
         match order.action {
--- a/trackfront_standin/src/engine/mod.rs
+++ b/trackfront_standin/src/engine/mod.rs
@@ -22,7 +22,7 @@
 use trackfront_adapters::wire::engine::{
     CACHE_EVENTS_PATH, CANCEL_PATH, KV_PATH, ORDERS_PATH, OrderAnswer, REPORT_PATH, generate_path,
 };
-use trackfront_core::ids::{BackendId, Fence, OrderId, RequestId};
+use trackfront_core::ids::{BackendId, Fence, ItemKey, OrderId, RequestId};
 use trackfront_core::order::Order;
 use trackfront_core::ports::engine::GenerateKind;
 use trackfront_core::ports::{CacheEvents, LoadReport};
@@ -110,6 +110,8 @@
     pub finished: u64,
     /// Requests that were cancelled.
     pub cancelled: u64,
+    /// Loads and unloads that were started.
+    pub moves: u64,
     /// Orders that would have gone over the memory and were refused.
     pub overcommits: u64,
     /// Orders refused for an old fencing token.
@@ -198,6 +200,11 @@
         *self.inner.counts.lock()
     }
 
+    /// Returns whether the engine is up and answers for `item`, in any version.
+    pub fn answers_for(&self, item: &ItemKey) -> bool {
+        !self.inner.faults.lock().down && self.inner.memory.lock().answers_for(item)
+    }
+
     /// Returns how many requests are in the batch.
     pub fn running(&self) -> usize {
         self.inner.batch.running()
@@ -326,6 +333,7 @@
         };
         orders.remember(order.id.clone(), answer.clone());
         if matches!(effect, OrderEffect::Loading | OrderEffect::Unloading) {
+            self.inner.counts.lock().moves += 1;
             let engine = self.clone();
             tokio::spawn(async move { engine.finish_order(order, effect).await });
         }
--- a/trackfront_standin/src/memory/mod.rs
+++ b/trackfront_standin/src/memory/mod.rs
@@ -317,6 +317,15 @@
             .sum()
     }
 
+    /// Returns how many models and adapters no engine that is up answers for, in any version.
+    pub fn unreachable_items(&self) -> usize {
+        let bundles = self.tree.shards().flat_map(|(_, service)| service.bundles());
+        bundles
+            .flat_map(|bundle| bundle.items)
+            .filter(|sized| !self.engines.values().any(|engine| engine.answers_for(&sized.item)))
+            .count()
+    }
+
     /// Returns how many orders engines had to refuse because they would have gone over the
     /// memory.
     pub fn overcommits(&self) -> u64 {
--- a/trackfrontd/tests/failures.rs
+++ b/trackfrontd/tests/failures.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinHandle;
 use trackfront_core::ids::{BackendId, HallName, ShardId};
 use trackfront_core::outcome::RequestError;
+use trackfront_core::ports::{Engine, ListedState};
 use trackfront_standin::control::PlatformFaults;
 use trackfront_standin::engine::EngineFaults;
 use trackfront_standin::memory::{MemoryDeployment, MemorySpec, call, text};
@@ -51,6 +52,10 @@
     Heal,
     /// Kills the box that keeps the claims of the plain service.
     KillKeeper,
+    /// Has the first model loaded on a second engine, as when its own is leaving for a while.
+    CopyModel,
+    /// Takes the engine down on which a request runs.
+    DownBusyEngine,
     /// Waits.
     Sleep { ms: u64 },
     /// Sends a text request.
@@ -150,6 +155,13 @@
             Step::Cut { hall } => self.deployment.net.cut(&HallName::from(hall)),
             Step::Heal => self.deployment.net.heal(),
             Step::KillKeeper => self.kill_keeper()?,
+            Step::CopyModel => self.copy_model().await?,
+            Step::DownBusyEngine => {
+                let engines = self.deployment.engines.values();
+                let busy = engines.filter(|engine| engine.running() > 0);
+                let faults = EngineFaults { down: true, ..EngineFaults::default() };
+                busy.for_each(|engine| engine.set_faults(faults.clone()));
+            }
             Step::Sleep { ms } => tokio::time::sleep(Duration::from_millis(ms)).await,
             Step::Text { from, tokens, deadline_ms, background, expect } => {
                 let entry = self.entry(from);
@@ -203,6 +215,20 @@
         Ok(job.await?)
     }
 
+    async fn copy_model(&self) -> Result<(), Failure> {
+        for (id, engine) in &self.deployment.engines {
+            let report = engine.report().await?;
+            if report.items.iter().any(|held| held.item.model.as_str() == "letter") {
+                self.deployment.list_backend(id, ListedState::Leaving);
+                tokio::time::sleep(Duration::from_secs(10)).await;
+                self.deployment.list_backend(id, ListedState::Live);
+                tokio::time::sleep(Duration::from_secs(5)).await;
+                return Ok(());
+            }
+        }
+        Err("no engine has the model".into())
+    }
+
     fn kill_keeper(&mut self) -> Result<(), Failure> {
         let shard = ShardId { region: REGION.into(), service: PLAIN.into() };
         let keeper = self
