Tell engines' items only when they change and measure control and spread

Cause: every heartbeat carried the items of every engine read, most of its bytes, though they seldom change.

Change: items are told for 4 s after a change and every 10 s; benchmarks spread and control.

--- a/trackfront_adapters/src/peers.rs
+++ b/trackfront_adapters/src/peers.rs
@@ -236,6 +236,11 @@
     Ok(bytes.freeze())
 }
 
+/// Returns how many bytes a message takes on a link, without the frame around it.
+pub fn encoded_len(value: &impl Serialize) -> usize {
+    encode(value).len()
+}
+
 fn encode(value: &impl Serialize) -> Bytes {
     bincode::serde::encode_to_vec(value, bincode::config::standard())
         .expect("our own types always encode")
--- a/trackfront_bench/src/cli.rs
+++ b/trackfront_bench/src/cli.rs
@@ -30,6 +30,10 @@
     Fences(Fences),
     /// Moves and attainment of planners.
     Moves(Moves),
+    /// How fast a tree comes into force.
+    Spread(Spread),
+    /// What control costs a box.
+    Control(Control),
 }
 
 /// What a streamed answer through an entry box costs beside the same load sent directly to the
@@ -161,3 +165,29 @@
     #[argh(option, default = "1")]
     pub seed: u64,
 }
+
+/// The time from a tree's acceptance until it is in force on every box.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "spread")]
+pub struct Spread {
+    /// entry boxes, over three halls
+    #[argh(option, default = "9")]
+    pub boxes: usize,
+
+    /// changes for each fault
+    #[argh(option, default = "100")]
+    pub changes: usize,
+}
+
+/// What a box spends on control while nobody calls, at growing numbers of boxes and engines.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "control")]
+pub struct Control {
+    /// boxes at the largest size
+    #[argh(option, default = "36")]
+    pub boxes: usize,
+
+    /// engines at the largest size
+    #[argh(option, default = "48")]
+    pub engines: usize,
+}
--- a/trackfront_bench/src/main.rs
+++ b/trackfront_bench/src/main.rs
@@ -5,6 +5,7 @@
 mod baselines;
 mod burst;
 mod cli;
+mod control;
 mod demand;
 mod drain;
 mod fences;
@@ -15,6 +16,7 @@
 mod plan;
 mod repeat;
 mod route;
+mod spread;
 
 use cli::{Cli, Question};
 
@@ -29,6 +31,8 @@
         Question::Plan(args) => plan::run(&args),
         Question::Fences(args) => fences::run(&args),
         Question::Moves(args) => moves::run(&args),
+        Question::Spread(args) => spread::run(&args),
+        Question::Control(args) => control::run(&args),
     }
 }
 
--- a/trackfront_bench/src/route.rs
+++ b/trackfront_bench/src/route.rs
@@ -140,7 +140,7 @@
             incarnation: 1,
             sequence: 1,
             age_ms: 0,
-            ready,
+            ready: Some(ready),
             running: rng.random_range(0..16),
             queued: 0,
         };
--- a/trackfront_core/src/engine_load.rs
+++ b/trackfront_core/src/engine_load.rs
@@ -346,7 +346,7 @@
             incarnation: 1,
             sequence: 1,
             age_ms: 0,
-            ready: vec![],
+            ready: None,
             running: 4,
             queued: 8,
         };
--- a/trackfront_core/src/fleet.rs
+++ b/trackfront_core/src/fleet.rs
@@ -22,6 +22,12 @@
 /// How long a digest that this box has read is passed on to peers.
 pub const PASS_ON_FOR: Duration = Duration::from_secs(2);
 
+/// How long the items of an engine are told in every heartbeat after they changed.
+const TELL_CHANGES_FOR: Duration = Duration::from_secs(4);
+
+/// How often the items of an engine are told if they did not change, for boxes that missed them.
+const TELL_ITEMS_EVERY: Duration = Duration::from_secs(10);
+
 /// The part of an engine's report that routing needs, as boxes pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineDigest {
@@ -33,8 +39,8 @@
     pub sequence: u64,
     /// How old the figures were when this was sent, in milliseconds.
     pub age_ms: u64,
-    /// The items that answer requests.
-    pub ready: Vec<ItemKey>,
+    /// The items that answer requests; `None` if they are as told before.
+    pub ready: Option<Vec<ItemKey>>,
     /// Requests in the batch.
     pub running: u32,
     /// Requests that wait.
@@ -55,7 +61,7 @@
             incarnation: report.incarnation,
             sequence: report.sequence,
             age_ms: report.age_ms,
-            ready,
+            ready: Some(ready),
             running: report.running,
             queued: report.queued,
         }
@@ -142,6 +148,26 @@
 struct OwnDigest {
     digest: EngineDigest,
     read_at: Moment,
+    /// When the items changed last.
+    changed_at: Moment,
+    /// When the items were told last, if they were.
+    whole_at: Option<Moment>,
+}
+
+impl OwnDigest {
+    /// Returns the digest as it is told to peers at `now`.
+    fn told(&mut self, now: Moment) -> EngineDigest {
+        let held = now.since(self.read_at).as_millis() as u64;
+        let changed = now.since(self.changed_at) < TELL_CHANGES_FOR;
+        let due = self.whole_at.is_none_or(|at| now.since(at) >= TELL_ITEMS_EVERY);
+        let mut told = EngineDigest { age_ms: self.digest.age_ms + held, ..self.digest.clone() };
+        if changed || due {
+            self.whole_at = Some(now);
+        } else {
+            told.ready = None;
+        }
+        told
+    }
 }
 
 impl Default for Fleet {
@@ -192,11 +218,14 @@
         if !entry.load.lock().take_in(digest, now) {
             return false;
         }
-        let old = std::mem::replace(&mut *indexed, digest.ready.clone());
-        for item in old.iter().filter(|item| !digest.ready.contains(item)) {
+        let Some(ready) = &digest.ready else {
+            return true;
+        };
+        let old = std::mem::replace(&mut *indexed, ready.clone());
+        for item in old.iter().filter(|item| !ready.contains(item)) {
             self.remove_from_index(item, &entry.id);
         }
-        for item in digest.ready.iter().filter(|item| !old.contains(item)) {
+        for item in ready.iter().filter(|item| !old.contains(item)) {
             self.index_shard(item).lock().entry(item.clone()).or_default().push(entry.clone());
         }
         true
@@ -205,21 +234,23 @@
     /// Takes in a report that this box has read itself at `now`.
     pub fn observe_report(&self, engine: &BackendId, report: &LoadReport, now: Moment) {
         let digest = EngineDigest::of(engine.clone(), report);
-        if self.observe(&digest, now) {
-            self.own.lock().insert(engine.clone(), OwnDigest { digest, read_at: now });
+        if !self.observe(&digest, now) {
+            return;
         }
+        let mut own = self.own.lock();
+        let before = own.get(engine).filter(|before| before.digest.ready == digest.ready);
+        let changed_at = before.map_or(now, |before| before.changed_at);
+        let whole_at = before.and_then(|before| before.whole_at);
+        own.insert(engine.clone(), OwnDigest { digest, read_at: now, changed_at, whole_at });
     }
 
-    /// Returns the digests that this box has read itself within [`PASS_ON_FOR`], aged to `now`.
+    /// Returns the digests that this box has read itself within [`PASS_ON_FOR`], aged to `now`,
+    /// for one heartbeat to all peers. Which items an engine has is told for a while after a
+    /// change and now and then, since it is most of a digest and seldom changes.
     pub fn own_digests(&self, now: Moment) -> Vec<EngineDigest> {
         let mut own = self.own.lock();
         own.retain(|_, own| now.since(own.read_at) <= PASS_ON_FOR);
-        own.values()
-            .map(|own| {
-                let held = now.since(own.read_at).as_millis() as u64;
-                EngineDigest { age_ms: own.digest.age_ms + held, ..own.digest.clone() }
-            })
-            .collect()
+        own.values_mut().map(|own| own.told(now)).collect()
     }
 
     /// Notes at `now` which engines are leaving.
@@ -276,7 +307,7 @@
             incarnation: 1,
             sequence,
             age_ms: 0,
-            ready: ready.to_vec(),
+            ready: Some(ready.to_vec()),
             running: 2,
             queued: 0,
         }
@@ -290,6 +321,9 @@
         assert!(fleet.observe(&digest(2, std::slice::from_ref(&item)), Moment::default()));
         assert!(!fleet.observe(&digest(1, &[]), Moment::default()));
         assert_eq!(fleet.ready_count(&item), 1);
+        let short = EngineDigest { ready: None, ..digest(3, &[]) };
+        assert!(fleet.observe(&short, Moment::default()));
+        assert_eq!(fleet.ready_count(&item), 1);
         fleet.set_engines(&[]);
         assert_eq!(fleet.ready_count(&item), 0);
     }
--- a/trackfront_core/src/routing.rs
+++ b/trackfront_core/src/routing.rs
@@ -198,7 +198,7 @@
             incarnation: 1,
             sequence: 1,
             age_ms: 0,
-            ready: vec![item.clone()],
+            ready: Some(vec![item.clone()]),
             running,
             queued: 0,
         }
--- a/trackfront_standin/src/memory/net.rs
+++ b/trackfront_standin/src/memory/net.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -21,6 +22,8 @@
     cut_halls: Mutex<HashSet<HallName>>,
     /// How many of the next answers of peers are lost.
     lose_answers: Mutex<u32>,
+    /// How many bytes boxes have sent to each other.
+    sent_bytes: AtomicU64,
 }
 
 impl MemoryNet {
@@ -54,6 +57,16 @@
         *self.lose_answers.lock() = count;
     }
 
+    /// Counts bytes that a box sends to another.
+    pub fn count_bytes(&self, bytes: usize) {
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Returns how many bytes boxes have sent to each other.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns whether this answer is lost.
     pub fn loses_answer(&self) -> bool {
         let mut left = self.lose_answers.lock();
--- a/trackfront_standin/src/memory/ports.rs
+++ b/trackfront_standin/src/memory/ports.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use trackfront_adapters::metrics::Metrics;
+use trackfront_adapters::peers::encoded_len;
 use trackfront_core::ids::{HallName, RequestId};
 use trackfront_core::order::Order;
 use trackfront_core::ports::peers::{PeerAnswer, PeerMessage};
@@ -177,8 +178,10 @@
         if !net.reaches(&self.way.from, &to) {
             return Err(unavailable());
         }
+        net.count_bytes(encoded_len(&message));
         net.travel(&self.way.from, &to).await;
         let answer = trackfrontd::peering::answer(peer, message).await;
+        net.count_bytes(encoded_len(&answer));
         net.travel(&to, &self.way.from).await;
         // The peer can have died, or the network been cut, after the message took effect.
         let lost = net.find(address).is_none() || !net.reaches(&self.way.from, &to);
