--- a/trackfront_bench/src/path.rs
+++ b/trackfront_bench/src/path.rs
@@ -127,6 +127,12 @@
             engines: 1,
             models: vec![(MODEL.into(), vec![])],
             policy: "spare_engines = 0".into(),
+            // Fast tokens, so that the box and not the engine is what takes time.
+            tune: |config| {
+                config.max_batch = FULL_LOAD;
+                config.token_us = 2_000;
+                config.token_us_per_request = 0;
+            },
             ..Spec::default()
         };
         let small = Small::start(&spec, 1).await?;
--- a/trackfront_standin/examples/quickstart.rs
+++ b/trackfront_standin/examples/quickstart.rs
@@ -153,17 +153,21 @@
     let completion = json!({"model": sample.model, "prompt": "Draft the letter.", "max_tokens": 4});
     let call = json!({"example": true});
     let plain = format!("/services/{}{}", sample.service, sample.route);
+    // Only the last call may not be repeated; it runs once under this key.
     let key = format!("quickstart-{}", daemon.shared.me);
     let requests = [
         ("/v1/chat/completions".to_string(), chat),
         ("/v1/completions".to_string(), completion),
-        (plain, call),
+        (plain.clone(), call),
     ];
     for (path, body) in requests {
         let builder = request(Method::POST, &address, &path)
             .header("authorization", format!("Bearer {}", sample.caller_key))
-            .header("content-type", "application/json")
-            .header("idempotency-key", &key);
+            .header("content-type", "application/json");
+        let builder = match path == plain {
+            true => builder.header("idempotency-key", &key),
+            false => builder,
+        };
         let answer = client.fetch(with_body(builder, body.to_string())?, REQUEST_TIME).await?;
         check_answer(&path, &answer)?;
         println!("{} {path}: {}", daemon.shared.place.hall, shorten(&answer));
--- a/trackfront_standin/src/deployment.rs
+++ b/trackfront_standin/src/deployment.rs
@@ -92,14 +92,16 @@
 impl Backends {
     /// Starts a stand-in at the address of each backend server in `tree`.
     pub async fn start(tree: &Tree, speed: WeightSpeed) -> anyhow::Result<Backends> {
-        Backends::start_on(tree, speed, HashMap::new()).await
+        Backends::start_on(tree, speed, HashMap::new(), |_| {}).await
     }
 
-    /// Starts the stand-ins, on `listeners` where those have the address already.
+    /// Starts the stand-ins, on `listeners` where those have the address already; `tune` changes
+    /// each engine's settings.
     pub async fn start_on(
         tree: &Tree,
         speed: WeightSpeed,
         mut listeners: HashMap<String, TcpListener>,
+        tune: fn(&mut EngineConfig),
     ) -> anyhow::Result<Backends> {
         let weights = WeightStore::new(speed.loads_per_second, speed.slots, speed.ms_per_gib);
         let mut backends = Backends::default();
@@ -116,11 +118,12 @@
                 };
                 let listening = match service.kind {
                     ServiceKind::Engines { .. } => {
-                        let config = EngineConfig::ordinary(
+                        let mut config = EngineConfig::ordinary(
                             id.clone(),
                             backend.accelerators.clone(),
                             backend.checks_fence,
                         );
+                        tune(&mut config);
                         let engine = EngineStandin::new(config, incarnation, weights.clone());
                         let listening = engine.start(listener)?;
                         backends.engines.insert(id.clone(), engine);
--- a/trackfront_standin/src/small.rs
+++ b/trackfront_standin/src/small.rs
@@ -15,7 +15,7 @@
 
 use crate::boxes;
 use crate::deployment::{Backends, Platform, WeightSpeed};
-use crate::engine::EngineStandin;
+use crate::engine::{EngineConfig, EngineStandin};
 use crate::plain::PlainStandin;
 use crate::table::TableLimits;
 
@@ -51,6 +51,8 @@
     pub weights_mib: u64,
     /// Further lines for `[policy]` in root.toml.
     pub policy: String,
+    /// Changes each engine's settings.
+    pub tune: fn(&mut EngineConfig),
 }
 
 impl Default for Spec {
@@ -66,6 +68,7 @@
             ],
             weights_mib: 8_192,
             policy: String::new(),
+            tune: |_| {},
         }
     }
 }
@@ -166,7 +169,8 @@
         let files = spec.files(&engines, &plain);
         let tree = build(&files)?;
         let platform = Platform::start("127.0.0.1", TableLimits::default()).await?;
-        let backends = Backends::start_on(&tree, WeightSpeed::default(), listeners).await?;
+        let backends =
+            Backends::start_on(&tree, WeightSpeed::default(), listeners, spec.tune).await?;
         Ok(Small { platform, backends, files, tree, boxes: Vec::new() })
     }
 
--- a/trackfront_standin/tests/contracts.rs
+++ b/trackfront_standin/tests/contracts.rs
@@ -176,7 +176,7 @@
     let (stop, stopped) = watch::channel(false);
     let handler = |message: PeerMessage| async move {
         match message {
-            PeerMessage::FetchTree { newer_than } if newer_than == Revision(7) => {
+            PeerMessage::FetchTree { newer_than: Revision(7) } => {
                 let snapshot = Bytes::from(vec![7; 1_000_000]);
                 PeerAnswer::Tree { snapshot }
             }
