Keep the outcome of an attempt that may have run

Cause: found by reading: after a lost reply from one server, a refused connection by the next overwrote the error, and the caller was told not_run though the first may have run it.

Change: an error after several attempts keeps the earlier one if only that may have run; for plain calls and text requests alike.

Conclusion: refused as not run means that no attempt was run.

--- a/trackfront_core/src/outcome.rs
+++ b/trackfront_core/src/outcome.rs
@@ -179,6 +179,19 @@
         }
     }
 
+    /// Returns the error to answer with after two attempts: one that may have run is never covered
+    /// up by a later one that did not.
+    pub fn after(self, earlier: Option<RequestError>) -> RequestError {
+        match earlier {
+            Some(earlier)
+                if earlier.outcome() != Outcome::NotRun && self.outcome() == Outcome::NotRun =>
+            {
+                earlier
+            }
+            _ => self,
+        }
+    }
+
     /// Returns a stable short name for machines to match on.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/trackfrontd/src/gateway/answer.rs
+++ b/trackfrontd/src/gateway/answer.rs
@@ -149,13 +149,14 @@
                 Err(failed) => failed,
             };
             let may_have_run = failed.error.outcome() != Outcome::NotRun;
+            let error = failed.error.after(last.take());
             let is_last = failed.is_final
                 || tried.len() > wanted.max_retries
                 || (may_have_run && !wanted.repeatable);
             if is_last || !shared.retries.take() {
-                return Err(failed.error);
+                return Err(error);
             }
-            last = Some(failed.error);
+            last = Some(error);
             shared.metrics.retries.inc();
         }
     }
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -202,7 +202,8 @@
         };
         let outcome = error.outcome();
         log::debug!("{}: {error}", server.id);
-        last = Some(RequestError::BackendBroke { detail: error.to_string(), outcome });
+        let broke = RequestError::BackendBroke { detail: error.to_string(), outcome };
+        last = Some(broke.after(last));
         if outcome != Outcome::NotRun && !repeatable {
             break;
         }
