Bound queues by rank, look ahead at demand, promise places

Reports older than the order were taken for undone orders.

Change: reading is counted by rank; a request is refused when its estimate is over 1.25 of its target; demand of models looks ahead; a victim's place is promised to the model it gives way to; a victim costs what its other copies bear then; engines that another run replaced are out at once; adapters go in batches.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -39,6 +39,8 @@
     pub info: &'a RequestInfo,
     /// The prefixes of its prompt.
     pub prefixes: &'a [Prefix],
+    /// The rank of its route.
+    pub rank: u8,
     /// Servers that it was sent to already.
     pub tried: &'a [BackendId],
     /// The node's zone.
@@ -106,7 +108,9 @@
     let mut best: Option<(f64, Choice)> = None;
     let mut reason = NoChoice::NoServer;
     for server in servers {
-        if query.tried.contains(&server.entry.id) || !takes_requests(server, query) {
+        let id = &server.entry.id;
+        let is_out = query.tried.contains(id) || loads.server(id).is_replaced();
+        if is_out || !takes_requests(server, query) {
             continue;
         }
         if let Err(lack) = holds(server, query.info.model.as_ref(), withdrawn) {
@@ -180,8 +184,10 @@
     let slots = server.entry.slots.max(1);
     let mut estimate = match token_cost {
         Some(cost) => {
-            let unread = f64::from(query.info.work(cached_tokens).prompt_tokens);
-            total.reading_ms + unread * cost + f64::from(total.requests) * BATCH_MATE_MS
+            let unread = f64::from(query.info.work(cached_tokens, query.rank).prompt_tokens);
+            total.reading_before(query.rank)
+                + unread * cost
+                + f64::from(total.requests) * BATCH_MATE_MS
         }
         None => load.call_ms() * f64::from(total.requests) / f64::from(slots) / 4.0,
     };
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -43,6 +43,13 @@
 /// The mean time of a plain call before any was measured.
 const FIRST_CALL_MS: f64 = 15.0;
 
+/// How many ranks requests have; 0 goes first.
+pub const RANKS: usize = 10;
+
+/// The part of less urgent reading that a more urgent request still waits for: an engine does not
+/// drop the piece of a prompt that it is at.
+const LESS_URGENT_PART: f64 = 0.2;
+
 /// What a request asks of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
@@ -50,6 +57,8 @@
     pub prompt_tokens: u32,
     /// Tokens to be made.
     pub output_tokens: u32,
+    /// The rank.
+    pub rank: u8,
 }
 
 /// A load that a server told in an answer.
@@ -68,8 +77,24 @@
 pub struct Share {
     /// Requests.
     pub requests: u32,
-    /// The time that the server needs to read their prompts, in milliseconds.
-    pub reading_ms: f64,
+    /// The time that the server needs to read their prompts, in milliseconds, by rank.
+    pub reading_ms: [f64; RANKS],
+}
+
+impl Share {
+    /// Returns the reading that a request of `rank` waits for, in milliseconds.
+    pub fn reading_before(&self, rank: u8) -> f64 {
+        let first_after = (usize::from(rank) + 1).min(RANKS);
+        let (before, after) = self.reading_ms.split_at(first_after);
+        before.iter().sum::<f64>() + after.iter().sum::<f64>() * LESS_URGENT_PART
+    }
+
+    fn add(&mut self, other: &Share) {
+        self.requests += other.requests;
+        for (sum, more) in self.reading_ms.iter_mut().zip(other.reading_ms) {
+            *sum += more;
+        }
+    }
 }
 
 /// How a request ended at a server.
@@ -79,6 +104,8 @@
     Answered,
     /// The server said that it did not run it.
     Refused,
+    /// Another run of the server answered: the one that was meant has ended.
+    Replaced,
     /// The server could not be reached.
     Unreachable,
     /// The server broke off, stayed silent or answered with a failure.
@@ -95,6 +122,8 @@
     told: Option<(ToldLoad, Moment, u32)>,
     failures: u32,
     paused_until: Option<Moment>,
+    unreachable_since: Option<Moment>,
+    replaced: bool,
     faults: f64,
     faults_at: Moment,
     call_ms: Option<f64>,
@@ -111,8 +140,7 @@
         let mut total = self.own;
         for (share, at) in self.peers.values() {
             if now.since(*at) < PEER_FIGURES_FOR {
-                total.requests += share.requests;
-                total.reading_ms += share.reading_ms;
+                total.add(share);
             }
         }
         if let Some((told, at, own_then)) = self.told
@@ -137,6 +165,16 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether another run of the server has taken its place.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
+    /// Returns since when the server could not be reached.
+    pub fn unreachable_since(&self) -> Option<Moment> {
+        self.unreachable_since
+    }
+
     /// Returns the share of requests that failed lately, from 0 to 1.
     pub fn fault_share(&self, now: Moment) -> f64 {
         let halves = now.since(self.faults_at).as_secs_f64() / FAULT_HALF_LIFE.as_secs_f64();
@@ -157,12 +195,14 @@
     fn note_unreachable(&mut self, now: Moment) {
         let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(6));
         self.failures += 1;
+        self.unreachable_since.get_or_insert(now);
         self.paused_until = Some(now + pause.min(MAX_PAUSE));
     }
 
     fn note_reachable(&mut self) {
         self.failures = 0;
         self.paused_until = None;
+        self.unreachable_since = None;
     }
 }
 
@@ -171,6 +211,7 @@
 pub struct Counted {
     server: BackendId,
     model: Option<ModelName>,
+    rank: usize,
     reading_ms: f64,
     expected_ms: f64,
     began: Moment,
@@ -221,11 +262,12 @@
         let cost = model.map_or(0.0, |model| self.token_cost_ms(model));
         let reading_ms = f64::from(work.prompt_tokens) * cost;
         let load = self.server(server);
-        let expected_ms = load.total(now).reading_ms + reading_ms;
+        let expected_ms = load.total(now).reading_before(work.rank) + reading_ms;
+        let rank = usize::from(work.rank).min(RANKS - 1);
         load.own.requests += 1;
-        load.own.reading_ms += reading_ms;
+        load.own.reading_ms[rank] += reading_ms;
         let (server, model) = (server.clone(), model.cloned());
-        Counted { server, model, reading_ms, expected_ms, began: now, reading: true }
+        Counted { server, model, rank, reading_ms, expected_ms, began: now, reading: true }
     }
 
     /// Notes the first event of an answer: the prompt has been read.
@@ -260,12 +302,18 @@
                 }
             }
             Ending::Refused => load.note_reachable(),
+            Ending::Replaced => load.replaced = true,
             Ending::Unreachable => load.note_unreachable(now),
             Ending::Failed => load.note_fault(true, now),
             Ending::Abandoned => {}
         }
     }
 
+    /// Notes that a server could not be reached.
+    pub fn unreachable(&mut self, server: &BackendId, now: Moment) {
+        self.server(server).note_unreachable(now);
+    }
+
     /// Notes what a server told of its load.
     pub fn told(&mut self, server: &BackendId, told: ToldLoad, now: Moment) {
         let load = self.server(server);
@@ -307,8 +355,8 @@
     fn end_reading(&mut self, counted: &mut Counted) {
         if counted.reading {
             counted.reading = false;
-            let own = &mut self.server(&counted.server.clone()).own;
-            own.reading_ms = (own.reading_ms - counted.reading_ms).max(0.0);
+            let own = &mut self.server(&counted.server.clone()).own.reading_ms[counted.rank];
+            *own = (*own - counted.reading_ms).max(0.0);
         }
     }
 }
--- a/trackfront_core/src/serving/planner.rs
+++ b/trackfront_core/src/serving/planner.rs
@@ -24,6 +24,15 @@
 /// adapter gets one more copy.
 const WORTH_AN_ADAPTER_COPY: f64 = 0.08;
 
+/// How many adapters an engine is ordered to load at once; engines take no more on their way.
+const ADAPTERS_AT_ONCE: usize = 4;
+
+/// What it is worth that a model is there at all, as a share of an engine's time.
+const WORTH_BEING_THERE: f64 = 0.5;
+
+/// How long an unload takes, in seconds: requests in progress are waited for.
+const UNLOAD_SECONDS: f64 = 1.0;
+
 /// What a second of loading counts against a share of an engine's time, when a place is chosen.
 const LOAD_SECOND: f64 = 0.05;
 
@@ -34,7 +43,7 @@
     pub id: BackendId,
     /// What it holds.
     pub models: Residents,
-    /// A model that is on its way in.
+    /// A model that is on its way in, or has its place promised.
     pub loading: Option<ModelName>,
     /// A model that is on its way out, or withdrawn to be so.
     pub leaving: Option<ModelName>,
@@ -98,6 +107,8 @@
     pub operation: Operation,
     /// With what.
     pub item: ModelRef,
+    /// The model that is to come in its place.
+    pub makes_room_for: Option<ModelName>,
     /// Why, for the logs.
     pub reason: &'static str,
 }
@@ -112,12 +123,14 @@
     offers: BTreeMap<&'a ModelName, Vec<usize>>,
     /// How many engines should offer each model.
     wanted: BTreeMap<&'a ModelName, usize>,
-    /// Engines that have a proposal already.
+    /// Engines that have a proposal for a model already.
     taken: BTreeSet<usize>,
+    /// How many adapters were proposed for each engine.
+    adapters_proposed: BTreeMap<usize, usize>,
     proposals: Vec<Proposal>,
 }
 
-/// Proposes orders, the most urgent first, at most one for each engine. `engines` are those that
+/// Proposes orders, the most urgent first: for each engine one for a model, or some for adapters. `engines` are those that
 /// can be given orders and go on serving.
 pub fn plan(
     spec: &EngineSpec,
@@ -139,7 +152,7 @@
     ) -> Self {
         let mut by_model: BTreeMap<&ModelName, f64> =
             spec.models.keys().map(|name| (name, 0.0)).collect();
-        for (item, rate) in demand {
+        for (item, rate) in demand.iter().filter(|(item, _)| item.adapter.is_none()) {
             if let Some(sum) = by_model.get_mut(&item.model) {
                 *sum += rate.work_ms / 1_000.0;
             }
@@ -156,6 +169,7 @@
             offers,
             wanted: BTreeMap::new(),
             taken: BTreeSet::new(),
+            adapters_proposed: BTreeMap::new(),
             proposals: Vec::new(),
         };
         plan.wanted = plan.share_room();
@@ -206,7 +220,8 @@
             self.spec.models.keys().filter(|name| self.copies(name) == 0).collect();
         missing.sort_by(|a, b| self.demand[b].total_cmp(&self.demand[a]).then(a.cmp(b)));
         for model in missing {
-            self.add_copy(model, f64::INFINITY, "no engine holds it");
+            let worth = self.demand[model] + WORTH_BEING_THERE;
+            self.add_copy(model, worth, "no engine holds it");
         }
     }
 
@@ -239,9 +254,10 @@
             let Some(victim) = self.room_for(index, model, worth) else {
                 continue;
             };
-            let seconds =
-                engine.load_seconds(model, self.spec) + f64::from(u8::from(victim.is_some())) * 0.5;
-            let cost = self.engine_level(index) + seconds * LOAD_SECOND;
+            let lost = victim.map_or(0.0, |(left, _)| left + UNLOAD_SECONDS * LOAD_SECOND);
+            let seconds = engine.load_seconds(model, self.spec);
+            let cost = self.engine_level(index) + lost + seconds * LOAD_SECOND;
+            let victim = victim.map(|(_, name)| name);
             if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, index, victim));
             }
@@ -264,18 +280,19 @@
         }
         let item = ModelRef { model: name.clone(), adapter: None };
         let engine = self.engines[index].id.clone();
-        self.proposals.push(Proposal { engine, operation, item, reason });
+        let makes_room_for = victim.map(|_| model.clone());
+        self.proposals.push(Proposal { engine, operation, item, makes_room_for, reason });
         true
     }
 
     /// Returns whether `model` fits on an engine: at once (`Some(None)`), after a model that is
-    /// worth less has left (`Some(Some(victim))`), or not at all.
+    /// worth less has left (what its other copies bear then, and the victim), or not at all.
     fn room_for(
         &self,
         index: usize,
         model: &ModelName,
         worth: f64,
-    ) -> Option<Option<&'a ModelName>> {
+    ) -> Option<Option<(f64, &'a ModelName)>> {
         let engine = &self.engines[index];
         let needed = self.spec.models.get(model)?.weight_mb;
         let free = engine.free_mb(self.spec);
@@ -290,7 +307,7 @@
             (spare && left * WORTH_A_SWAP < worth).then_some((left, victim))
         });
         let least = victims.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
-        least.map(|(_, victim)| Some(victim))
+        least.map(Some)
     }
 
     /// Places each adapter of the models that are asked for, and those that are asked for
@@ -304,7 +321,9 @@
                 let copies = self.engines.iter().filter(|e| e.offers_adapter(name, adapter));
                 let copies = copies.count();
                 let level = asked.work_ms / 1_000.0 / copies.max(1) as f64;
-                let lacks = copies == 0 && (asked.requests > 0.0 || self.demand[name] > 0.0);
+                // A model that stands on several engines is a busy one, also before any request.
+                let busy = self.demand[name] > 0.0 || self.copies(name) >= 2;
+                let lacks = copies == 0 && (asked.requests > 0.0 || busy);
                 if lacks || level > WORTH_AN_ADAPTER_COPY {
                     short.push((
                         asked.requests / (copies + 1) as f64,
@@ -334,7 +353,8 @@
         let fits = |index: &usize| {
             let engine = &self.engines[*index];
             let there = engine.models.contains_key(model) && engine.leaving.as_ref() != Some(model);
-            let free = !engine.busy && !self.taken.contains(index);
+            let proposed = self.proposed(*index);
+            let free = !engine.busy && !self.taken.contains(index) && proposed < ADAPTERS_AT_ONCE;
             there && free && !engine.offers_adapter(model, adapter)
         };
         let open: Vec<usize> = (0..self.engines.len()).filter(fits).collect();
@@ -359,9 +379,13 @@
             }
             None => return,
         };
-        self.taken.insert(index);
+        *self.adapters_proposed.entry(index).or_default() += 1;
         let engine = self.engines[index].id.clone();
-        self.proposals.push(Proposal { engine, operation, item, reason });
+        self.proposals.push(Proposal { engine, operation, item, makes_room_for: None, reason });
+    }
+
+    fn proposed(&self, index: usize) -> usize {
+        self.adapters_proposed.get(&index).copied().unwrap_or(0)
     }
 
     /// Finds the adapter that is asked for least on the engines in `open`.
@@ -372,7 +396,7 @@
         demand: &HashMap<ModelRef, Rate>,
     ) -> Option<(usize, ModelRef)> {
         let mut least: Option<(f64, usize, ModelRef)> = None;
-        for index in open {
+        for index in open.iter().filter(|index| self.proposed(**index) == 0) {
             for (model, resident) in &self.engines[*index].models {
                 for adapter in &resident.adapters {
                     let item = ModelRef { model: model.clone(), adapter: Some(adapter.clone()) };
--- a/trackfront_core/src/serving/request.rs
+++ b/trackfront_core/src/serving/request.rs
@@ -1,5 +1,6 @@
 //! A request as the pipeline sees it, whatever interface it came through.
 
+use std::fmt;
 use std::time::Duration;
 
 use thiserror::Error;
@@ -16,6 +17,15 @@
     pub adapter: Option<AdapterName>,
 }
 
+impl fmt::Display for ModelRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}/{adapter}", self.model),
+            None => write!(f, "{}", self.model),
+        }
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -47,11 +57,12 @@
 }
 
 impl RequestInfo {
-    /// Returns the work that the request is where `cached` tokens of its prompt are kept.
-    pub fn work(&self, cached: u32) -> Work {
+    /// Returns the work of `rank` that the request is where `cached` tokens of its prompt are kept.
+    pub fn work(&self, cached: u32, rank: u8) -> Work {
         Work {
             prompt_tokens: self.prompt_tokens.saturating_sub(cached),
             output_tokens: self.output_tokens,
+            rank,
         }
     }
 }
--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -17,6 +17,9 @@
 /// there, so it bounds how long a lost connection goes unnoticed.
 const FEED_WAIT: Duration = Duration::from_millis(2_000);
 
+/// How long the node waits after a change of servers, so that one call brings the changes of many.
+const GATHER: Duration = Duration::from_millis(250);
+
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -175,8 +178,12 @@
             Ok(Feed::Changes { changes, version: reached }) => {
                 link.works();
                 let events = node.directory.lock().apply(changes, reached, node.now());
+                let some = !events.is_empty();
                 note_events(node, events, reached);
                 version = version.max(reached);
+                if some {
+                    sleep(GATHER).await;
+                }
             }
             Ok(Feed::HistoryGone) => {
                 log::info!(table = "servers", after = version; "history gone, reading anew");
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -55,14 +55,43 @@
     pub gives_orders: bool,
     /// Whether the node is stopping.
     pub stopping: bool,
-    /// Requests under way: server, requests, milliseconds of reading.
-    pub shares: Vec<(u32, u32, u32)>,
+    /// Requests under way.
+    pub shares: Vec<ToldShare>,
     /// Demand: item, hundredths of requests a second, milliseconds of work a second.
     pub demand: Option<Vec<(u32, u32, u32)>>,
     /// Notes: server, item, whether it was added (else withdrawn).
     pub notes: Vec<(u32, u32, bool)>,
 }
 
+/// What a node has under way at one server.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ToldShare {
+    /// The server's short name.
+    pub server: u32,
+    /// Requests.
+    pub requests: u32,
+    /// Milliseconds of reading, for each rank that has some.
+    pub reading_ms: Vec<(u8, u32)>,
+}
+
+impl ToldShare {
+    fn new(server: u32, share: &Share) -> Self {
+        let ranks = share.reading_ms.iter().enumerate().filter(|(_, ms)| **ms >= 1.0);
+        let reading_ms = ranks.map(|(rank, ms)| (rank as u8, ms.round() as u32)).collect();
+        Self { server, requests: share.requests, reading_ms }
+    }
+
+    fn share(&self) -> Share {
+        let mut share = Share { requests: self.requests, ..Share::default() };
+        for (rank, ms) in &self.reading_ms {
+            if let Some(reading) = share.reading_ms.get_mut(usize::from(*rank)) {
+                *reading = f64::from(*ms);
+            }
+        }
+        share
+    }
+}
+
 /// Another node.
 #[derive(Clone, Debug, Default)]
 struct Peer {
@@ -170,10 +199,8 @@
 fn digest(node: &ServingNode, gives_orders: bool, with_demand: bool) -> Digest {
     let now = node.now();
     let loads = node.loads.lock();
-    let shares = loads
-        .own_shares()
-        .map(|(id, share)| (short_server(id), share.requests, share.reading_ms.round() as u32));
-    let shares = shares.collect();
+    let shares = loads.own_shares();
+    let shares = shares.map(|(id, share)| ToldShare::new(short_server(id), &share)).collect();
     drop(loads);
     let demand = with_demand.then(|| {
         let own = node.demand.lock().own(now);
@@ -235,10 +262,9 @@
     let peer = ip.to_bits();
     let mut loads = node.loads.lock();
     loads.peer_spoke(peer);
-    for (server, requests, reading_ms) in &digest.shares {
-        if let Some(id) = names.server(*server) {
-            let share = Share { requests: *requests, reading_ms: f64::from(*reading_ms) };
-            loads.peer(id, peer, share, now);
+    for told in &digest.shares {
+        if let Some(id) = names.server(told.server) {
+            loads.peer(id, peer, told.share(), now);
         }
     }
     drop(loads);
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -19,10 +19,11 @@
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, choose};
 use trackfront_core::serving::config::{Route, RouteKind, ServingConfig};
 use trackfront_core::serving::load::{Counted, Ending};
-use trackfront_core::serving::request::{Refusal, RequestInfo};
+use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 use trackfront_core::units::Moment;
 
 use super::node::ServingNode;
+use super::overlay::NoteKind;
 use super::relay;
 
 /// How long a connection to a server may take to open: many times the way within a region.
@@ -41,13 +42,17 @@
 const MAX_UNREACHABLE: u32 = 3;
 
 /// What part of its target a request may be held for something that no engine holds yet.
-const HOLD_PART: f64 = 0.2;
+const HOLD_PART: f64 = 0.24;
+
+/// How many times its target a request's estimate may be. A longer queue would make every answer
+/// late; a bounded one keeps those that it takes in time.
+const QUEUE_PART: f64 = 1.25;
 
 /// The shortest time to come back after a refusal.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 
 /// When to come back for something that no engine holds.
-const LOADING_RETRY: Duration = Duration::from_millis(700);
+const LOADING_RETRY: Duration = Duration::from_millis(1_500);
 
 /// How many times its target an idempotent request waits at one server before another is asked.
 const PATIENCE: u32 = 4;
@@ -82,15 +87,17 @@
 pub struct EndLog {
     node: Arc<ServingNode>,
     id: RequestId,
+    model: Option<ModelRef>,
     route: Option<Arc<Route>>,
     arrived: Instant,
     ended: bool,
 }
 
 impl EndLog {
-    fn new(node: Arc<ServingNode>, id: RequestId, arrived: Instant) -> Self {
+    fn new(node: Arc<ServingNode>, info: &RequestInfo, arrived: Instant) -> Self {
         node.metrics.in_flight.inc();
-        Self { node, id, route: None, arrived, ended: false }
+        let (id, model) = (info.id.clone(), info.model.clone());
+        Self { node, id, model, route: None, arrived, ended: false }
     }
 
     /// Notes the end.
@@ -104,7 +111,8 @@
         self.node.metrics.ended(kind, outcome);
         let route = self.route.as_ref().map_or("", |route| route.name.as_str());
         let ms = self.arrived.elapsed().as_millis() as u64;
-        log::info!(request:% = self.id, route, outcome, cause, ms; "request ended");
+        let model = self.model.as_ref().map_or_else(String::new, ModelRef::to_string);
+        log::info!(request:% = self.id, route, model, outcome, cause, ms; "request ended");
     }
 }
 
@@ -177,7 +185,7 @@
         }
     };
     let id = info.id.clone();
-    let mut end = EndLog::new(node.clone(), id.clone(), arrived);
+    let mut end = EndLog::new(node.clone(), &info, arrived);
     let job = match admit(&node, info, head, body, arrived, &mut end).await {
         Ok(job) => job,
         Err(refusal) => {
@@ -259,7 +267,12 @@
     if let Some(item) = job.info.model.as_ref().filter(|_| is_placed) {
         let cost = node.loads.lock().token_cost_ms(&item.model);
         let work_ms = f64::from(job.info.prompt_tokens) * cost;
-        node.demand.lock().count(item, work_ms, now);
+        let mut demand = node.demand.lock();
+        let model = ModelRef { model: item.model.clone(), adapter: None };
+        demand.count(&model, work_ms, now);
+        if item.adapter.is_some() {
+            demand.count(item, work_ms, now);
+        }
     }
 }
 
@@ -374,6 +387,7 @@
         let query = Query {
             info: &self.info,
             prefixes: &self.prefixes,
+            rank: self.route.priority,
             tried,
             zone: &settings.node.zone,
             drain_grace: node.drain_grace(),
@@ -392,7 +406,7 @@
         if now >= self.end {
             return Some(self.give_up(tries, "its time ran out"));
         }
-        let left = self.end - now;
+        let left = (self.end - now).min(self.route.target.mul_f64(QUEUE_PART));
         if tries.sends == 0 && choice.estimate > left {
             let retry_after = (choice.estimate - left).max(LEAST_RETRY);
             return Some(Refusal::NoServer { cause: "none is free in time", retry_after });
@@ -497,11 +511,16 @@
             node.loads.lock().told(server, load, node.now());
         }
         if head.not_run || head.misdirected {
-            held.end(Ending::Refused);
+            let replaced =
+                head.misdirected && head.instance.as_ref().is_some_and(|id| id != server);
+            held.end(if replaced { Ending::Replaced } else { Ending::Refused });
+            if head.misdirected && !replaced {
+                self.note_lack(choice);
+            }
             let status = status.as_u16();
             let misdirected = head.misdirected;
             let request = &self.info.id;
-            log::info!(request:%, server:%, status, misdirected; "server refused");
+            log::info!(request:%, server:%, status, misdirected, replaced; "server refused");
             return ("refused", Sent::Refused);
         }
         if status.is_success() && !head.signed {
@@ -512,12 +531,21 @@
         ("answered", Sent::Answer(Box::new(answer), held))
     }
 
+    /// Notes that the server lacks what its row says that it holds.
+    fn note_lack(&self, choice: &Choice) {
+        let Some(item) = &self.info.model else {
+            return;
+        };
+        let (server, now) = (&choice.server.entry.id, self.node.now());
+        self.node.overlay.lock().note(server, item, NoteKind::Withdrawn, now);
+    }
+
     fn hold(&self, choice: &Choice) -> Held {
         let node = self.node.clone();
         let now = node.now();
         let id = &choice.server.entry.id;
         let model = self.info.model.as_ref().map(|item| &item.model);
-        let work = self.info.work(choice.cached_tokens);
+        let work = self.info.work(choice.cached_tokens, self.route.priority);
         let counted = node.loads.lock().begin(id, model, work, now);
         if !self.prefixes.is_empty() {
             node.memory.lock().read(&self.prefixes, id, now);
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -15,7 +15,7 @@
 use trackfront_adapters::upstream::{SendOptions, UpstreamError};
 use trackfront_core::ids::{AdapterName, BackendId, ModelName, ServiceName};
 use trackfront_core::serving::config::EngineSpec;
-use trackfront_core::serving::directory::KnownServer;
+use trackfront_core::serving::directory::{KnownServer, Residents};
 use trackfront_core::serving::orders::{
     EngineOrder, EngineReport, LoadPacer, ORDER_TIMEOUT, Operation, OrderAnswer, check,
 };
@@ -43,7 +43,7 @@
 const MODEL_POLL: Duration = Duration::from_millis(500);
 
 /// The first pause before an engine is asked whether it has an adapter; it doubles each time.
-const ADAPTER_POLL: Duration = Duration::from_millis(25);
+const ADAPTER_POLL: Duration = Duration::from_millis(60);
 
 /// How many times a load may take what the configuration says, until the order is given up.
 const LOAD_PATIENCE: u32 = 4;
@@ -61,7 +61,7 @@
 const MAX_REPORT: usize = 256 * 1024;
 
 /// How long an engine that fails requests is taken to hold nothing, before it is planned without.
-const UNREACHABLE_FOR: Duration = Duration::from_millis(1_500);
+const UNREACHABLE_FOR: Duration = Duration::from_millis(700);
 
 /// What is under way at an engine.
 #[derive(Clone, Debug, Default)]
@@ -71,7 +71,6 @@
     leaving: Option<ModelName>,
     rest_until: Moment,
     report: Option<(EngineReport, Moment)>,
-    unreachable_since: Option<Moment>,
 }
 
 /// What is under way at all engines.
@@ -137,8 +136,8 @@
         for (service, spec) in placed {
             let proposals = self.propose(&service, &spec, now);
             if !proposals.is_empty() && self.lease.renew().await {
-                for proposal in proposals {
-                    self.begin(proposal, &spec);
+                for (engine, proposals) in by_engine(proposals) {
+                    self.begin(&engine, proposals, &spec);
                 }
             }
         }
@@ -150,14 +149,12 @@
         let mut desk = self.desk.lock();
         let mut views = Vec::with_capacity(servers.len());
         for server in servers.iter().filter(|server| server.is_ready()) {
-            let paused = self.node.loads.lock().server(&server.entry.id).is_paused(now);
-            let bench = desk.benches.entry(server.entry.id.clone()).or_default();
-            match paused {
-                true => _ = bench.unreachable_since.get_or_insert(now),
-                false => bench.unreachable_since = None,
-            }
-            let lost = bench.unreachable_since.is_some_and(|at| now.since(at) > UNREACHABLE_FOR);
-            if !lost {
+            let mut loads = self.node.loads.lock();
+            let load = loads.server(&server.entry.id);
+            let silent = load.unreachable_since();
+            let lost = silent.is_some_and(|since| now.since(since) > UNREACHABLE_FOR);
+            if !lost && !load.is_replaced() {
+                let bench = desk.benches.entry(server.entry.id.clone()).or_default();
                 views.push(view(server, bench, now));
             }
         }
@@ -166,21 +163,25 @@
         plan(spec, &views, &demand)
     }
 
-    /// Starts the task that carries a proposal out.
-    fn begin(&mut self, proposal: Proposal, spec: &EngineSpec) {
-        let Some(server) = self.node.directory.lock().get(&proposal.engine).cloned() else {
+    /// Starts the task that carries the proposals for one engine out.
+    fn begin(&mut self, engine: &BackendId, proposals: Vec<Proposal>, spec: &EngineSpec) {
+        let Some(server) = self.node.directory.lock().get(engine).cloned() else {
             return;
         };
-        let is_model = proposal.item.adapter.is_none();
         {
             let mut desk = self.desk.lock();
-            let bench = desk.benches.entry(proposal.engine.clone()).or_default();
-            assert!(!bench.working, "an engine gets one order at a time");
+            let bench = desk.benches.entry(engine.clone()).or_default();
+            assert!(!bench.working, "an engine gets orders from one task at a time");
             bench.working = true;
-            match proposal.operation {
-                Operation::Load if is_model => bench.loading = Some(proposal.item.model.clone()),
-                Operation::Unload if is_model => bench.leaving = Some(proposal.item.model.clone()),
-                _ => {}
+            for proposal in proposals.iter().filter(|proposal| proposal.item.adapter.is_none()) {
+                let model = Some(proposal.item.model.clone());
+                match proposal.operation {
+                    Operation::Load => bench.loading = model,
+                    Operation::Unload => {
+                        bench.leaving = model;
+                        bench.loading = proposal.makes_room_for.clone();
+                    }
+                }
             }
         }
         let errand = Errand {
@@ -189,12 +190,21 @@
             desk: self.desk.clone(),
             spec: spec.clone(),
             server,
-            proposal,
+            proposals,
         };
         self.tasks.spawn(errand.run());
     }
 }
 
+/// Puts the proposals for each engine together, in order.
+fn by_engine(proposals: Vec<Proposal>) -> BTreeMap<BackendId, Vec<Proposal>> {
+    let mut grouped: BTreeMap<BackendId, Vec<Proposal>> = BTreeMap::new();
+    for proposal in proposals {
+        grouped.entry(proposal.engine.clone()).or_default().push(proposal);
+    }
+    grouped
+}
+
 /// Returns an engine as the planner should see it: by its report if that is newer than its row.
 fn view(server: &KnownServer, bench: &Bench, now: Moment) -> EngineView {
     let entry = &server.entry;
@@ -225,14 +235,14 @@
     }
 }
 
-/// One order on its way.
+/// Orders to one engine on their way: one for a model, or some for adapters.
 struct Errand {
     node: Arc<ServingNode>,
     right: Arc<OrderRight>,
     desk: Arc<Mutex<Desk>>,
     spec: EngineSpec,
     server: Arc<KnownServer>,
-    proposal: Proposal,
+    proposals: Vec<Proposal>,
 }
 
 impl Errand {
@@ -255,57 +265,73 @@
         &self.server.entry.id
     }
 
-    /// Carries the order out. Returns whether it went as planned.
+    /// Carries the orders out. Returns whether they went as planned.
     async fn carry_out(&self) -> bool {
-        let withdraws = self.proposal.operation == Operation::Unload;
-        if withdraws {
-            self.note(NoteKind::Withdrawn);
+        let leaving = self.proposals.iter().filter(|one| one.operation == Operation::Unload);
+        let leaving: Vec<&Proposal> = leaving.collect();
+        if !leaving.is_empty() {
+            self.note(&leaving, NoteKind::Withdrawn);
             sleep(WITHDRAW_TIME).await;
         }
-        let done = self.order_and_wait().await;
-        let loads = self.proposal.operation == Operation::Load;
-        match (loads, done) {
-            (true, true) => self.note(NoteKind::Added),
-            (false, false) => self.node.overlay.lock().clear(self.id(), &self.proposal.item),
-            _ => {}
+        let (taken, sequence) = self.order_all().await;
+        let done = self.wait(&taken, sequence).await && taken.len() == self.proposals.len();
+        if !done {
+            let mut overlay = self.node.overlay.lock();
+            for proposal in leaving {
+                overlay.clear(self.id(), &proposal.item);
+            }
         }
         done
     }
 
-    /// Tells all nodes what happens to the item.
-    fn note(&self, kind: NoteKind) {
+    /// Tells all nodes what happens to items.
+    fn note(&self, proposals: &[&Proposal], kind: NoteKind) {
         let now = self.node.now();
-        self.node.overlay.lock().note(self.id(), &self.proposal.item, kind, now);
+        let mut overlay = self.node.overlay.lock();
+        for proposal in proposals {
+            overlay.note(self.id(), &proposal.item, kind, now);
+        }
+        drop(overlay);
         self.node.servers_changed.notify_waiters();
         self.node.tell_peers.notify_one();
     }
 
-    async fn order_and_wait(&self) -> bool {
-        let Some(report) = self.report().await else {
-            return false;
+    /// Gives the orders one after the other. Returns those that the engine took, and how many
+    /// orders it has taken then.
+    async fn order_all(&self) -> (Vec<&Proposal>, u64) {
+        let mut taken = Vec::new();
+        let Some(mut report) = self.report().await else {
+            return (taken, 0);
         };
-        let Proposal { operation, item, .. } = &self.proposal;
-        if let Err(fault) = check(*operation, item, &report, &self.spec) {
-            self.log("order not given", report.sequence, &fault.to_string());
-            return false;
-        }
-        if !self.may_load(&report) {
-            self.log("order not given", report.sequence, "the weight store's rate is used up");
-            return false;
-        }
-        let answer = self.send(&report).await;
-        self.log("order given", report.sequence, answer.name());
-        self.node.metrics.orders.get_or_create(&KindLabel { kind: answer.name() }).inc();
-        match answer {
-            OrderAnswer::Taken => self.wait().await,
-            OrderAnswer::AlreadyDone => self.report().await.is_some(),
-            _ => false,
+        for proposal in &self.proposals {
+            if let Err(fault) = check(proposal.operation, &proposal.item, &report, &self.spec) {
+                self.log(proposal, "order not given", report.sequence, &fault.to_string());
+                break;
+            }
+            if !self.may_load(proposal, &report) {
+                let cause = "the weight store's rate is used up";
+                self.log(proposal, "order not given", report.sequence, cause);
+                break;
+            }
+            let answer = self.send(proposal, &report).await;
+            self.log(proposal, "order given", report.sequence, answer.name());
+            self.node.metrics.orders.get_or_create(&KindLabel { kind: answer.name() }).inc();
+            if !matches!(answer, OrderAnswer::Taken | OrderAnswer::AlreadyDone) {
+                break;
+            }
+            taken.push(proposal);
+            // The next order is checked against the memory as this one leaves it at the most.
+            report.sequence += 1;
+            if let (Some(adapter), Operation::Load) = (&proposal.item.adapter, proposal.operation) {
+                report.pending.insert((proposal.item.model.clone(), adapter.clone()));
+            }
         }
+        (taken, report.sequence)
     }
 
     /// Takes a load off the weight store's rate, if it comes from there.
-    fn may_load(&self, report: &EngineReport) -> bool {
-        let Proposal { operation, item, .. } = &self.proposal;
+    fn may_load(&self, proposal: &Proposal, report: &EngineReport) -> bool {
+        let Proposal { operation, item, .. } = proposal;
         let from_store = *operation == Operation::Load
             && item.adapter.is_none()
             && !report.has_at_hand(&item.model);
@@ -320,13 +346,13 @@
         ready
     }
 
-    async fn send(&self, report: &EngineReport) -> OrderAnswer {
+    async fn send(&self, proposal: &Proposal, report: &EngineReport) -> OrderAnswer {
         let Some(fence) = self.right.usable(self.node.now()) else {
             return OrderAnswer::NotSent;
         };
         let order = EngineOrder {
-            operation: self.proposal.operation,
-            item: self.proposal.item.clone(),
+            operation: proposal.operation,
+            item: proposal.item.clone(),
             holder: self.node.settings.load().node.name.clone(),
             fence,
             expected_sequence: report.sequence,
@@ -344,67 +370,83 @@
         }
     }
 
-    /// Waits until the order is done. Returns whether it is.
-    async fn wait(&self) -> bool {
-        let spec = self.spec.models.get(&self.proposal.item.model);
-        let load_time = spec.map_or(Duration::ZERO, |model| model.load_time);
+    /// Waits until the orders are done, and tells all nodes of each as it is. Returns whether all
+    /// are.
+    async fn wait(&self, taken: &[&Proposal], sequence: u64) -> bool {
+        if taken.is_empty() {
+            return false;
+        }
+        let load_time = self.load_time(taken);
         let patience = (load_time * LOAD_PATIENCE).max(LEAST_PATIENCE);
         let start = self.node.now();
-        let is_adapter = self.proposal.item.adapter.is_some();
-        let mut pause = if is_adapter { ADAPTER_POLL } else { MODEL_POLL };
+        let of_model = taken.iter().any(|proposal| proposal.item.adapter.is_none());
+        let mut open: Vec<&Proposal> = taken.to_vec();
+        let mut pause = if of_model { MODEL_POLL } else { ADAPTER_POLL };
         while self.node.now().since(start) < patience {
             sleep(pause).await;
             if self.is_gone() {
                 return false;
             }
-            if self.row_says_done() {
+            self.settle(&mut open, self.row_residents().as_ref());
+            if open.is_empty() {
                 return true;
             }
             let waited = self.node.now().since(start);
-            // Until a load from the store can be done, the row is enough.
-            if !is_adapter && self.proposal.operation == Operation::Load && waited < load_time / 2 {
+            // Until a load can be done, the row is enough.
+            if of_model && waited < load_time / 2 {
                 continue;
             }
-            if let Some(report) = self.report().await {
-                if self.report_says_done(&report) {
+            // A report that is from before the orders says nothing about them.
+            if let Some(report) = self.report().await.filter(|it| it.sequence >= sequence) {
+                self.settle(&mut open, Some(&report.models));
+                if open.is_empty() {
                     return true;
                 }
-                if !report.busy && !is_adapter {
-                    self.log("order undone", report.sequence, "the engine is idle without it");
+                if !report.busy && report.pending.is_empty() {
+                    for proposal in &open {
+                        let cause = "the engine is idle without it";
+                        self.log(proposal, "order undone", report.sequence, cause);
+                    }
                     return false;
                 }
             }
-            if is_adapter {
-                pause = (pause * 2).min(MODEL_POLL);
-            }
+            pause = (pause * 2).min(MODEL_POLL);
         }
         false
     }
 
-    fn is_gone(&self) -> bool {
-        self.node.directory.lock().get(self.id()).is_none()
+    /// The time that the longest of the loads may take; nothing for unloads and adapters.
+    fn load_time(&self, taken: &[&Proposal]) -> Duration {
+        let loads = taken
+            .iter()
+            .filter(|one| one.operation == Operation::Load && one.item.adapter.is_none());
+        let times = loads.filter_map(|one| Some(self.spec.models.get(&one.item.model)?.load_time));
+        times.max().unwrap_or(Duration::ZERO)
     }
 
-    fn row_says_done(&self) -> bool {
-        let known = self.node.directory.lock().get(self.id()).cloned();
-        known.is_some_and(|known| {
-            known.version > self.server.version && self.is_done_by(&known.entry.models)
-        })
+    /// Takes those that are done by `models` off `open`, and tells all nodes what was added.
+    fn settle(&self, open: &mut Vec<&Proposal>, models: Option<&Residents>) {
+        let Some(models) = models else {
+            return;
+        };
+        let (done, rest): (Vec<_>, Vec<_>) =
+            open.iter().copied().partition(|proposal| is_done(proposal, models));
+        *open = rest;
+        let added = done.into_iter().filter(|one| one.operation == Operation::Load);
+        let added: Vec<&Proposal> = added.collect();
+        if !added.is_empty() {
+            self.note(&added, NoteKind::Added);
+        }
     }
 
-    fn report_says_done(&self, report: &EngineReport) -> bool {
-        self.is_done_by(&report.models)
+    fn is_gone(&self) -> bool {
+        self.node.directory.lock().get(self.id()).is_none()
     }
 
-    fn is_done_by(
-        &self,
-        models: &BTreeMap<ModelName, trackfront_core::serving::directory::ResidentModel>,
-    ) -> bool {
-        let item = &self.proposal.item;
-        let resident = models.get(&item.model);
-        let has = |adapter: &AdapterName| resident.is_some_and(|r| r.adapters.contains(adapter));
-        let there = item.adapter.as_ref().map_or(resident.is_some(), has);
-        there == (self.proposal.operation == Operation::Load)
+    /// What the engine's row says that it holds, if the row is newer than the orders.
+    fn row_residents(&self) -> Option<Residents> {
+        let known = self.node.directory.lock().get(self.id()).cloned()?;
+        (known.version > self.server.version).then(|| known.entry.models.clone())
     }
 
     /// Reads the engine's report and keeps it for the next plan.
@@ -421,6 +463,9 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 log::info!(server:% = server.id, error:% = error; "report not read");
+                if matches!(error, UpstreamError::NotSent(_)) {
+                    self.node.loads.lock().unreachable(&server.id, self.node.now());
+                }
                 return None;
             }
             Err(_) => {
@@ -442,18 +487,27 @@
         }
     }
 
-    fn log(&self, event: &'static str, sequence: u64, outcome: &str) {
-        let item = &self.proposal.item;
+    fn log(&self, proposal: &Proposal, event: &'static str, sequence: u64, outcome: &str) {
+        let item = &proposal.item;
         let adapter = item.adapter.as_ref().map_or("", |adapter| adapter.as_str());
         log::info!(
             server:% = self.id(),
-            operation = self.proposal.operation.name(),
+            operation = proposal.operation.name(),
             model:% = item.model,
             adapter,
-            reason = self.proposal.reason,
+            reason = proposal.reason,
             sequence,
             outcome;
             "{event}"
         );
     }
 }
+
+/// Returns whether what a proposal asks for is so by what the engine holds.
+fn is_done(proposal: &Proposal, models: &Residents) -> bool {
+    let item = &proposal.item;
+    let resident = models.get(&item.model);
+    let has = |adapter: &AdapterName| resident.is_some_and(|held| held.adapters.contains(adapter));
+    let there = item.adapter.as_ref().map_or(resident.is_some(), has);
+    there == (proposal.operation == Operation::Load)
+}
