--- a/trackfront_core/src/serving/planner.rs
+++ b/trackfront_core/src/serving/planner.rs
@@ -204,6 +204,17 @@
         self.offers.get(model).map_or(0, Vec::len)
     }
 
+    /// How many other engines serve a model now.
+    fn serving_elsewhere(&self, model: &ModelName, index: usize) -> usize {
+        let offering = self.offers.get(model).into_iter().flatten();
+        let serving = offering.filter(|other| {
+            let engine = &self.engines[**other];
+            let comes = engine.loading.as_ref() == Some(model);
+            **other != index && engine.models.contains_key(model) && !comes
+        });
+        serving.count()
+    }
+
     /// The demand on each copy of a model if it had `copies`.
     fn level(&self, model: &ModelName, copies: usize) -> f64 {
         self.demand.get(model).copied().unwrap_or(0.0) / copies.max(1) as f64
@@ -301,9 +312,10 @@
         }
         let victims = engine.models.keys().filter_map(|name| {
             let (victim, spec) = self.spec.models.get_key_value(name)?;
-            let copies = self.copies(name);
-            let spare = copies >= 2 && free + spec.weight_mb >= needed;
-            let left = self.level(name, copies.saturating_sub(1));
+            // A copy on its way in serves nobody yet, so it is no reason to let another go.
+            let others = self.serving_elsewhere(name, index);
+            let spare = others >= 1 && free + spec.weight_mb >= needed;
+            let left = self.level(name, others);
             (spare && left * WORTH_A_SWAP < worth).then_some((left, victim))
         });
         let least = victims.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
