Let readers in each zone relay the platform's feeds

Change: the first nodes of a zone by address read the feeds and pass changes on in datagrams; the others read for themselves when they miss a message or hear no reader for 1.3 s. Kept connections are used for up to 20 s by requests that may be sent again, 3 s by others.

--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{AdapterName, BackendId, HallName, ModelName, ServiceName};
 use crate::units::Moment;
 
@@ -14,7 +16,7 @@
 const GONE_FOR: Duration = Duration::from_secs(120);
 
 /// What a server does about new requests, by its own word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// It takes requests.
     Ready,
@@ -26,7 +28,7 @@
 }
 
 /// A model on an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResidentModel {
     /// The version of the weights.
     pub version: u64,
@@ -38,7 +40,7 @@
 pub type Residents = BTreeMap<ModelName, ResidentModel>;
 
 /// What a server says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// The identity of this run of the server; a restart gets a new one.
     pub id: BackendId,
@@ -90,8 +92,17 @@
     }
 }
 
+impl ServerChange {
+    /// Returns the version of the change.
+    pub fn version(&self) -> u64 {
+        match self {
+            ServerChange::Set { version, .. } | ServerChange::Gone { version, .. } => *version,
+        }
+    }
+}
+
 /// A change of one row.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerChange {
     /// The row has this content.
     Set {
--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -6,20 +6,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ports::{Feed, StoredConfig, TableError};
 use trackfront_core::serving::directory::DirectoryEvent;
 
 use super::node::ServingNode;
+use super::spread::{FeedKind, Relay, relay, zone_mates};
 
-/// How long one wait for changes lasts. The node hears at least this often that the platform is
-/// there, so it bounds how long a lost connection goes unnoticed.
+/// How long one wait for changes lasts where no other node depends on it. The node hears at least
+/// this often that the platform is there, so it bounds how long a lost connection goes unnoticed.
 const FEED_WAIT: Duration = Duration::from_millis(2_000);
 
+/// How long one wait lasts at a reader for its zone: others take its silence for its loss.
+const READER_WAIT: Duration = Duration::from_millis(900);
+
 /// How long the node waits after a change of servers, so that one call brings the changes of many.
 const GATHER: Duration = Duration::from_millis(250);
 
+/// How often a node that a reader reads for looks whether that is still so.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -66,10 +74,33 @@
     fn must_reread(&self) -> bool {
         self.failures >= FAILURES_TO_REREAD
     }
+
+    /// Waits while a reader of this zone reads the feed for this node. Returns at once if this
+    /// node has to read itself. `is_enough` says whether there is something to read after all.
+    async fn wait_for_reader(&self, kind: FeedKind, is_enough: impl Fn() -> bool) {
+        loop {
+            let came = self.node.relay_came.notified();
+            let (_, is_reader) = zone_mates(&self.node);
+            let fresh = self.node.relayed.lock().is_fresh(kind, self.node.now());
+            if is_reader || !fresh || is_enough() {
+                return;
+            }
+            let _ = timeout(LOOK_EVERY, came).await;
+        }
+    }
+
+    /// How long this node waits for changes: as a reader for others, or for itself only.
+    fn feed_wait(&self) -> Duration {
+        let (mates, is_reader) = zone_mates(&self.node);
+        match is_reader && !mates.is_empty() {
+            true => READER_WAIT,
+            false => FEED_WAIT,
+        }
+    }
 }
 
 /// Follows the configuration for as long as the node lives.
-pub async fn follow_config(node: Arc<ServingNode>) {
+pub async fn follow_config(node: Arc<ServingNode>, socket: Arc<UdpSocket>) {
     let mut link = Link::new(node.clone(), "store_config");
     let mut row_version = 0;
     loop {
@@ -85,26 +116,32 @@
         for (_, stored) in listing.rows {
             take_config(&node, stored, &mut row_version);
         }
-        follow_config_from(&node, &mut link, listing.version, &mut row_version).await;
+        relay(&node, &socket, &Relay::Config { row: row_version });
+        follow_config_from(&node, &socket, &mut link, listing.version, &mut row_version).await;
     }
 }
 
 /// Follows the feed until everything has to be read again.
 async fn follow_config_from(
     node: &Arc<ServingNode>,
+    socket: &UdpSocket,
     link: &mut Link,
     mut version: u64,
     row_version: &mut u64,
 ) {
     while !link.must_reread() {
+        let known = *row_version;
+        let is_behind = || node.relayed.lock().config_row() > known;
+        link.wait_for_reader(FeedKind::Config, is_behind).await;
         link.count("follow_config");
-        match node.ports.knowledge.follow_config(version, FEED_WAIT).await {
+        match node.ports.knowledge.follow_config(version, link.feed_wait()).await {
             Ok(Feed::Changes { changes, version: reached }) => {
                 link.works();
                 for stored in changes {
                     take_config(node, stored, row_version);
                 }
                 version = version.max(reached);
+                relay(node, socket, &Relay::Config { row: *row_version });
             }
             Ok(Feed::HistoryGone) => {
                 log::info!(table = "configuration", after = version; "history gone, reading anew");
@@ -145,7 +182,7 @@
 }
 
 /// Follows the servers for as long as the node lives.
-pub async fn follow_servers(node: Arc<ServingNode>) {
+pub async fn follow_servers(node: Arc<ServingNode>, socket: Arc<UdpSocket>) {
     let mut link = Link::new(node.clone(), "store_servers");
     loop {
         link.count("list_servers");
@@ -166,27 +203,31 @@
         };
         note_events(&node, events, version);
         node.set_knows_servers();
-        follow_servers_from(&node, &mut link, version).await;
+        follow_servers_from(&node, &socket, &mut link).await;
     }
 }
 
 /// Follows the feed until everything has to be read again.
-async fn follow_servers_from(node: &Arc<ServingNode>, link: &mut Link, mut version: u64) {
+async fn follow_servers_from(node: &Arc<ServingNode>, socket: &UdpSocket, link: &mut Link) {
     while !link.must_reread() {
+        let has_gap = || node.relayed.lock().take_gap();
+        link.wait_for_reader(FeedKind::Servers, has_gap).await;
         link.count("follow_servers");
-        match node.ports.knowledge.follow_servers(version, FEED_WAIT).await {
-            Ok(Feed::Changes { changes, version: reached }) => {
+        let from = node.directory.lock().newest();
+        match node.ports.knowledge.follow_servers(from, link.feed_wait()).await {
+            Ok(Feed::Changes { changes, version: to }) => {
                 link.works();
-                let events = node.directory.lock().apply(changes, reached, node.now());
-                let some = !events.is_empty();
-                note_events(node, events, reached);
-                version = version.max(reached);
+                let told = Relay::Servers { from, to, changes: changes.clone() };
+                let some = !changes.is_empty();
+                let events = node.directory.lock().apply(changes, to, node.now());
+                note_events(node, events, to);
+                relay(node, socket, &told);
                 if some {
                     sleep(GATHER).await;
                 }
             }
             Ok(Feed::HistoryGone) => {
-                log::info!(table = "servers", after = version; "history gone, reading anew");
+                log::info!(table = "servers", after = from; "history gone, reading anew");
                 sleep(FIRST_PAUSE).await;
                 return;
             }
@@ -197,7 +238,7 @@
 }
 
 /// Logs what has changed and lets the rest of the node know.
-fn note_events(node: &Arc<ServingNode>, events: Vec<DirectoryEvent>, version: u64) {
+pub fn note_events(node: &ServingNode, events: Vec<DirectoryEvent>, version: u64) {
     if events.is_empty() {
         return;
     }
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -15,8 +15,9 @@
 use trackfront_core::serving::load::Share;
 use trackfront_core::units::Moment;
 
-use super::node::{ServingNode, short_item, short_server};
+use super::node::{ServingNode, short_item, short_server, short_zone};
 use super::overlay::NoteKind;
+use super::spread::{self as relay, Relay};
 
 /// The least time between two digests.
 const LEAST_GAP: Duration = Duration::from_millis(100);
@@ -41,14 +42,25 @@
 const TRIED_FOR: Duration = Duration::from_secs(10);
 
 /// The largest datagram.
-const MAX_DATAGRAM: usize = 16 * 1024;
+const MAX_DATAGRAM: usize = 32 * 1024;
 
 /// The limits of what is decoded: no datagram makes the node reserve more than this.
 const DECODE_LIMIT: usize = 64 * 1024;
 
+/// What nodes send to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The load and the demand at a node.
+    Digest(Digest),
+    /// What a node learned from the platform, for those in its zone.
+    Relay(Relay),
+}
+
 /// What a node tells.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
+    /// The short name of the node's zone.
+    pub zone: u32,
     /// The version of the configuration in force.
     pub config: u64,
     /// Whether the node holds the lease on orders.
@@ -97,6 +109,7 @@
 struct Peer {
     listed: Moment,
     heard: Option<Moment>,
+    zone: u32,
     gives_orders: bool,
 }
 
@@ -116,9 +129,17 @@
     pub fn heard(&mut self, ip: Ipv4Addr, digest: &Digest, now: Moment) {
         let peer = self.peers.entry(ip).or_insert(Peer { listed: now, ..Peer::default() });
         peer.heard = Some(now);
+        peer.zone = digest.zone;
         peer.gives_orders = digest.gives_orders;
     }
 
+    /// Returns the other nodes of a zone that are alive.
+    pub fn alive_in(&self, zone: u32, now: Moment) -> Vec<Ipv4Addr> {
+        let mut alive = self.alive(now);
+        alive.retain(|ip| self.peers.get(ip).is_some_and(|peer| peer.zone == zone));
+        alive
+    }
+
     /// Returns the nodes that are told: those heard of lately or listed just now, and the others
     /// at times.
     fn told(&self, round: u64, now: Moment) -> Vec<Ipv4Addr> {
@@ -162,16 +183,7 @@
         let now = node.now();
         let told = node.peers.lock().told(round, now);
         let digest = digest(&node, gives_orders.get(), round.is_multiple_of(DEMAND_EVERY));
-        match bincode::serde::encode_to_vec(&digest, bincode::config::standard()) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
-                for ip in &told {
-                    // Nothing depends on a digest, so a failed send is as good as a lost one.
-                    let _ = socket.try_send_to(&bytes, SocketAddr::from((*ip, port)));
-                }
-            }
-            Ok(bytes) => log::warn!(bytes = bytes.len(); "digest too large, not sent"),
-            Err(error) => log::error!(error:% = error; "digest not encoded"),
-        }
+        send(&socket, &Message::Digest(digest), &told, port);
         round += 1;
         let gap = LEAST_GAP.max(GAP_FOR_EACH_PEER * told.len() as u32);
         let start = Instant::now();
@@ -180,6 +192,20 @@
     }
 }
 
+/// Sends a message to nodes.
+pub fn send(socket: &UdpSocket, message: &Message, nodes: &[Ipv4Addr], port: u16) {
+    match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
+            for ip in nodes {
+                // Nothing depends on one message, so a failed send is as good as a lost one.
+                let _ = socket.try_send_to(&bytes, SocketAddr::from((*ip, port)));
+            }
+        }
+        Ok(bytes) => log::warn!(bytes = bytes.len(); "message too large, not sent"),
+        Err(error) => log::error!(error:% = error; "message not encoded"),
+    }
+}
+
 /// Whether this node holds the lease on orders, for its digests.
 #[derive(Debug, Default)]
 pub struct Giving(std::sync::atomic::AtomicBool);
@@ -222,7 +248,8 @@
         false => Vec::new(),
     };
     let config = node.config.load().as_ref().map_or(0, |config| config.version);
-    Digest { config, gives_orders, stopping: node.is_stopping(), shares, demand, notes }
+    let zone = short_zone(&node.settings.load().node.zone);
+    Digest { zone, config, gives_orders, stopping: node.is_stopping(), shares, demand, notes }
 }
 
 /// Hears the other nodes.
@@ -242,12 +269,13 @@
             continue;
         };
         let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
-        match bincode::serde::decode_from_slice::<Digest, _>(&buffer[..length], config) {
-            Ok((digest, _)) => take_in(&node, ip, digest),
+        match bincode::serde::decode_from_slice::<Message, _>(&buffer[..length], config) {
+            Ok((Message::Digest(digest), _)) => take_in(&node, ip, digest),
+            Ok((Message::Relay(relay), _)) => relay::take_in(&node, relay),
             Err(error) => {
                 let now = node.now();
                 if now.since(reported) > ALIVE_FOR {
-                    log::warn!(from:% = from, error:% = error; "digest not understood");
+                    log::warn!(from:% = from, error:% = error; "message not understood");
                     reported = now;
                 }
             }
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -1,7 +1,7 @@
 //! A serving node: the request pipeline and placement behind a deployment's own interfaces.
 //!
 //! [`node`] holds what the node knows; [`follow`] keeps it up to date from the platform,
-//! [`gossip`] from other nodes; [`pipeline`] and [`relay`] answer requests, [`listeners`] takes
+//! [`gossip`] and [`spread`] from other nodes; [`pipeline`] and [`relay`] answer requests, [`listeners`] takes
 //! them; [`lease`] and [`placement`] give orders to engines; [`run`] wires it all.
 //! This folder depends on the decisions in `trackfront_core::serving` and on the traits in
 //! `trackfront_adapters::interface`; it knows no names or formats of any deployment.
@@ -18,3 +18,4 @@
 pub mod relay;
 pub mod run;
 pub mod settings;
+pub mod spread;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -11,7 +11,7 @@
 use trackfront_adapters::interface::{ClientInterface, ServerInterface};
 use trackfront_adapters::serving_metrics::{KindLabel, ServingMetrics};
 use trackfront_adapters::upstream::UpstreamPool;
-use trackfront_core::ids::BackendId;
+use trackfront_core::ids::{BackendId, HallName};
 use trackfront_core::ports::{Clock, Knowledge, Table};
 use trackfront_core::serving::affinity::PromptMemory;
 use trackfront_core::serving::config::ServingConfig;
@@ -25,6 +25,7 @@
 use super::gossip::PeerBook;
 use super::overlay::Overlay;
 use super::settings::ServingSettings;
+use super::spread::Relayed;
 
 /// The part of the time that a draining server goes on for, in which it is still sent what no
 /// other can answer.
@@ -71,6 +72,10 @@
     pub overlay: Mutex<Overlay>,
     /// The other nodes.
     pub peers: Mutex<PeerBook>,
+    /// What readers of this zone relay from the platform.
+    pub relayed: Mutex<Relayed>,
+    /// Told when something came from a reader.
+    pub relay_came: Notify,
     /// Short names of servers and items.
     pub names: Mutex<ShortNames>,
     /// Told when servers or notes have changed.
@@ -100,6 +105,8 @@
             demand: Mutex::default(),
             overlay: Mutex::default(),
             peers: Mutex::default(),
+            relayed: Mutex::default(),
+            relay_came: Notify::new(),
             names: Mutex::default(),
             servers_changed: Notify::new(),
             tell_peers: Notify::new(),
@@ -116,7 +123,7 @@
 
     /// Returns whether the node takes new connections.
     pub fn is_ready(&self) -> bool {
-        let knows = self.knows_servers.load(Ordering::Relaxed) && self.config.load().is_some();
+        let knows = self.knows_servers() && self.config.load().is_some();
         knows && !self.is_stopping()
     }
 
@@ -125,6 +132,11 @@
         self.knows_servers.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the servers are known.
+    pub fn knows_servers(&self) -> bool {
+        self.knows_servers.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the node was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
@@ -191,6 +203,11 @@
     short(id.as_str().as_bytes())
 }
 
+/// Returns a zone's short name.
+pub fn short_zone(zone: &HallName) -> u32 {
+    short(zone.as_str().as_bytes())
+}
+
 /// Returns an item's short name.
 pub fn short_item(item: &ModelRef) -> u32 {
     let adapter = item.adapter.as_ref().map_or("", |adapter| adapter.as_str());
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -29,8 +29,11 @@
 /// How long a connection to a server may take to open: many times the way within a region.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
 
-/// How long a kept connection may have been unused.
-const MAX_IDLE: Duration = Duration::from_secs(4);
+/// How long a kept connection may have been unused for a request that may be sent again.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+
+/// How long for a request that may not: a server may have forgotten the connection without a word.
+const MAX_IDLE_ONCE: Duration = Duration::from_secs(3);
 
 /// The largest plain answer, in bytes.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
@@ -466,7 +469,9 @@
             after_event,
         };
         let request = node.ports.servers.request(&self.head, self.body.clone(), &attempt);
-        let options = SendOptions { connect_time: CONNECT_TIME, max_idle: MAX_IDLE };
+        let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
+        let max_idle = if repeats { MAX_IDLE } else { MAX_IDLE_ONCE };
+        let options = SendOptions { connect_time: CONNECT_TIME, max_idle };
         let sending = node.pool.send(&server.address, request, options, || true);
         let sent = timeout_at(self.head_until().min(self.end), sending).await;
         let (result, outcome) = match sent {
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -36,13 +36,13 @@
 const SWEEP_EVERY: Duration = Duration::from_millis(1_000);
 
 /// How long a connection to a server stays open unused.
-const MAX_IDLE: Duration = Duration::from_secs(6);
+const MAX_IDLE: Duration = Duration::from_secs(20);
 
 /// The start of the keys of nodes' rows.
 const NODE_PREFIX: &str = "node/";
 
 /// The first and the longest pause between attempts to list the nodes.
-const LIST_PAUSES: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(20));
+const LIST_PAUSES: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(60));
 
 /// Runs a node until it is told to stop and every request in progress is answered.
 pub async fn run(
@@ -68,8 +68,8 @@
     let (_stop_rest, rest_stopped) = watch::channel(false);
     let giving = Arc::new(Giving::default());
     let mut tasks = JoinSet::new();
-    tasks.spawn(follow::follow_config(node.clone()));
-    tasks.spawn(follow::follow_servers(node.clone()));
+    tasks.spawn(follow::follow_config(node.clone(), socket.clone()));
+    tasks.spawn(follow::follow_servers(node.clone(), socket.clone()));
     tasks.spawn(gossip::tell(node.clone(), socket.clone(), giving.clone()));
     tasks.spawn(gossip::hear(node.clone(), socket));
     tasks.spawn(list_nodes(node.clone()));
@@ -193,18 +193,15 @@
             Err(error) => log::info!(error:% = error; "nodes not listed"),
         }
         sleep(pause).await;
-        pause = (pause * 3).min(longest);
+        pause = (pause * 8).min(longest);
     }
 }
 
 async fn write_row(node: &ServingNode) -> bool {
     let settings = node.settings.load();
     let key = RowKey(format!("{NODE_PREFIX}{}", settings.node.ip));
-    let expect = match node.ports.table.read(&key).await {
-        Ok(Some(_)) => return true,
-        Ok(None) => Expect::Absent,
-        Err(_) => return false,
-    };
+    // If the row is there already, an earlier process of this machine wrote it.
+    let expect = Expect::Absent;
     let id = TxnId::from(draw_id("node", &mut rand::rng()));
     let value = Some(Bytes::from(settings.node.name.clone()));
     let transaction = Transaction { id, writes: vec![Write { key, expect, value }] };
