Test the decisions of serving, spread adapters by what is proposed

Cause: a new test placed four adapters on an engine with two places and none on its twin: proposals of the same round were not counted.

--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Returns whether there is an unused connection to `address`.
+    pub fn is_connected(&self, address: &str) -> bool {
+        self.idle.lock().get(address).is_some_and(|kept| !kept.is_empty())
+    }
+
     /// Closes unused connections that have been so for longer than `max_idle`.
     pub fn close_idle(&self, max_idle: Duration) {
         let now = Instant::now();
--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -17,6 +17,9 @@
 /// What the way to another zone costs, in milliseconds; it stands for the bytes as well.
 const OTHER_ZONE_MS: f64 = 4.0;
 
+/// What a new connection costs, in milliseconds; it stands for the server's work as well.
+const NEW_CONNECTION_MS: f64 = 6.0;
+
 /// What each request at an engine costs a new one, in milliseconds: steps grow with the batch.
 const BATCH_MATE_MS: f64 = 1.5;
 
@@ -88,13 +91,16 @@
     }
 }
 
-/// Pairs of a server and a model that will soon be unloaded, and get no new requests.
-pub trait Withdrawn {
-    /// Returns whether `item` is about to leave `server`.
+/// What is known of servers beside their rows.
+pub trait ServerView {
+    /// Returns whether `item` is about to leave `server`, which then gets no new requests for it.
     fn is_withdrawn(&self, server: &BackendId, item: &ModelRef) -> bool;
 
     /// Returns whether `item` was loaded on `server` though its row does not say so yet.
     fn is_added(&self, server: &BackendId, item: &ModelRef) -> bool;
+
+    /// Returns whether there is an unused connection to `address`.
+    fn is_connected(&self, address: &str) -> bool;
 }
 
 /// Chooses the server with the shortest estimated time among `servers`.
@@ -103,7 +109,7 @@
     servers: &[Arc<KnownServer>],
     loads: &mut LoadBook,
     memory: &PromptMemory,
-    withdrawn: &dyn Withdrawn,
+    view: &dyn ServerView,
 ) -> Result<Choice, NoChoice> {
     let mut best: Option<(f64, Choice)> = None;
     let mut reason = NoChoice::NoServer;
@@ -113,11 +119,11 @@
         if is_out || !takes_requests(server, query) {
             continue;
         }
-        if let Err(lack) = holds(server, query.info.model.as_ref(), withdrawn) {
+        if let Err(lack) = holds(server, query.info.model.as_ref(), view) {
             reason = worse(reason, lack);
             continue;
         }
-        let (cost, choice) = judge(query, server, loads, memory);
+        let (cost, choice) = judge(query, server, loads, memory, view);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
         }
@@ -145,7 +151,7 @@
 fn holds(
     server: &KnownServer,
     wanted: Option<&ModelRef>,
-    withdrawn: &dyn Withdrawn,
+    view: &dyn ServerView,
 ) -> Result<(), NoChoice> {
     let Some(wanted) = wanted else {
         return Ok(());
@@ -153,16 +159,16 @@
     let id = &server.entry.id;
     let model = ModelRef { model: wanted.model.clone(), adapter: None };
     let resident = server.entry.models.get(&wanted.model);
-    let has_model = resident.is_some() || withdrawn.is_added(id, &model);
-    if !has_model || withdrawn.is_withdrawn(id, &model) {
+    let has_model = resident.is_some() || view.is_added(id, &model);
+    if !has_model || view.is_withdrawn(id, &model) {
         return Err(NoChoice::NoModel);
     }
     let Some(adapter) = &wanted.adapter else {
         return Ok(());
     };
     let listed = resident.is_some_and(|resident| resident.adapters.contains(adapter));
-    let has_adapter = listed || withdrawn.is_added(id, wanted);
-    match has_adapter && !withdrawn.is_withdrawn(id, wanted) {
+    let has_adapter = listed || view.is_added(id, wanted);
+    match has_adapter && !view.is_withdrawn(id, wanted) {
         true => Ok(()),
         false => Err(NoChoice::NoAdapter),
     }
@@ -173,6 +179,7 @@
     server: &Arc<KnownServer>,
     loads: &mut LoadBook,
     memory: &PromptMemory,
+    view: &dyn ServerView,
 ) -> (f64, Choice) {
     let now = query.now;
     let id = &server.entry.id;
@@ -200,6 +207,9 @@
     if server.entry.zone != *query.zone {
         cost += OTHER_ZONE_MS;
     }
+    if !view.is_connected(&server.entry.address) {
+        cost += NEW_CONNECTION_MS;
+    }
     cost += load.fault_share(now) * FAULT_MS;
     if !server.is_ready() {
         cost += DRAINING_MS;
--- a/trackfront_core/src/serving/planner.rs
+++ b/trackfront_core/src/serving/planner.rs
@@ -370,9 +370,9 @@
             there && free && !engine.offers_adapter(model, adapter)
         };
         let open: Vec<usize> = (0..self.engines.len()).filter(fits).collect();
-        let roomy =
-            open.iter().copied().filter(|index| self.engines[*index].adapter_count() < slots);
-        let roomiest = roomy.min_by_key(|index| self.engines[*index].adapter_count());
+        let count = |index: &usize| self.engines[*index].adapter_count() + self.proposed(*index);
+        let roomy = open.iter().copied().filter(|index| count(index) < slots);
+        let roomiest = roomy.min_by_key(count);
         let item = |model: &ModelName, adapter: &AdapterName| ModelRef {
             model: model.clone(),
             adapter: Some(adapter.clone()),
--- /dev/null
+++ b/trackfront_core/tests/serving.rs
@@ -0,0 +1,16 @@
+//! The decisions behind the request pipeline.
+
+mod serving {
+    mod support;
+
+    mod affinity;
+    mod budget;
+    mod choice;
+    mod config;
+    mod demand;
+    mod directory;
+    mod load;
+    mod orders;
+    mod orders_random;
+    mod planner;
+}
--- /dev/null
+++ b/trackfront_core/tests/serving/choice.rs
@@ -0,0 +1,188 @@
+use std::collections::HashSet;
+use std::time::Duration;
+
+use trackfront_core::ids::BackendId;
+use trackfront_core::serving::affinity::{PromptMemory, prefixes};
+use trackfront_core::serving::choose::{Choice, NoChoice, Query, ServerView, choose};
+use trackfront_core::serving::directory::{ServerEntry, ServerState};
+use trackfront_core::serving::load::{Ending, LoadBook, Work};
+use trackfront_core::serving::request::{ModelRef, PromptPart, RequestInfo};
+
+use super::support::{at, entry, info, item, known, with_adapter};
+
+/// Notes beside the rows, and connections that are open.
+#[derive(Default)]
+struct Notes {
+    withdrawn: HashSet<(String, ModelRef)>,
+    added: HashSet<(String, ModelRef)>,
+    connected: HashSet<String>,
+}
+
+impl ServerView for Notes {
+    fn is_withdrawn(&self, server: &BackendId, item: &ModelRef) -> bool {
+        self.withdrawn.contains(&(server.to_string(), item.clone()))
+    }
+
+    fn is_added(&self, server: &BackendId, item: &ModelRef) -> bool {
+        self.added.contains(&(server.to_string(), item.clone()))
+    }
+
+    fn is_connected(&self, address: &str) -> bool {
+        self.connected.contains(address)
+    }
+}
+
+struct Case {
+    servers: Vec<ServerEntry>,
+    info: RequestInfo,
+    loads: LoadBook,
+    memory: PromptMemory,
+    notes: Notes,
+    tried: Vec<BackendId>,
+    now: u64,
+}
+
+fn case(servers: Vec<ServerEntry>, info: RequestInfo) -> Case {
+    Case {
+        servers,
+        info,
+        loads: LoadBook::default(),
+        memory: PromptMemory::default(),
+        notes: Notes::default(),
+        tried: Vec::new(),
+        now: 0,
+    }
+}
+
+impl Case {
+    fn choose(&mut self) -> Result<Choice, NoChoice> {
+        let found = self.info.model.as_ref().map(|model| prefixes(model, &self.info.prompt));
+        let query = Query {
+            info: &self.info,
+            prefixes: &found.unwrap_or_default(),
+            rank: 1,
+            tried: &self.tried,
+            zone: &"a".into(),
+            drain_grace: Duration::from_millis(800),
+            now: at(self.now),
+        };
+        choose(&query, &known(self.servers.clone()), &mut self.loads, &self.memory, &self.notes)
+    }
+
+    fn chosen(&mut self) -> String {
+        self.choose().expect("a server").server.entry.id.to_string()
+    }
+
+    fn busy(&mut self, id: &str, prompt_tokens: u32) {
+        let work = Work { prompt_tokens, output_tokens: 1, rank: 1 };
+        let model = self.info.model.as_ref().map(|item| item.model.clone());
+        let _ = self.loads.begin(&id.into(), model.as_ref(), work, at(self.now));
+    }
+}
+
+#[test]
+fn the_engine_with_the_least_to_read_is_chosen() {
+    let servers = vec![entry("x", &["m"]), entry("y", &["m"]), entry("z", &["n"])];
+    let mut case = case(servers, info(Some(item("m", None)), 1_000));
+    case.busy("x", 2_000);
+    assert_eq!(case.chosen(), "y");
+    case.busy("y", 9_000);
+    assert_eq!(case.chosen(), "x");
+}
+
+#[test]
+fn a_kept_prompt_is_worth_its_reading_and_no_more() {
+    let servers = vec![entry("x", &["m"]), entry("y", &["m"])];
+    let mut case = case(servers, info(Some(item("m", None)), 1_000));
+    case.info.prompt = vec![PromptPart { id: 1, tokens: 900 }];
+    let found = prefixes(&item("m", None), &case.info.prompt);
+    case.memory.read(&found, &"y".into(), at(0));
+    case.busy("y", 500);
+    assert_eq!(case.chosen(), "y");
+    case.busy("y", 2_000);
+    assert_eq!(case.chosen(), "x");
+}
+
+#[test]
+fn an_open_connection_breaks_a_tie() {
+    let servers = vec![entry("x", &["m"]), entry("yy", &["m"])];
+    let mut case = case(servers, info(Some(item("m", None)), 1_000));
+    let address = case.servers[1].address.clone();
+    case.notes.connected.insert(address);
+    assert_eq!(case.chosen(), "yy");
+    case.busy("yy", 1_000);
+    assert_eq!(case.chosen(), "x");
+}
+
+#[test]
+fn the_lack_that_is_nearest_to_an_answer_is_named() {
+    let mut missing = case(vec![entry("x", &["n"])], info(Some(item("m", None)), 1));
+    assert_eq!(missing.choose().unwrap_err(), NoChoice::NoModel);
+    let mut adapter = case(vec![entry("x", &["m"])], info(Some(item("m", Some("a1"))), 1));
+    assert_eq!(adapter.choose().unwrap_err(), NoChoice::NoAdapter);
+    adapter.notes.added.insert(("x".into(), item("m", Some("a1"))));
+    assert_eq!(adapter.chosen(), "x");
+    adapter.tried.push("x".into());
+    assert_eq!(adapter.choose().unwrap_err(), NoChoice::NoServer);
+}
+
+#[test]
+fn what_is_about_to_leave_gets_no_new_requests() {
+    let mut server = entry("x", &["m"]);
+    server.models = with_adapter(server.models, "m", "a1");
+    let mut case = case(vec![server], info(Some(item("m", Some("a1"))), 1));
+    assert_eq!(case.chosen(), "x");
+    case.notes.withdrawn.insert(("x".into(), item("m", Some("a1"))));
+    assert_eq!(case.choose().unwrap_err(), NoChoice::NoAdapter);
+    case.notes.withdrawn.insert(("x".into(), item("m", None)));
+    assert_eq!(case.choose().unwrap_err(), NoChoice::NoModel);
+}
+
+#[test]
+fn a_draining_server_is_the_last_resort_and_only_for_a_while() {
+    let mut leaving = entry("x", &["m"]);
+    leaving.state = ServerState::Draining { remaining: None };
+    let mut case = case(vec![leaving], info(Some(item("m", None)), 1));
+    assert_eq!(case.chosen(), "x");
+    case.servers.push(entry("y", &["m"]));
+    case.busy("y", 50_000);
+    assert_eq!(case.chosen(), "y", "any that stays goes before");
+    case.servers.pop();
+    case.now = 801;
+    assert_eq!(case.choose().unwrap_err(), NoChoice::NoServer);
+}
+
+#[test]
+fn an_engine_whose_place_another_run_took_is_out() {
+    let mut case = case(vec![entry("x", &["m"])], info(Some(item("m", None)), 1));
+    let work = Work::default();
+    let counted = case.loads.begin(&"x".into(), None, work, at(0));
+    case.loads.end(counted, Ending::Replaced, at(0));
+    case.now = 60_000;
+    assert_eq!(case.choose().unwrap_err(), NoChoice::NoServer);
+}
+
+#[test]
+fn failing_and_unreachable_servers_are_avoided_while_others_can_answer() {
+    let plain = |id: &str| ServerEntry { models: Default::default(), ..entry(id, &[]) };
+    let mut case = case(vec![plain("x"), plain("y")], info(None, 0));
+    for _ in 0..5 {
+        let counted = case.loads.begin(&"x".into(), None, Work::default(), at(0));
+        case.loads.end(counted, Ending::Failed, at(0));
+    }
+    assert_eq!(case.chosen(), "y");
+    case.loads.unreachable(&"y".into(), at(0));
+    assert_eq!(case.chosen(), "x", "one that fails at times is better than one that is away");
+    case.tried.push("x".into());
+    assert_eq!(case.chosen(), "y", "and one that is away is better than none");
+}
+
+#[test]
+fn the_own_zone_is_preferred_until_it_is_busier() {
+    let far = ServerEntry { zone: "b".into(), ..entry("x", &["m"]) };
+    let near = entry("yy", &["m"]);
+    let mut case = case(vec![far, near], info(Some(item("m", None)), 1_000));
+    assert_eq!(case.chosen(), "yy");
+    case.busy("yy", 1_000);
+    assert_eq!(case.chosen(), "x");
+}
--- /dev/null
+++ b/trackfront_core/tests/serving/directory.rs
@@ -0,0 +1,71 @@
+use std::time::Duration;
+
+use trackfront_core::ids::BackendId;
+use trackfront_core::serving::directory::{Directory, DirectoryEvent, ServerChange, ServerState};
+
+use super::support::{at, entry};
+
+fn set(version: u64, id: &str, models: &[&str]) -> ServerChange {
+    ServerChange::Set { version, entry: entry(id, models) }
+}
+
+fn draining(version: u64, id: &str, remaining_ms: Option<u64>) -> ServerChange {
+    let mut entry = entry(id, &[]);
+    let remaining = remaining_ms.map(Duration::from_millis);
+    entry.state = ServerState::Draining { remaining };
+    ServerChange::Set { version, entry }
+}
+
+fn gone(version: u64, id: &str) -> ServerChange {
+    ServerChange::Gone { version, id: BackendId::from(id) }
+}
+
+fn ids(directory: &Directory) -> Vec<String> {
+    directory.of_service(&"text".into()).iter().map(|s| s.entry.id.to_string()).collect()
+}
+
+#[test]
+fn an_older_row_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.apply(vec![set(5, "x", &["m"])], 5, at(0));
+    assert!(directory.apply(vec![set(4, "x", &[])], 6, at(1)).is_empty());
+    let known = directory.get(&"x".into()).expect("known");
+    assert_eq!((known.version, known.entry.models.len()), (5, 1));
+    assert_eq!(directory.newest(), 6);
+}
+
+#[test]
+fn a_server_that_went_does_not_come_back_by_a_late_row() {
+    let mut directory = Directory::default();
+    directory.apply(vec![set(5, "x", &[])], 5, at(0));
+    assert_eq!(directory.apply(vec![gone(7, "x")], 7, at(1)), [DirectoryEvent::Left("x".into())]);
+    assert!(directory.apply(vec![set(6, "x", &[])], 8, at(2)).is_empty());
+    assert!(ids(&directory).is_empty());
+    // A row that is newer than its going: the platform had lost it for a while.
+    assert_eq!(directory.apply(vec![set(9, "x", &[])], 9, at(3)).len(), 1);
+    assert_eq!(ids(&directory), ["x"]);
+}
+
+#[test]
+fn an_old_listing_is_passed_over_whole() {
+    let mut directory = Directory::default();
+    directory.apply(vec![set(5, "x", &[]), set(6, "y", &[])], 9, at(0));
+    assert_eq!(directory.replace(vec![(5, entry("x", &[]))], 8, at(1)), None);
+    assert_eq!(ids(&directory), ["x", "y"]);
+    let events = directory.replace(vec![(5, entry("x", &[]))], 9, at(2));
+    assert_eq!(events, Some(vec![DirectoryEvent::Left("y".into())]));
+    assert_eq!(ids(&directory), ["x"]);
+}
+
+#[test]
+fn draining_is_counted_from_when_it_was_learned_first() {
+    let mut directory = Directory::default();
+    directory.apply(vec![set(1, "x", &[])], 1, at(0));
+    let events = directory.apply(vec![draining(2, "x", Some(2_000))], 2, at(100));
+    assert_eq!(events, [DirectoryEvent::Draining("x".into())]);
+    directory.apply(vec![draining(3, "x", Some(2_000))], 3, at(900));
+    let known = directory.get(&"x".into()).expect("known");
+    assert!(!known.is_ready());
+    assert_eq!(known.draining_since, Some(at(100)));
+    assert_eq!(known.leaves_at(), Some(at(2_100)));
+}
--- /dev/null
+++ b/trackfront_core/tests/serving/load.rs
@@ -0,0 +1,109 @@
+use trackfront_core::ids::{BackendId, ModelName};
+use trackfront_core::serving::load::{Ending, LoadBook, RANKS, Share, ToldLoad, Work};
+
+use super::support::at;
+
+fn work(prompt_tokens: u32, rank: u8) -> Work {
+    Work { prompt_tokens, output_tokens: 10, rank }
+}
+
+fn share(requests: u32, rank: usize, ms: f64) -> Share {
+    let mut reading_ms = [0.0; RANKS];
+    reading_ms[rank] = ms;
+    Share { requests, reading_ms }
+}
+
+#[test]
+fn reading_counts_until_the_first_event_and_requests_until_the_end() {
+    let (mut book, id, model) = (LoadBook::default(), BackendId::from("x"), ModelName::from("m"));
+    let mut counted = book.begin(&id, Some(&model), work(1_000, 1), at(0));
+    let reading = book.server(&id).own().reading_ms[1];
+    assert!(reading > 10.0, "{reading}");
+    book.first_event(&mut counted, at(60));
+    assert_eq!(book.server(&id).own().reading_ms[1], 0.0);
+    assert_eq!(book.server(&id).own().requests, 1);
+    book.end(counted, Ending::Answered, at(100));
+    assert_eq!(book.server(&id).own().requests, 0);
+}
+
+#[test]
+fn an_urgent_request_waits_for_little_of_what_is_less_urgent() {
+    let mut waiting = share(2, 0, 100.0);
+    waiting.reading_ms[3] = 1_000.0;
+    assert_eq!(waiting.reading_before(3), 1_100.0);
+    assert_eq!(waiting.reading_before(0), 300.0);
+    assert_eq!(waiting.reading_before(200), 1_100.0, "a rank that is out of range is the last");
+}
+
+#[test]
+fn what_peers_told_counts_for_a_while_and_is_replaced_whole() {
+    let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
+    book.peer(&id, 7, share(3, 2, 50.0), at(0));
+    assert_eq!(book.server(&id).total(at(100)).requests, 3);
+    assert_eq!(book.server(&id).total(at(1_600)).requests, 0, "it is too old");
+    book.peer(&id, 7, share(3, 2, 50.0), at(2_000));
+    book.peer_spoke(7);
+    assert_eq!(book.server(&id).total(at(2_000)).requests, 0, "the peer named it no more");
+}
+
+#[test]
+fn a_servers_own_word_is_corrected_by_what_was_sent_since() {
+    let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
+    book.told(&id, ToldLoad { running: 5, waiting: 2, slots: 8 }, at(0));
+    let _held = book.begin(&id, None, work(0, 0), at(1));
+    assert_eq!(book.server(&id).total(at(2)).requests, 8);
+    assert_eq!(book.server(&id).waiting(at(2)), 2);
+    assert_eq!(book.server(&id).waiting(at(1_100)), 0, "its word is too old");
+}
+
+#[test]
+fn the_cost_of_a_token_follows_what_is_measured() {
+    let (mut book, id, model) = (LoadBook::default(), BackendId::from("x"), ModelName::from("m"));
+    let before = book.token_cost_ms(&model);
+    for round in 0..200 {
+        let start = round * 1_000;
+        let mut counted = book.begin(&id, Some(&model), work(1_000, 0), at(start));
+        // Three times as slow as first believed.
+        book.first_event(&mut counted, at(start + 180));
+        book.end(counted, Ending::Answered, at(start + 200));
+    }
+    let after = book.token_cost_ms(&model);
+    assert!((0.15..0.21).contains(&after), "{before} became {after}");
+}
+
+#[test]
+fn an_unreachable_server_is_spared_longer_each_time_until_it_answers() {
+    let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
+    book.unreachable(&id, at(0));
+    assert!(book.server(&id).is_paused(at(200)));
+    assert!(!book.server(&id).is_paused(at(300)));
+    book.unreachable(&id, at(300));
+    assert!(book.server(&id).is_paused(at(700)));
+    assert_eq!(book.server(&id).unreachable_since(), Some(at(0)));
+    let counted = book.begin(&id, None, work(0, 0), at(900));
+    book.end(counted, Ending::Answered, at(910));
+    assert!(!book.server(&id).is_paused(at(911)));
+    assert_eq!(book.server(&id).unreachable_since(), None);
+}
+
+#[test]
+fn failures_count_less_with_time() {
+    let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
+    for _ in 0..20 {
+        let counted = book.begin(&id, None, work(0, 0), at(0));
+        book.end(counted, Ending::Failed, at(0));
+    }
+    let share = book.server(&id).fault_share(at(0));
+    assert!(share > 0.9, "{share}");
+    assert!(book.server(&id).fault_share(at(10_000)) < share / 10.0);
+}
+
+#[test]
+fn a_request_that_the_client_left_takes_its_reading_off() {
+    let (mut book, id, model) = (LoadBook::default(), BackendId::from("x"), ModelName::from("m"));
+    let counted = book.begin(&id, Some(&model), work(1_000, 1), at(0));
+    book.end(counted, Ending::Abandoned, at(5));
+    assert_eq!(book.server(&id).own(), Share::default());
+    book.forget(&id);
+    assert_eq!(book.own_shares().count(), 0);
+}
--- /dev/null
+++ b/trackfront_core/tests/serving/orders.rs
@@ -0,0 +1,64 @@
+use trackfront_core::serving::orders::{EngineReport, LoadPacer, Operation, OrderFault, check};
+
+use super::support::{at, item, residents, spec, with_adapter};
+
+fn report(models: &[&str]) -> EngineReport {
+    EngineReport { models: residents(models), ..EngineReport::default() }
+}
+
+#[test]
+fn a_load_has_to_fit_beside_everything_that_is_there_or_comes() {
+    let spec = spec(&["m", "n", "o", "p"], 4, 2);
+    let load = |report: &EngineReport, wanted| check(Operation::Load, &wanted, report, &spec);
+    assert_eq!(load(&report(&["m", "n"]), item("o", None)), Ok(()));
+    assert_eq!(load(&report(&["m", "n", "o"]), item("p", None)), Err(OrderFault::NoRoom));
+    assert_eq!(load(&report(&["m"]), item("m", None)), Err(OrderFault::Needless));
+    assert_eq!(load(&report(&["m"]), item("q", None)), Err(OrderFault::Unknown));
+    let strange = report(&["unknown"]);
+    assert_eq!(load(&strange, item("m", None)), Err(OrderFault::NoRoom), "its size is not known");
+    let busy = EngineReport { busy: true, ..report(&[]) };
+    assert_eq!(load(&busy, item("m", None)), Err(OrderFault::Busy));
+}
+
+#[test]
+fn adapters_need_their_model_and_a_place() {
+    let spec = spec(&["m"], 4, 2);
+    let load =
+        |report: &EngineReport, name| check(Operation::Load, &item("m", Some(name)), report, &spec);
+    assert_eq!(load(&report(&[]), "a1"), Err(OrderFault::NoModel));
+    let mut held = report(&["m"]);
+    held.models = with_adapter(held.models, "m", "a1");
+    assert_eq!(load(&held, "a1"), Err(OrderFault::Needless));
+    assert_eq!(load(&held, "a2"), Ok(()));
+    held.pending.insert(("m".into(), "a3".into()));
+    assert_eq!(load(&held, "a3"), Err(OrderFault::Needless), "it is on its way");
+    assert_eq!(load(&held, "a2"), Err(OrderFault::NoSlot), "one on its way takes a place");
+}
+
+#[test]
+fn only_what_is_there_is_unloaded() {
+    let spec = spec(&["m"], 4, 2);
+    let unload = |report: &EngineReport, wanted| check(Operation::Unload, &wanted, report, &spec);
+    assert_eq!(unload(&report(&["m"]), item("m", None)), Ok(()));
+    assert_eq!(unload(&report(&[]), item("m", None)), Err(OrderFault::Needless));
+    assert_eq!(unload(&report(&["m"]), item("m", Some("a1"))), Err(OrderFault::Needless));
+}
+
+#[test]
+fn loads_stay_under_the_ceiling_in_every_window() {
+    let mut pacer = LoadPacer::new(at(0));
+    let mut begun = Vec::new();
+    for ms in (0..60_000).step_by(10) {
+        if pacer.ready(1.4, at(ms)) {
+            pacer.began();
+            begun.push(ms);
+        }
+    }
+    let most = begun
+        .iter()
+        .map(|start| begun.iter().filter(|ms| (*start..start + 5_000).contains(*ms)).count());
+    let ceiling = 1.4 * 5.0 * 1.1 + 3.0;
+    assert!(most.max().unwrap_or(0) as f64 <= ceiling);
+    assert!(begun.len() >= 80, "the rate is used: {}", begun.len());
+    assert!(begun[0] >= 700, "a new giver begins without allowance");
+}
--- a/trackfrontd/src/serving/overlay.rs
+++ b/trackfrontd/src/serving/overlay.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use trackfront_adapters::upstream::UpstreamPool;
 use trackfront_core::ids::BackendId;
-use trackfront_core::serving::choose::Withdrawn;
+use trackfront_core::serving::choose::ServerView;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
@@ -61,12 +62,25 @@
     }
 }
 
-impl Withdrawn for Overlay {
+/// The notes and the connections as a choice sees them.
+#[derive(Clone, Copy)]
+pub struct NodeView<'a> {
+    /// The notes.
+    pub overlay: &'a Overlay,
+    /// The connections.
+    pub pool: &'a UpstreamPool,
+}
+
+impl ServerView for NodeView<'_> {
     fn is_withdrawn(&self, server: &BackendId, item: &ModelRef) -> bool {
-        self.says(server, item, NoteKind::Withdrawn)
+        self.overlay.says(server, item, NoteKind::Withdrawn)
     }
 
     fn is_added(&self, server: &BackendId, item: &ModelRef) -> bool {
-        self.says(server, item, NoteKind::Added)
+        self.overlay.says(server, item, NoteKind::Added)
+    }
+
+    fn is_connected(&self, address: &str) -> bool {
+        self.pool.is_connected(address)
     }
 }
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -23,7 +23,7 @@
 use trackfront_core::units::Moment;
 
 use super::node::ServingNode;
-use super::overlay::NoteKind;
+use super::overlay::{NodeView, NoteKind};
 use super::relay;
 
 /// How long a connection to a server may take to open: many times the way within a region.
@@ -399,7 +399,8 @@
         let directory = node.directory.lock();
         let servers = directory.of_service(&self.service);
         let mut loads = node.loads.lock();
-        choose(&query, servers, &mut loads, &node.memory.lock(), &*node.overlay.lock())
+        let view = NodeView { overlay: &node.overlay.lock(), pool: &node.pool };
+        choose(&query, servers, &mut loads, &node.memory.lock(), &view)
     }
 
     /// Refuses what cannot be answered in time any more, and sends once more only as the budget
