Bring adapters in before the client gives up waiting

Change: a lack is told at once and wakes the giver; one adapter gives way to another in one errand; nodes are told when an adapter should be there, not when a report shows it. A plan logs what it was made from.

--- a/trackfront_core/src/serving/planner.rs
+++ b/trackfront_core/src/serving/planner.rs
@@ -30,6 +30,9 @@
 /// What it is worth that a model is there at all, as a share of an engine's time.
 const WORTH_BEING_THERE: f64 = 0.5;
 
+/// The demand under which a model is not named in a plan's summary.
+const LEAST_DEMAND: f64 = 0.02;
+
 /// How long an unload takes, in seconds: requests in progress are waited for.
 const UNLOAD_SECONDS: f64 = 1.0;
 
@@ -113,6 +116,28 @@
     pub reason: &'static str,
 }
 
+/// What a plan was made from, for one model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelPlan {
+    /// The model.
+    pub model: ModelName,
+    /// What is asked for, as a share of one engine's time.
+    pub demand: f64,
+    /// How many engines hold it or will.
+    pub copies: usize,
+    /// How many should.
+    pub wanted: usize,
+}
+
+/// A plan and what it was made from.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Planned {
+    /// What to order, the most urgent first.
+    pub proposals: Vec<Proposal>,
+    /// The models that are asked for or lack copies, the busiest first.
+    pub models: Vec<ModelPlan>,
+}
+
 /// The plan under construction.
 struct Plan<'a> {
     spec: &'a EngineSpec,
@@ -136,12 +161,13 @@
     spec: &EngineSpec,
     engines: &[EngineView],
     demand: &HashMap<ModelRef, Rate>,
-) -> Vec<Proposal> {
+) -> Planned {
     let mut plan = Plan::new(spec, engines, demand);
+    let models = plan.summary();
     plan.bring_back_missing();
     plan.add_copies();
     plan.place_adapters(demand);
-    plan.proposals
+    Planned { proposals: plan.proposals, models }
 }
 
 impl<'a> Plan<'a> {
@@ -200,6 +226,19 @@
         wanted
     }
 
+    fn summary(&self) -> Vec<ModelPlan> {
+        let model = |name: &&ModelName| ModelPlan {
+            model: (*name).clone(),
+            demand: self.demand[*name],
+            copies: self.copies(name),
+            wanted: self.wanted[*name],
+        };
+        let mut models: Vec<_> = self.wanted.keys().map(model).collect();
+        models.retain(|model| model.demand > LEAST_DEMAND || model.copies < model.wanted);
+        models.sort_by(|a, b| b.demand.total_cmp(&a.demand));
+        models
+    }
+
     fn copies(&self, model: &ModelName) -> usize {
         self.offers.get(model).map_or(0, Vec::len)
     }
@@ -377,20 +416,32 @@
             model: model.clone(),
             adapter: Some(adapter.clone()),
         };
-        let (index, operation, item, reason) = match roomiest {
+        let (index, item, reason) = match roomiest {
             Some(index) => {
                 let reason = "the adapter is asked for or its model is";
-                (index, Operation::Load, item(model, adapter), reason)
+                (index, item(model, adapter), reason)
             }
             // Only what is asked for displaces another adapter, and only its first copy does.
             None if copies == 0 && asked > 0.0 => {
                 let Some((index, victim)) = self.least_adapter(&open, asked, demand) else {
                     return;
                 };
-                (index, Operation::Unload, victim, "the adapter gives way to one that is asked for")
+                let reason = "the adapter gives way to one that is asked for";
+                self.propose_adapter(index, Operation::Unload, victim, reason);
+                (index, item(model, adapter), "the adapter is asked for")
             }
             None => return,
         };
+        self.propose_adapter(index, Operation::Load, item, reason);
+    }
+
+    fn propose_adapter(
+        &mut self,
+        index: usize,
+        operation: Operation,
+        item: ModelRef,
+        reason: &'static str,
+    ) {
         *self.adapters_proposed.entry(index).or_default() += 1;
         let engine = self.engines[index].id.clone();
         self.proposals.push(Proposal { engine, operation, item, makes_room_for: None, reason });
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -71,6 +71,8 @@
     pub shares: Vec<ToldShare>,
     /// Demand: item, hundredths of requests a second, milliseconds of work a second.
     pub demand: Option<Vec<(u32, u32, u32)>>,
+    /// Whether something is asked for that no engine holds.
+    pub lacks: bool,
     /// Notes: server, item, whether it was added (else withdrawn).
     pub notes: Vec<(u32, u32, bool)>,
 }
@@ -182,7 +184,9 @@
     loop {
         let now = node.now();
         let told = node.peers.lock().told(round, now);
-        let digest = digest(&node, gives_orders.get(), round.is_multiple_of(DEMAND_EVERY));
+        let lacks = node.take_lacks();
+        let with_demand = lacks || round.is_multiple_of(DEMAND_EVERY);
+        let digest = Digest { lacks, ..digest(&node, gives_orders.get(), with_demand) };
         send(&socket, &Message::Digest(digest), &told, port);
         round += 1;
         let gap = LEAST_GAP.max(GAP_FOR_EACH_PEER * told.len() as u32);
@@ -249,7 +253,8 @@
     };
     let config = node.config.load().as_ref().map_or(0, |config| config.version);
     let zone = short_zone(&node.settings.load().node.zone);
-    Digest { zone, config, gives_orders, stopping: node.is_stopping(), shares, demand, notes }
+    let stopping = node.is_stopping();
+    Digest { zone, config, gives_orders, stopping, shares, demand, lacks: false, notes }
 }
 
 /// Hears the other nodes.
@@ -304,6 +309,9 @@
         });
         node.demand.lock().told(peer, rates.collect(), now);
     }
+    if digest.lacks {
+        node.lacking.notify_one();
+    }
     let mut overlay = node.overlay.lock();
     for (server, item, added) in &digest.notes {
         if let (Some(server), Some(item)) = (names.server(*server), names.item(*item)) {
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -86,6 +86,7 @@
     pub lacking: Notify,
     knows_servers: AtomicBool,
     stopping: AtomicBool,
+    lacks: AtomicBool,
 }
 
 impl ServingNode {
@@ -113,6 +114,7 @@
             lacking: Notify::new(),
             knows_servers: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            lacks: AtomicBool::new(false),
         })
     }
 
@@ -137,6 +139,18 @@
         self.knows_servers.load(Ordering::Relaxed)
     }
 
+    /// Notes that something is asked for that no engine holds, and has it told to the other nodes.
+    pub fn note_lack(&self) {
+        self.lacks.store(true, Ordering::Relaxed);
+        self.lacking.notify_one();
+        self.tell_peers.notify_one();
+    }
+
+    /// Returns whether something was lacking since the last question.
+    pub fn take_lacks(&self) -> bool {
+        self.lacks.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns whether the node was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -364,9 +364,8 @@
                 Ok(choice) => return Ok(choice),
                 Err(lack) => lack,
             };
-            self.node.lacking.notify_one();
             if lack != NoChoice::NoServer {
-                self.node.tell_peers.notify_one();
+                self.node.note_lack();
             }
             // Another server that is tried after a failure is not waited for.
             if !tries.servers.is_empty() || timeout_at(hold_until, changed).await.is_err() {
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -19,7 +19,7 @@
 use trackfront_core::serving::orders::{
     EngineOrder, EngineReport, LoadPacer, ORDER_TIMEOUT, Operation, OrderAnswer, check,
 };
-use trackfront_core::serving::planner::{EngineView, Proposal, plan};
+use trackfront_core::serving::planner::{EngineView, Planned, Proposal, plan};
 use trackfront_core::units::Moment;
 
 use super::gossip::Giving;
@@ -31,11 +31,18 @@
 const ROUND: Duration = Duration::from_millis(250);
 
 /// The least time between two plans.
-const LEAST_ROUND: Duration = Duration::from_millis(40);
+const LEAST_ROUND: Duration = Duration::from_millis(15);
 
 /// How long nodes are given to hear that a model will leave.
 const WITHDRAW_TIME: Duration = Duration::from_millis(150);
 
+/// How long nodes are given to hear that an adapter will leave that is asked for little.
+const WITHDRAW_ADAPTER_TIME: Duration = Duration::from_millis(30);
+
+/// How long an adapter takes to come in at most, as a rule. Nodes are told of it after this time
+/// rather than when a report shows it: reports lag, and an engine without it refuses the request.
+const ADAPTER_TIME: Duration = Duration::from_millis(50);
+
 /// How long an engine is left alone after an order that did not go as planned.
 const AFTER_FAULT: Duration = Duration::from_millis(700);
 
@@ -43,7 +50,7 @@
 const MODEL_POLL: Duration = Duration::from_millis(500);
 
 /// The first pause before an engine is asked whether it has an adapter; it doubles each time.
-const ADAPTER_POLL: Duration = Duration::from_millis(60);
+const ADAPTER_POLL: Duration = Duration::from_millis(100);
 
 /// How many times a load may take what the configuration says, until the order is given up.
 const LOAD_PATIENCE: u32 = 4;
@@ -51,6 +58,12 @@
 /// The least time that any order may take.
 const LEAST_PATIENCE: Duration = Duration::from_secs(15);
 
+/// How often the inputs of a plan are logged.
+const SUMMARY_EVERY: Duration = Duration::from_secs(1);
+
+/// How many models such a line names at most.
+const SUMMARY_MODELS: usize = 12;
+
 /// How long a report may take.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -86,6 +99,7 @@
     right: Arc<OrderRight>,
     desk: Arc<Mutex<Desk>>,
     tasks: JoinSet<()>,
+    summed_up_at: Moment,
 }
 
 impl Placement {
@@ -94,7 +108,8 @@
         let right = Arc::new(OrderRight::default());
         let lease = OrderLease::new(node.clone(), right.clone(), giving);
         let desk = Desk { benches: HashMap::new(), pacer: LoadPacer::new(node.now()) };
-        Self { node, lease, right, desk: Arc::new(Mutex::new(desk)), tasks: JoinSet::new() }
+        let (desk, tasks) = (Arc::new(Mutex::new(desk)), JoinSet::new());
+        Self { node, lease, right, desk, tasks, summed_up_at: Moment::default() }
     }
 
     /// Plans and gives orders until the node stops, then gives the lease up.
@@ -143,7 +158,7 @@
         }
     }
 
-    fn propose(&self, service: &ServiceName, spec: &EngineSpec, now: Moment) -> Vec<Proposal> {
+    fn propose(&mut self, service: &ServiceName, spec: &EngineSpec, now: Moment) -> Vec<Proposal> {
         let servers: Vec<Arc<KnownServer>> =
             self.node.directory.lock().of_service(service).to_vec();
         let mut desk = self.desk.lock();
@@ -160,7 +175,13 @@
         }
         drop(desk);
         let demand = self.node.demand.lock().total(now);
-        plan(spec, &views, &demand)
+        let planned = plan(spec, &views, &demand);
+        if now.since(self.summed_up_at) >= SUMMARY_EVERY {
+            self.summed_up_at = now;
+            let idle = views.iter().filter(|view| !view.busy).count();
+            log_summary(service, views.len(), idle, &planned);
+        }
+        planned.proposals
     }
 
     /// Starts the task that carries the proposals for one engine out.
@@ -196,6 +217,18 @@
     }
 }
 
+/// Logs what a plan was made from: for each model that counts, demand, copies and copies wanted.
+fn log_summary(service: &ServiceName, engines: usize, idle: usize, planned: &Planned) {
+    let models = planned
+        .models
+        .iter()
+        .take(SUMMARY_MODELS)
+        .map(|one| format!("{}:{:.2}/{}/{}", one.model, one.demand, one.copies, one.wanted));
+    let models = models.collect::<Vec<_>>().join(" ");
+    let proposals = planned.proposals.len();
+    log::info!(service:%, engines, idle, proposals, models; "plan");
+}
+
 /// Puts the proposals for each engine together, in order.
 fn by_engine(proposals: Vec<Proposal>) -> BTreeMap<BackendId, Vec<Proposal>> {
     let mut grouped: BTreeMap<BackendId, Vec<Proposal>> = BTreeMap::new();
@@ -271,7 +304,8 @@
         let leaving: Vec<&Proposal> = leaving.collect();
         if !leaving.is_empty() {
             self.note(&leaving, NoteKind::Withdrawn);
-            sleep(WITHDRAW_TIME).await;
+            let of_model = leaving.iter().any(|one| one.item.adapter.is_none());
+            sleep(if of_model { WITHDRAW_TIME } else { WITHDRAW_ADAPTER_TIME }).await;
         }
         let (taken, sequence) = self.order_all().await;
         let done = self.wait(&taken, sequence).await && taken.len() == self.proposals.len();
@@ -322,9 +356,7 @@
             taken.push(proposal);
             // The next order is checked against the memory as this one leaves it at the most.
             report.sequence += 1;
-            if let (Some(adapter), Operation::Load) = (&proposal.item.adapter, proposal.operation) {
-                report.pending.insert((proposal.item.model.clone(), adapter.clone()));
-            }
+            note_order(&mut report, proposal);
         }
         (taken, report.sequence)
     }
@@ -382,6 +414,9 @@
         let of_model = taken.iter().any(|proposal| proposal.item.adapter.is_none());
         let mut open: Vec<&Proposal> = taken.to_vec();
         let mut pause = if of_model { MODEL_POLL } else { ADAPTER_POLL };
+        if !of_model {
+            self.expect_adapters(taken).await;
+        }
         while self.node.now().since(start) < patience {
             sleep(pause).await;
             if self.is_gone() {
@@ -415,6 +450,16 @@
         false
     }
 
+    /// Tells all nodes of adapters that should be there by now.
+    async fn expect_adapters(&self, taken: &[&Proposal]) {
+        sleep(ADAPTER_TIME).await;
+        let loads = taken.iter().copied().filter(|one| one.operation == Operation::Load);
+        let loads: Vec<&Proposal> = loads.collect();
+        if !loads.is_empty() {
+            self.note(&loads, NoteKind::Added);
+        }
+    }
+
     /// The time that the longest of the loads may take; nothing for unloads and adapters.
     fn load_time(&self, taken: &[&Proposal]) -> Duration {
         let loads = taken
@@ -503,6 +548,22 @@
     }
 }
 
+/// Notes an order to an adapter in a report, for the check of the next order.
+fn note_order(report: &mut EngineReport, proposal: &Proposal) {
+    let Some(adapter) = &proposal.item.adapter else {
+        return;
+    };
+    let model = &proposal.item.model;
+    match proposal.operation {
+        Operation::Load => _ = report.pending.insert((model.clone(), adapter.clone())),
+        Operation::Unload => {
+            if let Some(resident) = report.models.get_mut(model) {
+                resident.adapters.remove(adapter);
+            }
+        }
+    }
+}
+
 /// Returns whether what a proposal asks for is so by what the engine holds.
 fn is_done(proposal: &Proposal, models: &Residents) -> bool {
     let item = &proposal.item;
