--- a/trackfront/src/cli.rs
+++ b/trackfront/src/cli.rs
@@ -29,6 +29,8 @@
     Status(Status),
     /// Explain a value.
     Explain(Explain),
+    /// Explain a request.
+    ExplainRequest(ExplainRequest),
     /// Show the audit trail.
     Audit(Audit),
     /// Hash a caller's key.
@@ -48,6 +50,23 @@
     pub json: bool,
 }
 
+/// Tell one request's story from the logs of serving nodes: what was decided, on what, and why.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain-request")]
+pub struct ExplainRequest {
+    /// the request's identifier
+    #[argh(positional)]
+    pub request: String,
+
+    /// log files of nodes; standard input if there are none
+    #[argh(positional)]
+    pub logs: Vec<PathBuf>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Show what would change if a tree were applied: files, loads, unloads, names that disappear.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "diff")]
--- a/trackfront/src/commands/mod.rs
+++ b/trackfront/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod diff;
 mod explain;
+mod explain_request;
 mod hash_key;
 mod status;
 
@@ -25,6 +26,7 @@
         Command::Apply(args) => apply::run(&args).await,
         Command::Status(args) => status::run(&args).await,
         Command::Explain(args) => explain::run(&args),
+        Command::ExplainRequest(args) => explain_request::run(&args),
         Command::Audit(args) => audit::run(&args).await,
         Command::HashKey(_) => hash_key::run(),
     }
--- a/trackfront/src/lib.rs
+++ b/trackfront/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod client;
 pub mod commands;
 pub mod exit;
+pub mod story;
--- a/trackfrontd/src/serving/log_queue.rs
+++ b/trackfrontd/src/serving/log_queue.rs
@@ -32,6 +32,7 @@
 
 /// Starts logging to `output` by a thread of its own. Fails if logging was started before.
 pub fn start(
+    node: &str,
     level: LevelFilter,
     output: impl Write + Send + 'static,
 ) -> anyhow::Result<DroppedLines> {
@@ -43,7 +44,8 @@
         .spawn(move || write_lines(&receiver, output, &counted))
         .context("cannot start the thread that writes the log")?;
     let counted = dropped.clone();
-    let queue = fern::Output::call(move |record| enqueue(&sender, record, &counted));
+    let node = node.to_owned();
+    let queue = fern::Output::call(move |record| enqueue(&sender, line(&node, record), &counted));
     fern::Dispatch::new()
         .level(level)
         .level_for("hyper", LevelFilter::Warn)
@@ -54,8 +56,8 @@
     Ok(dropped)
 }
 
-fn enqueue(sender: &SyncSender<String>, record: &Record<'_>, dropped: &DroppedLines) {
-    if let Err(TrySendError::Full(_)) = sender.try_send(line(record)) {
+fn enqueue(sender: &SyncSender<String>, line: String, dropped: &DroppedLines) {
+    if let Err(TrySendError::Full(_)) = sender.try_send(line) {
         dropped.0.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -100,11 +102,12 @@
     }
 }
 
-/// Formats one record as a line of JSON: time, level, event, then the record's fields.
-fn line(record: &Record<'_>) -> String {
+/// Formats one record as a line of JSON: time, node, level, event, and the record's fields.
+fn line(node: &str, record: &Record<'_>) -> String {
     let mut fields = Fields(Map::new());
     let time = humantime::format_rfc3339_millis(std::time::SystemTime::now()).to_string();
     fields.0.insert("time".into(), time.into());
+    fields.0.insert("node".into(), node.into());
     fields.0.insert("level".into(), record.level().as_str().into());
     fields.0.insert("event".into(), record.args().to_string().into());
     // The collector's visit never fails.
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -35,6 +35,9 @@
 /// How often old figures are dropped and idle connections closed.
 const SWEEP_EVERY: Duration = Duration::from_millis(1_000);
 
+/// How late the sweep has to be for the process to have stood still: frozen, or far too slow.
+const STOOD_STILL: Duration = Duration::from_millis(500);
+
 /// How long a connection to a server stays open unused.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 
@@ -102,7 +105,7 @@
     let settings = node.settings.load();
     let (name, zone) = (&settings.node.name, &settings.node.zone);
     let version = env!("CARGO_PKG_VERSION");
-    log::info!(node = name, zone:%, version, clients:% = settings.listen.clients; "started");
+    log::info!(name, zone:%, version, clients:% = settings.listen.clients; "started");
 }
 
 /// Leaves: calls itself not ready, gives the lease up, goes on taking connections until the
@@ -130,11 +133,17 @@
     placement.abort();
 }
 
-/// Drops what is old.
+/// Drops what is old, and notes when the process stood still: whatever it believed is that old.
 async fn sweep(node: Arc<ServingNode>) {
+    let mut before = node.now();
     loop {
         sleep(SWEEP_EVERY).await;
         let now = node.now();
+        let late = now.since(before).saturating_sub(SWEEP_EVERY);
+        if late >= STOOD_STILL {
+            log::warn!(ms = late.as_millis() as u64; "process stood still");
+        }
+        before = now;
         node.pool.close_idle(MAX_IDLE);
         node.loads.lock().forget_old(now);
         node.overlay.lock().forget_old(now);
