Name the types of nodes, zones and clients by their standard words

Change: BoxId, HallName and CallerName become NodeId, ZoneName and ClientName; nothing on any wire or in the tree's keys changes.

--- a/trackfront_adapters/src/audit.rs
+++ b/trackfront_adapters/src/audit.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use trackfront_core::audit::{AuditEvent, AuditRecord, AuditSink};
-use trackfront_core::ids::BoxId;
+use trackfront_core::ids::NodeId;
 use trackfront_core::ports::{Clock, Objects};
 
 /// How often a batch is written, if there is anything to write.
@@ -23,7 +23,7 @@
 
 /// Buffers audit records and writes them to the object store.
 pub struct AuditWriter {
-    me: BoxId,
+    me: NodeId,
     clock: Arc<dyn Clock>,
     objects: Arc<dyn Objects>,
     buffer: Mutex<Buffer>,
@@ -38,7 +38,7 @@
 
 impl AuditWriter {
     /// Makes a writer for the box `me`.
-    pub fn new(me: BoxId, clock: Arc<dyn Clock>, objects: Arc<dyn Objects>) -> Self {
+    pub fn new(me: NodeId, clock: Arc<dyn Clock>, objects: Arc<dyn Objects>) -> Self {
         Self { me, clock, objects, buffer: Mutex::default() }
     }
 
--- a/trackfront_adapters/src/wire/operator.rs
+++ b/trackfront_adapters/src/wire/operator.rs
@@ -1,7 +1,7 @@
 //! What the command-line tool and a box's operator listener say to each other.
 
 use serde::{Deserialize, Serialize};
-use trackfront_core::ids::{BackendId, BoxId, Fence, Revision, ShardId, TxnId};
+use trackfront_core::ids::{BackendId, NodeId, Fence, Revision, ShardId, TxnId};
 use trackfront_core::ports::peers::PeerState;
 use trackfront_core::tree::TreeFiles;
 use trackfront_core::units::Mib;
@@ -84,7 +84,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
     /// The box.
-    pub id: BoxId,
+    pub id: NodeId,
     /// Its hall.
     pub hall: String,
     /// Its state.
@@ -105,7 +105,7 @@
     /// Its peer address.
     pub address: String,
     /// Its identity, once heard.
-    pub id: Option<BoxId>,
+    pub id: Option<NodeId>,
     /// Its hall.
     pub hall: String,
     /// Its state, by its own word.
--- a/trackfront_core/src/audit.rs
+++ b/trackfront_core/src/audit.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendId, BoxId, Fence, ItemKey, OrderId, Revision, ShardId};
+use crate::ids::{BackendId, NodeId, Fence, ItemKey, OrderId, Revision, ShardId};
 use crate::units::UnixMillis;
 
 /// One line of the audit trail.
@@ -11,7 +11,7 @@
     /// When, by the box's wall clock.
     pub at: UnixMillis,
     /// The box that wrote the record.
-    pub by: BoxId,
+    pub by: NodeId,
     /// What happened.
     pub event: AuditEvent,
 }
@@ -75,7 +75,7 @@
     /// A member of the deployment came, changed state or went.
     MemberChanged {
         /// The member's identity.
-        member: BoxId,
+        member: NodeId,
         /// Its new state.
         state: String,
     },
--- a/trackfront_core/src/demand.rs
+++ b/trackfront_core/src/demand.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::estimate::Mean;
-use crate::ids::BoxId;
+use crate::ids::NodeId;
 use crate::units::Moment;
 
 /// The half-life of the quick mean.
@@ -108,7 +108,7 @@
 #[derive(Debug, Default)]
 pub struct DemandMeter {
     own: Mutex<HashMap<String, ItemState>>,
-    heard: Mutex<HashMap<BoxId, Heard>>,
+    heard: Mutex<HashMap<NodeId, Heard>>,
 }
 
 impl DemandMeter {
@@ -152,7 +152,7 @@
     }
 
     /// Takes in what a peer sees.
-    pub fn heard(&self, from: &BoxId, items: &[ItemDemand], now: Moment) {
+    pub fn heard(&self, from: &NodeId, items: &[ItemDemand], now: Moment) {
         self.heard.lock().insert(from.clone(), Heard { items: items.to_vec(), at: now });
     }
 
--- a/trackfront_core/src/ids.rs
+++ b/trackfront_core/src/ids.rs
@@ -52,7 +52,7 @@
 }
 name_type! {
     /// The name of a hall (zone).
-    HallName
+    ZoneName
 }
 name_type! {
     /// The name of a service in the tree.
@@ -68,7 +68,7 @@
 }
 name_type! {
     /// The name of a caller (customer) in the tree.
-    CallerName
+    ClientName
 }
 name_type! {
     /// The version label of a model's or adapter's weights.
@@ -80,7 +80,7 @@
 }
 name_type! {
     /// The identity of one run of an entry box; a box that restarts gets a new one.
-    BoxId
+    NodeId
 }
 name_type! {
     /// The identifier of one request, unique over all boxes.
--- a/trackfront_core/src/lease.rs
+++ b/trackfront_core/src/lease.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use statig::prelude::*;
 
-use crate::ids::{BoxId, Fence};
+use crate::ids::{NodeId, Fence};
 use crate::units::Moment;
 
 /// The share of the lease's time by which a holder stops early, for clocks that run unevenly.
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
     /// The holder; `None` after it was given up.
-    pub holder: Option<BoxId>,
+    pub holder: Option<NodeId>,
     /// The fencing token; it grows with each change of holder.
     pub fence: Fence,
     /// How long the lease lasts after each write, in milliseconds.
@@ -139,7 +139,7 @@
 /// lost track of its own lease, as after a lost reply, takes it again under a larger token.
 pub fn takeover(
     seen: Option<&SeenLease>,
-    me: &BoxId,
+    me: &NodeId,
     ttl: Duration,
     now: Moment,
 ) -> Option<LeaseRow> {
@@ -159,7 +159,7 @@
 /// As [`takeover`], with a quiet time between holders.
 pub fn takeover_after(
     seen: Option<&SeenLease>,
-    me: &BoxId,
+    me: &NodeId,
     terms: LeaseTerms,
     now: Moment,
 ) -> Option<LeaseRow> {
@@ -174,7 +174,7 @@
 }
 
 /// How long a version of the row has to be watched unchanged before `me` may take over.
-fn wait_for(lease: &SeenLease, me: &BoxId, quiet: Duration) -> Duration {
+fn wait_for(lease: &SeenLease, me: &NodeId, quiet: Duration) -> Duration {
     match &lease.row.holder {
         Some(holder) if holder == me => Duration::ZERO,
         None => quiet,
@@ -197,7 +197,7 @@
     }
 
     fn seen(holder: Option<&str>, since: u64) -> SeenLease {
-        let row = LeaseRow { holder: holder.map(BoxId::from), fence: Fence(4), ttl_ms: 10_000 };
+        let row = LeaseRow { holder: holder.map(NodeId::from), fence: Fence(4), ttl_ms: 10_000 };
         SeenLease { version: 1, row, since: at(since) }
     }
 
@@ -214,7 +214,7 @@
     #[test]
     fn a_quiet_time_lies_between_two_holders() {
         let (me, terms) =
-            (BoxId::from("b"), LeaseTerms { ttl: TTL, quiet: Duration::from_secs(3) });
+            (NodeId::from("b"), LeaseTerms { ttl: TTL, quiet: Duration::from_secs(3) });
         let take = |lease: &SeenLease, secs| takeover_after(Some(lease), &me, terms, at(secs));
         assert_eq!(take(&seen(Some("a"), 0), 14), None);
         assert!(take(&seen(Some("a"), 0), 15).is_some());
@@ -225,7 +225,7 @@
 
     #[test]
     fn a_takeover_waits_longer_than_the_holder_acts() {
-        let me = BoxId::from("b");
+        let me = NodeId::from("b");
         assert_eq!(takeover(Some(&seen(Some("a"), 0)), &me, TTL, at(11)), None);
         let row = takeover(Some(&seen(Some("a"), 0)), &me, TTL, at(12)).expect("the lease lapsed");
         assert_eq!(row.fence, Fence(5));
--- a/trackfront_core/src/limits.rs
+++ b/trackfront_core/src/limits.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BoxId, CallerName};
+use crate::ids::{NodeId, ClientName};
 use crate::units::Moment;
 
 /// How many seconds of its rate a caller may use at once.
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerDemand {
     /// The caller.
-    pub caller: CallerName,
+    pub caller: ClientName,
     /// Requests a second, refused ones included.
     pub requests_per_s: f32,
 }
@@ -79,7 +79,7 @@
     tokens: Option<Bucket>,
     demand: f64,
     demand_at: Moment,
-    heard: HashMap<BoxId, (f64, Moment)>,
+    heard: HashMap<NodeId, (f64, Moment)>,
 }
 
 impl CallerState {
@@ -110,7 +110,7 @@
 /// The limits of all callers on one box.
 #[derive(Debug, Default)]
 pub struct CallerLimits {
-    callers: Mutex<HashMap<CallerName, CallerState>>,
+    callers: Mutex<HashMap<ClientName, CallerState>>,
 }
 
 impl CallerLimits {
@@ -118,7 +118,7 @@
     /// how many boxes serve.
     pub fn take(
         &self,
-        caller: &CallerName,
+        caller: &ClientName,
         limit: CallerLimit,
         tokens: f64,
         boxes: usize,
@@ -141,7 +141,7 @@
     }
 
     /// Gives back the tokens that were taken and not used.
-    pub fn give_back(&self, caller: &CallerName, tokens: f64) {
+    pub fn give_back(&self, caller: &ClientName, tokens: f64) {
         if let Some(bucket) =
             self.callers.lock().get_mut(caller).and_then(|state| state.tokens.as_mut())
         {
@@ -164,7 +164,7 @@
     }
 
     /// Takes in the demand that a peer sees.
-    pub fn heard(&self, from: &BoxId, demand: &[CallerDemand], now: Moment) {
+    pub fn heard(&self, from: &NodeId, demand: &[CallerDemand], now: Moment) {
         let mut callers = self.callers.lock();
         for told in demand {
             let state = callers.entry(told.caller.clone()).or_default();
@@ -181,7 +181,7 @@
     fn run(rates: &[u64], limit: f64, secs: u64) -> u64 {
         let boxes: Vec<CallerLimits> = rates.iter().map(|_| CallerLimits::default()).collect();
         let limit = CallerLimit { requests_per_s: Some(limit), tokens_per_s: None };
-        let caller = CallerName::from("c");
+        let caller = ClientName::from("c");
         let mut taken = 0;
         for milli in 0..secs * 1_000 {
             let now = Moment(Duration::from_millis(milli));
@@ -203,7 +203,7 @@
             let demand = from.demand(now);
             for (other, to) in boxes.iter().enumerate().filter(|(other, _)| *other != index) {
                 let _ = other;
-                to.heard(&BoxId::from(format!("b{index}")), &demand, now);
+                to.heard(&NodeId::from(format!("b{index}")), &demand, now);
             }
         }
     }
--- a/trackfront_core/src/members.rs
+++ b/trackfront_core/src/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ids::{BoxId, Fence, HallName, Revision, ShardId};
+use crate::ids::{NodeId, Fence, ZoneName, Revision, ShardId};
 use crate::ports::peers::{ClaimsKept, Heartbeat, PeerState};
 use crate::ports::{ListedBox, ListedRole, ListedState};
 use crate::units::Moment;
@@ -18,9 +18,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
     /// Its identity, once it was heard.
-    pub id: Option<BoxId>,
+    pub id: Option<NodeId>,
     /// Its hall.
-    pub hall: HallName,
+    pub hall: ZoneName,
     /// Its state, by its own word; leaving is never taken back.
     pub state: PeerState,
     /// The revision in force there.
@@ -36,7 +36,7 @@
 }
 
 impl Member {
-    fn new(hall: HallName, known: Moment) -> Self {
+    fn new(hall: ZoneName, known: Moment) -> Self {
         Self {
             id: None,
             hall,
@@ -54,7 +54,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberChange {
     /// The box.
-    pub id: BoxId,
+    pub id: NodeId,
     /// Its new state.
     pub state: PeerState,
 }
@@ -142,7 +142,7 @@
     }
 
     /// Returns the address of the box with this identity.
-    pub fn address_of(&self, id: &BoxId) -> Option<&String> {
+    pub fn address_of(&self, id: &NodeId) -> Option<&String> {
         self.by_address
             .iter()
             .find(|(_, member)| member.id.as_ref() == Some(id))
@@ -150,19 +150,19 @@
     }
 
     /// Returns the identities of the live boxes.
-    pub fn live_ids(&self, now: Moment) -> Vec<BoxId> {
+    pub fn live_ids(&self, now: Moment) -> Vec<NodeId> {
         self.live(now).filter_map(|(_, member)| member.id.clone()).collect()
     }
 }
 
 /// Returns the place of `me` among `others` for `subject`, from zero: rendezvous hashing, by
 /// which all boxes that see the same members agree without a word.
-pub fn rank(subject: &str, me: &BoxId, others: &[BoxId]) -> usize {
+pub fn rank(subject: &str, me: &NodeId, others: &[NodeId]) -> usize {
     let own = weight(subject, me);
     others.iter().filter(|other| weight(subject, other) > own).count()
 }
 
-fn weight(subject: &str, member: &BoxId) -> [u8; 32] {
+fn weight(subject: &str, member: &NodeId) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(subject.as_bytes());
     hasher.update(&[0]);
@@ -204,11 +204,11 @@
 
     #[test]
     fn all_boxes_agree_on_the_ranks() {
-        let ids: Vec<BoxId> = (0..5).map(|index| BoxId::from(format!("b{index}"))).collect();
+        let ids: Vec<NodeId> = (0..5).map(|index| NodeId::from(format!("b{index}"))).collect();
         let mut ranks: Vec<usize> = ids
             .iter()
             .map(|me| {
-                let others: Vec<BoxId> = ids.iter().filter(|id| *id != me).cloned().collect();
+                let others: Vec<NodeId> = ids.iter().filter(|id| *id != me).cloned().collect();
                 rank("shard", me, &others)
             })
             .collect();
--- a/trackfront_core/src/ports/peers.rs
+++ b/trackfront_core/src/ports/peers.rs
@@ -8,7 +8,7 @@
 use crate::claims::{Claim, ClaimKey, ClaimReply, RecordedAnswer, RequestHash};
 use crate::demand::ItemDemand;
 use crate::fleet::EngineDigest;
-use crate::ids::{BoxId, Fence, HallName, Revision, ShardId};
+use crate::ids::{NodeId, Fence, ZoneName, Revision, ShardId};
 use crate::limits::CallerDemand;
 
 /// What a box says of its own life.
@@ -36,11 +36,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender.
-    pub from: BoxId,
+    pub from: NodeId,
     /// The sender's peer address.
     pub address: String,
     /// The sender's hall.
-    pub hall: HallName,
+    pub hall: ZoneName,
     /// The sender's state.
     pub state: PeerState,
     /// The revision in force at the sender.
--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ids::{BackendId, HallName};
+use crate::ids::{BackendId, ZoneName};
 use crate::serving::affinity::{Prefix, PromptMemory};
 use crate::serving::directory::KnownServer;
 use crate::serving::load::LoadBook;
@@ -47,7 +47,7 @@
     /// Servers that it was sent to already.
     pub tried: &'a [BackendId],
     /// The node's zone.
-    pub zone: &'a HallName,
+    pub zone: &'a ZoneName,
     /// How long after it began to drain a server may still be sent what no other can answer.
     pub drain_grace: Duration,
     /// The present moment.
--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AdapterName, BackendId, HallName, ModelName, ServiceName};
+use crate::ids::{AdapterName, BackendId, ZoneName, ModelName, ServiceName};
 use crate::units::Moment;
 
 /// How long a server that has left is remembered, so that a late row cannot bring it back.
@@ -49,7 +49,7 @@
     /// The address, IP and port.
     pub address: String,
     /// The zone.
-    pub zone: HallName,
+    pub zone: ZoneName,
     /// How many requests it works on at once.
     pub slots: u32,
     /// Whether it takes requests.
--- a/trackfront_core/src/tree/build.rs
+++ b/trackfront_core/src/tree/build.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use toml::Spanned;
 
-use crate::ids::{AdapterName, BackendId, HallName, ModelName, RegionName, ServiceName};
+use crate::ids::{AdapterName, BackendId, ZoneName, ModelName, RegionName, ServiceName};
 use crate::limits::CallerLimit;
 use crate::units::Mib;
 
@@ -100,7 +100,7 @@
     fn region(&mut self, name: &str, inherited: &Policy) -> Option<Region> {
         let region: Read<RegionFile> = self.read(&format!("{name}/region.toml"))?;
         let policy = inherited.inherit(&region.keys.policy, &region.path, &region.text);
-        let halls: Vec<HallName> =
+        let halls: Vec<ZoneName> =
             region.keys.halls.iter().map(|hall| hall.get_ref().as_str().into()).collect();
         let services = self
             .folders(&format!("{name}/"))
@@ -113,7 +113,7 @@
         Some(Region { halls, services })
     }
 
-    fn service(&mut self, folder: &str, inherited: &Policy, halls: &[HallName]) -> Option<Service> {
+    fn service(&mut self, folder: &str, inherited: &Policy, halls: &[ZoneName]) -> Option<Service> {
         let service: Read<ServiceFile> = self.read(&format!("{folder}/service.toml"))?;
         let policy = inherited.inherit(&service.keys.policy, &service.path, &service.text);
         let mut backends = BTreeMap::new();
@@ -253,7 +253,7 @@
         &mut self,
         service: &Read<ServiceFile>,
         table: &Spanned<BackendTable>,
-        halls: &[HallName],
+        halls: &[ZoneName],
     ) {
         let backend = table.get_ref();
         if backend.address.parse::<std::net::SocketAddr>().is_err() {
--- a/trackfront_core/src/tree/mod.rs
+++ b/trackfront_core/src/tree/mod.rs
@@ -26,7 +26,7 @@
 use std::collections::BTreeMap;
 
 use crate::ids::{
-    AdapterName, BackendId, CallerName, HallName, ItemKey, ModelName, RegionName, ServiceName,
+    AdapterName, BackendId, ClientName, ZoneName, ItemKey, ModelName, RegionName, ServiceName,
     ShardId, Version,
 };
 use crate::limits::CallerLimit;
@@ -45,7 +45,7 @@
     /// The name of the deployment.
     pub deployment: String,
     /// The callers.
-    pub callers: BTreeMap<CallerName, Caller>,
+    pub callers: BTreeMap<ClientName, Caller>,
     /// The regions.
     pub regions: BTreeMap<RegionName, Region>,
 }
@@ -63,7 +63,7 @@
 #[derive(Clone, Debug)]
 pub struct Region {
     /// The halls of the region.
-    pub halls: Vec<HallName>,
+    pub halls: Vec<ZoneName>,
     /// The services of the region.
     pub services: BTreeMap<ServiceName, Service>,
 }
@@ -111,7 +111,7 @@
     /// The IP address and port.
     pub address: String,
     /// The hall.
-    pub hall: HallName,
+    pub hall: ZoneName,
     /// The memory of each accelerator; empty for a plain service.
     pub accelerators: Vec<Mib>,
     /// Whether the engine checks fencing tokens.
@@ -284,7 +284,7 @@
     }
 
     /// Finds the caller that has `key`.
-    pub fn caller_by_key(&self, key: &str) -> Option<&CallerName> {
+    pub fn caller_by_key(&self, key: &str) -> Option<&ClientName> {
         let hash = blake3::hash(key.as_bytes()).to_hex();
         self.callers
             .iter()
--- a/trackfront_core/tests/serving/orders_random.rs
+++ b/trackfront_core/tests/serving/orders_random.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use statig::blocking::{IntoStateMachineExt, StateMachine};
-use trackfront_core::ids::{BoxId, Fence, ModelName};
+use trackfront_core::ids::{NodeId, Fence, ModelName};
 use trackfront_core::lease::{
     LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_after,
 };
@@ -125,7 +125,7 @@
 }
 
 struct Giver {
-    name: BoxId,
+    name: NodeId,
     machine: StateMachine<LeaseHolder>,
     seen: Option<SeenLease>,
     pacer: LoadPacer,
@@ -136,7 +136,7 @@
 impl Giver {
     fn new(index: usize) -> Self {
         Self {
-            name: BoxId::from(format!("10.0.0.{index}")),
+            name: NodeId::from(format!("10.0.0.{index}")),
             machine: LeaseHolder::new(TERMS.ttl).state_machine(),
             seen: None,
             pacer: LoadPacer::new(at(0)),
@@ -282,8 +282,8 @@
 /// Moments before a process's own start do not exist, so a takeover cannot be counted from them.
 #[test]
 fn a_new_process_watches_from_its_own_start() {
-    let lease = LeaseRow { holder: Some(BoxId::from("other")), fence: Fence(3), ttl_ms: 1_250 };
+    let lease = LeaseRow { holder: Some(NodeId::from("other")), fence: Fence(3), ttl_ms: 1_250 };
     let seen = SeenLease { version: 1, row: lease, since: Moment::default() };
-    assert_eq!(takeover_after(Some(&seen), &BoxId::from("me"), TERMS, at(4_800)), None);
-    assert!(takeover_after(Some(&seen), &BoxId::from("me"), TERMS, at(4_900)).is_some());
+    assert_eq!(takeover_after(Some(&seen), &NodeId::from("me"), TERMS, at(4_800)), None);
+    assert!(takeover_after(Some(&seen), &NodeId::from("me"), TERMS, at(4_900)).is_some());
 }
--- a/trackfrontd/src/gateway/claims.rs
+++ b/trackfrontd/src/gateway/claims.rs
@@ -6,7 +6,7 @@
 use trackfront_core::claims::{
     CallHash, Claim, ClaimKey, ClaimReply, RecordedAnswer, RequestHash, hash_parts,
 };
-use trackfront_core::ids::{CallerName, RequestId, ShardId};
+use trackfront_core::ids::{ClientName, RequestId, ShardId};
 use trackfront_core::lease::LeaseRow;
 use trackfront_core::members::rank;
 use trackfront_core::outcome::RequestError;
@@ -60,7 +60,7 @@
     /// Makes the claim of a call by its caller's key and the parts that say what is called.
     pub fn new(
         shard: ShardId,
-        caller: &CallerName,
+        caller: &ClientName,
         key: &str,
         asked: &[&[u8]],
         request: &RequestId,
@@ -189,7 +189,7 @@
 }
 
 /// Reads who holds the lease of a shard's claims.
-async fn holder_by_table(shared: &Shared, shard: &ShardId) -> Option<trackfront_core::ids::BoxId> {
+async fn holder_by_table(shared: &Shared, shard: &ShardId) -> Option<trackfront_core::ids::NodeId> {
     let key = RowKey(format!("lease/claims/{shard}"));
     let row = shared.outside.table.read(&key).await.ok()??;
     let lease: LeaseRow = serde_json::from_slice(&row.value).ok()?;
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -9,7 +9,7 @@
 use trackfront_adapters::http_server::{Body, full};
 use trackfront_adapters::plain::passed_on;
 use trackfront_core::claims::RecordedAnswer;
-use trackfront_core::ids::{CallerName, HallName, RequestId, ServiceName};
+use trackfront_core::ids::{ClientName, ZoneName, RequestId, ServiceName};
 use trackfront_core::outcome::{Outcome, RequestError};
 use trackfront_core::ports::{PlainCall, PlainError, PlainReply};
 
@@ -42,7 +42,7 @@
     /// The service.
     pub service: ServiceName,
     /// Who calls.
-    pub caller: CallerName,
+    pub caller: ClientName,
     /// The call.
     pub call: PlainCall,
     /// The caller's key, if the call may run once only.
@@ -165,7 +165,7 @@
     servers
 }
 
-fn is_here(hall: &HallName, shared: &Shared) -> bool {
+fn is_here(hall: &ZoneName, shared: &Shared) -> bool {
     *hall == shared.place.hall
 }
 
--- a/trackfrontd/src/in_force.rs
+++ b/trackfrontd/src/in_force.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use thiserror::Error;
 use trackfront_core::ids::{
-    BackendId, CallerName, HallName, ItemKey, RegionName, Revision, ServiceName, ShardId,
+    BackendId, ClientName, ZoneName, ItemKey, RegionName, Revision, ServiceName, ShardId,
 };
 use trackfront_core::ports::{Engine, PlainService};
 use trackfront_core::tree::snapshot::SnapshotError;
@@ -87,7 +87,7 @@
 #[derive(Clone, Debug)]
 pub struct RequestLimits {
     /// The callers that may use it; `None` for all.
-    pub callers: Option<Vec<CallerName>>,
+    pub callers: Option<Vec<ClientName>>,
     /// The time for the whole answer.
     pub deadline: Duration,
     /// The priority.
@@ -115,7 +115,7 @@
     /// Its name.
     pub id: BackendId,
     /// Its hall.
-    pub hall: HallName,
+    pub hall: ZoneName,
     /// The way to it.
     pub link: Arc<dyn PlainService>,
 }
@@ -136,7 +136,7 @@
 
 impl RequestLimits {
     /// Returns whether `caller` may use what these limits are for.
-    pub fn allows(&self, caller: &CallerName) -> bool {
+    pub fn allows(&self, caller: &ClientName) -> bool {
         self.callers.as_ref().is_none_or(|callers| callers.contains(caller))
     }
 }
--- a/trackfrontd/src/node.rs
+++ b/trackfrontd/src/node.rs
@@ -5,7 +5,7 @@
 use tokio::task::JoinHandle;
 use trackfront_adapters::audit::AuditWriter;
 use trackfront_adapters::metrics::Metrics;
-use trackfront_core::ids::BoxId;
+use trackfront_core::ids::NodeId;
 
 use crate::outside::Outside;
 use crate::settings::Place;
@@ -31,7 +31,7 @@
         metrics: Arc<Metrics>,
         seed: u64,
     ) -> Node {
-        let me = BoxId::from(format!("{}-{seed:016x}", place.name));
+        let me = NodeId::from(format!("{}-{seed:016x}", place.name));
         let audit =
             Arc::new(AuditWriter::new(me.clone(), outside.clock.clone(), outside.objects.clone()));
         let sink = audit.clone();
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_core::ids::{BoxId, Fence, TxnId, draw_id};
+use trackfront_core::ids::{NodeId, Fence, TxnId, draw_id};
 use trackfront_core::lease::{
     LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_after,
 };
@@ -74,7 +74,7 @@
 /// Takes, renews and gives up the lease.
 pub struct OrderLease {
     node: Arc<ServingNode>,
-    me: BoxId,
+    me: NodeId,
     key: RowKey,
     machine: StateMachine<LeaseHolder>,
     seen: Option<SeenLease>,
@@ -89,7 +89,7 @@
     /// Makes a lease that is not held.
     pub fn new(node: Arc<ServingNode>, right: Arc<OrderRight>, giving: Arc<Giving>) -> Self {
         // One name for each machine: a process that comes back on it is the same holder.
-        let me = BoxId::from(node.settings.load().node.ip.to_string());
+        let me = NodeId::from(node.settings.load().node.ip.to_string());
         Self {
             node,
             me,
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use thiserror::Error;
-use trackfront_core::ids::{HallName, RegionName};
+use trackfront_core::ids::{ZoneName, RegionName};
 use trackfront_core::serving::retry_budget::BudgetTerms;
 
 /// Why a settings file is refused.
@@ -56,7 +56,7 @@
     /// The address that other nodes reach it at.
     pub ip: Ipv4Addr,
     /// The zone.
-    pub zone: HallName,
+    pub zone: ZoneName,
     /// The region.
     pub region: RegionName,
 }
--- a/trackfrontd/src/shared.rs
+++ b/trackfrontd/src/shared.rs
@@ -13,7 +13,7 @@
 use trackfront_core::audit::AuditSink;
 use trackfront_core::demand::DemandMeter;
 use trackfront_core::fleet::Fleet;
-use trackfront_core::ids::{BoxId, ShardId, draw_id};
+use trackfront_core::ids::{NodeId, ShardId, draw_id};
 use trackfront_core::limits::CallerLimits;
 use trackfront_core::members::Members;
 use trackfront_core::ports::peers::PeerState;
@@ -32,7 +32,7 @@
 /// The state of one box.
 pub struct Shared {
     /// The identity of this run of the box.
-    pub me: BoxId,
+    pub me: NodeId,
     /// Where the box is.
     pub place: Place,
     /// The address by which peers reach this box.
@@ -70,7 +70,7 @@
 impl Shared {
     /// Makes the state of a box.
     pub fn new(
-        me: BoxId,
+        me: NodeId,
         place: Place,
         peer_address: String,
         outside: Outside,
