--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -116,7 +116,7 @@
 }
 
 /// Returns an error's message with those of its causes.
-fn chain(error: &dyn std::error::Error) -> String {
+pub(crate) fn chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
     while let Some(inner) = cause {
--- a/trackfront_adapters/src/interface.rs
+++ b/trackfront_adapters/src/interface.rs
@@ -17,7 +17,7 @@
 use crate::http_server::Body;
 
 /// Headers that concern one connection only, beside those that `Connection` names.
-const CONNECTION_HEADERS: [&str; 7] = [
+pub(crate) const CONNECTION_HEADERS: [&str; 7] = [
     "connection",
     "keep-alive",
     "proxy-connection",
--- a/trackfront_adapters/src/plain.rs
+++ b/trackfront_adapters/src/plain.rs
@@ -9,24 +9,14 @@
 use trackfront_core::ports::{PlainCall, PlainError, PlainReply, PlainService};
 
 use crate::http_client::{HttpClient, HttpError, request, with_body};
+use crate::interface::CONNECTION_HEADERS;
 use crate::wire::engine::REQUEST_ID_HEADER;
 
 /// How long a call may take at most; the caller's own deadline is mostly shorter.
 const CALL_TIME: Duration = Duration::from_secs(60);
 
-/// Headers that belong to one connection, or to us, and are not passed on.
-const OWN_HEADERS: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "authorization",
-    "content-length",
-];
+/// Headers that are ours and are not passed on, beside those that concern one connection only.
+const OWN_HEADERS: [&str; 3] = ["host", "authorization", "content-length"];
 
 /// One server of a plain service at an address.
 #[derive(Clone, Debug)]
@@ -77,7 +67,8 @@
 }
 
 fn is_own(name: &HeaderName) -> bool {
-    name.as_str() == REQUEST_ID_HEADER || OWN_HEADERS.contains(&name.as_str())
+    let name = name.as_str();
+    name == REQUEST_ID_HEADER || OWN_HEADERS.contains(&name) || CONNECTION_HEADERS.contains(&name)
 }
 
 fn plain_error(error: HttpError) -> PlainError {
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -21,6 +21,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::http_client::chain;
+
 /// How many unused connections to one server are kept.
 const MAX_IDLE: usize = 32;
 
@@ -287,15 +289,3 @@
         }
     }
 }
-
-/// Returns an error's message with those of its causes.
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(inner) = cause {
-        text.push_str(": ");
-        text.push_str(&inner.to_string());
-        cause = inner.source();
-    }
-    text
-}
--- a/trackfront_adapters/src/wire/operator.rs
+++ b/trackfront_adapters/src/wire/operator.rs
@@ -1,7 +1,7 @@
 //! What the command-line tool and a box's operator listener say to each other.
 
 use serde::{Deserialize, Serialize};
-use trackfront_core::ids::{BackendId, NodeId, Fence, Revision, ShardId, TxnId};
+use trackfront_core::ids::{BackendId, Fence, NodeId, Revision, ShardId, TxnId};
 use trackfront_core::ports::peers::PeerState;
 use trackfront_core::tree::TreeFiles;
 use trackfront_core::units::Mib;
--- a/trackfront_bench/src/route.rs
+++ b/trackfront_bench/src/route.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use trackfront_core::engine_load::{Ended, Sent};
 use trackfront_core::fleet::{EngineDigest, Fleet};
-use trackfront_core::ids::{BackendId, ZoneName, ItemKey};
+use trackfront_core::ids::{BackendId, ItemKey, ZoneName};
 use trackfront_core::prefix::block_hashes;
 use trackfront_core::routing::{ChooseEngine, RouteQuery, Router, RouterOptions};
 use trackfront_core::units::Moment;
--- a/trackfront_core/src/audit.rs
+++ b/trackfront_core/src/audit.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendId, NodeId, Fence, ItemKey, OrderId, Revision, ShardId};
+use crate::ids::{BackendId, Fence, ItemKey, NodeId, OrderId, Revision, ShardId};
 use crate::units::UnixMillis;
 
 /// One line of the audit trail.
--- a/trackfront_core/src/fleet.rs
+++ b/trackfront_core/src/fleet.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine_load::{Ended, EngineLoad, Estimate, Sent};
-use crate::ids::{BackendId, ZoneName, ItemKey};
+use crate::ids::{BackendId, ItemKey, ZoneName};
 use crate::ports::{LoadReport, ReportedState};
 use crate::units::Moment;
 
--- a/trackfront_core/src/lease.rs
+++ b/trackfront_core/src/lease.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use statig::prelude::*;
 
-use crate::ids::{NodeId, Fence};
+use crate::ids::{Fence, NodeId};
 use crate::units::Moment;
 
 /// The share of the lease's time by which a holder stops early, for clocks that run unevenly.
--- a/trackfront_core/src/limits.rs
+++ b/trackfront_core/src/limits.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{NodeId, ClientName};
+use crate::ids::{ClientName, NodeId};
 use crate::units::Moment;
 
 /// How many seconds of its rate a caller may use at once.
--- a/trackfront_core/src/members.rs
+++ b/trackfront_core/src/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ids::{NodeId, Fence, ZoneName, Revision, ShardId};
+use crate::ids::{Fence, NodeId, Revision, ShardId, ZoneName};
 use crate::ports::peers::{ClaimsKept, Heartbeat, PeerState};
 use crate::ports::{ListedBox, ListedRole, ListedState};
 use crate::units::Moment;
--- a/trackfront_core/src/ports/peers.rs
+++ b/trackfront_core/src/ports/peers.rs
@@ -8,7 +8,7 @@
 use crate::claims::{Claim, ClaimKey, ClaimReply, RecordedAnswer, RequestHash};
 use crate::demand::ItemDemand;
 use crate::fleet::EngineDigest;
-use crate::ids::{NodeId, Fence, ZoneName, Revision, ShardId};
+use crate::ids::{Fence, NodeId, Revision, ShardId, ZoneName};
 use crate::limits::CallerDemand;
 
 /// What a box says of its own life.
--- a/trackfront_core/src/routing.rs
+++ b/trackfront_core/src/routing.rs
@@ -5,7 +5,7 @@
 
 use crate::engine_load::{Estimate, Sent};
 use crate::fleet::{EngineEntry, Fleet};
-use crate::ids::{BackendId, ZoneName, ItemKey};
+use crate::ids::{BackendId, ItemKey, ZoneName};
 use crate::prefix::{BLOCK_BYTES, PrefixMemory};
 use crate::units::Moment;
 
--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AdapterName, BackendId, ZoneName, ModelName, ServiceName};
+use crate::ids::{AdapterName, BackendId, ModelName, ServiceName, ZoneName};
 use crate::units::Moment;
 
 /// How long a server that has left is remembered, so that a late row cannot bring it back.
--- a/trackfront_core/src/tree/build.rs
+++ b/trackfront_core/src/tree/build.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use toml::Spanned;
 
-use crate::ids::{AdapterName, BackendId, ZoneName, ModelName, RegionName, ServiceName};
+use crate::ids::{AdapterName, BackendId, ModelName, RegionName, ServiceName, ZoneName};
 use crate::limits::CallerLimit;
 use crate::units::Mib;
 
--- a/trackfront_core/src/tree/mod.rs
+++ b/trackfront_core/src/tree/mod.rs
@@ -26,8 +26,8 @@
 use std::collections::BTreeMap;
 
 use crate::ids::{
-    AdapterName, BackendId, ClientName, ZoneName, ItemKey, ModelName, RegionName, ServiceName,
-    ShardId, Version,
+    AdapterName, BackendId, ClientName, ItemKey, ModelName, RegionName, ServiceName, ShardId,
+    Version, ZoneName,
 };
 use crate::limits::CallerLimit;
 use crate::placement::{Bundle, SizedItem};
--- a/trackfront_core/tests/serving/orders_random.rs
+++ b/trackfront_core/tests/serving/orders_random.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use statig::blocking::{IntoStateMachineExt, StateMachine};
-use trackfront_core::ids::{NodeId, Fence, ModelName};
+use trackfront_core::ids::{Fence, ModelName, NodeId};
 use trackfront_core::lease::{
     LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_after,
 };
--- a/trackfront_standin/src/boxes.rs
+++ b/trackfront_standin/src/boxes.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use tokio::time::Instant;
 use trackfront_adapters::key::DeploymentKey;
-use trackfront_core::ids::{ZoneName, RegionName};
+use trackfront_core::ids::{RegionName, ZoneName};
 use trackfront_core::ports::{ListedBox, ListedRole, ListedState};
 use trackfront_core::tree::Tree;
 use trackfrontd::daemon::Daemon;
--- a/trackfront_standin/src/memory/mod.rs
+++ b/trackfront_standin/src/memory/mod.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 use trackfront_adapters::metrics::Metrics;
 use trackfront_adapters::wire::operator::{ApplyAnswer, ApplyRequest};
-use trackfront_core::ids::{BackendId, ZoneName, Revision, TxnId};
+use trackfront_core::ids::{BackendId, Revision, TxnId, ZoneName};
 use trackfront_core::ports::{ListedBox, ListedRole, ListedState};
 use trackfront_core::tree::{ServiceKind, Tree, TreeFiles, build};
 use trackfrontd::node::Node;
--- a/trackfront_standin/src/memory/ports.rs
+++ b/trackfront_standin/src/memory/ports.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use trackfront_adapters::metrics::Metrics;
 use trackfront_adapters::peers::encoded_len;
-use trackfront_core::ids::{ZoneName, RequestId};
+use trackfront_core::ids::{RequestId, ZoneName};
 use trackfront_core::order::Order;
 use trackfront_core::ports::peers::{PeerAnswer, PeerMessage};
 use trackfront_core::ports::{
--- a/trackfrontd/src/follower.rs
+++ b/trackfrontd/src/follower.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 use trackfront_core::audit::AuditEvent;
-use trackfront_core::ids::{ZoneName, Revision};
+use trackfront_core::ids::{Revision, ZoneName};
 use trackfront_core::ports::peers::{PeerAnswer, PeerMessage};
 use trackfront_core::ports::{ObjectError, PeerError, Row, RowKey, TableError};
 use trackfront_core::tree::snapshot::Head;
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -9,7 +9,7 @@
 use trackfront_adapters::http_server::{Body, full};
 use trackfront_adapters::plain::passed_on;
 use trackfront_core::claims::RecordedAnswer;
-use trackfront_core::ids::{ClientName, ZoneName, RequestId, ServiceName};
+use trackfront_core::ids::{ClientName, RequestId, ServiceName, ZoneName};
 use trackfront_core::outcome::{Outcome, RequestError};
 use trackfront_core::ports::{PlainCall, PlainError, PlainReply};
 
--- a/trackfrontd/src/in_force.rs
+++ b/trackfrontd/src/in_force.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use thiserror::Error;
 use trackfront_core::ids::{
-    BackendId, ClientName, ZoneName, ItemKey, RegionName, Revision, ServiceName, ShardId,
+    BackendId, ClientName, ItemKey, RegionName, Revision, ServiceName, ShardId, ZoneName,
 };
 use trackfront_core::ports::{Engine, PlainService};
 use trackfront_core::tree::snapshot::SnapshotError;
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_core::ids::{NodeId, Fence, TxnId, draw_id};
+use trackfront_core::ids::{Fence, NodeId, TxnId, draw_id};
 use trackfront_core::lease::{
     LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_after,
 };
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use thiserror::Error;
-use trackfront_core::ids::{ZoneName, RegionName};
+use trackfront_core::ids::{RegionName, ZoneName};
 use trackfront_core::serving::retry_budget::BudgetTerms;
 
 /// Why a settings file is refused.
--- a/trackfrontd/src/settings.rs
+++ b/trackfrontd/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 use trackfront_adapters::key::DeploymentKey;
-use trackfront_core::ids::{ZoneName, RegionName};
+use trackfront_core::ids::{RegionName, ZoneName};
 
 /// The number of worker threads if the settings do not say.
 const DEFAULT_WORKERS: usize = 4;
--- a/trackfrontd/tests/failures.rs
+++ b/trackfrontd/tests/failures.rs
@@ -7,7 +7,7 @@
 
 use serde::Deserialize;
 use tokio::task::JoinHandle;
-use trackfront_core::ids::{BackendId, ZoneName, ShardId};
+use trackfront_core::ids::{BackendId, ShardId, ZoneName};
 use trackfront_core::outcome::RequestError;
 use trackfront_core::ports::{Engine, ListedState};
 use trackfront_standin::control::PlatformFaults;
