Place adapters ahead of need wherever a place is free

Change: every adapter gets one place while places are free, those asked for first, then those of busy models.

--- a/trackfront_core/src/serving/planner.rs
+++ b/trackfront_core/src/serving/planner.rs
@@ -155,6 +155,15 @@
     proposals: Vec<Proposal>,
 }
 
+/// An adapter that should have one more copy.
+struct ShortAdapter<'a> {
+    model: &'a ModelName,
+    adapter: &'a AdapterName,
+    /// Requests a second for each copy that it would have then.
+    asked: f64,
+    copies: usize,
+}
+
 /// Proposes orders, the most urgent first: for each engine one for a model, or some for adapters. `engines` are those that
 /// can be given orders and go on serving.
 pub fn plan(
@@ -361,10 +370,11 @@
         least.map(Some)
     }
 
-    /// Places each adapter of the models that are asked for, and those that are asked for
-    /// themselves, on one engine that holds the model; busy ones on more.
+    /// Places each adapter on one engine that holds its model, busy ones on more; those that are
+    /// asked for first, then those of models that are. An engine that loads a model takes no orders
+    /// meanwhile, so adapters are placed ahead of need wherever a place is free.
     fn place_adapters(&mut self, demand: &HashMap<ModelRef, Rate>) {
-        let mut short: Vec<(f64, f64, &'a ModelName, &'a AdapterName, usize)> = Vec::new();
+        let mut short: Vec<ShortAdapter<'a>> = Vec::new();
         for (name, model) in &self.spec.models {
             for adapter in &model.adapters {
                 let item = ModelRef { model: name.clone(), adapter: Some(adapter.clone()) };
@@ -372,23 +382,20 @@
                 let copies = self.engines.iter().filter(|e| e.offers_adapter(name, adapter));
                 let copies = copies.count();
                 let level = asked.work_ms / 1_000.0 / copies.max(1) as f64;
-                // A model that stands on several engines is a busy one, also before any request.
-                let busy = self.demand[name] > 0.0 || self.copies(name) >= 2;
-                let lacks = copies == 0 && (asked.requests > 0.0 || busy);
-                if lacks || level > WORTH_AN_ADAPTER_COPY {
-                    short.push((
-                        asked.requests / (copies + 1) as f64,
-                        level,
-                        name,
-                        adapter,
-                        copies,
-                    ));
+                if copies == 0 || level > WORTH_AN_ADAPTER_COPY {
+                    let (asked, model) = (asked.requests / (copies + 1) as f64, name);
+                    short.push(ShortAdapter { model, adapter, asked, copies });
                 }
             }
         }
-        short.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.2, a.3).cmp(&(b.2, b.3))));
-        for (asked, _, model, adapter, copies) in short {
-            self.place_adapter(model, adapter, asked, copies, demand);
+        short.sort_by(|a, b| {
+            let by_model = self.demand[b.model].total_cmp(&self.demand[a.model]);
+            let by_copies = self.copies(b.model).cmp(&self.copies(a.model));
+            let by_name = (a.model, a.adapter).cmp(&(b.model, b.adapter));
+            b.asked.total_cmp(&a.asked).then(by_model).then(by_copies).then(by_name)
+        });
+        for one in short {
+            self.place_adapter(one.model, one.adapter, one.asked, one.copies, demand);
         }
     }
 
