Bound what is urgent between nodes and narrow the last resort

Nodes that lacked a model told all 89 others every 20 ms; links of 10 Mbit/s filled, and connections to the store timed out (65 lost dependencies). A server that is first seen draining may have drained for long, yet was still sent what no other could answer. Ruled out: rows that went and came back (no such event), restarts.

Change: a lack and the demand go to the giver alone; the giver's urgent digests are spaced by the number of nodes; other zones are told less often; shares of peers are kept as sums. A draining server is a last resort only if this node knew it as ready, and for a quarter of its time.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -15,7 +15,7 @@
 use crate::units::Moment;
 
 /// What the way to another zone costs, in milliseconds; it stands for the bytes as well.
-const OTHER_ZONE_MS: f64 = 4.0;
+const OTHER_ZONE_MS: f64 = 8.0;
 
 /// What a new connection costs, in milliseconds; it stands for the server's work as well.
 const NEW_CONNECTION_MS: f64 = 6.0;
@@ -134,7 +134,7 @@
 fn takes_requests(server: &KnownServer, query: &Query<'_>) -> bool {
     match server.draining_since {
         None => true,
-        Some(since) => query.now.since(since) < query.drain_grace,
+        Some(since) => server.was_ready && query.now.since(since) < query.drain_grace,
     }
 }
 
--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -75,6 +75,8 @@
     pub learned: Moment,
     /// When the node learned that it drains.
     pub draining_since: Option<Moment>,
+    /// Whether this node knew it as ready before it drained. If not, it may have drained for long.
+    pub was_ready: bool,
 }
 
 impl KnownServer {
@@ -226,13 +228,14 @@
         let drains = entry.state != ServerState::Ready;
         let drained_before = before.and_then(|known| known.draining_since);
         let draining_since = drains.then(|| drained_before.unwrap_or(now));
+        let was_ready = !drains || before.is_some_and(|known| known.was_ready);
         let event = match before {
             _ if drains && drained_before.is_none() => DirectoryEvent::Draining(id.clone()),
             None => DirectoryEvent::Joined(id.clone()),
             Some(_) => DirectoryEvent::Changed(id.clone()),
         };
         self.gone.remove(&id);
-        let known = KnownServer { entry, version, learned: now, draining_since };
+        let known = KnownServer { entry, version, learned: now, draining_since, was_ready };
         self.servers.insert(id, Arc::new(known));
         Some(event)
     }
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -89,6 +89,13 @@
         before.iter().sum::<f64>() + after.iter().sum::<f64>() * LESS_URGENT_PART
     }
 
+    fn take_off(&mut self, other: &Share) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        for (sum, less) in self.reading_ms.iter_mut().zip(other.reading_ms) {
+            *sum = (*sum - less).max(0.0);
+        }
+    }
+
     fn add(&mut self, other: &Share) {
         self.requests += other.requests;
         for (sum, more) in self.reading_ms.iter_mut().zip(other.reading_ms) {
@@ -118,7 +125,8 @@
 #[derive(Debug, Default)]
 pub struct ServerLoad {
     own: Share,
-    peers: HashMap<u32, (Share, Moment)>,
+    /// What all peers have under way here, as far as their word counts.
+    peers: Share,
     told: Option<(ToldLoad, Moment, u32)>,
     failures: u32,
     paused_until: Option<Moment>,
@@ -138,11 +146,7 @@
     /// Returns what all nodes have under way here, as far as it is known.
     pub fn total(&self, now: Moment) -> Share {
         let mut total = self.own;
-        for (share, at) in self.peers.values() {
-            if now.since(*at) < PEER_FIGURES_FOR {
-                total.add(share);
-            }
-        }
+        total.add(&self.peers);
         if let Some((told, at, own_then)) = self.told
             && now.since(at) < TOLD_FOR
         {
@@ -234,6 +238,8 @@
 #[derive(Debug, Default)]
 pub struct LoadBook {
     servers: HashMap<BackendId, ServerLoad>,
+    /// What each peer told last, and when.
+    peers: HashMap<u32, (Vec<(BackendId, Share)>, Moment)>,
     token_cost_ms: HashMap<ModelName, f64>,
 }
 
@@ -320,22 +326,29 @@
         load.told = Some((told, now, load.own.requests));
     }
 
-    /// Forgets what a peer told before: a digest names all servers where it has requests.
-    pub fn peer_spoke(&mut self, peer: u32) {
-        for load in self.servers.values_mut() {
-            load.peers.remove(&peer);
+    /// Notes what a peer has under way, at all servers together: what it told before is replaced.
+    pub fn peer_told(&mut self, peer: u32, shares: Vec<(BackendId, Share)>, now: Moment) {
+        let before = self.peers.remove(&peer).map(|(shares, _)| shares);
+        for (server, share) in before.unwrap_or_default() {
+            self.server(&server).peers.take_off(&share);
         }
+        for (server, share) in &shares {
+            self.server(server).peers.add(share);
+        }
+        self.peers.insert(peer, (shares, now));
     }
 
-    /// Notes what a peer has under way at a server.
-    pub fn peer(&mut self, server: &BackendId, peer: u32, share: Share, now: Moment) {
-        self.server(server).peers.insert(peer, (share, now));
-    }
-
-    /// Forgets what was heard of peers so long ago that it counts no more.
+    /// Forgets what was heard of peers so long ago that it counts no more. Sums are made anew, so
+    /// that rounding does not pile up.
     pub fn forget_old(&mut self, now: Moment) {
+        self.peers.retain(|_, (_, at)| now.since(*at) < PEER_FIGURES_FOR);
         for load in self.servers.values_mut() {
-            load.peers.retain(|_, (_, at)| now.since(*at) < PEER_FIGURES_FOR);
+            load.peers = Share::default();
+        }
+        let shares = self.peers.values().flat_map(|(shares, _)| shares);
+        for (server, share) in shares {
+            let load = self.servers.entry(server.clone()).or_default();
+            load.peers.add(share);
         }
     }
 
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -141,13 +141,16 @@
 #[test]
 fn a_draining_server_is_the_last_resort_and_only_for_a_while() {
     let mut leaving = entry("x", &["m"]);
+    let ready = leaving.clone();
     leaving.state = ServerState::Draining { remaining: None };
-    let mut case = case(vec![leaving], info(Some(item("m", None)), 1));
+    let mut case = case(vec![leaving.clone()], info(Some(item("m", None)), 1));
+    assert_eq!(case.choose().unwrap_err(), NoChoice::NoServer, "it may have drained for long");
+    case.servers = vec![ready, leaving];
     assert_eq!(case.chosen(), "x");
     case.servers.push(entry("y", &["m"]));
     case.busy("y", 50_000);
     assert_eq!(case.chosen(), "y", "any that stays goes before");
-    case.servers.pop();
+    case.servers.truncate(2);
     case.now = 801;
     assert_eq!(case.choose().unwrap_err(), NoChoice::NoServer);
 }
--- a/trackfront_core/tests/serving/load.rs
+++ b/trackfront_core/tests/serving/load.rs
@@ -38,12 +38,15 @@
 #[test]
 fn what_peers_told_counts_for_a_while_and_is_replaced_whole() {
     let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
-    book.peer(&id, 7, share(3, 2, 50.0), at(0));
-    assert_eq!(book.server(&id).total(at(100)).requests, 3);
-    assert_eq!(book.server(&id).total(at(1_600)).requests, 0, "it is too old");
-    book.peer(&id, 7, share(3, 2, 50.0), at(2_000));
-    book.peer_spoke(7);
-    assert_eq!(book.server(&id).total(at(2_000)).requests, 0, "the peer named it no more");
+    book.peer_told(7, vec![(id.clone(), share(3, 2, 50.0))], at(0));
+    book.peer_told(8, vec![(id.clone(), share(1, 0, 10.0))], at(1_000));
+    assert_eq!(book.server(&id).total(at(100)).requests, 4);
+    book.peer_told(8, vec![(id.clone(), share(2, 0, 30.0))], at(1_000));
+    assert_eq!(book.server(&id).total(at(100)).reading_before(9), 80.0);
+    book.forget_old(at(1_600));
+    assert_eq!(book.server(&id).total(at(1_600)), share(2, 0, 30.0), "the first is too old");
+    book.peer_told(8, Vec::new(), at(1_700));
+    assert_eq!(book.server(&id).total(at(1_700)).requests, 0, "the peer named it no more");
 }
 
 #[test]
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -29,7 +29,21 @@
 /// The least time between a digest and one that is sent early for something urgent.
 const URGENT_GAP: Duration = Duration::from_millis(20);
 
-/// Every how many digests the demand is told.
+/// The part of the time between digests after which the giver may send one early: a tenth of its
+/// link is not taken by what is urgent, also with many nodes.
+const URGENT_SHARE: u32 = 3;
+
+/// Every how many rounds nodes of other zones are told at the least, where there are many: bytes
+/// between zones are dear.
+const OTHER_ZONES_EVERY: usize = 4;
+
+/// For how many peers nodes of other zones are told one round less often.
+const PEERS_FOR_EACH_ROUND: usize = 10;
+
+/// Every how many rounds a node that was not heard of for long is told.
+const LOST_EVERY: u64 = 16;
+
+/// Every how many rounds the giver is told of the demand.
 const DEMAND_EVERY: u64 = 4;
 
 /// How long a node counts as alive after it was heard.
@@ -50,8 +64,10 @@
 /// What nodes send to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// The load and the demand at a node.
+    /// The load at a node.
     Digest(Digest),
+    /// The demand at a node, for the giver of orders.
+    Demand(ToldDemand),
     /// What a node learned from the platform, for those in its zone.
     Relay(Relay),
 }
@@ -69,14 +85,19 @@
     pub stopping: bool,
     /// Requests under way.
     pub shares: Vec<ToldShare>,
-    /// Demand: item, hundredths of requests a second, milliseconds of work a second.
-    pub demand: Option<Vec<(u32, u32, u32)>>,
-    /// Whether something is asked for that no engine holds.
-    pub lacks: bool,
     /// Notes: server, item, whether it was added (else withdrawn).
     pub notes: Vec<(u32, u32, bool)>,
 }
 
+/// What a node is asked for.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ToldDemand {
+    /// Item, hundredths of requests a second, milliseconds of work a second.
+    pub rates: Vec<(u32, u32, u32)>,
+    /// Whether something is asked for that no engine holds.
+    pub lacks: bool,
+}
+
 /// What a node has under way at one server.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ToldShare {
@@ -142,17 +163,31 @@
         alive
     }
 
-    /// Returns the nodes that are told: those heard of lately or listed just now, and the others
-    /// at times.
-    fn told(&self, round: u64, now: Moment) -> Vec<Ipv4Addr> {
-        let is_due = |ip: &Ipv4Addr, peer: &Peer| {
+    /// Returns the nodes that are told in a round: those of the own zone each time, others less
+    /// often, and those that were not heard of for long seldom.
+    fn told(&self, zone: u32, round: u64, now: Moment) -> Vec<Ipv4Addr> {
+        let others_every = (self.peers.len() / PEERS_FOR_EACH_ROUND).clamp(1, OTHER_ZONES_EVERY);
+        let every = |peer: &Peer| {
             let last = peer.heard.unwrap_or(peer.listed);
-            now.since(last) < TRIED_FOR || (round + u64::from(ip.to_bits())).is_multiple_of(16)
+            match now.since(last) < TRIED_FOR {
+                true if peer.zone == zone || peer.heard.is_none() => 1,
+                true => others_every as u64,
+                false => LOST_EVERY,
+            }
+        };
+        let is_due = |ip: &Ipv4Addr, peer: &Peer| {
+            (round + u64::from(ip.to_bits())).is_multiple_of(every(peer))
         };
         let due = self.peers.iter().filter(|(ip, peer)| is_due(ip, peer));
         due.map(|(ip, _)| *ip).collect()
     }
 
+    /// Returns every node that is alive or was listed just now.
+    fn reachable(&self, now: Moment) -> Vec<Ipv4Addr> {
+        let recent = |peer: &Peer| now.since(peer.heard.unwrap_or(peer.listed)) < TRIED_FOR;
+        self.peers.iter().filter(|(_, peer)| recent(peer)).map(|(ip, _)| *ip).collect()
+    }
+
     /// Returns how many nodes share budgets, this one included.
     pub fn sharing(&self, now: Moment) -> usize {
         let counted = self
@@ -179,20 +214,37 @@
 
 /// Tells the other nodes, again and again.
 pub async fn tell(node: Arc<ServingNode>, socket: Arc<UdpSocket>, gives_orders: Arc<Giving>) {
-    let port = node.settings.load().listen.peers;
+    let settings = node.settings.load_full();
+    let (port, zone) = (settings.listen.peers, short_zone(&settings.node.zone));
     let mut round = 0u64;
+    let mut urgent = false;
     loop {
         let now = node.now();
-        let told = node.peers.lock().told(round, now);
+        node.loads.lock().forget_old(now);
+        // What the giver did is urgent for all; what is lacking is so for the giver alone.
+        let gives = gives_orders.get();
+        let told = match urgent && gives {
+            true => node.peers.lock().reachable(now),
+            false => node.peers.lock().told(zone, round, now),
+        };
+        if gives || !urgent {
+            send(&socket, &Message::Digest(digest(&node, zone, gives)), &told, port);
+        }
         let lacks = node.take_lacks();
-        let with_demand = lacks || round.is_multiple_of(DEMAND_EVERY);
-        let digest = Digest { lacks, ..digest(&node, gives_orders.get(), with_demand) };
-        send(&socket, &Message::Digest(digest), &told, port);
-        round += 1;
+        if !gives && (lacks || round.is_multiple_of(DEMAND_EVERY)) {
+            let giver = node.peers.lock().giver(now);
+            let demand = Message::Demand(demand(&node, lacks));
+            send(&socket, &demand, giver.as_slice(), port);
+        }
+        round += u64::from(!urgent);
         let gap = LEAST_GAP.max(GAP_FOR_EACH_PEER * told.len() as u32);
+        let urgent_gap = match gives {
+            true => URGENT_GAP.max(gap / URGENT_SHARE),
+            false => URGENT_GAP,
+        };
         let start = Instant::now();
-        let _ = timeout(gap, node.tell_peers.notified()).await;
-        sleep_until(start + URGENT_GAP).await;
+        urgent = timeout(gap, node.tell_peers.notified()).await.is_ok();
+        sleep_until(start + urgent_gap).await;
     }
 }
 
@@ -226,35 +278,34 @@
     }
 }
 
-fn digest(node: &ServingNode, gives_orders: bool, with_demand: bool) -> Digest {
-    let now = node.now();
+fn digest(node: &ServingNode, zone: u32, gives_orders: bool) -> Digest {
     let loads = node.loads.lock();
     let shares = loads.own_shares();
     let shares = shares.map(|(id, share)| ToldShare::new(short_server(id), &share)).collect();
     drop(loads);
-    let demand = with_demand.then(|| {
-        let own = node.demand.lock().own(now);
-        let told = |(item, rate): &(_, Rate)| {
-            (short_item(item), (rate.requests * 100.0) as u32, rate.work_ms as u32)
-        };
-        own.iter().map(told).collect()
-    });
     // Only the giver's notes are its own; others would repeat them for ever.
     let notes = match gives_orders {
-        true => node
-            .overlay
-            .lock()
-            .all()
-            .map(|(server, item, kind)| {
-                (short_server(server), short_item(item), kind == NoteKind::Added)
-            })
-            .collect(),
+        true => notes(node),
         false => Vec::new(),
     };
     let config = node.config.load().as_ref().map_or(0, |config| config.version);
-    let zone = short_zone(&node.settings.load().node.zone);
-    let stopping = node.is_stopping();
-    Digest { zone, config, gives_orders, stopping, shares, demand, lacks: false, notes }
+    Digest { zone, config, gives_orders, stopping: node.is_stopping(), shares, notes }
+}
+
+fn notes(node: &ServingNode) -> Vec<(u32, u32, bool)> {
+    let overlay = node.overlay.lock();
+    let note = |(server, item, kind): (&_, &_, NoteKind)| {
+        (short_server(server), short_item(item), kind == NoteKind::Added)
+    };
+    overlay.all().map(note).collect()
+}
+
+fn demand(node: &ServingNode, lacks: bool) -> ToldDemand {
+    let own = node.demand.lock().own(node.now());
+    let told = |(item, rate): &(_, Rate)| {
+        (short_item(item), (rate.requests * 100.0) as u32, rate.work_ms as u32)
+    };
+    ToldDemand { rates: own.iter().map(told).collect(), lacks }
 }
 
 /// Hears the other nodes.
@@ -276,6 +327,7 @@
         let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
         match bincode::serde::decode_from_slice::<Message, _>(&buffer[..length], config) {
             Ok((Message::Digest(digest), _)) => take_in(&node, ip, digest),
+            Ok((Message::Demand(told), _)) => take_demand(&node, ip, &told),
             Ok((Message::Relay(relay), _)) => relay::take_in(&node, relay),
             Err(error) => {
                 let now = node.now();
@@ -288,30 +340,27 @@
     }
 }
 
+fn take_demand(node: &ServingNode, ip: Ipv4Addr, told: &ToldDemand) {
+    let names = node.names.lock();
+    let rates = told.rates.iter().filter_map(|(item, requests, work_ms)| {
+        let rate = Rate { requests: f64::from(*requests) / 100.0, work_ms: f64::from(*work_ms) };
+        Some((names.item(*item)?.clone(), rate))
+    });
+    node.demand.lock().told(ip.to_bits(), rates.collect(), node.now());
+    if told.lacks {
+        node.lacking.notify_one();
+    }
+}
+
 fn take_in(node: &ServingNode, ip: Ipv4Addr, digest: Digest) {
     let now = node.now();
     node.peers.lock().heard(ip, &digest, now);
     let names = node.names.lock();
-    let peer = ip.to_bits();
-    let mut loads = node.loads.lock();
-    loads.peer_spoke(peer);
-    for told in &digest.shares {
-        if let Some(id) = names.server(told.server) {
-            loads.peer(id, peer, told.share(), now);
-        }
-    }
-    drop(loads);
-    if let Some(told) = &digest.demand {
-        let rates = told.iter().filter_map(|(item, requests, work_ms)| {
-            let rate =
-                Rate { requests: f64::from(*requests) / 100.0, work_ms: f64::from(*work_ms) };
-            Some((names.item(*item)?.clone(), rate))
-        });
-        node.demand.lock().told(peer, rates.collect(), now);
-    }
-    if digest.lacks {
-        node.lacking.notify_one();
-    }
+    let shares = digest
+        .shares
+        .iter()
+        .filter_map(|told| Some((names.server(told.server)?.clone(), told.share())));
+    node.loads.lock().peer_told(ip.to_bits(), shares.collect(), now);
     let mut overlay = node.overlay.lock();
     for (server, item, added) in &digest.notes {
         if let (Some(server), Some(item)) = (names.server(*server), names.item(*item)) {
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -29,7 +29,7 @@
 
 /// The part of the time that a draining server goes on for, in which it is still sent what no
 /// other can answer.
-const DRAIN_PART: f64 = 0.4;
+const DRAIN_PART: f64 = 0.25;
 
 /// The outside of a serving node.
 #[derive(Clone)]
