Let a copy whose adapters are nowhere else give way last

Change: an adapter that no other engine holds counts 0.03 of an engine's time when a victim is chosen.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -15,7 +15,7 @@
 use crate::units::Moment;
 
 /// What the way to another zone costs, in milliseconds; it stands for the bytes as well.
-const OTHER_ZONE_MS: f64 = 8.0;
+const OTHER_ZONE_MS: f64 = 4.0;
 
 /// What a new connection costs, in milliseconds; it stands for the server's work as well.
 const NEW_CONNECTION_MS: f64 = 6.0;
--- a/trackfront_core/src/serving/planner.rs
+++ b/trackfront_core/src/serving/planner.rs
@@ -27,6 +27,10 @@
 /// How many adapters an engine is ordered to load at once; engines take no more on their way.
 const ADAPTERS_AT_ONCE: usize = 4;
 
+/// What it is worth that an adapter is there, as a share of an engine's time: it can be brought
+/// back, but only once its engine takes orders again.
+const WORTH_AN_ADAPTER: f64 = 0.03;
+
 /// What it is worth that a model is there at all, as a share of an engine's time.
 const WORTH_BEING_THERE: f64 = 0.5;
 
@@ -252,6 +256,18 @@
         self.offers.get(model).map_or(0, Vec::len)
     }
 
+    /// How many of a model's adapters no other engine holds: they would leave with the model.
+    fn adapters_only_on(&self, index: usize, model: &ModelName) -> usize {
+        let Some(resident) = self.engines[index].models.get(model) else {
+            return 0;
+        };
+        let elsewhere = |adapter: &&AdapterName| {
+            let others = self.engines.iter().enumerate().filter(|(other, _)| *other != index);
+            others.into_iter().any(|(_, engine)| engine.offers_adapter(model, adapter))
+        };
+        resident.adapters.iter().filter(|adapter| !elsewhere(adapter)).count()
+    }
+
     /// How many other engines serve a model now.
     fn serving_elsewhere(&self, model: &ModelName, index: usize) -> usize {
         let offering = self.offers.get(model).into_iter().flatten();
@@ -363,7 +379,8 @@
             // A copy on its way in serves nobody yet, so it is no reason to let another go.
             let others = self.serving_elsewhere(name, index);
             let spare = others >= 1 && free + spec.weight_mb >= needed;
-            let left = self.level(name, others);
+            let adapters = self.adapters_only_on(index, name) as f64;
+            let left = self.level(name, others) + adapters * WORTH_AN_ADAPTER;
             (spare && left * WORTH_A_SWAP < worth).then_some((left, victim))
         });
         let least = victims.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
--- a/trackfront_core/tests/serving/planner.rs
+++ b/trackfront_core/tests/serving/planner.rs
@@ -148,3 +148,17 @@
     let quiet = plan(&spec, &[full], &demand(&[("m", None, 0.1)])).proposals;
     assert_eq!(quiet, [], "what nobody asks for displaces nothing");
 }
+
+#[test]
+fn a_copy_whose_adapters_are_nowhere_else_gives_way_last() {
+    let spec = spec(&["m", "n", "o", "p"], 3, 4);
+    let mut with_adapters = engine("x", &["m", "n", "o"]);
+    for adapter in ["a1", "a2", "a3"] {
+        with_adapters.models = with_adapter(with_adapters.models, "m", adapter);
+    }
+    let engines = [with_adapters, engine("y", &["m", "n", "o"])];
+    let rates = [("m", None, 0.02), ("n", None, 0.06), ("o", None, 0.06)];
+    let proposals = models_only(&spec, &engines, &rates);
+    assert_eq!(proposals.len(), 1);
+    assert_eq!((proposals[0].engine.as_str(), &proposals[0].item), ("y", &item("m", None)));
+}
