Plan only once the list of servers is whole

Cause: at the start the rows of engines come one after the other within about 2.4 s. Ruled out: the crash at 5.9 s and the shift of demand at 1 s, which come after it. Change: a server that is new to the list and holds models was missing from it, since servers begin empty; for 2 s after one is found nothing is planned. Rows that lapsed and come back count as well. Test: a_list_that_still_finds_loaded_servers_is_filling.

--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -15,6 +15,10 @@
 /// How long a server that has left is remembered, so that a late row cannot bring it back.
 const GONE_FOR: Duration = Duration::from_secs(120);
 
+/// How long after a server was found that held models before the node knew of it, the list may
+/// still lack others. Servers write their rows about every second, so this is two rounds.
+const FILLING_FOR: Duration = Duration::from_millis(2_000);
+
 /// What a server does about new requests, by its own word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
@@ -144,6 +148,8 @@
     gone: HashMap<BackendId, (u64, Moment)>,
     /// The newest version that any answer named.
     newest: u64,
+    /// When a server was last found that held models before the node knew of it.
+    found_at: Option<Moment>,
 }
 
 impl Directory {
@@ -167,6 +173,12 @@
         self.servers.values()
     }
 
+    /// Returns whether the list may still lack servers that hold models: at the system's start, and
+    /// while rows that lapsed come back. What no listed server holds is not missing then.
+    pub fn is_filling(&self, now: Moment) -> bool {
+        self.found_at.is_some_and(|at| now.since(at) < FILLING_FOR)
+    }
+
     /// Takes in changes of rows, in order, up to `version`.
     pub fn apply(
         &mut self,
@@ -235,6 +247,10 @@
             Some(_) => DirectoryEvent::Changed(id.clone()),
         };
         self.gone.remove(&id);
+        // A server begins empty, so one that is new here and holds models was missing from the list.
+        if before.is_none() && !entry.models.is_empty() {
+            self.found_at = Some(now);
+        }
         let known = KnownServer { entry, version, learned: now, draining_since, was_ready };
         self.servers.insert(id, Arc::new(known));
         Some(event)
--- a/trackfront_core/tests/serving/directory.rs
+++ b/trackfront_core/tests/serving/directory.rs
@@ -69,3 +69,16 @@
     assert_eq!(known.draining_since, Some(at(100)));
     assert_eq!(known.leaves_at(), Some(at(2_100)));
 }
+
+#[test]
+fn a_list_that_still_finds_loaded_servers_is_filling() {
+    let mut directory = Directory::default();
+    assert!(!directory.is_filling(at(0)));
+    directory.apply(vec![set(1, "x", &["m"])], 1, at(0));
+    directory.apply(vec![set(2, "y", &["n"])], 2, at(1_500));
+    assert!(directory.is_filling(at(3_000)), "y came 1.5 s ago and held a model");
+    assert!(!directory.is_filling(at(3_600)));
+    // A server that starts is empty, and what a known one loads does not make the list incomplete.
+    directory.apply(vec![set(3, "z", &[]), set(4, "x", &["m", "o"])], 4, at(4_000));
+    assert!(!directory.is_filling(at(4_001)));
+}
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -137,6 +137,9 @@
         if placed.is_empty() {
             return;
         }
+        if self.node.directory.lock().is_filling(self.node.now()) {
+            return;
+        }
         let was_giver = self.lease.is_giver();
         if !self.lease.stand().await {
             return;
