Swap adapters that nobody uses, propose loads as the weight store allows

(2) An adapter had to be asked for 1.6 times as much as the one that gives way, though a swap takes some ms. (3) Loads were proposed without a look at the weight store's rate; each refused one cost a report and 0.7 s of rest, and took the turn of more urgent ones. (4) The pacer's burst was 2 whatever the rate. Change: nodes tell the giver which adapters their requests use; these keep their places, and nothing follows an unload that waits. Swaps of adapters go by who is asked for more. The plan knows how many loads may begin; the burst uses 0.6 of the overage, which is a setting now. Tests: an_adapter_in_use_does_not_give_way, loads_that_the_weight_store_does_not_allow_are_not_proposed, the_overage_of_the_weight_store_is_used_and_never_exceeded, adapter_use.

--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! them stands in `trackfrontd::serving`. This folder depends on [`crate::ids`], [`crate::units`]
 //! and [`crate::lease`] only.
 
+pub mod adapter_use;
 pub mod affinity;
 pub mod choose;
 pub mod config;
--- a/trackfront_core/src/serving/orders.rs
+++ b/trackfront_core/src/serving/orders.rs
@@ -15,9 +15,13 @@
 use crate::serving::request::ModelRef;
 use crate::units::Moment;
 
-/// The loads that may begin at once beyond the steady rate. The ceiling leaves three.
+/// The loads that may begin at once beyond the steady rate and its overage. The ceiling leaves
+/// three.
 const PACER_BURST: f64 = 2.0;
 
+/// The part of the overage that is used; the rest covers loads that begin later than ordered.
+const OVERAGE_PART: f64 = 0.6;
+
 /// What an order does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Operation {
@@ -212,22 +216,47 @@
 /// count in full.
 #[derive(Debug)]
 pub struct LoadPacer {
+    terms: LoadTerms,
     allowance: f64,
     at: Moment,
 }
 
+/// How many loads from the weight store may begin within any window: the rate times the window's
+/// length times the overage.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadTerms {
+    /// The length of a window.
+    pub window: Duration,
+    /// How many times the rate may be reached within a window, from 1.
+    pub overage: f64,
+}
+
+impl Default for LoadTerms {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(5), overage: 1.0 }
+    }
+}
+
 impl LoadPacer {
     /// Makes a pacer without allowance.
-    pub fn new(now: Moment) -> Self {
-        Self { allowance: 0.0, at: now }
+    pub fn new(terms: LoadTerms, now: Moment) -> Self {
+        Self { terms, allowance: 0.0, at: now }
     }
 
-    /// Returns whether a load may begin now.
-    pub fn ready(&mut self, loads_per_s: f64, now: Moment) -> bool {
+    /// Returns how many loads may begin now.
+    pub fn available(&mut self, loads_per_s: f64, now: Moment) -> usize {
         let gained = now.since(self.at).as_secs_f64() * loads_per_s;
-        self.allowance = (self.allowance + gained).min(PACER_BURST.max(1.0));
+        let LoadTerms { window, overage } = self.terms;
+        let over = (overage - 1.0).max(0.0) * loads_per_s * window.as_secs_f64();
+        let burst = PACER_BURST + over * OVERAGE_PART;
+        self.allowance = (self.allowance + gained).min(burst);
         self.at = now;
-        self.allowance >= 1.0
+        self.allowance.max(0.0) as usize
+    }
+
+    /// Returns whether a load may begin now.
+    pub fn ready(&mut self, loads_per_s: f64, now: Moment) -> bool {
+        self.available(loads_per_s, now) > 0
     }
 
     /// Counts a load that may have begun.
--- a/trackfront_core/src/serving/planner.rs
+++ b/trackfront_core/src/serving/planner.rs
@@ -56,6 +56,8 @@
     pub leaving: Option<ModelName>,
     /// Adapters on their way.
     pub pending: BTreeSet<(ModelName, AdapterName)>,
+    /// Adapters that requests in progress use: they keep their places until these have ended.
+    pub in_use: BTreeSet<ModelRef>,
     /// Whether an order is under way or undecided, so that no other is given.
     pub busy: bool,
     /// Models that its host memory keeps.
@@ -90,6 +92,11 @@
         loaded || self.pending.contains(&(model.clone(), adapter.clone()))
     }
 
+    /// Returns whether a load of `model` takes nothing from the weight store.
+    fn has_at_hand(&self, model: &ModelName) -> bool {
+        self.in_memory.contains(model) || self.on_disk.contains(model)
+    }
+
     /// How long a load would take here, in seconds.
     fn load_seconds(&self, model: &ModelName, spec: &EngineSpec) -> f64 {
         let Some(found) = spec.models.get(model) else {
@@ -154,8 +161,12 @@
     wanted: BTreeMap<&'a ModelName, usize>,
     /// Engines that have a proposal for a model already.
     taken: BTreeSet<usize>,
-    /// How many adapters were proposed for each engine.
+    /// How many orders to adapters were proposed for each engine.
     adapters_proposed: BTreeMap<usize, usize>,
+    /// The adapters that were proposed to give way.
+    adapters_leaving: BTreeSet<(usize, ModelRef)>,
+    /// How many more loads from the weight store may be proposed.
+    store_loads: usize,
     proposals: Vec<Proposal>,
 }
 
@@ -169,13 +180,15 @@
 }
 
 /// Proposes orders, the most urgent first: for each engine one for a model, or some for adapters. `engines` are those that
-/// can be given orders and go on serving.
+/// can be given orders and go on serving; `store_loads` is how many loads may begin now that take
+/// from the weight store.
 pub fn plan(
     spec: &EngineSpec,
     engines: &[EngineView],
     demand: &HashMap<ModelRef, Rate>,
+    store_loads: usize,
 ) -> Planned {
-    let mut plan = Plan::new(spec, engines, demand);
+    let mut plan = Plan::new(spec, engines, demand, store_loads);
     let models = plan.summary();
     plan.bring_back_missing();
     plan.add_copies();
@@ -188,6 +201,7 @@
         spec: &'a EngineSpec,
         engines: &'a [EngineView],
         demand: &HashMap<ModelRef, Rate>,
+        store_loads: usize,
     ) -> Self {
         let mut by_model: BTreeMap<&ModelName, f64> =
             spec.models.keys().map(|name| (name, 0.0)).collect();
@@ -209,6 +223,8 @@
             wanted: BTreeMap::new(),
             taken: BTreeSet::new(),
             adapters_proposed: BTreeMap::new(),
+            adapters_leaving: BTreeSet::new(),
+            store_loads,
             proposals: Vec::new(),
         };
         plan.wanted = plan.share_room();
@@ -326,6 +342,9 @@
             if engine.busy || self.taken.contains(&index) || engine.models.contains_key(model) {
                 continue;
             }
+            if self.store_loads == 0 && !engine.has_at_hand(model) {
+                continue;
+            }
             let Some(victim) = self.room_for(index, model, worth) else {
                 continue;
             };
@@ -345,6 +364,9 @@
             Some(victim) => (Operation::Unload, victim, "it gives way to another model"),
         };
         self.taken.insert(index);
+        if !self.engines[index].has_at_hand(model) {
+            self.store_loads -= 1;
+        }
         match victim {
             None => self.offers.entry(model).or_default().push(index),
             Some(victim) => {
@@ -451,6 +473,7 @@
                     return;
                 };
                 let reason = "the adapter gives way to one that is asked for";
+                self.adapters_leaving.insert((index, victim.clone()));
                 self.propose_adapter(index, Operation::Unload, victim, reason);
                 (index, item(model, adapter), "the adapter is asked for")
             }
@@ -475,7 +498,9 @@
         self.adapters_proposed.get(&index).copied().unwrap_or(0)
     }
 
-    /// Finds the adapter that is asked for least on the engines in `open`.
+    /// Finds the adapter that is asked for least on the engines in `open`, if it is asked for less
+    /// than `asked`. One that is in use would keep its place. A swap takes some milliseconds, so it
+    /// need not be worth more than what gives way.
     fn least_adapter(
         &self,
         open: &[usize],
@@ -483,16 +508,21 @@
         demand: &HashMap<ModelRef, Rate>,
     ) -> Option<(usize, ModelRef)> {
         let mut least: Option<(f64, usize, ModelRef)> = None;
-        for index in open.iter().filter(|index| self.proposed(**index) == 0) {
+        let has_time = |index: &&usize| self.proposed(**index) + 2 <= ADAPTERS_AT_ONCE;
+        for index in open.iter().filter(has_time) {
             for (model, resident) in &self.engines[*index].models {
                 for adapter in &resident.adapters {
                     let item = ModelRef { model: model.clone(), adapter: Some(adapter.clone()) };
+                    let is_leaving = self.adapters_leaving.contains(&(*index, item.clone()));
+                    if is_leaving || self.engines[*index].in_use.contains(&item) {
+                        continue;
+                    }
                     let offering = |e: &&EngineView| e.offers_adapter(model, adapter);
                     let copies = self.engines.iter().filter(offering).count();
                     let rate = demand.get(&item).map_or(0.0, |rate| rate.requests);
                     let worth = rate / copies.max(1) as f64;
                     let lower = least.as_ref().is_none_or(|(lowest, _, _)| worth < *lowest);
-                    if worth * WORTH_A_SWAP < asked && lower {
+                    if worth < asked && lower {
                         least = Some((worth, *index, item));
                     }
                 }
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -3,6 +3,7 @@
 mod serving {
     mod support;
 
+    mod adapter_use;
     mod affinity;
     mod budget;
     mod choice;
--- a/trackfront_core/tests/serving/orders.rs
+++ b/trackfront_core/tests/serving/orders.rs
@@ -1,4 +1,8 @@
-use trackfront_core::serving::orders::{EngineReport, LoadPacer, Operation, OrderFault, check};
+use std::time::Duration;
+
+use trackfront_core::serving::orders::{
+    EngineReport, LoadPacer, LoadTerms, Operation, OrderFault, check,
+};
 
 use super::support::{at, item, residents, spec, with_adapter};
 
@@ -46,7 +50,7 @@
 
 #[test]
 fn loads_stay_under_the_ceiling_in_every_window() {
-    let mut pacer = LoadPacer::new(at(0));
+    let mut pacer = LoadPacer::new(LoadTerms::default(), at(0));
     let mut begun = Vec::new();
     for ms in (0..60_000).step_by(10) {
         if pacer.ready(1.4, at(ms)) {
@@ -62,3 +66,24 @@
     assert!(begun.len() >= 80, "the rate is used: {}", begun.len());
     assert!(begun[0] >= 700, "a new giver begins without allowance");
 }
+
+#[test]
+fn the_overage_of_the_weight_store_is_used_and_never_exceeded() {
+    let terms = LoadTerms { window: Duration::from_secs(5), overage: 1.1 };
+    let (rate, window_ms) = (20.0, 5_000);
+    let mut pacer = LoadPacer::new(terms, at(0));
+    let mut began = Vec::new();
+    // Idle for a while, then as many loads as the pacer allows.
+    for ms in (10_000..30_000).step_by(10) {
+        while pacer.ready(rate, at(ms)) {
+            pacer.began();
+            began.push(ms);
+        }
+    }
+    let most = began
+        .iter()
+        .map(|start| began.iter().filter(|ms| (*start..*start + window_ms).contains(*ms)).count());
+    let most = most.max().expect("loads began");
+    assert!(most <= (rate * 5.0 * 1.1 + 3.0) as usize, "{most} loads within a window");
+    assert!(most > 105, "only {most} loads within a window");
+}
--- a/trackfront_core/tests/serving/orders_random.rs
+++ b/trackfront_core/tests/serving/orders_random.rs
@@ -13,7 +13,7 @@
 };
 use trackfront_core::serving::config::EngineSpec;
 use trackfront_core::serving::directory::ResidentModel;
-use trackfront_core::serving::orders::{EngineReport, LoadPacer, Operation, check};
+use trackfront_core::serving::orders::{EngineReport, LoadPacer, LoadTerms, Operation, check};
 use trackfront_core::units::Moment;
 
 use super::support::{at, item, spec};
@@ -139,7 +139,7 @@
             name: NodeId::from(format!("10.0.0.{index}")),
             machine: LeaseHolder::new(TERMS.ttl).state_machine(),
             seen: None,
-            pacer: LoadPacer::new(at(0)),
+            pacer: LoadPacer::new(LoadTerms::default(), at(0)),
             frozen_until: 0,
             holds: false,
         }
@@ -188,7 +188,7 @@
                         Some(SeenLease { version: row.version, row: wanted, since: sent_at });
                     self.machine.handle(&LeaseEvent::Written { fence, sent_at });
                     if !self.holds {
-                        self.pacer = LoadPacer::new(at(now));
+                        self.pacer = LoadPacer::new(LoadTerms::default(), at(now));
                     }
                     self.holds = true;
                 }
--- a/trackfront_core/tests/serving/planner.rs
+++ b/trackfront_core/tests/serving/planner.rs
@@ -15,6 +15,7 @@
         loading: None,
         leaving: None,
         pending: BTreeSet::new(),
+        in_use: BTreeSet::new(),
         busy: false,
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
@@ -33,7 +34,7 @@
     engines: &[EngineView],
     rates: &[(&str, Option<&str>, f64)],
 ) -> Vec<Proposal> {
-    let proposals = plan(spec, engines, &demand(rates)).proposals;
+    let proposals = plan(spec, engines, &demand(rates), 99).proposals;
     proposals.into_iter().filter(|one| one.item.adapter.is_none()).collect()
 }
 
@@ -119,14 +120,14 @@
 fn engines_that_are_busy_get_nothing() {
     let spec = spec(&["m"], 2, 2);
     let engine = EngineView { busy: true, ..engine("x", &[]) };
-    assert_eq!(plan(&spec, &[engine], &demand(&[("m", None, 1.0)])).proposals, []);
+    assert_eq!(plan(&spec, &[engine], &demand(&[("m", None, 1.0)]), 99).proposals, []);
 }
 
 #[test]
 fn adapters_of_busy_models_are_spread_over_their_copies() {
     let spec = spec(&["m"], 4, 2);
     let engines = [engine("x", &["m"]), engine("y", &["m"])];
-    let proposals = plan(&spec, &engines, &demand(&[("m", None, 0.1)])).proposals;
+    let proposals = plan(&spec, &engines, &demand(&[("m", None, 0.1)]), 99).proposals;
     let on = |id: &str| proposals.iter().filter(|one| one.engine.as_str() == id).count();
     assert_eq!((on("x"), on("y")), (2, 2));
     let distinct: BTreeSet<_> = proposals.iter().map(|one| one.item.clone()).collect();
@@ -139,13 +140,13 @@
     let mut full = engine("x", &["m"]);
     full.models = with_adapter(with_adapter(full.models, "m", "a1"), "m", "a2");
     let rates = [("m", None, 0.1), ("m", Some("a1"), 0.1), ("m", Some("a3"), 0.1)];
-    let proposals = plan(&spec, &[full.clone()], &demand(&rates)).proposals;
+    let proposals = plan(&spec, &[full.clone()], &demand(&rates), 99).proposals;
     let expected = [
         ("x".into(), Operation::Unload, "m/a2".into()),
         ("x".into(), Operation::Load, "m/a3".into()),
     ];
     assert_eq!(names(&proposals), expected);
-    let quiet = plan(&spec, &[full], &demand(&[("m", None, 0.1)])).proposals;
+    let quiet = plan(&spec, &[full], &demand(&[("m", None, 0.1)]), 99).proposals;
     assert_eq!(quiet, [], "what nobody asks for displaces nothing");
 }
 
@@ -162,3 +163,31 @@
     assert_eq!(proposals.len(), 1);
     assert_eq!((proposals[0].engine.as_str(), &proposals[0].item), ("y", &item("m", None)));
 }
+
+#[test]
+fn an_adapter_in_use_does_not_give_way() {
+    let spec = spec(&["m"], 3, 2);
+    let mut full = engine("x", &["m"]);
+    full.models = with_adapter(with_adapter(full.models, "m", "a1"), "m", "a2");
+    full.in_use.insert(item("m", Some("a2")));
+    let rates = [("m", None, 0.1), ("m", Some("a1"), 0.05), ("m", Some("a3"), 0.06)];
+    let proposals = plan(&spec, &[full], &demand(&rates), 99).proposals;
+    // `a2` is asked for least but in use; `a1` is asked for nearly as much as what comes.
+    let expected = [
+        ("x".into(), Operation::Unload, "m/a1".into()),
+        ("x".into(), Operation::Load, "m/a3".into()),
+    ];
+    assert_eq!(names(&proposals), expected);
+}
+
+#[test]
+fn loads_that_the_weight_store_does_not_allow_are_not_proposed() {
+    let spec = spec(&["m", "n", "o"], 0, 0);
+    let mut near = engine("y", &[]);
+    near.on_disk.insert("n".into());
+    let engines = [engine("x", &[]), near, engine("z", &[])];
+    let proposals = plan(&spec, &engines, &demand(&[("m", None, 0.3)]), 1).proposals;
+    let expected =
+        [("x".into(), Operation::Load, "m".into()), ("y".into(), Operation::Load, "n".into())];
+    assert_eq!(names(&proposals), expected, "one from the store, the busiest, and one from disk");
+}
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -96,6 +96,8 @@
     pub rates: Vec<(u32, u32, u32)>,
     /// Whether something is asked for that no engine holds.
     pub lacks: bool,
+    /// Adapters that requests in progress use: server, item.
+    pub in_use: Vec<(u32, u32)>,
 }
 
 /// What a node has under way at one server.
@@ -305,7 +307,9 @@
     let told = |(item, rate): &(_, Rate)| {
         (short_item(item), (rate.requests * 100.0) as u32, rate.work_ms as u32)
     };
-    ToldDemand { rates: own.iter().map(told).collect(), lacks }
+    let adapter_use = node.adapter_use.lock();
+    let in_use = adapter_use.own().map(|(server, item)| (short_server(server), short_item(item)));
+    ToldDemand { rates: own.iter().map(told).collect(), lacks, in_use: in_use.collect() }
 }
 
 /// Hears the other nodes.
@@ -347,6 +351,10 @@
         Some((names.item(*item)?.clone(), rate))
     });
     node.demand.lock().told(ip.to_bits(), rates.collect(), node.now());
+    let in_use = told.in_use.iter().filter_map(|(server, item)| {
+        Some((names.server(*server)?.clone(), names.item(*item)?.clone()))
+    });
+    node.adapter_use.lock().told(ip.to_bits(), in_use.collect(), node.now());
     if told.lacks {
         node.lacking.notify_one();
     }
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -13,6 +13,7 @@
 use trackfront_adapters::upstream::UpstreamPool;
 use trackfront_core::ids::{BackendId, ZoneName};
 use trackfront_core::ports::{Clock, Knowledge, Table};
+use trackfront_core::serving::adapter_use::AdapterUse;
 use trackfront_core::serving::affinity::PromptMemory;
 use trackfront_core::serving::config::ServingConfig;
 use trackfront_core::serving::demand::DemandMeter;
@@ -68,6 +69,8 @@
     pub budgets: Mutex<RetryBudgets>,
     /// The demand for models.
     pub demand: Mutex<DemandMeter>,
+    /// The adapters that requests in progress use.
+    pub adapter_use: Mutex<AdapterUse>,
     /// Notes of the giver of orders.
     pub overlay: Mutex<Overlay>,
     /// The other nodes.
@@ -104,6 +107,7 @@
             memory: Mutex::default(),
             budgets: Mutex::new(budgets),
             demand: Mutex::default(),
+            adapter_use: Mutex::default(),
             overlay: Mutex::default(),
             peers: Mutex::default(),
             relayed: Mutex::default(),
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -129,6 +129,7 @@
 pub struct Held {
     node: Arc<ServingNode>,
     counted: Option<Counted>,
+    item: Option<ModelRef>,
 }
 
 impl Held {
@@ -144,6 +145,9 @@
     pub fn end(&mut self, ending: Ending) {
         let now = self.node.now();
         if let Some(counted) = self.counted.take() {
+            if let Some(item) = &self.item {
+                self.node.adapter_use.lock().end(counted.server(), item);
+            }
             self.node.loads.lock().end(counted, ending, now);
         }
     }
@@ -555,7 +559,11 @@
         if !self.prefixes.is_empty() {
             node.memory.lock().read(&self.prefixes, id, now);
         }
-        Held { node, counted: Some(counted) }
+        let item = self.info.model.clone();
+        if let Some(item) = &item {
+            node.adapter_use.lock().begin(id, item);
+        }
+        Held { node, counted: Some(counted), item }
     }
 
     fn log_send(&self, choice: &Choice, expected_ms: f64, resumes: bool) {
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -58,6 +58,9 @@
 /// The least time that any order may take.
 const LEAST_PATIENCE: Duration = Duration::from_secs(15);
 
+/// How long orders about adapters are waited for: an adapter in use leaves only with its requests.
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// How often the inputs of a plan are logged.
 const SUMMARY_EVERY: Duration = Duration::from_secs(1);
 
@@ -82,6 +85,8 @@
     working: bool,
     loading: Option<ModelName>,
     leaving: Option<ModelName>,
+    /// Whether a load is about to be ordered that may take from the weight store.
+    awaits_load: bool,
     rest_until: Moment,
     report: Option<(EngineReport, Moment)>,
 }
@@ -107,7 +112,8 @@
     pub fn new(node: Arc<ServingNode>, giving: Arc<Giving>) -> Self {
         let right = Arc::new(OrderRight::default());
         let lease = OrderLease::new(node.clone(), right.clone(), giving);
-        let desk = Desk { benches: HashMap::new(), pacer: LoadPacer::new(node.now()) };
+        let terms = node.settings.load().promises.loads();
+        let desk = Desk { benches: HashMap::new(), pacer: LoadPacer::new(terms, node.now()) };
         let (desk, tasks) = (Arc::new(Mutex::new(desk)), JoinSet::new());
         Self { node, lease, right, desk, tasks, summed_up_at: Moment::default() }
     }
@@ -147,7 +153,7 @@
         let now = self.node.now();
         if !was_giver {
             let mut desk = self.desk.lock();
-            desk.pacer = LoadPacer::new(now);
+            desk.pacer = LoadPacer::new(self.node.settings.load().promises.loads(), now);
             desk.benches.clear();
         }
         self.node.overlay.lock().forget_old(now);
@@ -164,6 +170,7 @@
     fn propose(&mut self, service: &ServiceName, spec: &EngineSpec, now: Moment) -> Vec<Proposal> {
         let servers: Vec<Arc<KnownServer>> =
             self.node.directory.lock().of_service(service).to_vec();
+        let mut in_use = self.node.adapter_use.lock().by_server(now);
         let mut desk = self.desk.lock();
         let mut views = Vec::with_capacity(servers.len());
         for server in servers.iter().filter(|server| server.is_ready()) {
@@ -173,12 +180,16 @@
             let lost = silent.is_some_and(|since| now.since(since) > UNREACHABLE_FOR);
             if !lost && !load.is_replaced() {
                 let bench = desk.benches.entry(server.entry.id.clone()).or_default();
-                views.push(view(server, bench, now));
+                let in_use = in_use.remove(&server.entry.id).unwrap_or_default();
+                views.push(EngineView { in_use, ..view(server, bench, now) });
             }
         }
+        let awaited = desk.benches.values().filter(|bench| bench.awaits_load).count();
+        let available = desk.pacer.available(spec.loads_per_s, now);
+        let store_loads = available.saturating_sub(awaited);
         drop(desk);
         let demand = self.node.demand.lock().total(now);
-        let planned = plan(spec, &views, &demand);
+        let planned = plan(spec, &views, &demand, store_loads);
         if now.since(self.summed_up_at) >= SUMMARY_EVERY {
             self.summed_up_at = now;
             let idle = views.iter().filter(|view| !view.busy).count();
@@ -200,7 +211,10 @@
             for proposal in proposals.iter().filter(|proposal| proposal.item.adapter.is_none()) {
                 let model = Some(proposal.item.model.clone());
                 match proposal.operation {
-                    Operation::Load => bench.loading = model,
+                    Operation::Load => {
+                        bench.loading = model;
+                        bench.awaits_load = true;
+                    }
                     Operation::Unload => {
                         bench.leaving = model;
                         bench.loading = proposal.makes_room_for.clone();
@@ -265,6 +279,7 @@
         loading: bench.loading.clone(),
         leaving: bench.leaving.clone(),
         pending,
+        in_use: BTreeSet::new(),
         busy: bench.working || now < bench.rest_until,
         in_memory,
         on_disk,
@@ -288,6 +303,7 @@
         let mut desk = self.desk.lock();
         let bench = desk.benches.entry(self.id().clone()).or_default();
         bench.working = false;
+        bench.awaits_load = false;
         bench.loading = None;
         bench.leaving = None;
         if !done {
@@ -357,6 +373,11 @@
                 break;
             }
             taken.push(proposal);
+            // It goes once the requests that use it have ended; nothing can take its place before.
+            let waits = proposal.operation == Operation::Unload && answer == OrderAnswer::Taken;
+            if waits && proposal.item.adapter.is_some() {
+                break;
+            }
             // The next order is checked against the memory as this one leaves it at the most.
             report.sequence += 1;
             note_order(&mut report, proposal);
@@ -378,6 +399,9 @@
         if ready {
             desk.pacer.began();
         }
+        if let Some(bench) = desk.benches.get_mut(self.id()) {
+            bench.awaits_load = false;
+        }
         ready
     }
 
@@ -412,9 +436,12 @@
             return false;
         }
         let load_time = self.load_time(taken);
-        let patience = (load_time * LOAD_PATIENCE).max(LEAST_PATIENCE);
         let start = self.node.now();
         let of_model = taken.iter().any(|proposal| proposal.item.adapter.is_none());
+        let patience = match of_model {
+            true => (load_time * LOAD_PATIENCE).max(LEAST_PATIENCE),
+            false => ADAPTER_PATIENCE,
+        };
         let mut open: Vec<&Proposal> = taken.to_vec();
         let mut pause = if of_model { MODEL_POLL } else { ADAPTER_POLL };
         if !of_model {
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 use trackfront_core::ids::{RegionName, ZoneName};
+use trackfront_core::serving::orders::LoadTerms;
 use trackfront_core::serving::retry_budget::BudgetTerms;
 
 /// Why a settings file is refused.
@@ -109,6 +110,10 @@
     pub retry_window_s: f64,
     /// The least time between orders of two nodes to one engine, in milliseconds.
     pub order_quiet_ms: f64,
+    /// The length of a window in which loads from the weight store are counted, in seconds.
+    pub load_window_s: f64,
+    /// How many times the weight store's rate may be reached within such a window.
+    pub load_overage: f64,
 }
 
 impl Default for PromiseSettings {
@@ -120,6 +125,8 @@
             retry_slack: 10.0,
             retry_window_s: 10.0,
             order_quiet_ms: 3_000.0,
+            load_window_s: 5.0,
+            load_overage: 1.0,
         }
     }
 }
@@ -134,6 +141,12 @@
         }
     }
 
+    /// Returns how many loads from the weight store may begin.
+    pub fn loads(&self) -> LoadTerms {
+        let window = Duration::from_secs_f64(self.load_window_s);
+        LoadTerms { window, overage: self.load_overage }
+    }
+
     /// Returns how long a server that drains goes on serving.
     pub fn drain(&self) -> Duration {
         Duration::from_secs_f64(self.drain_ms / 1_000.0)
@@ -158,6 +171,8 @@
             ("promises.retry_slack", self.retry_slack),
             ("promises.retry_window_s", self.retry_window_s),
             ("promises.order_quiet_ms", self.order_quiet_ms),
+            ("promises.load_window_s", self.load_window_s),
+            ("promises.load_overage", self.load_overage),
         ];
         let positive = [from_zero[1], from_zero[4]];
         let in_range = |value: f64| (0.0..1e9).contains(&value);
