Read the store once a zone, list nodes once, wait as long as is promised

Each node followed both feeds until it knew the others, listed them three times, and stood for the lease at once; two nodes of each zone read; waits were fixed at what the smallest promise allows. Change: a new node reads the configuration and the servers once, and begins nothing that one node does for all until the others are listed (2 s at most). One reader a zone, the first that the store does not fail by its own word. Waits are parts of the promised time. Nodes that do not read pause longer while the store fails.

--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -19,11 +19,17 @@
 /// this often that the platform is there, so it bounds how long a lost connection goes unnoticed.
 const FEED_WAIT: Duration = Duration::from_millis(2_000);
 
-/// How long one wait lasts at a reader for its zone: others take its silence for its loss.
-const READER_WAIT: Duration = Duration::from_millis(900);
+/// How long one wait lasts at a reader for its zone, as a part of the time within which a draining
+/// server has to be known: others take its silence for its loss.
+const READER_WAIT_PART: f64 = 0.45;
 
-/// How long the node waits after a change of servers, so that one call brings the changes of many.
-const GATHER: Duration = Duration::from_millis(250);
+/// How long the node waits after a change of servers, so that one call brings the changes of many,
+/// as a part of the same time.
+const GATHER_PART: f64 = 0.125;
+
+/// How long a node that reads for itself alone waits after a change of the configuration, so that
+/// of some in quick succession it reads the last.
+const GATHER_CONFIG: Duration = Duration::from_millis(250);
 
 /// How often a node that a reader reads for looks whether that is still so.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
@@ -34,6 +40,10 @@
 /// The longest pause after failed calls: well within the time in which changes have to be known.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
+/// The longest pause after failed calls at a node that is no reader: it hears from the reader of its
+/// zone when the platform is back.
+const MAX_MATE_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// After how many failed waits everything is read again.
 const FAILURES_TO_REREAD: u32 = 3;
 
@@ -58,6 +68,7 @@
             log::info!(dependency = self.kind, failures = self.failures; "dependency regained");
         }
         self.failures = 0;
+        self.node.set_store_lost(false);
         self.node.set_dependency(self.kind, true);
     }
 
@@ -66,9 +77,14 @@
             log::warn!(dependency = self.kind, error:% = error; "dependency lost");
         }
         self.failures += 1;
+        self.node.set_store_lost(true);
         self.node.set_dependency(self.kind, false);
-        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(4) - 1);
-        sleep(pause.min(MAX_PAUSE)).await;
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(5) - 1);
+        let longest = match zone_mates(&self.node).1 {
+            true => MAX_PAUSE,
+            false => MAX_MATE_PAUSE,
+        };
+        sleep(pause.min(longest)).await;
     }
 
     fn must_reread(&self) -> bool {
@@ -81,19 +97,25 @@
         loop {
             let came = self.node.relay_came.notified();
             let (_, is_reader) = zone_mates(&self.node);
-            let fresh = self.node.relayed.lock().is_fresh(kind, self.node.now());
-            if is_reader || !fresh || is_enough() {
+            let drain = self.node.settings.load().promises.drain();
+            let fresh = self.node.relayed.lock().is_fresh(kind, drain, self.node.now());
+            let reads = (is_reader || !fresh) && !self.node.is_alone_for_now();
+            if reads || is_enough() {
                 return;
             }
             let _ = timeout(LOOK_EVERY, came).await;
         }
     }
 
+    fn part_of_drain(&self, part: f64) -> Duration {
+        self.node.settings.load().promises.drain().mul_f64(part)
+    }
+
     /// How long this node waits for changes: as a reader for others, or for itself only.
     fn feed_wait(&self) -> Duration {
         let (mates, is_reader) = zone_mates(&self.node);
         match is_reader && !mates.is_empty() {
-            true => READER_WAIT,
+            true => self.part_of_drain(READER_WAIT_PART),
             false => FEED_WAIT,
         }
     }
@@ -137,11 +159,15 @@
         match node.ports.knowledge.follow_config(version, link.feed_wait()).await {
             Ok(Feed::Changes { changes, version: reached }) => {
                 link.works();
+                let some = !changes.is_empty();
                 for stored in changes {
                     take_config(node, stored, row_version);
                 }
                 version = version.max(reached);
                 relay(node, socket, &Relay::Config { row: *row_version });
+                if some && !zone_mates(node).1 {
+                    sleep(GATHER_CONFIG).await;
+                }
             }
             Ok(Feed::HistoryGone) => {
                 log::info!(table = "configuration", after = version; "history gone, reading anew");
@@ -223,7 +249,7 @@
                 note_events(node, events, to);
                 relay(node, socket, &told);
                 if some {
-                    sleep(GATHER).await;
+                    sleep(link.part_of_drain(GATHER_PART)).await;
                 }
             }
             Ok(Feed::HistoryGone) => {
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -83,6 +83,8 @@
     pub gives_orders: bool,
     /// Whether the node is stopping.
     pub stopping: bool,
+    /// Whether the platform's store last failed the node.
+    pub store_lost: bool,
     /// Requests under way.
     pub shares: Vec<ToldShare>,
     /// Notes: server, item, whether it was added (else withdrawn).
@@ -136,6 +138,7 @@
     heard: Option<Moment>,
     zone: u32,
     gives_orders: bool,
+    store_lost: bool,
 }
 
 /// The other nodes.
@@ -156,6 +159,7 @@
         peer.heard = Some(now);
         peer.zone = digest.zone;
         peer.gives_orders = digest.gives_orders;
+        peer.store_lost = digest.store_lost;
     }
 
     /// Returns the other nodes of a zone that are alive.
@@ -165,6 +169,11 @@
         alive
     }
 
+    /// Returns whether the platform's store last failed a node, by its own word.
+    pub fn is_store_lost(&self, ip: Ipv4Addr) -> bool {
+        self.peers.get(&ip).is_some_and(|peer| peer.store_lost)
+    }
+
     /// Returns the nodes that are told in a round: those of the own zone each time, others less
     /// often, and those that were not heard of for long seldom.
     fn told(&self, zone: u32, round: u64, now: Moment) -> Vec<Ipv4Addr> {
@@ -291,7 +300,8 @@
         false => Vec::new(),
     };
     let config = node.config.load().as_ref().map_or(0, |config| config.version);
-    Digest { zone, config, gives_orders, stopping: node.is_stopping(), shares, notes }
+    let (stopping, store_lost) = (node.is_stopping(), node.is_store_lost());
+    Digest { zone, config, gives_orders, stopping, store_lost, shares, notes }
 }
 
 fn notes(node: &ServingNode) -> Vec<(u32, u32, bool)> {
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -32,6 +32,9 @@
 /// other can answer.
 const DRAIN_PART: f64 = 0.25;
 
+/// How long after its start a node waits to learn of the others before it acts alone.
+const ALONE_FOR: Duration = Duration::from_millis(2_000);
+
 /// The outside of a serving node.
 #[derive(Clone)]
 pub struct ServingPorts {
@@ -87,7 +90,10 @@
     pub tell_peers: Notify,
     /// Told when something is asked for that no engine holds.
     pub lacking: Notify,
+    started: Moment,
     knows_servers: AtomicBool,
+    knows_nodes: AtomicBool,
+    store_lost: AtomicBool,
     stopping: AtomicBool,
     lacks: AtomicBool,
 }
@@ -96,6 +102,7 @@
     /// Makes a node that knows nothing yet.
     pub fn new(settings: ServingSettings, ports: ServingPorts) -> Arc<Self> {
         let budgets = RetryBudgets::new(settings.promises.budget());
+        let started = ports.clock.now();
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             ports,
@@ -116,7 +123,10 @@
             servers_changed: Notify::new(),
             tell_peers: Notify::new(),
             lacking: Notify::new(),
+            started,
             knows_servers: AtomicBool::new(false),
+            knows_nodes: AtomicBool::new(false),
+            store_lost: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             lacks: AtomicBool::new(false),
         })
@@ -143,6 +153,28 @@
         self.knows_servers.load(Ordering::Relaxed)
     }
 
+    /// Notes that the other nodes were listed.
+    pub fn set_knows_nodes(&self) {
+        self.knows_nodes.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the node has just started and does not know the others yet. What one node
+    /// does for all is not begun then, or every node of a deployment that starts would do it.
+    pub fn is_alone_for_now(&self) -> bool {
+        let is_new = self.now().since(self.started) < ALONE_FOR;
+        is_new && !self.knows_nodes.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the platform's store last failed this node.
+    pub fn set_store_lost(&self, lost: bool) {
+        self.store_lost.store(lost, Ordering::Relaxed);
+    }
+
+    /// Returns whether the platform's store last failed this node.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.load(Ordering::Relaxed)
+    }
+
     /// Notes that something is asked for that no engine holds, and has it told to the other nodes.
     pub fn note_lack(&self) {
         self.lacks.store(true, Ordering::Relaxed);
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -143,7 +143,7 @@
         if placed.is_empty() {
             return;
         }
-        if self.node.directory.lock().is_filling(self.node.now()) {
+        if self.node.is_alone_for_now() || !self.knows_engines(&placed) {
             return;
         }
         let was_giver = self.lease.is_giver();
@@ -167,6 +167,13 @@
         }
     }
 
+    /// Returns whether there are engines to give orders to, and the list of them is whole.
+    fn knows_engines(&self, placed: &[(ServiceName, EngineSpec)]) -> bool {
+        let directory = self.node.directory.lock();
+        let some = placed.iter().any(|(service, _)| !directory.of_service(service).is_empty());
+        some && !directory.is_filling(self.node.now())
+    }
+
     fn propose(&mut self, service: &ServiceName, spec: &EngineSpec, now: Moment) -> Vec<Proposal> {
         let servers: Vec<Arc<KnownServer>> =
             self.node.directory.lock().of_service(service).to_vec();
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -44,8 +44,15 @@
 /// The start of the keys of nodes' rows.
 const NODE_PREFIX: &str = "node/";
 
-/// The first and the longest pause between attempts to list the nodes.
-const LIST_PAUSES: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(60));
+/// How long after its own row was written a node lists the others: those that start with it have
+/// written theirs by then. Of two nodes at least one finds the other, and tells it.
+const FIRST_LIST: Duration = Duration::from_millis(500);
+
+/// How long after a failed call the row is written or the nodes are listed again.
+const LIST_AGAIN: Duration = Duration::from_millis(700);
+
+/// How often the nodes are listed after that.
+const LIST_EVERY: Duration = Duration::from_secs(60);
 
 /// Runs a node until it is told to stop and every request in progress is answered.
 pub async fn run(
@@ -178,12 +185,12 @@
 
 /// Writes this node's row and learns of the others, again and again but seldom.
 async fn list_nodes(node: Arc<ServingNode>) {
-    let (first, longest) = LIST_PAUSES;
-    let mut pause = first;
-    let mut written = false;
+    while !write_row(&node).await {
+        sleep(LIST_AGAIN).await;
+    }
+    sleep(FIRST_LIST).await;
     loop {
-        written = written || write_row(&node).await;
-        match node.ports.table.scan(NODE_PREFIX).await {
+        let pause = match node.ports.table.scan(NODE_PREFIX).await {
             Ok(rows) => {
                 let now = node.now();
                 let me = node.settings.load().node.ip;
@@ -197,12 +204,16 @@
                 }
                 drop(peers);
                 log::debug!(nodes = others.len(); "nodes listed");
+                node.set_knows_nodes();
                 node.tell_peers.notify_one();
+                LIST_EVERY
             }
-            Err(error) => log::info!(error:% = error; "nodes not listed"),
-        }
+            Err(error) => {
+                log::info!(error:% = error; "nodes not listed");
+                LIST_AGAIN
+            }
+        };
         sleep(pause).await;
-        pause = (pause * 8).min(longest);
     }
 }
 
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -1,8 +1,8 @@
 //! What readers of the platform's feeds relay to the other nodes of their zone.
 //!
 //! If every node followed the feeds itself, the calls would grow with nodes times changes. In each
-//! zone a few nodes, the first in the order of addresses, read the feeds and pass on what came, also
-//! when nothing came: silence tells the others that a reader is lost, and they read for themselves.
+//! zone one node, the first in the order of addresses, reads the feeds and passes on what came, also
+//! when nothing came: silence tells the others that it is lost, and they read for themselves.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -16,11 +16,9 @@
 use super::gossip::{Message, send};
 use super::node::{ServingNode, short_zone};
 
-/// How long after a reader's last word its zone counts as read.
-pub const FRESH_FOR: Duration = Duration::from_millis(1_300);
-
-/// How many nodes of a zone there are for each reader.
-const NODES_FOR_EACH_READER: usize = 16;
+/// How long after a reader's last word its zone counts as read, as a part of the time within which
+/// a draining server has to be known.
+const FRESH_PART: f64 = 0.65;
 
 /// How many changes one message carries: at about 400 bytes each they fit a datagram.
 const CHANGES_AT_ONCE: usize = 24;
@@ -64,12 +62,12 @@
 
 impl Relayed {
     /// Returns whether a reader was heard of a feed lately.
-    pub fn is_fresh(&self, kind: FeedKind, now: Moment) -> bool {
+    pub fn is_fresh(&self, kind: FeedKind, drain: Duration, now: Moment) -> bool {
         let heard = match kind {
             FeedKind::Config => self.config_at,
             FeedKind::Servers => self.servers_at,
         };
-        heard.is_some_and(|at| now.since(at) < FRESH_FOR)
+        heard.is_some_and(|at| now.since(at) < drain.mul_f64(FRESH_PART))
     }
 
     /// Returns the newest row of the configuration that a reader told of.
@@ -83,14 +81,22 @@
     }
 }
 
-/// Returns the other nodes of this zone, and whether this node is among its readers.
+/// Returns the other nodes of this zone, and whether this node is its reader: the first by address
+/// of those that the platform's store does not fail, or of all if it fails them all.
 pub fn zone_mates(node: &ServingNode) -> (Vec<Ipv4Addr>, bool) {
     let settings = node.settings.load();
     let zone = short_zone(&settings.node.zone);
     let mates = node.peers.lock().alive_in(zone, node.now());
-    let before = mates.iter().filter(|ip| **ip < settings.node.ip).count();
-    let readers = 1 + mates.len() / NODES_FOR_EACH_READER;
-    (mates, before < readers)
+    let me = settings.node.ip;
+    let peers = node.peers.lock();
+    let mut served = mates.iter().filter(|ip| !peers.is_store_lost(**ip)).peekable();
+    let is_reader = match (node.is_store_lost(), served.peek().is_some()) {
+        (true, true) => false,
+        (true, false) => mates.iter().all(|ip| *ip > me),
+        (false, _) => served.all(|ip| *ip > me),
+    };
+    drop(peers);
+    (mates, is_reader)
 }
 
 /// Passes on to the zone what came from a feed.
