Let a zone's reader alone wait for the store, and relay what it lists

Change: a node that is no reader pauses 1 to 4 s after a failed call and goes on at its reader's next word; readers alone read everything anew, relay what a listing changed, and say so when the store answers with nothing newer. A node that is told of a newer configuration reads the row at once instead of asking a feed that may be forgotten. Test: what_a_listing_brought_can_be_relayed.

--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -139,6 +139,18 @@
     Left(BackendId),
 }
 
+impl DirectoryEvent {
+    /// Returns the server that it is about.
+    pub fn server(&self) -> &BackendId {
+        match self {
+            DirectoryEvent::Joined(id)
+            | DirectoryEvent::Changed(id)
+            | DirectoryEvent::Draining(id)
+            | DirectoryEvent::Left(id) => id,
+        }
+    }
+}
+
 /// The servers that the node knows.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -219,6 +231,21 @@
         Some(self.apply(changes, version, now))
     }
 
+    /// Returns the changes behind `events`, as of `version`, for nodes that did not see the listing
+    /// that brought them.
+    pub fn changes(&self, events: &[DirectoryEvent], version: u64) -> Vec<ServerChange> {
+        let change = |event: &DirectoryEvent| {
+            let id = event.server();
+            match self.servers.get(id) {
+                Some(known) => {
+                    ServerChange::Set { version: known.version, entry: known.entry.clone() }
+                }
+                None => ServerChange::Gone { version, id: id.clone() },
+            }
+        };
+        events.iter().map(change).collect()
+    }
+
     fn apply_one(&mut self, change: ServerChange, now: Moment) -> Option<DirectoryEvent> {
         match change {
             ServerChange::Set { version, entry } => self.set(version, entry, now),
--- a/trackfront_core/tests/serving/directory.rs
+++ b/trackfront_core/tests/serving/directory.rs
@@ -82,3 +82,17 @@
     directory.apply(vec![set(3, "z", &[]), set(4, "x", &["m", "o"])], 4, at(4_000));
     assert!(!directory.is_filling(at(4_001)));
 }
+
+#[test]
+fn what_a_listing_brought_can_be_relayed() {
+    let (mut reader, mut mate) = (Directory::default(), Directory::default());
+    for directory in [&mut reader, &mut mate] {
+        directory.apply(vec![set(1, "x", &["m"]), set(2, "y", &[])], 2, at(0));
+    }
+    let rows = vec![(1, entry("x", &["m"])), (7, entry("z", &["n"]))];
+    let events = reader.replace(rows, 9, at(1)).expect("newer");
+    let changes = reader.changes(&events, 9);
+    mate.apply(changes, 9, at(2));
+    assert_eq!((ids(&mate), mate.newest()), (ids(&reader), 9));
+    assert_eq!(ids(&mate), ["x", "z"]);
+}
--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -9,8 +9,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_core::ports::{Feed, StoredConfig, TableError};
-use trackfront_core::serving::directory::DirectoryEvent;
+use trackfront_core::ports::{Feed, Listing, StoredConfig, TableError};
+use trackfront_core::serving::directory::{DirectoryEvent, ServerChange, ServerEntry};
 
 use super::node::ServingNode;
 use super::spread::{FeedKind, Relay, relay, zone_mates};
@@ -40,11 +40,11 @@
 /// The longest pause after failed calls: well within the time in which changes have to be known.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
-/// The longest pause after failed calls at a node that is no reader: it hears from the reader of its
-/// zone when the platform is back.
-const MAX_MATE_PAUSE: Duration = Duration::from_millis(1_500);
+/// The first and the longest pause after failed calls at a node that is no reader: it hears from the
+/// reader of its zone when the platform is back.
+const MATE_PAUSES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
 
-/// After how many failed waits everything is read again.
+/// After how many failed waits a reader reads everything again.
 const FAILURES_TO_REREAD: u32 = 3;
 
 /// Pauses between failed calls, and the log of a dependency that is lost and comes back.
@@ -79,16 +79,24 @@
         self.failures += 1;
         self.node.set_store_lost(true);
         self.node.set_dependency(self.kind, false);
-        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(5) - 1);
-        let longest = match zone_mates(&self.node).1 {
-            true => MAX_PAUSE,
-            false => MAX_MATE_PAUSE,
-        };
-        sleep(pause.min(longest)).await;
+        let doubled = 2u32.pow(self.failures.min(4) - 1);
+        if self.is_reader() {
+            sleep((FIRST_PAUSE * doubled).min(MAX_PAUSE)).await;
+            return;
+        }
+        let (first, longest) = MATE_PAUSES;
+        let came = self.node.relay_came.notified();
+        let _ = timeout((first * doubled).min(longest), came).await;
     }
 
+    fn is_reader(&self) -> bool {
+        zone_mates(&self.node).1
+    }
+
+    /// Returns whether everything is to be read again, beside the feed. What the reader of a zone
+    /// finds then, it relays.
     fn must_reread(&self) -> bool {
-        self.failures >= FAILURES_TO_REREAD
+        self.failures >= FAILURES_TO_REREAD && self.is_reader()
     }
 
     /// Waits while a reader of this zone reads the feed for this node. Returns at once if this
@@ -139,6 +147,10 @@
             take_config(&node, stored, &mut row_version);
         }
         relay(&node, &socket, &Relay::Config { row: row_version });
+        if node.relayed.lock().config_row() > row_version {
+            // The platform's answer is older than what the reader of the zone has seen.
+            sleep(GATHER_CONFIG).await;
+        }
         follow_config_from(&node, &socket, &mut link, listing.version, &mut row_version).await;
     }
 }
@@ -155,6 +167,10 @@
         let known = *row_version;
         let is_behind = || node.relayed.lock().config_row() > known;
         link.wait_for_reader(FeedKind::Config, is_behind).await;
+        if is_behind() {
+            // The row itself is read: this node's place in the feed is old, perhaps forgotten.
+            return;
+        }
         link.count("follow_config");
         match node.ports.knowledge.follow_config(version, link.feed_wait()).await {
             Ok(Feed::Changes { changes, version: reached }) => {
@@ -165,12 +181,13 @@
                 }
                 version = version.max(reached);
                 relay(node, socket, &Relay::Config { row: *row_version });
-                if some && !zone_mates(node).1 {
+                if some && !link.is_reader() {
                     sleep(GATHER_CONFIG).await;
                 }
             }
             Ok(Feed::HistoryGone) => {
                 log::info!(table = "configuration", after = version; "history gone, reading anew");
+                relay(node, socket, &Relay::Config { row: *row_version });
                 sleep(FIRST_PAUSE).await;
                 return;
             }
@@ -220,19 +237,36 @@
             }
         };
         link.works();
-        let version = listing.version;
-        let events = node.directory.lock().replace(listing.rows, version, node.now());
-        let Some(events) = events else {
-            log::info!(version; "list of servers older than what is known");
+        let to = listing.version;
+        let (from, found) = take_listing(&node, listing);
+        let Some((events, changes)) = found else {
+            log::info!(version = to; "list of servers older than what is known");
+            relay(&node, &socket, &Relay::nothing(from));
             sleep(FIRST_PAUSE).await;
             continue;
         };
-        note_events(&node, events, version);
+        note_events(&node, events, to);
+        relay(&node, &socket, &Relay::Servers { from, to, changes });
         node.set_knows_servers();
         follow_servers_from(&node, &socket, &mut link).await;
     }
 }
 
+/// Takes in a listing of the servers. Returns the newest version before it, and what it has changed;
+/// nothing if it is older than what is known.
+fn take_listing(
+    node: &ServingNode,
+    listing: Listing<ServerEntry>,
+) -> (u64, Option<(Vec<DirectoryEvent>, Vec<ServerChange>)>) {
+    let mut directory = node.directory.lock();
+    let from = directory.newest();
+    let found = directory.replace(listing.rows, listing.version, node.now()).map(|events| {
+        let changes = directory.changes(&events, listing.version);
+        (events, changes)
+    });
+    (from, found)
+}
+
 /// Follows the feed until everything has to be read again.
 async fn follow_servers_from(node: &Arc<ServingNode>, socket: &UdpSocket, link: &mut Link) {
     while !link.must_reread() {
@@ -254,6 +288,7 @@
             }
             Ok(Feed::HistoryGone) => {
                 log::info!(table = "servers", after = from; "history gone, reading anew");
+                relay(node, socket, &Relay::nothing(from));
                 sleep(FIRST_PAUSE).await;
                 return;
             }
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -35,6 +35,9 @@
 /// How long after its start a node waits to learn of the others before it acts alone.
 const ALONE_FOR: Duration = Duration::from_millis(2_000);
 
+/// How long after the others were listed they have been heard: a round of digests to many nodes.
+const HEARD_AFTER: Duration = Duration::from_millis(800);
+
 /// The outside of a serving node.
 #[derive(Clone)]
 pub struct ServingPorts {
@@ -92,7 +95,7 @@
     pub lacking: Notify,
     started: Moment,
     knows_servers: AtomicBool,
-    knows_nodes: AtomicBool,
+    nodes_listed_at: Mutex<Option<Moment>>,
     store_lost: AtomicBool,
     stopping: AtomicBool,
     lacks: AtomicBool,
@@ -125,7 +128,7 @@
             lacking: Notify::new(),
             started,
             knows_servers: AtomicBool::new(false),
-            knows_nodes: AtomicBool::new(false),
+            nodes_listed_at: Mutex::default(),
             store_lost: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             lacks: AtomicBool::new(false),
@@ -155,14 +158,16 @@
 
     /// Notes that the other nodes were listed.
     pub fn set_knows_nodes(&self) {
-        self.knows_nodes.store(true, Ordering::Relaxed);
+        self.nodes_listed_at.lock().get_or_insert(self.now());
     }
 
     /// Returns whether the node has just started and does not know the others yet. What one node
     /// does for all is not begun then, or every node of a deployment that starts would do it.
     pub fn is_alone_for_now(&self) -> bool {
-        let is_new = self.now().since(self.started) < ALONE_FOR;
-        is_new && !self.knows_nodes.load(Ordering::Relaxed)
+        let now = self.now();
+        let listed_at = *self.nodes_listed_at.lock();
+        let is_listed = listed_at.is_some_and(|at| now.since(at) >= HEARD_AFTER);
+        now.since(self.started) < ALONE_FOR && !is_listed
     }
 
     /// Notes whether the platform's store last failed this node.
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -42,6 +42,13 @@
     },
 }
 
+impl Relay {
+    /// The word of a reader that the platform answers, though with nothing newer than `version`.
+    pub fn nothing(version: u64) -> Self {
+        Relay::Servers { from: version, to: version, changes: Vec::new() }
+    }
+}
+
 /// What came from readers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Relayed {
