Try another server at once when the one that was meant has ended

Change: a run that has ended takes from the budget of retries but is no attempt. A server whose address a later one has is no longer listed; which is later goes by when a node learned of them, not by versions, since what a crashed server wrote may arrive late. Tests: a_server_that_has_ended_is_no_attempt (503 without the change, 200 with it), an_address_has_one_server_at_a_time. The fixture gave servers equal addresses; they are distinct now.

--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -77,6 +77,8 @@
     pub version: u64,
     /// When the node learned this version.
     pub learned: Moment,
+    /// When the node learned of the server; the start of time for one that had left and came back.
+    pub first_learned: Moment,
     /// When the node learned that it drains.
     pub draining_since: Option<Moment>,
     /// Whether this node knew it as ready before it drained. If not, it may have drained for long.
@@ -273,12 +275,18 @@
             None => DirectoryEvent::Joined(id.clone()),
             Some(_) => DirectoryEvent::Changed(id.clone()),
         };
-        self.gone.remove(&id);
+        let came_back = self.gone.remove(&id).is_some();
+        let first_learned = match before {
+            Some(known) => known.first_learned,
+            None if came_back => Moment::default(),
+            None => now,
+        };
         // A server begins empty, so one that is new here and holds models was missing from the list.
         if before.is_none() && !entry.models.is_empty() {
             self.found_at = Some(now);
         }
-        let known = KnownServer { entry, version, learned: now, draining_since, was_ready };
+        let known =
+            KnownServer { entry, version, learned: now, first_learned, draining_since, was_ready };
         self.servers.insert(id, Arc::new(known));
         Some(event)
     }
@@ -292,9 +300,20 @@
         self.servers.remove(&id).map(|_| DirectoryEvent::Left(id))
     }
 
+    /// Lists the servers by service, but for those whose address a later one has: an address has one
+    /// server at a time, and the row of one that crashed stays for a while. Versions do not tell, as
+    /// what a server wrote may arrive after its end.
     fn index(&mut self) {
         self.by_service.clear();
+        let mut newest: HashMap<&str, Moment> = HashMap::new();
         for known in self.servers.values() {
+            let learned = newest.entry(known.entry.address.as_str()).or_default();
+            *learned = (*learned).max(known.first_learned);
+        }
+        let is_last = |known: &&Arc<KnownServer>| {
+            newest.get(known.entry.address.as_str()).is_none_or(|at| known.first_learned >= *at)
+        };
+        for known in self.servers.values().filter(is_last) {
             self.by_service.entry(known.entry.service.clone()).or_default().push(known.clone());
         }
         for servers in self.by_service.values_mut() {
--- a/trackfront_core/tests/serving/directory.rs
+++ b/trackfront_core/tests/serving/directory.rs
@@ -96,3 +96,27 @@
     assert_eq!((ids(&mate), mate.newest()), (ids(&reader), 9));
     assert_eq!(ids(&mate), ["x", "z"]);
 }
+
+#[test]
+fn an_address_has_one_server_at_a_time() {
+    let at_address = |version: u64, id: &str, models: &[&str]| {
+        let mut entry = entry(id, models);
+        entry.address = "127.0.0.1:99".into();
+        ServerChange::Set { version, entry }
+    };
+    let mut directory = Directory::default();
+    directory.apply(vec![at_address(1, "x", &["m"])], 1, at(0));
+    directory.apply(vec![at_address(5, "y", &[])], 5, at(2_000));
+    assert_eq!(ids(&directory), ["y"], "x crashed and y started there; the row of x still stands");
+    // What x wrote before its end arrives late.
+    directory.apply(vec![at_address(8, "x", &["m", "n"])], 8, at(2_500));
+    assert_eq!(ids(&directory), ["y"]);
+    // So does a row of x after it went.
+    directory.apply(vec![gone(9, "x")], 9, at(3_000));
+    directory.apply(vec![at_address(11, "x", &["m"])], 11, at(3_500));
+    assert_eq!(ids(&directory), ["y"]);
+    // Of two that were found together it is not known which is later.
+    let mut new_node = Directory::default();
+    new_node.apply(vec![at_address(8, "x", &[]), at_address(9, "y", &[])], 9, at(0));
+    assert_eq!(ids(&new_node), ["x", "y"]);
+}
--- a/trackfront_core/tests/serving/support.rs
+++ b/trackfront_core/tests/serving/support.rs
@@ -39,7 +39,7 @@
     ServerEntry {
         id: BackendId::from(id),
         service: "text".into(),
-        address: format!("127.0.0.1:{}", 1_000 + id.len()),
+        address: format!("127.0.0.1:{}", 1_000 + id.bytes().map(u32::from).sum::<u32>()),
         zone: "a".into(),
         slots: 4,
         state: ServerState::Ready,
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -172,6 +172,8 @@
     Unreachable,
     /// The server said that it did not run the request.
     Refused,
+    /// The server has ended; another run of it, at its address, did not run the request.
+    Ended,
     /// The request may have run.
     Failed(&'static str),
 }
@@ -313,6 +315,7 @@
             }
             Sent::Unreachable => tries.unreachable += 1,
             Sent::Refused => tries.sends += 1,
+            Sent::Ended => tries.ended += 1,
             Sent::Failed(cause) => {
                 tries.sends += 1;
                 tries.may_have_run = Some(cause);
@@ -349,6 +352,8 @@
     pub sends: u32,
     /// How many could not be reached.
     pub unreachable: u32,
+    /// How many had ended before it came: they got it and are no attempt.
+    pub ended: u32,
     /// Why it may have run, if it may.
     pub may_have_run: Option<&'static str>,
     /// A failure that a server answered with, to be passed on if nothing better comes.
@@ -418,7 +423,7 @@
             let retry_after = (choice.estimate - left).max(LEAST_RETRY);
             return Some(Refusal::NoServer { cause: "none is free in time", retry_after });
         }
-        let is_repeat = tries.sends > 0;
+        let is_repeat = tries.sends + tries.ended > 0;
         if is_repeat && !self.take_repeat() {
             return Some(self.give_up(tries, "the budget of retries is spent"));
         }
@@ -436,7 +441,7 @@
         let in_time = Instant::now() < self.end;
         let may_run = tries.may_have_run.is_none() && tries.failure.is_none();
         let attempts_left = tries.sends < self.route.max_attempts;
-        let reachable = tries.unreachable < MAX_UNREACHABLE;
+        let reachable = tries.unreachable + tries.ended < MAX_UNREACHABLE;
         in_time && reachable && attempts_left && (may_run || self.route.is_idempotent())
     }
 
@@ -530,7 +535,10 @@
             let misdirected = head.misdirected;
             let request = &self.info.id;
             log::info!(request:%, server:%, status, misdirected, replaced; "server refused");
-            return ("refused", Sent::Refused);
+            return match replaced {
+                true => ("ended", Sent::Ended),
+                false => ("refused", Sent::Refused),
+            };
         }
         if status.is_success() && !head.signed {
             held.end(Ending::Failed);
