Wait for rows that lapsed while the store was away

Cause: rows of servers lapse while the store is away and are written again within about two seconds of its return (the users' word). Change: for 2 s after the store came back a ready server whose row went is kept; readers tell their zones how much of that is left. One that said that it leaves is not kept, and what is still missing after it is gone. Tests: rows_that_lapsed_while_the_platform_was_away_are_waited_for, a_listing_without_a_lapsed_row_keeps_its_server_for_a_while.

--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -19,6 +19,9 @@
 /// still lack others. Servers write their rows about every second, so this is two rounds.
 const FILLING_FOR: Duration = Duration::from_millis(2_000);
 
+/// How long after the platform came back the rows of servers that live are written again.
+const LAPSE_FOR: Duration = Duration::from_millis(2_000);
+
 /// What a server does about new requests, by its own word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
@@ -164,6 +167,10 @@
     newest: u64,
     /// When a server was last found that held models before the node knew of it.
     found_at: Option<Moment>,
+    /// Until when a row that goes may have lapsed while the platform was away.
+    lapse_until: Moment,
+    /// Ready servers whose rows went within that time, and the versions at which they did.
+    lapsed: HashMap<BackendId, u64>,
 }
 
 impl Directory {
@@ -193,6 +200,29 @@
         self.found_at.is_some_and(|at| now.since(at) < FILLING_FOR)
     }
 
+    /// Notes that the platform came back, or that a reader says how long rows may still lapse.
+    /// A ready server whose row went meanwhile is kept until then: if it lives, its row comes back.
+    pub fn expect_lapses(&mut self, left: Option<Duration>, now: Moment) {
+        self.lapse_until = self.lapse_until.max(now + left.unwrap_or(LAPSE_FOR));
+    }
+
+    /// Returns how long rows that go may still have lapsed.
+    pub fn lapses_for(&self, now: Moment) -> Duration {
+        self.lapse_until.since(now)
+    }
+
+    /// Takes those away whose rows lapsed and did not come back in time.
+    pub fn end_lapses(&mut self, now: Moment) -> Vec<DirectoryEvent> {
+        if self.lapsed.is_empty() || now < self.lapse_until {
+            return Vec::new();
+        }
+        let lapsed = std::mem::take(&mut self.lapsed);
+        let events: Vec<_> =
+            lapsed.into_iter().filter_map(|(id, version)| self.remove(version, id, now)).collect();
+        self.index();
+        events
+    }
+
     /// Takes in changes of rows, in order, up to `version`.
     pub fn apply(
         &mut self,
@@ -233,8 +263,8 @@
         Some(self.apply(changes, version, now))
     }
 
-    /// Returns the changes behind `events`, as of `version`, for nodes that did not see the listing
-    /// that brought them.
+    /// Returns the changes behind `events`, as of `version`, and the rows that lapsed, for nodes that
+    /// did not see the listing that brought them.
     pub fn changes(&self, events: &[DirectoryEvent], version: u64) -> Vec<ServerChange> {
         let change = |event: &DirectoryEvent| {
             let id = event.server();
@@ -245,7 +275,9 @@
                 None => ServerChange::Gone { version, id: id.clone() },
             }
         };
-        events.iter().map(change).collect()
+        let gone =
+            |(id, version): (&BackendId, &u64)| ServerChange::Gone { version: *version, id: id.clone() };
+        events.iter().map(change).chain(self.lapsed.iter().map(gone)).collect()
     }
 
     fn apply_one(&mut self, change: ServerChange, now: Moment) -> Option<DirectoryEvent> {
@@ -263,7 +295,8 @@
             return None;
         }
         let before = self.servers.get(&id);
-        if before.is_some_and(|known| known.version >= version) {
+        let lapsed_at = self.lapsed.get(&id).copied().unwrap_or(0);
+        if before.is_some_and(|known| known.version >= version) || lapsed_at >= version.max(1) {
             return None;
         }
         let drains = entry.state != ServerState::Ready;
@@ -275,6 +308,7 @@
             None => DirectoryEvent::Joined(id.clone()),
             Some(_) => DirectoryEvent::Changed(id.clone()),
         };
+        self.lapsed.remove(&id);
         let came_back = self.gone.remove(&id).is_some();
         let first_learned = match before {
             Some(known) => known.first_learned,
@@ -292,7 +326,12 @@
     }
 
     fn remove(&mut self, version: u64, id: BackendId, now: Moment) -> Option<DirectoryEvent> {
-        if self.servers.get(&id).is_some_and(|known| known.version > version) {
+        let known = self.servers.get(&id);
+        if known.is_some_and(|known| known.version > version) {
+            return None;
+        }
+        if now < self.lapse_until && known.is_some_and(|known| known.is_ready()) {
+            self.lapsed.insert(id, version);
             return None;
         }
         let gone = self.gone.entry(id.clone()).or_insert((version, now));
--- a/trackfront_core/tests/serving/directory.rs
+++ b/trackfront_core/tests/serving/directory.rs
@@ -120,3 +120,35 @@
     new_node.apply(vec![at_address(8, "x", &[]), at_address(9, "y", &[])], 9, at(0));
     assert_eq!(ids(&new_node), ["x", "y"]);
 }
+
+#[test]
+fn rows_that_lapsed_while_the_platform_was_away_are_waited_for() {
+    let mut directory = Directory::default();
+    directory.apply(vec![set(1, "x", &[]), set(2, "y", &[]), set(3, "z", &[])], 3, at(0));
+    directory.apply(vec![draining(4, "z", None)], 4, at(100));
+    directory.expect_lapses(None, at(10_000));
+    // All three went: two that were ready, and one that drained and is not expected back.
+    directory.apply(vec![gone(5, "x"), gone(6, "y"), gone(7, "z")], 7, at(10_100));
+    assert_eq!(ids(&directory), ["x", "y"]);
+    assert!(directory.apply(vec![set(5, "x", &["m"])], 7, at(10_200)).is_empty(), "older");
+    directory.apply(vec![set(9, "x", &[])], 9, at(11_000));
+    assert!(directory.end_lapses(at(11_900)).is_empty());
+    let events = directory.end_lapses(at(12_000));
+    assert_eq!(events, [DirectoryEvent::Left("y".into())]);
+    assert_eq!(ids(&directory), ["x"]);
+    // Later, a row that goes is a server that goes.
+    directory.apply(vec![gone(12, "x")], 12, at(13_000));
+    assert!(ids(&directory).is_empty());
+}
+
+#[test]
+fn a_listing_without_a_lapsed_row_keeps_its_server_for_a_while() {
+    let mut directory = Directory::default();
+    directory.apply(vec![set(1, "x", &["m"]), set(2, "y", &[])], 2, at(0));
+    directory.expect_lapses(Some(Duration::from_millis(500)), at(5_000));
+    assert_eq!(directory.lapses_for(at(5_100)), Duration::from_millis(400));
+    let events = directory.replace(vec![(2, entry("y", &[]))], 6, at(5_100)).expect("newer");
+    assert_eq!(ids(&directory), ["x", "y"]);
+    assert_eq!(directory.changes(&events, 6), [gone(6, "x")], "others judge for themselves");
+    assert_eq!(directory.end_lapses(at(5_500)), [DirectoryEvent::Left("x".into())]);
+}
--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -66,6 +66,7 @@
     fn works(&mut self) {
         if self.failures > 0 {
             log::info!(dependency = self.kind, failures = self.failures; "dependency regained");
+            self.node.directory.lock().expect_lapses(None, self.node.now());
         }
         self.failures = 0;
         self.node.set_store_lost(false);
@@ -246,7 +247,7 @@
             continue;
         };
         note_events(&node, events, to);
-        relay(&node, &socket, &Relay::Servers { from, to, changes });
+        relay(&node, &socket, &Relay::Servers { from, to, changes, lapses_ms: 0 });
         node.set_knows_servers();
         follow_servers_from(&node, &socket, &mut link).await;
     }
@@ -277,7 +278,7 @@
         match node.ports.knowledge.follow_servers(from, link.feed_wait()).await {
             Ok(Feed::Changes { changes, version: to }) => {
                 link.works();
-                let told = Relay::Servers { from, to, changes: changes.clone() };
+                let told = Relay::Servers { from, to, changes: changes.clone(), lapses_ms: 0 };
                 let some = !changes.is_empty();
                 let events = node.directory.lock().apply(changes, to, node.now());
                 note_events(node, events, to);
@@ -298,6 +299,15 @@
     link.failures = 1;
 }
 
+/// Logs which servers are taken away because their rows lapsed, and lets the rest of the node know.
+pub fn note_lapsed(node: &ServingNode, events: Vec<DirectoryEvent>) {
+    if !events.is_empty() {
+        let version = node.directory.lock().newest();
+        log::info!(servers = events.len(), version; "rows lapsed and did not come back");
+        note_events(node, events, version);
+    }
+}
+
 /// Logs what has changed and lets the rest of the node know.
 pub fn note_events(node: &ServingNode, events: Vec<DirectoryEvent>, version: u64) {
     if events.is_empty() {
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -152,6 +152,8 @@
         }
         before = now;
         node.pool.close_idle(MAX_IDLE);
+        let lapsed = node.directory.lock().end_lapses(now);
+        follow::note_lapsed(&node, lapsed);
         node.loads.lock().forget_old(now);
         node.overlay.lock().forget_old(now);
     }
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -39,13 +39,15 @@
         to: u64,
         /// The changes, in order.
         changes: Vec<ServerChange>,
+        /// For how many milliseconds rows that go may have lapsed while the platform was away.
+        lapses_ms: u64,
     },
 }
 
 impl Relay {
     /// The word of a reader that the platform answers, though with nothing newer than `version`.
     pub fn nothing(version: u64) -> Self {
-        Relay::Servers { from: version, to: version, changes: Vec::new() }
+        Relay::Servers { from: version, to: version, changes: Vec::new(), lapses_ms: 0 }
     }
 }
 
@@ -115,8 +117,9 @@
     let port = node.settings.load().listen.peers;
     match relay {
         Relay::Config { .. } => send(socket, &Message::Relay(relay.clone()), &mates, port),
-        Relay::Servers { from, to, changes } => {
-            for part in parts(*from, *to, changes) {
+        Relay::Servers { from, to, changes, .. } => {
+            let lapses = node.directory.lock().lapses_for(node.now());
+            for part in parts(*from, *to, changes, lapses.as_millis() as u64) {
                 send(socket, &Message::Relay(part), &mates, port);
             }
         }
@@ -124,9 +127,9 @@
 }
 
 /// Splits changes so that each part fits a datagram; each begins where the one before ends.
-fn parts(from: u64, to: u64, changes: &[ServerChange]) -> Vec<Relay> {
+fn parts(from: u64, to: u64, changes: &[ServerChange], lapses_ms: u64) -> Vec<Relay> {
     if changes.is_empty() {
-        return vec![Relay::Servers { from, to, changes: Vec::new() }];
+        return vec![Relay::Servers { from, to, changes: Vec::new(), lapses_ms }];
     }
     let mut parts = Vec::new();
     let mut begin = from;
@@ -134,7 +137,8 @@
     while let Some(chunk) = chunks.next() {
         let last = chunk.last().map_or(to, ServerChange::version);
         let end = if chunks.peek().is_some() { last } else { to };
-        parts.push(Relay::Servers { from: begin, to: end, changes: chunk.to_vec() });
+        let changes = chunk.to_vec();
+        parts.push(Relay::Servers { from: begin, to: end, changes, lapses_ms });
         begin = end;
     }
     parts
@@ -149,7 +153,13 @@
             relayed.config_at = Some(now);
             relayed.config_row = relayed.config_row.max(row);
         }
-        Relay::Servers { from, to, changes } => take_servers(node, from, to, changes, now),
+        Relay::Servers { from, to, changes, lapses_ms } => {
+            if lapses_ms > 0 {
+                let left = Duration::from_millis(lapses_ms);
+                node.directory.lock().expect_lapses(Some(left), now);
+            }
+            take_servers(node, from, to, changes, now);
+        }
     }
     node.relay_came.notify_waiters();
 }
