Take orders over on the holder's word, bound the wait for lapsed rows

Change: (1) the holder tells in its digests when its right ends under which version of the row; who finds that version counts the quiet time from there. It lets go 1 s after it cannot renew.

--- a/trackfront_core/src/lease.rs
+++ b/trackfront_core/src/lease.rs
@@ -173,6 +173,39 @@
     Some(LeaseRow { holder: Some(me.clone()), fence, ttl_ms: terms.ttl.as_millis() as u64 })
 }
 
+/// What the holder of a lease said of its right: when what it may do under one version of the row
+/// ends. Only a write that changes the version can give it more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HolderWord {
+    /// The version of the row.
+    pub version: u64,
+    /// When the right ends, at the latest.
+    pub ends: Moment,
+}
+
+/// As [`takeover_after`], but the row need not be watched where its holder said itself when its
+/// right under this very version ends: the quiet time is counted from there.
+pub fn takeover_on_word(
+    seen: Option<&SeenLease>,
+    word: Option<HolderWord>,
+    me: &NodeId,
+    terms: LeaseTerms,
+    now: Moment,
+) -> Option<LeaseRow> {
+    let is_over = |lease: &&SeenLease| {
+        word.is_some_and(|word| {
+            word.version == lease.version && now >= word.ends && now.since(word.ends) >= terms.quiet
+        })
+    };
+    match seen.filter(is_over) {
+        Some(lease) => {
+            let fence = Fence(lease.row.fence.0 + 1);
+            Some(LeaseRow { holder: Some(me.clone()), fence, ttl_ms: terms.ttl.as_millis() as u64 })
+        }
+        None => takeover_after(seen, me, terms, now),
+    }
+}
+
 /// How long a version of the row has to be watched unchanged before `me` may take over.
 fn wait_for(lease: &SeenLease, me: &NodeId, quiet: Duration) -> Duration {
     match &lease.row.holder {
--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -22,6 +22,14 @@
 /// How long after the platform came back the rows of servers that live are written again.
 const LAPSE_FOR: Duration = Duration::from_millis(2_000);
 
+/// How long the platform has to be away for rows to lapse. After a shorter failure a row that goes is
+/// a server that goes.
+const LEAST_OUTAGE: Duration = Duration::from_millis(2_000);
+
+/// How recently the platform has to have failed this node itself, so that what a reader says of
+/// lapses holds here: the reader alone may have been cut off.
+const SAME_OUTAGE: Duration = Duration::from_secs(6);
+
 /// What a server does about new requests, by its own word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
@@ -200,10 +208,25 @@
         self.found_at.is_some_and(|at| now.since(at) < FILLING_FOR)
     }
 
-    /// Notes that the platform came back, or that a reader says how long rows may still lapse.
-    /// A ready server whose row went meanwhile is kept until then: if it lives, its row comes back.
-    pub fn expect_lapses(&mut self, left: Option<Duration>, now: Moment) {
-        self.lapse_until = self.lapse_until.max(now + left.unwrap_or(LAPSE_FOR));
+    /// Notes that the platform answers again after it failed this node for a while. After an outage
+    /// a ready server whose row went is kept for some time: if it lives, its row comes back.
+    pub fn platform_came_back(&mut self, away: Duration, now: Moment) {
+        if away >= LEAST_OUTAGE {
+            self.lapse_until = self.lapse_until.max(now + LAPSE_FOR);
+        }
+    }
+
+    /// Notes that a reader says for how long rows may still have lapsed. `failed_at` is when the
+    /// platform last failed this node itself.
+    pub fn reader_expects_lapses(
+        &mut self,
+        left: Duration,
+        failed_at: Option<Moment>,
+        now: Moment,
+    ) {
+        if failed_at.is_some_and(|at| now.since(at) < SAME_OUTAGE) {
+            self.lapse_until = self.lapse_until.max(now + left.min(LAPSE_FOR));
+        }
     }
 
     /// Returns how long rows that go may still have lapsed.
@@ -275,8 +298,10 @@
                 None => ServerChange::Gone { version, id: id.clone() },
             }
         };
-        let gone =
-            |(id, version): (&BackendId, &u64)| ServerChange::Gone { version: *version, id: id.clone() };
+        let gone = |(id, version): (&BackendId, &u64)| ServerChange::Gone {
+            version: *version,
+            id: id.clone(),
+        };
         events.iter().map(change).chain(self.lapsed.iter().map(gone)).collect()
     }
 
--- a/trackfront_core/tests/serving/directory.rs
+++ b/trackfront_core/tests/serving/directory.rs
@@ -126,7 +126,7 @@
     let mut directory = Directory::default();
     directory.apply(vec![set(1, "x", &[]), set(2, "y", &[]), set(3, "z", &[])], 3, at(0));
     directory.apply(vec![draining(4, "z", None)], 4, at(100));
-    directory.expect_lapses(None, at(10_000));
+    directory.platform_came_back(Duration::from_secs(4), at(10_000));
     // All three went: two that were ready, and one that drained and is not expected back.
     directory.apply(vec![gone(5, "x"), gone(6, "y"), gone(7, "z")], 7, at(10_100));
     assert_eq!(ids(&directory), ["x", "y"]);
@@ -145,10 +145,27 @@
 fn a_listing_without_a_lapsed_row_keeps_its_server_for_a_while() {
     let mut directory = Directory::default();
     directory.apply(vec![set(1, "x", &["m"]), set(2, "y", &[])], 2, at(0));
-    directory.expect_lapses(Some(Duration::from_millis(500)), at(5_000));
+    directory.reader_expects_lapses(Duration::from_millis(500), Some(at(1_000)), at(5_000));
     assert_eq!(directory.lapses_for(at(5_100)), Duration::from_millis(400));
     let events = directory.replace(vec![(2, entry("y", &[]))], 6, at(5_100)).expect("newer");
     assert_eq!(ids(&directory), ["x", "y"]);
     assert_eq!(directory.changes(&events, 6), [gone(6, "x")], "others judge for themselves");
     assert_eq!(directory.end_lapses(at(5_500)), [DirectoryEvent::Left("x".into())]);
 }
+
+#[test]
+fn a_row_that_goes_without_an_outage_takes_its_server_away() {
+    let mut directory = Directory::default();
+    directory.apply(vec![set(1, "x", &[]), set(2, "y", &[]), set(3, "z", &[])], 3, at(0));
+    // One call failed.
+    directory.platform_came_back(Duration::from_millis(300), at(9_000));
+    directory.apply(vec![gone(5, "x")], 5, at(9_100));
+    assert_eq!(ids(&directory), ["y", "z"]);
+    // The reader alone was cut off: the platform has not failed this node, or long ago.
+    directory.reader_expects_lapses(Duration::from_secs(2), None, at(10_000));
+    directory.apply(vec![gone(6, "y")], 6, at(10_100));
+    assert_eq!(ids(&directory), ["z"]);
+    directory.reader_expects_lapses(Duration::from_secs(2), Some(at(2_000)), at(11_000));
+    directory.apply(vec![gone(7, "z")], 7, at(11_100));
+    assert!(ids(&directory).is_empty());
+}
--- a/trackfront_core/tests/serving/orders_random.rs
+++ b/trackfront_core/tests/serving/orders_random.rs
@@ -9,7 +9,8 @@
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 use trackfront_core::ids::{Fence, ModelName, NodeId};
 use trackfront_core::lease::{
-    LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_after,
+    HolderWord, LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_after,
+    takeover_on_word,
 };
 use trackfront_core::serving::config::EngineSpec;
 use trackfront_core::serving::directory::ResidentModel;
@@ -131,8 +132,13 @@
     pacer: LoadPacer,
     frozen_until: u64,
     holds: bool,
+    /// What it says of its right, for others to hear.
+    word: Option<HolderWord>,
 }
 
+/// What was last heard of each giver's right.
+type Words = BTreeMap<NodeId, HolderWord>;
+
 impl Giver {
     fn new(index: usize) -> Self {
         Self {
@@ -142,6 +148,7 @@
             pacer: LoadPacer::new(LoadTerms::default(), at(0)),
             frozen_until: 0,
             holds: false,
+            word: None,
         }
     }
 
@@ -150,7 +157,7 @@
     }
 
     /// Looks at the row and takes or renews the lease; answers get lost at times.
-    fn lease(&mut self, row: &mut Row, now: u64, rng: &mut ChaCha8Rng) {
+    fn lease(&mut self, row: &mut Row, words: &Words, now: u64, rng: &mut ChaCha8Rng) {
         self.machine.handle(&LeaseEvent::Tick(at(now)));
         let version = row.version;
         self.seen = row.row.clone().map(|value| {
@@ -166,13 +173,17 @@
                 self.machine.handle(&LeaseEvent::Superseded);
                 return;
             }
-            (None, seen) => match takeover_after(seen, &self.name, TERMS, at(now)) {
-                Some(row) => row,
-                None => {
-                    self.holds = false;
-                    return;
+            (None, seen) => {
+                let holder = seen.and_then(|seen| seen.row.holder.as_ref());
+                let word = holder.and_then(|holder| words.get(holder)).copied();
+                match takeover_on_word(seen, word, &self.name, TERMS, at(now)) {
+                    Some(row) => row,
+                    None => {
+                        self.holds = false;
+                        return;
+                    }
                 }
-            },
+            }
         };
         let expected = if row.row.is_some() { version } else { 0 };
         let fence = wanted.fence;
@@ -187,6 +198,8 @@
                     self.seen =
                         Some(SeenLease { version: row.version, row: wanted, since: sent_at });
                     self.machine.handle(&LeaseEvent::Written { fence, sent_at });
+                    self.word =
+                        Some(HolderWord { version: row.version, ends: sent_at + TERMS.ttl });
                     if !self.holds {
                         self.pacer = LoadPacer::new(LoadTerms::default(), at(now));
                     }
@@ -234,6 +247,7 @@
     let mut row = Row::default();
     let mut givers: Vec<_> = (0..GIVERS).map(Giver::new).collect();
     let mut engines: Vec<_> = (0..ENGINES).map(|_| Engine::default()).collect();
+    let mut words = Words::new();
     for step in 0..steps {
         let now = step * STEP_MS;
         row.apply_late(now);
@@ -252,8 +266,11 @@
                 1 => *giver = Giver { name: giver.name.clone(), ..Giver::new(index) },
                 _ => {}
             }
+            if let Some(word) = giver.word.filter(|_| rng.random_bool(0.2)) {
+                words.insert(giver.name.clone(), word);
+            }
             if rng.random_bool(0.1) {
-                giver.lease(&mut row, now, &mut rng);
+                giver.lease(&mut row, &words, now, &mut rng);
             }
             if rng.random_bool(0.2) {
                 let engine = &mut engines[rng.random_range(0..ENGINES)];
@@ -287,3 +304,20 @@
     assert_eq!(takeover_after(Some(&seen), &NodeId::from("me"), TERMS, at(4_800)), None);
     assert!(takeover_after(Some(&seen), &NodeId::from("me"), TERMS, at(4_900)).is_some());
 }
+
+#[test]
+fn the_holders_word_counts_for_the_version_that_it_names() {
+    let lease = LeaseRow { holder: Some(NodeId::from("other")), fence: Fence(3), ttl_ms: 1_250 };
+    let seen = SeenLease { version: 7, row: lease, since: at(10_000) };
+    let me = NodeId::from("me");
+    let take = |word, now| takeover_on_word(Some(&seen), word, &me, TERMS, at(now));
+    let quiet = TERMS.quiet.as_millis() as u64;
+    let word = |version| Some(HolderWord { version, ends: at(9_000) });
+    assert_eq!(take(word(7), 9_000 + quiet - 1), None);
+    assert_eq!(take(word(7), 9_000 + quiet).map(|row| row.fence), Some(Fence(4)));
+    // It wrote once more after that, or nothing was heard: the row has to be watched.
+    assert_eq!(take(word(6), 9_000 + quiet), None);
+    assert_eq!(take(None, 9_000 + quiet), None);
+    let not_yet = Some(HolderWord { version: 7, ends: at(20_000) });
+    assert_eq!(take(not_yet, 12_000), None);
+}
--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -11,6 +11,7 @@
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ports::{Feed, Listing, StoredConfig, TableError};
 use trackfront_core::serving::directory::{DirectoryEvent, ServerChange, ServerEntry};
+use trackfront_core::units::Moment;
 
 use super::node::ServingNode;
 use super::spread::{FeedKind, Relay, relay, zone_mates};
@@ -52,11 +53,12 @@
     node: Arc<ServingNode>,
     kind: &'static str,
     failures: u32,
+    failing_since: Option<Moment>,
 }
 
 impl Link {
     fn new(node: Arc<ServingNode>, kind: &'static str) -> Self {
-        Self { node, kind, failures: 0 }
+        Self { node, kind, failures: 0, failing_since: None }
     }
 
     fn count(&self, call: &'static str) {
@@ -66,7 +68,10 @@
     fn works(&mut self) {
         if self.failures > 0 {
             log::info!(dependency = self.kind, failures = self.failures; "dependency regained");
-            self.node.directory.lock().expect_lapses(None, self.node.now());
+        }
+        if let Some(since) = self.failing_since.take() {
+            let now = self.node.now();
+            self.node.directory.lock().platform_came_back(now.since(since), now);
         }
         self.failures = 0;
         self.node.set_store_lost(false);
@@ -78,6 +83,7 @@
             log::warn!(dependency = self.kind, error:% = error; "dependency lost");
         }
         self.failures += 1;
+        self.failing_since.get_or_insert(self.node.now());
         self.node.set_store_lost(true);
         self.node.set_dependency(self.kind, false);
         let doubled = 2u32.pow(self.failures.min(4) - 1);
@@ -299,8 +305,9 @@
     link.failures = 1;
 }
 
-/// Logs which servers are taken away because their rows lapsed, and lets the rest of the node know.
-pub fn note_lapsed(node: &ServingNode, events: Vec<DirectoryEvent>) {
+/// Takes servers away whose rows lapsed and did not come back in time.
+pub fn end_lapses(node: &ServingNode) {
+    let events = node.directory.lock().end_lapses(node.now());
     if !events.is_empty() {
         let version = node.directory.lock().newest();
         log::info!(servers = events.len(), version; "rows lapsed and did not come back");
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -8,9 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until, timeout};
+use trackfront_core::lease::HolderWord;
 use trackfront_core::serving::demand::Rate;
 use trackfront_core::serving::load::Share;
 use trackfront_core::units::Moment;
@@ -85,6 +87,8 @@
     pub stopping: bool,
     /// Whether the platform's store last failed the node.
     pub store_lost: bool,
+    /// Until when it may give orders, if it held the lease last.
+    pub right: Option<ToldRight>,
     /// Requests under way.
     pub shares: Vec<ToldShare>,
     /// Notes: server, item, whether it was added (else withdrawn).
@@ -102,6 +106,25 @@
     pub in_use: Vec<(u32, u32)>,
 }
 
+/// Until when a node may give orders under a version of the lease's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldRight {
+    /// The version of the row.
+    pub version: u64,
+    /// The milliseconds that are left; negative once they are over.
+    pub left_ms: i64,
+}
+
+impl ToldRight {
+    /// Returns the word as of the moment at which it came. It was said before, so the right ends no
+    /// later than that.
+    fn word(self, now: Moment) -> HolderWord {
+        let left = Duration::from_millis(self.left_ms.max(0).unsigned_abs());
+        let over = Duration::from_millis(self.left_ms.min(0).unsigned_abs());
+        HolderWord { version: self.version, ends: Moment((now + left).0.saturating_sub(over)) }
+    }
+}
+
 /// What a node has under way at one server.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ToldShare {
@@ -139,6 +162,7 @@
     zone: u32,
     gives_orders: bool,
     store_lost: bool,
+    word: Option<HolderWord>,
 }
 
 /// The other nodes.
@@ -160,6 +184,7 @@
         peer.zone = digest.zone;
         peer.gives_orders = digest.gives_orders;
         peer.store_lost = digest.store_lost;
+        peer.word = digest.right.map(|right| right.word(now)).or(peer.word);
     }
 
     /// Returns the other nodes of a zone that are alive.
@@ -174,6 +199,11 @@
         self.peers.get(&ip).is_some_and(|peer| peer.store_lost)
     }
 
+    /// Returns what a node last said of its right to give orders.
+    pub fn holders_word(&self, ip: Ipv4Addr) -> Option<HolderWord> {
+        self.peers.get(&ip)?.word
+    }
+
     /// Returns the nodes that are told in a round: those of the own zone each time, others less
     /// often, and those that were not heard of for long seldom.
     fn told(&self, zone: u32, round: u64, now: Moment) -> Vec<Ipv4Addr> {
@@ -239,7 +269,8 @@
             false => node.peers.lock().told(zone, round, now),
         };
         if gives || !urgent {
-            send(&socket, &Message::Digest(digest(&node, zone, gives)), &told, port);
+            let right = gives_orders.told_right(now);
+            send(&socket, &Message::Digest(digest(&node, zone, gives, right)), &told, port);
         }
         let lacks = node.take_lacks();
         if !gives && (lacks || round.is_multiple_of(DEMAND_EVERY)) {
@@ -273,9 +304,10 @@
     }
 }
 
-/// Whether this node holds the lease on orders, for its digests.
+/// Whether this node holds the lease on orders, and until when it has the right to give them, for
+/// its digests.
 #[derive(Debug, Default)]
-pub struct Giving(std::sync::atomic::AtomicBool);
+pub struct Giving(std::sync::atomic::AtomicBool, Mutex<Option<HolderWord>>);
 
 impl Giving {
     /// Returns whether it holds the lease.
@@ -287,9 +319,22 @@
     pub fn set(&self, gives: bool) {
         self.0.store(gives, std::sync::atomic::Ordering::Relaxed);
     }
+
+    /// Notes when its right ends under the version of the lease's row that it wrote last. Others are
+    /// told also after it lost the lease: they may take it the sooner.
+    pub fn say(&self, word: HolderWord) {
+        *self.1.lock() = Some(word);
+    }
+
+    fn told_right(&self, now: Moment) -> Option<ToldRight> {
+        let HolderWord { version, ends } = (*self.1.lock())?;
+        let (left, over) = (ends.since(now).as_millis(), now.since(ends).as_millis());
+        let left_ms = i64::try_from(left).ok()? - i64::try_from(over).ok()?;
+        Some(ToldRight { version, left_ms })
+    }
 }
 
-fn digest(node: &ServingNode, zone: u32, gives_orders: bool) -> Digest {
+fn digest(node: &ServingNode, zone: u32, gives_orders: bool, right: Option<ToldRight>) -> Digest {
     let loads = node.loads.lock();
     let shares = loads.own_shares();
     let shares = shares.map(|(id, share)| ToldShare::new(short_server(id), &share)).collect();
@@ -301,7 +346,7 @@
     };
     let config = node.config.load().as_ref().map_or(0, |config| config.version);
     let (stopping, store_lost) = (node.is_stopping(), node.is_store_lost());
-    Digest { zone, config, gives_orders, stopping, store_lost, shares, notes }
+    Digest { zone, config, gives_orders, stopping, store_lost, right, shares, notes }
 }
 
 fn notes(node: &ServingNode) -> Vec<(u32, u32, bool)> {
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -14,7 +14,7 @@
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::{Fence, NodeId, TxnId, draw_id};
 use trackfront_core::lease::{
-    LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_after,
+    HolderWord, LeaseEvent, LeaseHolder, LeaseRow, LeaseTerms, SeenLease, takeover_on_word,
 };
 use trackfront_core::ports::table::commit_settled;
 use trackfront_core::ports::{CommitOutcome, Expect, RowKey, TableError, Transaction, Write};
@@ -39,8 +39,8 @@
 /// How often the row is looked at while nobody gives orders.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
-/// How long the holder tries to renew before it lets others take over.
-const RENEW_FOR: Duration = Duration::from_millis(2_000);
+/// How long the holder tries to renew before it lets others take over. Its right has ended by then.
+const RENEW_FOR: Duration = Duration::from_millis(1_000);
 
 /// How long a node waits for each node before it in the order of addresses.
 const RANK_STEP: Duration = Duration::from_millis(300);
@@ -187,7 +187,8 @@
             return false;
         }
         let now = self.node.now();
-        let Some(row) = takeover_after(self.seen.as_ref(), &self.me, self.terms(), now) else {
+        let (seen, word) = (self.seen.as_ref(), self.holders_word());
+        let Some(row) = takeover_on_word(seen, word, &self.me, self.terms(), now) else {
             let held_by_other = self.seen.as_ref().and_then(|seen| seen.row.holder.as_ref());
             if self.is_giver() && held_by_other.is_some_and(|holder| *holder != self.me) {
                 self.lose("another node has it");
@@ -207,6 +208,13 @@
         true
     }
 
+    /// Returns what the holder of the row that was seen last told in its digests.
+    fn holders_word(&self) -> Option<HolderWord> {
+        let holder = self.seen.as_ref()?.row.holder.as_ref()?;
+        let ip = holder.as_str().parse().ok()?;
+        self.node.peers.lock().holders_word(ip)
+    }
+
     async fn look(&mut self) -> Result<(), TableError> {
         self.looked_at = Some(self.node.now());
         self.count("read_lease");
@@ -247,6 +255,7 @@
         self.machine.handle(&LeaseEvent::Written { fence, sent_at });
         let until = sent_at + (LEASE_TTL - LEASE_TTL / 5);
         self.right.set(Some(Right { fence, until }));
+        self.giving.say(HolderWord { version, ends: until });
         true
     }
 
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -97,6 +97,7 @@
     knows_servers: AtomicBool,
     nodes_listed_at: Mutex<Option<Moment>>,
     store_lost: AtomicBool,
+    store_failed_at: Mutex<Option<Moment>>,
     stopping: AtomicBool,
     lacks: AtomicBool,
 }
@@ -130,6 +131,7 @@
             knows_servers: AtomicBool::new(false),
             nodes_listed_at: Mutex::default(),
             store_lost: AtomicBool::new(false),
+            store_failed_at: Mutex::default(),
             stopping: AtomicBool::new(false),
             lacks: AtomicBool::new(false),
         })
@@ -173,6 +175,14 @@
     /// Notes whether the platform's store last failed this node.
     pub fn set_store_lost(&self, lost: bool) {
         self.store_lost.store(lost, Ordering::Relaxed);
+        if lost {
+            *self.store_failed_at.lock() = Some(self.now());
+        }
+    }
+
+    /// Returns when the platform's store last failed this node.
+    pub fn store_failed_at(&self) -> Option<Moment> {
+        *self.store_failed_at.lock()
     }
 
     /// Returns whether the platform's store last failed this node.
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -22,6 +22,7 @@
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 use trackfront_core::units::Moment;
 
+use super::follow;
 use super::node::ServingNode;
 use super::overlay::{NodeView, NoteKind};
 use super::relay;
@@ -394,6 +395,7 @@
     /// Chooses a server that is not in `tried`.
     pub fn choose(&self, tried: &[BackendId]) -> Result<Choice, NoChoice> {
         let node = &self.node;
+        follow::end_lapses(node);
         let settings = node.settings.load();
         let query = Query {
             info: &self.info,
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -152,8 +152,7 @@
         }
         before = now;
         node.pool.close_idle(MAX_IDLE);
-        let lapsed = node.directory.lock().end_lapses(now);
-        follow::note_lapsed(&node, lapsed);
+        follow::end_lapses(&node);
         node.loads.lock().forget_old(now);
         node.overlay.lock().forget_old(now);
     }
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -156,7 +156,8 @@
         Relay::Servers { from, to, changes, lapses_ms } => {
             if lapses_ms > 0 {
                 let left = Duration::from_millis(lapses_ms);
-                node.directory.lock().expect_lapses(Some(left), now);
+                let failed_at = node.store_failed_at();
+                node.directory.lock().reader_expects_lapses(left, failed_at, now);
             }
             take_servers(node, from, to, changes, now);
         }
