Split the giver of orders, the messages between nodes and the planner

Change: order_task and order_book stand beside placement, messages and peer_book beside gossip, adapters under planner.

--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -246,7 +246,7 @@
         link.works();
         let to = listing.version;
         let (from, found) = take_listing(&node, listing);
-        let Some((events, changes)) = found else {
+        let Some(Found { events, changes }) = found else {
             log::info!(version = to; "list of servers older than what is known");
             relay(&node, &socket, &Relay::nothing(from));
             sleep(FIRST_PAUSE).await;
@@ -259,17 +259,22 @@
     }
 }
 
+/// What a listing of the servers has changed.
+struct Found {
+    events: Vec<DirectoryEvent>,
+    /// The same for the other nodes of the zone.
+    changes: Vec<ServerChange>,
+}
+
 /// Takes in a listing of the servers. Returns the newest version before it, and what it has changed;
 /// nothing if it is older than what is known.
-fn take_listing(
-    node: &ServingNode,
-    listing: Listing<ServerEntry>,
-) -> (u64, Option<(Vec<DirectoryEvent>, Vec<ServerChange>)>) {
+fn take_listing(node: &ServingNode, listing: Listing<ServerEntry>) -> (u64, Option<Found>) {
     let mut directory = node.directory.lock();
     let from = directory.newest();
-    let found = directory.replace(listing.rows, listing.version, node.now()).map(|events| {
+    let events = directory.replace(listing.rows, listing.version, node.now());
+    let found = events.map(|events| {
         let changes = directory.changes(&events, listing.version);
-        (events, changes)
+        Found { events, changes }
     });
     (from, found)
 }
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -1,25 +1,25 @@
 //! What nodes tell each other: requests under way, demand, and what the giver of orders did.
 //!
 //! A digest goes to every other node some times a second in one UDP datagram. Digests only make
-//! estimates better: a lost one costs nothing, and nothing that has to hold depends on them.
+//! estimates better, and a lost one costs time at most. One thing that has to hold depends on a word
+//! in them: when the holder of the lease on orders says that its right ends.
 
-use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until, timeout};
 use trackfront_core::lease::HolderWord;
 use trackfront_core::serving::demand::Rate;
-use trackfront_core::serving::load::Share;
 use trackfront_core::units::Moment;
 
+use super::messages::{Digest, Message, ToldDemand, ToldRight, ToldShare};
 use super::node::{ServingNode, short_item, short_server, short_zone};
 use super::overlay::NoteKind;
-use super::spread::{self as relay, Relay};
+use super::peer_book::ALIVE_FOR;
+use super::spread as relay;
 
 /// The least time between two digests.
 const LEAST_GAP: Duration = Duration::from_millis(100);
@@ -35,224 +35,15 @@
 /// link is not taken by what is urgent, also with many nodes.
 const URGENT_SHARE: u32 = 3;
 
-/// Every how many rounds nodes of other zones are told at the least, where there are many: bytes
-/// between zones are dear.
-const OTHER_ZONES_EVERY: usize = 4;
-
-/// For how many peers nodes of other zones are told one round less often.
-const PEERS_FOR_EACH_ROUND: usize = 10;
-
-/// Every how many rounds a node that was not heard of for long is told.
-const LOST_EVERY: u64 = 16;
-
 /// Every how many rounds the giver is told of the demand.
 const DEMAND_EVERY: u64 = 4;
 
-/// How long a node counts as alive after it was heard.
-const ALIVE_FOR: Duration = Duration::from_millis(1_500);
-
-/// How long a node that is not heard of counts among those that share budgets.
-const COUNTED_FOR: Duration = Duration::from_secs(120);
-
-/// How long a node that was never heard is still told of us.
-const TRIED_FOR: Duration = Duration::from_secs(10);
-
 /// The largest datagram.
 const MAX_DATAGRAM: usize = 32 * 1024;
 
 /// The limits of what is decoded: no datagram makes the node reserve more than this.
 const DECODE_LIMIT: usize = 64 * 1024;
 
-/// What nodes send to each other.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// The load at a node.
-    Digest(Digest),
-    /// The demand at a node, for the giver of orders.
-    Demand(ToldDemand),
-    /// What a node learned from the platform, for those in its zone.
-    Relay(Relay),
-}
-
-/// What a node tells.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Digest {
-    /// The short name of the node's zone.
-    pub zone: u32,
-    /// The version of the configuration in force.
-    pub config: u64,
-    /// Whether the node holds the lease on orders.
-    pub gives_orders: bool,
-    /// Whether the node is stopping.
-    pub stopping: bool,
-    /// Whether the platform's store last failed the node.
-    pub store_lost: bool,
-    /// Until when it may give orders, if it held the lease last.
-    pub right: Option<ToldRight>,
-    /// Requests under way.
-    pub shares: Vec<ToldShare>,
-    /// Notes: server, item, whether it was added (else withdrawn).
-    pub notes: Vec<(u32, u32, bool)>,
-}
-
-/// What a node is asked for.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ToldDemand {
-    /// Item, hundredths of requests a second, milliseconds of work a second.
-    pub rates: Vec<(u32, u32, u32)>,
-    /// Whether something is asked for that no engine holds.
-    pub lacks: bool,
-    /// Adapters that requests in progress use: server, item.
-    pub in_use: Vec<(u32, u32)>,
-}
-
-/// Until when a node may give orders under a version of the lease's row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldRight {
-    /// The version of the row.
-    pub version: u64,
-    /// The milliseconds that are left; negative once they are over.
-    pub left_ms: i64,
-}
-
-impl ToldRight {
-    /// Returns the word as of the moment at which it came. It was said before, so the right ends no
-    /// later than that.
-    fn word(self, now: Moment) -> HolderWord {
-        let left = Duration::from_millis(self.left_ms.max(0).unsigned_abs());
-        let over = Duration::from_millis(self.left_ms.min(0).unsigned_abs());
-        HolderWord { version: self.version, ends: Moment((now + left).0.saturating_sub(over)) }
-    }
-}
-
-/// What a node has under way at one server.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ToldShare {
-    /// The server's short name.
-    pub server: u32,
-    /// Requests.
-    pub requests: u32,
-    /// Milliseconds of reading, for each rank that has some.
-    pub reading_ms: Vec<(u8, u32)>,
-}
-
-impl ToldShare {
-    fn new(server: u32, share: &Share) -> Self {
-        let ranks = share.reading_ms.iter().enumerate().filter(|(_, ms)| **ms >= 1.0);
-        let reading_ms = ranks.map(|(rank, ms)| (rank as u8, ms.round() as u32)).collect();
-        Self { server, requests: share.requests, reading_ms }
-    }
-
-    fn share(&self) -> Share {
-        let mut share = Share { requests: self.requests, ..Share::default() };
-        for (rank, ms) in &self.reading_ms {
-            if let Some(reading) = share.reading_ms.get_mut(usize::from(*rank)) {
-                *reading = f64::from(*ms);
-            }
-        }
-        share
-    }
-}
-
-/// Another node.
-#[derive(Clone, Debug, Default)]
-struct Peer {
-    listed: Moment,
-    heard: Option<Moment>,
-    zone: u32,
-    gives_orders: bool,
-    store_lost: bool,
-    word: Option<HolderWord>,
-}
-
-/// The other nodes.
-#[derive(Debug, Default)]
-pub struct PeerBook {
-    peers: BTreeMap<Ipv4Addr, Peer>,
-}
-
-impl PeerBook {
-    /// Learns of a node from a list.
-    pub fn list(&mut self, ip: Ipv4Addr, now: Moment) {
-        self.peers.entry(ip).or_insert(Peer { listed: now, ..Peer::default() });
-    }
-
-    /// Learns that a node is alive.
-    pub fn heard(&mut self, ip: Ipv4Addr, digest: &Digest, now: Moment) {
-        let peer = self.peers.entry(ip).or_insert(Peer { listed: now, ..Peer::default() });
-        peer.heard = Some(now);
-        peer.zone = digest.zone;
-        peer.gives_orders = digest.gives_orders;
-        peer.store_lost = digest.store_lost;
-        peer.word = digest.right.map(|right| right.word(now)).or(peer.word);
-    }
-
-    /// Returns the other nodes of a zone that are alive.
-    pub fn alive_in(&self, zone: u32, now: Moment) -> Vec<Ipv4Addr> {
-        let mut alive = self.alive(now);
-        alive.retain(|ip| self.peers.get(ip).is_some_and(|peer| peer.zone == zone));
-        alive
-    }
-
-    /// Returns whether the platform's store last failed a node, by its own word.
-    pub fn is_store_lost(&self, ip: Ipv4Addr) -> bool {
-        self.peers.get(&ip).is_some_and(|peer| peer.store_lost)
-    }
-
-    /// Returns what a node last said of its right to give orders.
-    pub fn holders_word(&self, ip: Ipv4Addr) -> Option<HolderWord> {
-        self.peers.get(&ip)?.word
-    }
-
-    /// Returns the nodes that are told in a round: those of the own zone each time, others less
-    /// often, and those that were not heard of for long seldom.
-    fn told(&self, zone: u32, round: u64, now: Moment) -> Vec<Ipv4Addr> {
-        let others_every = (self.peers.len() / PEERS_FOR_EACH_ROUND).clamp(1, OTHER_ZONES_EVERY);
-        let every = |peer: &Peer| {
-            let last = peer.heard.unwrap_or(peer.listed);
-            match now.since(last) < TRIED_FOR {
-                true if peer.zone == zone || peer.heard.is_none() => 1,
-                true => others_every as u64,
-                false => LOST_EVERY,
-            }
-        };
-        let is_due = |ip: &Ipv4Addr, peer: &Peer| {
-            (round + u64::from(ip.to_bits())).is_multiple_of(every(peer))
-        };
-        let due = self.peers.iter().filter(|(ip, peer)| is_due(ip, peer));
-        due.map(|(ip, _)| *ip).collect()
-    }
-
-    /// Returns every node that is alive or was listed just now.
-    fn reachable(&self, now: Moment) -> Vec<Ipv4Addr> {
-        let recent = |peer: &Peer| now.since(peer.heard.unwrap_or(peer.listed)) < TRIED_FOR;
-        self.peers.iter().filter(|(_, peer)| recent(peer)).map(|(ip, _)| *ip).collect()
-    }
-
-    /// Returns how many nodes share budgets, this one included.
-    pub fn sharing(&self, now: Moment) -> usize {
-        let counted = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.heard.unwrap_or(peer.listed)) < COUNTED_FOR);
-        counted.count() + 1
-    }
-
-    /// Returns the other nodes that are alive.
-    pub fn alive(&self, now: Moment) -> Vec<Ipv4Addr> {
-        let alive = |peer: &Peer| peer.heard.is_some_and(|heard| now.since(heard) < ALIVE_FOR);
-        self.peers.iter().filter(|(_, peer)| alive(peer)).map(|(ip, _)| *ip).collect()
-    }
-
-    /// Returns the node that says that it gives orders.
-    pub fn giver(&self, now: Moment) -> Option<Ipv4Addr> {
-        let gives = |peer: &Peer| {
-            peer.gives_orders && peer.heard.is_some_and(|heard| now.since(heard) < ALIVE_FOR)
-        };
-        self.peers.iter().find(|(_, peer)| gives(peer)).map(|(ip, _)| *ip)
-    }
-}
-
 /// Tells the other nodes, again and again.
 pub async fn tell(node: Arc<ServingNode>, socket: Arc<UdpSocket>, gives_orders: Arc<Giving>) {
     let settings = node.settings.load_full();
--- /dev/null
+++ b/trackfrontd/src/serving/messages.rs
@@ -0,0 +1,103 @@
+//! What nodes send to each other, in one datagram each.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use trackfront_core::lease::HolderWord;
+use trackfront_core::serving::load::Share;
+use trackfront_core::units::Moment;
+
+use super::spread::Relay;
+
+/// What nodes send to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The load at a node.
+    Digest(Digest),
+    /// The demand at a node, for the giver of orders.
+    Demand(ToldDemand),
+    /// What a node learned from the platform, for those in its zone.
+    Relay(Relay),
+}
+
+/// What a node tells.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The short name of the node's zone.
+    pub zone: u32,
+    /// The version of the configuration in force.
+    pub config: u64,
+    /// Whether the node holds the lease on orders.
+    pub gives_orders: bool,
+    /// Whether the node is stopping.
+    pub stopping: bool,
+    /// Whether the platform's store last failed the node.
+    pub store_lost: bool,
+    /// Until when it may give orders, if it held the lease last.
+    pub right: Option<ToldRight>,
+    /// Requests under way.
+    pub shares: Vec<ToldShare>,
+    /// Notes: server, item, whether it was added (else withdrawn).
+    pub notes: Vec<(u32, u32, bool)>,
+}
+
+/// What a node is asked for.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ToldDemand {
+    /// Item, hundredths of requests a second, milliseconds of work a second.
+    pub rates: Vec<(u32, u32, u32)>,
+    /// Whether something is asked for that no engine holds.
+    pub lacks: bool,
+    /// Adapters that requests in progress use: server, item.
+    pub in_use: Vec<(u32, u32)>,
+}
+
+/// Until when a node may give orders under a version of the lease's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldRight {
+    /// The version of the row.
+    pub version: u64,
+    /// The milliseconds that are left; negative once they are over.
+    pub left_ms: i64,
+}
+
+impl ToldRight {
+    /// Returns the word as of the moment at which it came. It was said before, so the right ends no
+    /// later than that.
+    pub fn word(self, now: Moment) -> HolderWord {
+        let left = Duration::from_millis(self.left_ms.max(0).unsigned_abs());
+        let over = Duration::from_millis(self.left_ms.min(0).unsigned_abs());
+        HolderWord { version: self.version, ends: Moment((now + left).0.saturating_sub(over)) }
+    }
+}
+
+/// What a node has under way at one server.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ToldShare {
+    /// The server's short name.
+    pub server: u32,
+    /// Requests.
+    pub requests: u32,
+    /// Milliseconds of reading, for each rank that has some.
+    pub reading_ms: Vec<(u8, u32)>,
+}
+
+impl ToldShare {
+    /// Makes it out of a share, to the millisecond.
+    pub fn new(server: u32, share: &Share) -> Self {
+        let ranks = share.reading_ms.iter().enumerate().filter(|(_, ms)| **ms >= 1.0);
+        let reading_ms = ranks.map(|(rank, ms)| (rank as u8, ms.round() as u32)).collect();
+        Self { server, requests: share.requests, reading_ms }
+    }
+
+    /// Returns the share.
+    pub fn share(&self) -> Share {
+        let mut share = Share { requests: self.requests, ..Share::default() };
+        for (rank, ms) in &self.reading_ms {
+            if let Some(reading) = share.reading_ms.get_mut(usize::from(*rank)) {
+                *reading = f64::from(*ms);
+            }
+        }
+        share
+    }
+}
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -1,8 +1,9 @@
 //! A serving node: the request pipeline and placement behind a deployment's own interfaces.
 //!
 //! [`node`] holds what the node knows; [`follow`] keeps it up to date from the platform,
-//! [`gossip`] and [`spread`] from other nodes; [`pipeline`] and [`relay`] answer requests, [`listeners`] takes
-//! them; [`lease`] and [`placement`] give orders to engines; [`run`] wires it all.
+//! [`gossip`] and [`spread`] from other nodes, which [`peer_book`] lists; [`pipeline`] and [`relay`]
+//! answer requests, [`listeners`] takes them; [`lease`], [`placement`] and [`order_task`] give orders
+//! to engines; [`run`] wires it all.
 //! This folder depends on the decisions in `trackfront_core::serving` and on the traits in
 //! `trackfront_adapters::interface`; it knows no names or formats of any deployment.
 
@@ -11,8 +12,12 @@
 pub mod lease;
 pub mod listeners;
 pub mod log_queue;
+pub mod messages;
 pub mod node;
+pub mod order_book;
+pub mod order_task;
 pub mod overlay;
+pub mod peer_book;
 pub mod pipeline;
 pub mod placement;
 pub mod relay;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -23,8 +23,8 @@
 use trackfront_core::serving::retry_budget::RetryBudgets;
 use trackfront_core::units::Moment;
 
-use super::gossip::PeerBook;
 use super::overlay::Overlay;
+use super::peer_book::PeerBook;
 use super::settings::ServingSettings;
 use super::spread::Relayed;
 
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -13,7 +13,8 @@
 use trackfront_core::units::Moment;
 
 use super::follow;
-use super::gossip::{Message, send};
+use super::gossip::send;
+use super::messages::Message;
 use super::node::{ServingNode, short_zone};
 
 /// How long after a reader's last word its zone counts as read, as a part of the time within which
