Send digests also while something is lacking all the time

It lacked adapters all the time, so each of its rounds was urgent, and urgent rounds told the giver what is lacking and sent no digest. After 1.5 s surco-2, the reader, took it for dead and relayed nothing; it slept 4 s after its last failed call. Change: a digest goes when it is due, whatever is urgent. A node that is no reader pauses at most 0.75 of drain_ms after a failed call.

--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -41,9 +41,13 @@
 /// The longest pause after failed calls: well within the time in which changes have to be known.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
-/// The first and the longest pause after failed calls at a node that is no reader: it hears from the
-/// reader of its zone when the platform is back.
-const MATE_PAUSES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
+/// The first pause after failed calls at a node that is no reader: it hears from the reader of its
+/// zone when the platform is back.
+const FIRST_MATE_PAUSE: Duration = Duration::from_millis(750);
+
+/// The longest such pause, as a part of the time within which a draining server has to be known: the
+/// node may be cut off from the reader as well.
+const MATE_PAUSE_PART: f64 = 0.75;
 
 /// After how many failed waits a reader reads everything again.
 const FAILURES_TO_REREAD: u32 = 3;
@@ -91,9 +95,9 @@
             sleep((FIRST_PAUSE * doubled).min(MAX_PAUSE)).await;
             return;
         }
-        let (first, longest) = MATE_PAUSES;
+        let longest = self.part_of_drain(MATE_PAUSE_PART);
         let came = self.node.relay_came.notified();
-        let _ = timeout((first * doubled).min(longest), came).await;
+        let _ = timeout((FIRST_MATE_PAUSE * doubled).min(longest), came).await;
     }
 
     fn is_reader(&self) -> bool {
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -50,6 +50,7 @@
     let (port, zone) = (settings.listen.peers, short_zone(&settings.node.zone));
     let mut round = 0u64;
     let mut urgent = false;
+    let mut digest_due = Instant::now();
     loop {
         let now = node.now();
         node.loads.lock().forget_old(now);
@@ -59,18 +60,23 @@
             true => node.peers.lock().reachable(now),
             false => node.peers.lock().told(zone, round, now),
         };
-        if gives || !urgent {
+        // A node that lacks something all the time is no less alive: others go by its digests.
+        let is_due = Instant::now() >= digest_due;
+        if gives || is_due {
             let right = gives_orders.told_right(now);
             send(&socket, &Message::Digest(digest(&node, zone, gives, right)), &told, port);
         }
         let lacks = node.take_lacks();
-        if !gives && (lacks || round.is_multiple_of(DEMAND_EVERY)) {
+        if !gives && (lacks || (is_due && round.is_multiple_of(DEMAND_EVERY))) {
             let giver = node.peers.lock().giver(now);
             let demand = Message::Demand(demand(&node, lacks));
             send(&socket, &demand, giver.as_slice(), port);
         }
-        round += u64::from(!urgent);
         let gap = LEAST_GAP.max(GAP_FOR_EACH_PEER * told.len() as u32);
+        if is_due {
+            round += 1;
+            digest_due = Instant::now() + gap;
+        }
         let urgent_gap = match gives {
             true => URGENT_GAP.max(gap / URGENT_SHARE),
             false => URGENT_GAP,
