--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -204,7 +204,7 @@
                     peers.list(*ip, now);
                 }
                 drop(peers);
-                log::debug!(nodes = others.len(); "nodes listed");
+                log::info!(nodes = others.len(); "nodes listed");
                 node.set_knows_nodes();
                 node.tell_peers.notify_one();
                 LIST_EVERY
