--- a/trackfront_core/src/ledger.rs
+++ b/trackfront_core/src/ledger.rs
@@ -197,48 +197,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::ids::Fence;
-    use crate::ports::ReportedItem;
-
-    fn item(name: &str) -> ItemKey {
-        ItemKey { model: name.into(), adapter: None, version: "1".into() }
-    }
-
-    fn report(items: Vec<(ItemKey, ReportedState)>) -> LoadReport {
-        let items = items
-            .into_iter()
-            .map(|(item, state)| ReportedItem { item, state, per_accelerator: Mib(40) })
-            .collect();
-        LoadReport {
-            incarnation: 1,
-            sequence: 1,
-            age_ms: 0,
-            accelerators: vec![Mib(100); 2],
-            items,
-            running: 0,
-            queued: 0,
-            queued_prompt_tokens: 0,
-            fence: Fence(1),
-            recent_orders: vec![],
-        }
-    }
-
-    #[test]
-    fn memory_counts_until_a_report_proves_it_free() {
-        let mut ledger = EngineLedger::new(vec![Mib(100); 2], Mib(10));
-        ledger.reserve(item("a"), Mib(40)).expect("there is room");
-        ledger.observe(&report(vec![]));
-        assert_eq!(ledger.used(), Mib(50));
-        assert!(ledger.reserve(item("b"), Mib(51)).is_err());
-        ledger.observe(&report(vec![(item("a"), ReportedState::Ready)]));
-        ledger.settle(&item("a"));
-        ledger.mark_going(&item("a"));
-        ledger.observe(&report(vec![(item("a"), ReportedState::Ready)]));
-        assert_eq!(ledger.holding(&item("a")), Some(Holding::Going));
-        ledger.settle(&item("a"));
-        ledger.observe(&report(vec![]));
-        assert_eq!(ledger.used(), Mib(10));
-    }
-}
+mod tests;
--- a/trackfront_core/src/placement/mod.rs
+++ b/trackfront_core/src/placement/mod.rs
@@ -129,18 +129,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn bundle(model: &str, total: u64) -> Bundle {
-        let item = ItemKey { model: model.into(), adapter: None, version: "1".into() };
-        Bundle { items: vec![SizedItem { item, total: Mib(total) }] }
-    }
-
-    #[test]
-    fn packing_fails_with_the_bundle_that_finds_no_place() {
-        let rooms = [Room { engine: "e".into(), accelerators: 1, free: Mib(50) }];
-        let error = pack(&rooms, &[bundle("a", 30), bundle("b", 30)]);
-        assert_eq!(error.expect_err("too large").item.model.as_str(), "b");
-    }
-}
+mod tests;
