--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -97,6 +97,9 @@
     pub head: response::Parts,
     /// The body.
     pub body: UpstreamBody,
+    /// Whether the request was the first on its connection: what came can only be its answer. On a
+    /// kept connection it may be a surplus answer to an earlier one.
+    pub is_first: bool,
 }
 
 impl UpstreamPool {
@@ -129,7 +132,7 @@
                     let home =
                         Home { idle: self.idle.clone(), address: address.to_owned(), keep_until };
                     let body = UpstreamBody { body, held: Some((connection, home)) };
-                    return Ok(UpstreamAnswer { head, body });
+                    return Ok(UpstreamAnswer { head, body, is_first: !was_used });
                 }
                 Err(mut error) => match error.take_message() {
                     // The server had closed the kept connection; nothing was written to it.
@@ -263,6 +266,11 @@
         }
     }
 
+    /// Closes the connection: the server stops working on the request.
+    pub fn close(&mut self) {
+        self.held = None;
+    }
+
     /// Reads the whole body, of at most `limit` bytes.
     pub async fn read(mut self, limit: usize) -> Result<Bytes, UpstreamError> {
         let mut whole = Vec::new();
--- a/trackfront_core/src/answer/tests.rs
+++ b/trackfront_core/src/answer/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn frame(request: &str, offset: u64) -> Frame {
--- a/trackfront_core/src/claims/tests.rs
+++ b/trackfront_core/src/claims/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn claim(key: u128, request: u64) -> Claim {
--- a/trackfront_core/src/demand/tests.rs
+++ b/trackfront_core/src/demand/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn feed(meter: &DemandMeter, from_ms: u64, to_ms: u64, every_ms: u64) -> Moment {
--- a/trackfront_core/src/engine_load/tests.rs
+++ b/trackfront_core/src/engine_load/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const SENT: Sent = Sent { prompt_tokens: 100.0, output_tokens: 10.0, priority: 5 };
--- a/trackfront_core/src/estimate/tests.rs
+++ b/trackfront_core/src/estimate/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 #[test]
--- a/trackfront_core/src/fleet/tests.rs
+++ b/trackfront_core/src/fleet/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn digest(sequence: u64, ready: &[ItemKey]) -> EngineDigest {
--- a/trackfront_core/src/lease/tests.rs
+++ b/trackfront_core/src/lease/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const TTL: Duration = Duration::from_secs(10);
--- a/trackfront_core/src/ledger/tests.rs
+++ b/trackfront_core/src/ledger/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::ids::Fence;
 use crate::ports::ReportedItem;
--- a/trackfront_core/src/limits/tests.rs
+++ b/trackfront_core/src/limits/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 /// Sends `rate` requests a second to each box for `secs` and returns how many are taken.
--- a/trackfront_core/src/members/tests.rs
+++ b/trackfront_core/src/members/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn heartbeat(id: &str, state: PeerState, revision: u64) -> Heartbeat {
--- a/trackfront_core/src/placement/plan/tests.rs
+++ b/trackfront_core/src/placement/plan/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::placement::SizedItem;
 
--- a/trackfront_core/src/placement/tests.rs
+++ b/trackfront_core/src/placement/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn bundle(model: &str, total: u64) -> Bundle {
--- a/trackfront_core/src/routing/tests.rs
+++ b/trackfront_core/src/routing/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::engine_load::Ended;
 use crate::fleet::EngineDigest;
--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -15,16 +15,16 @@
 /// How long a server that has left is remembered, so that a late row cannot bring it back.
 const GONE_FOR: Duration = Duration::from_secs(120);
 
-/// How long after a server was found that held models before the node knew of it, the list may
-/// still lack others. Servers write their rows about every second, so this is two rounds.
-const FILLING_FOR: Duration = Duration::from_millis(2_000);
+/// How many heartbeats after a server was found that held models before the node knew of it, the
+/// list may still lack others: each writes its row once in a heartbeat.
+const FILLING_HEARTBEATS: u32 = 2;
 
 /// How long after the platform came back the rows of servers that live are written again.
 const LAPSE_FOR: Duration = Duration::from_millis(2_000);
 
-/// How long the platform has to be away for rows to lapse. After a shorter failure a row that goes is
-/// a server that goes.
-const LEAST_OUTAGE: Duration = Duration::from_millis(2_000);
+/// How many heartbeats the platform has to be away for rows to lapse. After a shorter failure a row
+/// that goes is a server that goes.
+const OUTAGE_HEARTBEATS: u32 = 2;
 
 /// How recently the platform has to have failed this node itself, so that what a reader says of
 /// lapses holds here: the reader alone may have been cut off.
@@ -165,8 +165,10 @@
 }
 
 /// The servers that the node knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Directory {
+    /// How often a server writes its row.
+    heartbeat: Duration,
     servers: HashMap<BackendId, Arc<KnownServer>>,
     by_service: HashMap<ServiceName, Vec<Arc<KnownServer>>>,
     /// Servers that left: the version at which they went, and when it was learned.
@@ -182,6 +184,20 @@
 }
 
 impl Directory {
+    /// Makes an empty one; servers write their rows once in `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            heartbeat,
+            servers: HashMap::new(),
+            by_service: HashMap::new(),
+            gone: HashMap::new(),
+            newest: 0,
+            found_at: None,
+            lapse_until: Moment::default(),
+            lapsed: HashMap::new(),
+        }
+    }
+
     /// Returns the newest version that any answer named.
     pub fn newest(&self) -> u64 {
         self.newest
@@ -205,13 +221,13 @@
     /// Returns whether the list may still lack servers that hold models: at the system's start, and
     /// while rows that lapsed come back. What no listed server holds is not missing then.
     pub fn is_filling(&self, now: Moment) -> bool {
-        self.found_at.is_some_and(|at| now.since(at) < FILLING_FOR)
+        self.found_at.is_some_and(|at| now.since(at) < self.heartbeat * FILLING_HEARTBEATS)
     }
 
     /// Notes that the platform answers again after it failed this node for a while. After an outage
     /// a ready server whose row went is kept for some time: if it lives, its row comes back.
     pub fn platform_came_back(&mut self, away: Duration, now: Moment) {
-        if away >= LEAST_OUTAGE {
+        if away >= self.heartbeat * OUTAGE_HEARTBEATS {
             self.lapse_until = self.lapse_until.max(now + LAPSE_FOR);
         }
     }
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -16,8 +16,9 @@
 /// How long what a server told of its load counts.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
 
-/// The time to read one token of a prompt before any was measured.
-const FIRST_TOKEN_COST_MS: f64 = 0.06;
+/// The time to read one token of a prompt before any was measured at any model: ten in a
+/// millisecond, a round figure that the first measurements replace.
+const FIRST_TOKEN_COST_MS: f64 = 0.1;
 
 /// The bounds of a measured time to read one token.
 const TOKEN_COST_BOUNDS_MS: (f64, f64) = (0.01, 0.4);
@@ -40,9 +41,6 @@
 /// The time after which the share of failed requests has halved without requests.
 const FAULT_HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// The mean time of a plain call before any was measured.
-const FIRST_CALL_MS: f64 = 15.0;
-
 /// How many ranks requests have; 0 goes first.
 pub const RANKS: usize = 10;
 
@@ -185,9 +183,10 @@
         self.faults * 0.5f64.powf(halves)
     }
 
-    /// Returns the mean time of a plain call in milliseconds.
+    /// Returns the mean time of a plain call in milliseconds, zero before any was measured: what is
+    /// not known keeps no request away.
     pub fn call_ms(&self) -> f64 {
-        self.call_ms.unwrap_or(FIRST_CALL_MS)
+        self.call_ms.unwrap_or(0.0)
     }
 
     fn note_fault(&mut self, failed: bool, now: Moment) {
@@ -252,9 +251,18 @@
         self.servers.get_mut(id).expect("it was just put in")
     }
 
-    /// Returns the time to read one token of a prompt for `model`, in milliseconds.
+    /// Returns the time to read one token of a prompt for `model`, in milliseconds; for one that was
+    /// not measured yet the mean of those that were.
     pub fn token_cost_ms(&self, model: &ModelName) -> f64 {
-        self.token_cost_ms.get(model).copied().unwrap_or(FIRST_TOKEN_COST_MS)
+        let measured = self.token_cost_ms.get(model).copied();
+        measured.unwrap_or_else(|| self.mean_token_cost_ms())
+    }
+
+    fn mean_token_cost_ms(&self) -> f64 {
+        match self.token_cost_ms.len() {
+            0 => FIRST_TOKEN_COST_MS,
+            models => self.token_cost_ms.values().sum::<f64>() / models as f64,
+        }
     }
 
     /// Counts a request at a server.
@@ -303,8 +311,10 @@
                 load.note_reachable();
                 load.note_fault(false, now);
                 if plain {
-                    let before = load.call_ms();
-                    load.call_ms = Some(before + MEAN_WEIGHT * (took_ms - before));
+                    let mean = load
+                        .call_ms
+                        .map_or(took_ms, |before| before + MEAN_WEIGHT * (took_ms - before));
+                    load.call_ms = Some(mean);
                 }
             }
             Ending::Refused => load.note_reachable(),
--- a/trackfront_core/tests/serving/directory.rs
+++ b/trackfront_core/tests/serving/directory.rs
@@ -3,7 +3,7 @@
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::directory::{Directory, DirectoryEvent, ServerChange, ServerState};
 
-use super::support::{at, entry};
+use super::support::{HEARTBEAT, at, entry};
 
 fn set(version: u64, id: &str, models: &[&str]) -> ServerChange {
     ServerChange::Set { version, entry: entry(id, models) }
@@ -26,7 +26,7 @@
 
 #[test]
 fn an_older_row_changes_nothing() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![set(5, "x", &["m"])], 5, at(0));
     assert!(directory.apply(vec![set(4, "x", &[])], 6, at(1)).is_empty());
     let known = directory.get(&"x".into()).expect("known");
@@ -36,7 +36,7 @@
 
 #[test]
 fn a_server_that_went_does_not_come_back_by_a_late_row() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![set(5, "x", &[])], 5, at(0));
     assert_eq!(directory.apply(vec![gone(7, "x")], 7, at(1)), [DirectoryEvent::Left("x".into())]);
     assert!(directory.apply(vec![set(6, "x", &[])], 8, at(2)).is_empty());
@@ -48,7 +48,7 @@
 
 #[test]
 fn an_old_listing_is_passed_over_whole() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![set(5, "x", &[]), set(6, "y", &[])], 9, at(0));
     assert_eq!(directory.replace(vec![(5, entry("x", &[]))], 8, at(1)), None);
     assert_eq!(ids(&directory), ["x", "y"]);
@@ -59,7 +59,7 @@
 
 #[test]
 fn draining_is_counted_from_when_it_was_learned_first() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![set(1, "x", &[])], 1, at(0));
     let events = directory.apply(vec![draining(2, "x", Some(2_000))], 2, at(100));
     assert_eq!(events, [DirectoryEvent::Draining("x".into())]);
@@ -72,7 +72,7 @@
 
 #[test]
 fn a_list_that_still_finds_loaded_servers_is_filling() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     assert!(!directory.is_filling(at(0)));
     directory.apply(vec![set(1, "x", &["m"])], 1, at(0));
     directory.apply(vec![set(2, "y", &["n"])], 2, at(1_500));
@@ -85,7 +85,7 @@
 
 #[test]
 fn what_a_listing_brought_can_be_relayed() {
-    let (mut reader, mut mate) = (Directory::default(), Directory::default());
+    let (mut reader, mut mate) = (Directory::new(HEARTBEAT), Directory::new(HEARTBEAT));
     for directory in [&mut reader, &mut mate] {
         directory.apply(vec![set(1, "x", &["m"]), set(2, "y", &[])], 2, at(0));
     }
@@ -104,7 +104,7 @@
         entry.address = "127.0.0.1:99".into();
         ServerChange::Set { version, entry }
     };
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![at_address(1, "x", &["m"])], 1, at(0));
     directory.apply(vec![at_address(5, "y", &[])], 5, at(2_000));
     assert_eq!(ids(&directory), ["y"], "x crashed and y started there; the row of x still stands");
@@ -116,14 +116,14 @@
     directory.apply(vec![at_address(11, "x", &["m"])], 11, at(3_500));
     assert_eq!(ids(&directory), ["y"]);
     // Of two that were found together it is not known which is later.
-    let mut new_node = Directory::default();
+    let mut new_node = Directory::new(HEARTBEAT);
     new_node.apply(vec![at_address(8, "x", &[]), at_address(9, "y", &[])], 9, at(0));
     assert_eq!(ids(&new_node), ["x", "y"]);
 }
 
 #[test]
 fn rows_that_lapsed_while_the_platform_was_away_are_waited_for() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![set(1, "x", &[]), set(2, "y", &[]), set(3, "z", &[])], 3, at(0));
     directory.apply(vec![draining(4, "z", None)], 4, at(100));
     directory.platform_came_back(Duration::from_secs(4), at(10_000));
@@ -143,7 +143,7 @@
 
 #[test]
 fn a_listing_without_a_lapsed_row_keeps_its_server_for_a_while() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![set(1, "x", &["m"]), set(2, "y", &[])], 2, at(0));
     directory.reader_expects_lapses(Duration::from_millis(500), Some(at(1_000)), at(5_000));
     assert_eq!(directory.lapses_for(at(5_100)), Duration::from_millis(400));
@@ -155,7 +155,7 @@
 
 #[test]
 fn a_row_that_goes_without_an_outage_takes_its_server_away() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     directory.apply(vec![set(1, "x", &[]), set(2, "y", &[]), set(3, "z", &[])], 3, at(0));
     // One call failed.
     directory.platform_came_back(Duration::from_millis(300), at(9_000));
@@ -169,3 +169,15 @@
     directory.apply(vec![gone(7, "z")], 7, at(11_100));
     assert!(ids(&directory).is_empty());
 }
+
+#[test]
+fn waits_for_rows_go_by_the_heartbeat() {
+    let mut slow = Directory::new(HEARTBEAT * 5);
+    slow.apply(vec![set(1, "x", &["m"]), set(2, "y", &[])], 2, at(0));
+    assert!(slow.is_filling(at(9_900)), "others may write theirs ten seconds later");
+    assert!(!slow.is_filling(at(10_000)));
+    // Away for four seconds, no row has lapsed.
+    slow.platform_came_back(Duration::from_secs(4), at(20_000));
+    slow.apply(vec![gone(3, "y")], 3, at(20_100));
+    assert_eq!(ids(&slow), ["x"]);
+}
--- a/trackfront_core/tests/serving/load.rs
+++ b/trackfront_core/tests/serving/load.rs
@@ -110,3 +110,31 @@
     book.forget(&id);
     assert_eq!(book.own_shares().count(), 0);
 }
+
+#[test]
+fn the_first_call_sets_the_mean_and_the_next_ones_move_it() {
+    let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
+    assert_eq!(book.server(&id).call_ms(), 0.0, "nothing is known");
+    let first = book.begin(&id, None, work(0, 0), at(0));
+    book.end(first, Ending::Answered, at(80));
+    assert_eq!(book.server(&id).call_ms(), 80.0);
+    let second = book.begin(&id, None, work(0, 0), at(100));
+    book.end(second, Ending::Answered, at(110));
+    let mean = book.server(&id).call_ms();
+    assert!((60.0..80.0).contains(&mean), "{mean}");
+}
+
+#[test]
+fn a_model_that_was_not_measured_costs_as_much_as_those_that_were() {
+    let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
+    let (known, new) = (ModelName::from("known"), ModelName::from("new"));
+    let before = book.token_cost_ms(&new);
+    for start in (0..100).map(|number| number * 10) {
+        // Each is read much faster than expected.
+        let mut counted = book.begin(&id, Some(&known), work(1_000, 1), at(start));
+        book.first_event(&mut counted, at(start + 5));
+        book.end(counted, Ending::Answered, at(start + 6));
+    }
+    assert!(book.token_cost_ms(&known) < before);
+    assert_eq!(book.token_cost_ms(&new), book.token_cost_ms(&known));
+}
--- a/trackfront_core/tests/serving/orders_random.rs
+++ b/trackfront_core/tests/serving/orders_random.rs
@@ -318,6 +318,11 @@
     // It wrote once more after that, or nothing was heard: the row has to be watched.
     assert_eq!(take(word(6), 9_000 + quiet), None);
     assert_eq!(take(None, 9_000 + quiet), None);
+    // A row that was given up: its word says when the right was dropped.
+    let given_up = SeenLease { row: LeaseRow { holder: None, ..seen.row.clone() }, ..seen.clone() };
+    let take_freed = |now| takeover_on_word(Some(&given_up), word(7), &me, TERMS, at(now));
+    assert_eq!(take_freed(9_000 + quiet - 1), None);
+    assert_eq!(take_freed(9_000 + quiet).map(|row| row.fence), Some(Fence(4)));
     let not_yet = Some(HolderWord { version: 7, ends: at(20_000) });
     assert_eq!(take(not_yet, 12_000), None);
 }
--- a/trackfront_core/tests/serving/support.rs
+++ b/trackfront_core/tests/serving/support.rs
@@ -14,6 +14,9 @@
 use trackfront_core::serving::request::{ModelRef, RequestInfo};
 use trackfront_core::units::Moment;
 
+/// How often servers write their rows.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
+
 pub fn at(ms: u64) -> Moment {
     Moment(Duration::from_millis(ms))
 }
@@ -52,7 +55,7 @@
 
 /// Returns servers as a directory knows them that learned of all at once.
 pub fn known(entries: Vec<ServerEntry>) -> Vec<Arc<KnownServer>> {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(HEARTBEAT);
     let service = entries[0].service.clone();
     let changes = entries.into_iter().enumerate();
     let changes =
--- a/trackfrontd/src/serving/follow.rs
+++ b/trackfrontd/src/serving/follow.rs
@@ -28,6 +28,9 @@
 /// as a part of the same time.
 const GATHER_PART: f64 = 0.125;
 
+/// The least of these waits, however little a deployment promises.
+const LEAST_WAIT: Duration = Duration::from_millis(100);
+
 /// How long a node that reads for itself alone waits after a change of the configuration, so that
 /// of some in quick succession it reads the last.
 const GATHER_CONFIG: Duration = Duration::from_millis(250);
@@ -126,8 +129,11 @@
         }
     }
 
+    /// Returns a part of the time within which a draining server has to be known, but never so
+    /// little that waiting for the store becomes asking it without a pause.
     fn part_of_drain(&self, part: f64) -> Duration {
-        self.node.settings.load().promises.drain().mul_f64(part)
+        let drain = self.node.settings.load().promises.drain();
+        drain.mul_f64(part).max(LEAST_WAIT)
     }
 
     /// How long this node waits for changes: as a reader for others, or for itself only.
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -160,13 +160,20 @@
             return;
         }
         self.lose("the node stops");
+        let dropped_at = self.node.now();
         self.machine.handle(&LeaseEvent::Released);
         let Some(seen) = &self.seen else {
             return;
         };
         let row = LeaseRow { holder: None, ..seen.row.clone() };
-        let outcome = self.commit(&row).await;
-        log::info!(applied = outcome == CommitOutcome::Applied; "order lease given up");
+        let version = seen.version + 1;
+        let applied = self.commit(&row).await == CommitOutcome::Applied;
+        if applied {
+            // No order was given since the right was dropped, so the quiet time began then.
+            self.giving.say(HolderWord { version, ends: dropped_at });
+            self.node.tell_peers.notify_one();
+        }
+        log::info!(applied; "order lease given up");
     }
 
     fn rank(&self, now: Moment) -> u32 {
@@ -208,11 +215,10 @@
         true
     }
 
-    /// Returns what the holder of the row that was seen last told in its digests.
+    /// Returns what the node that wrote the row as it was seen last told in its digests.
     fn holders_word(&self) -> Option<HolderWord> {
-        let holder = self.seen.as_ref()?.row.holder.as_ref()?;
-        let ip = holder.as_str().parse().ok()?;
-        self.node.peers.lock().holders_word(ip)
+        let version = self.seen.as_ref()?.version;
+        self.node.peers.lock().holders_word(version)
     }
 
     async fn look(&mut self) -> Result<(), TableError> {
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -106,6 +106,7 @@
     /// Makes a node that knows nothing yet.
     pub fn new(settings: ServingSettings, ports: ServingPorts) -> Arc<Self> {
         let budgets = RetryBudgets::new(settings.promises.budget());
+        let directory = Directory::new(settings.promises.heartbeat());
         let started = ports.clock.now();
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
@@ -113,7 +114,7 @@
             pool: UpstreamPool::default(),
             metrics: ServingMetrics::default(),
             config: ArcSwapOption::empty(),
-            directory: Mutex::default(),
+            directory: Mutex::new(directory),
             loads: Mutex::default(),
             memory: Mutex::default(),
             budgets: Mutex::new(budgets),
--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -73,9 +73,11 @@
         self.peers.get(&ip).is_some_and(|peer| peer.store_lost)
     }
 
-    /// Returns what a node last said of its right to give orders.
-    pub fn holders_word(&self, ip: Ipv4Addr) -> Option<HolderWord> {
-        self.peers.get(&ip)?.word
+    /// Returns what the node that wrote a version of the lease's row last said of its right. Each
+    /// version was written by one node alone.
+    pub fn holders_word(&self, version: u64) -> Option<HolderWord> {
+        let words = self.peers.values().filter_map(|peer| peer.word);
+        words.into_iter().find(|word| word.version == version)
     }
 
     /// Returns the nodes that are told in a round: those of the own zone each time, others less
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline.rs
@@ -517,7 +517,13 @@
         let server = &choice.server.entry.id;
         let head = node.ports.servers.read_head(&answer.head);
         let status = answer.head.status;
-        if head.request.as_ref().is_some_and(|id| *id != self.info.id) {
+        // On a kept connection a surplus answer to an earlier request may come first; one that names
+        // no request could be such, so it says nothing of this one.
+        let is_ours = match &head.request {
+            Some(id) => *id == self.info.id,
+            None => answer.is_first,
+        };
+        if !is_ours {
             held.end(Ending::Failed);
             let other = head.request.as_ref().map_or("", RequestId::as_str);
             log::warn!(request:% = self.info.id, server:%, other; "answer to another request");
@@ -606,7 +612,7 @@
 
     /// Reads a plain answer whole.
     pub async fn read_plain(&self, answer: UpstreamAnswer) -> Result<PlainAnswer, &'static str> {
-        let UpstreamAnswer { head, body } = answer;
+        let UpstreamAnswer { head, body, .. } = answer;
         match timeout_at(self.end, body.read(MAX_ANSWER)).await {
             Ok(Ok(body)) => Ok(PlainAnswer { head, body }),
             Ok(Err(error)) => {
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -93,6 +93,9 @@
         }
         let now = self.node.now();
         if !was_giver {
+            // What an earlier tenure began has no right any more, and its end is not to be taken for
+            // the end of what this one begins.
+            self.tasks.abort_all();
             let mut book = self.book.lock();
             book.pacer = LoadPacer::new(self.node.settings.load().promises.loads(), now);
             book.engines.clear();
--- a/trackfrontd/src/serving/relay.rs
+++ b/trackfrontd/src/serving/relay.rs
@@ -122,7 +122,7 @@
     held: Held,
     tries: &Tries,
 ) -> Relayed {
-    let UpstreamAnswer { head, body } = answer;
+    let UpstreamAnswer { head, body, .. } = answer;
     let mut events = EventStream {
         job: job.clone(),
         body,
@@ -261,6 +261,8 @@
             return false;
         }
         self.partial.clear();
+        // A stream that fell silent may still run; it must not beside the one that continues it.
+        self.body.close();
         let Ok(choice) = job.choose(&self.tried) else {
             return false;
         };
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -22,6 +22,9 @@
 use super::settings::ServingSettings;
 use super::{follow, listeners};
 
+/// How long a call to the platform's store may take beyond the time that it asks the store to wait.
+pub const STORE_CALL_TIME: Duration = Duration::from_millis(900);
+
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_EVERY: Duration = Duration::from_millis(2_000);
 
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -114,6 +114,8 @@
     pub load_window_s: f64,
     /// How many times the weight store's rate may be reached within such a window.
     pub load_overage: f64,
+    /// How often a server writes its row, in milliseconds.
+    pub heartbeat_ms: f64,
 }
 
 impl Default for PromiseSettings {
@@ -127,6 +129,7 @@
             order_quiet_ms: 3_000.0,
             load_window_s: 5.0,
             load_overage: 1.0,
+            heartbeat_ms: 1_000.0,
         }
     }
 }
@@ -147,6 +150,11 @@
         LoadTerms { window, overage: self.load_overage }
     }
 
+    /// Returns how often a server writes its row.
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_secs_f64(self.heartbeat_ms / 1_000.0)
+    }
+
     /// Returns how long a server that drains goes on serving.
     pub fn drain(&self) -> Duration {
         Duration::from_secs_f64(self.drain_ms / 1_000.0)
@@ -173,6 +181,7 @@
             ("promises.order_quiet_ms", self.order_quiet_ms),
             ("promises.load_window_s", self.load_window_s),
             ("promises.load_overage", self.load_overage),
+            ("promises.heartbeat_ms", self.heartbeat_ms),
         ];
         let positive = [from_zero[1], from_zero[4]];
         let in_range = |value: f64| (0.0..1e9).contains(&value);
