Split the pipeline, the stand-in's generations and the platform's tests by job

Ruled out: splitting the public names; all stand where they stood. Change: pipeline/{mod,attempt,plain,end_log}.rs, generation/{mod,http,reader}.rs, platform/tests/{requests,knowledge,orders,operation}.rs with support/asking.rs. Nothing is changed but places and imports.

--- a/trackfront_standin/src/engine/generation.rs
+++ b/trackfront_standin/src/engine/generation/mod.rs
@@ -1,29 +1,22 @@
 //! Text generation with the timing of continuous batching.
 
+mod http;
+mod reader;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::http::StatusCode;
 use bytes::Bytes;
-use futures::StreamExt;
-use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame as BodyFrame, Incoming};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use serde_json::value::RawValue;
 use tokio::sync::watch;
-use trackfront_adapters::http_server::{Abort, BodyError, response};
-use trackfront_adapters::wire::engine::{
-    ADAPTER_HEADER, CONTINUE_HEADER, DONE, FINAL_HEADER, MODEL_HEADER, PRIORITY_HEADER,
-    REQUEST_ID_HEADER, RESUME_HEADER, VERSION_HEADER, event_id,
-};
 use trackfront_core::ids::{ItemKey, RequestId};
 use trackfront_core::ports::engine::GenerateKind;
-use trackfront_core::ports::{Frame, FrameBody, FrameStream, GenerateError};
 use trackfront_core::prefix::{BLOCK_BYTES, block_hashes};
 
-use super::{EngineStandin, take};
-use crate::server::{Answer, body};
+use super::EngineStandin;
 
 /// How many tokens are generated when the body does not say.
 const DEFAULT_TOKENS: u64 = 16;
@@ -201,57 +194,7 @@
     }
 }
 
-/// Reads the request's identifier and item from its headers.
-fn named(headers: &HeaderMap) -> Option<(RequestId, ItemKey)> {
-    let text = |name: &str| headers.get(name)?.to_str().ok();
-    let item = ItemKey {
-        model: text(MODEL_HEADER)?.into(),
-        adapter: text(ADAPTER_HEADER).map(Into::into),
-        version: text(VERSION_HEADER)?.into(),
-    };
-    Some((text(REQUEST_ID_HEADER)?.into(), item))
-}
-
-/// Answers that the request itself is at fault.
-fn final_refusal(status: StatusCode, detail: impl Into<String>) -> Answer {
-    let mut refusal = response(status, "text/plain", detail.into());
-    refusal.headers_mut().insert(FINAL_HEADER, http::HeaderValue::from_static("1"));
-    Ok(refusal)
-}
-
 impl EngineStandin {
-    /// Starts, resumes or continues a request over HTTP.
-    pub(super) async fn generate(&self, request: Request<Incoming>, kind: GenerateKind) -> Answer {
-        if self.take_drop_fault() {
-            return Err(Abort);
-        }
-        let Some((id, item)) = named(request.headers()) else {
-            return final_refusal(StatusCode::BAD_REQUEST, "the request names no item");
-        };
-        let number = |name: &str| -> Option<u64> {
-            request.headers().get(name)?.to_str().ok()?.parse().ok()
-        };
-        let resume = number(RESUME_HEADER);
-        let continue_at = number(CONTINUE_HEADER);
-        let priority = number(PRIORITY_HEADER).unwrap_or(0) as u8;
-        let bytes = body(request).await?;
-        let start = Start { id, kind, item, priority, resume, continue_at, body: &bytes };
-        match self.begin(start) {
-            Ok((generation, offset)) if generation.wanted.stream => {
-                Ok(self.stream(generation, offset))
-            }
-            Ok((generation, _)) => self.whole(generation).await,
-            Err(StartError::Bad(detail)) => final_refusal(StatusCode::BAD_REQUEST, detail),
-            Err(StartError::NotHere { status, detail }) => {
-                Ok(response(status, "text/plain", detail))
-            }
-        }
-    }
-
-    pub(super) fn take_drop_fault(&self) -> bool {
-        take(&mut self.inner.faults.lock().drop_requests)
-    }
-
     /// Finds or starts a request and returns the offset of the first frame wanted.
     pub(super) fn begin(&self, start: Start<'_>) -> Result<(Arc<Generation>, u64), StartError> {
         let wanted: Wanted = serde_json::from_slice(start.body)
@@ -378,71 +321,6 @@
             });
         }
     }
-
-    /// Answers with the whole text once it is there.
-    async fn whole(&self, generation: Arc<Generation>) -> Answer {
-        let Some((id, body)) = self.whole_body(&generation).await else {
-            return Err(Abort);
-        };
-        let mut answer = response(StatusCode::OK, "application/json", body);
-        if let Ok(value) = id.as_str().parse() {
-            answer.headers_mut().insert(REQUEST_ID_HEADER, value);
-        }
-        Ok(answer)
-    }
-
-    /// Waits for the whole text and returns it with the request that it names; `None` if the
-    /// request was cancelled.
-    pub(super) async fn whole_body(&self, generation: &Generation) -> Option<(RequestId, Bytes)> {
-        let mut progress = generation.progress.subscribe();
-        let ended = progress.wait_for(|progress| !matches!(progress, Progress::Tokens(_))).await;
-        if ended.is_ok_and(|progress| *progress == Progress::Cancelled) {
-            return None;
-        }
-        let id = match self.take_wrong_id() {
-            true => OTHER_REQUEST.into(),
-            false => generation.id.clone(),
-        };
-        Some((id, generation.whole().to_string().into()))
-    }
-
-    /// Answers with a stream of events from `offset` on.
-    fn stream(
-        &self,
-        generation: Arc<Generation>,
-        offset: u64,
-    ) -> Response<trackfront_adapters::http_server::Body> {
-        let events = self.frames(generation, offset).map(|frame| match frame {
-            Ok(frame) => Ok(BodyFrame::data(encode(&frame))),
-            Err(error) => Err(BodyError::from(error.to_string())),
-        });
-        Response::builder()
-            .header(http::header::CONTENT_TYPE, "text/event-stream")
-            .body(BodyExt::boxed_unsync(StreamBody::new(events)))
-            .expect("the header is valid")
-    }
-
-    /// Returns the frames of a request from `offset` on.
-    pub(super) fn frames(&self, generation: Arc<Generation>, offset: u64) -> FrameStream {
-        let progress = generation.progress.subscribe();
-        let reader = Reader {
-            engine: self.clone(),
-            generation,
-            progress,
-            offset,
-            sent: 0,
-            over: false,
-            extra: None,
-        };
-        Box::pin(futures::stream::unfold(reader, |mut reader| async move {
-            let frame = reader.next_frame().await?;
-            Some((frame, reader))
-        }))
-    }
-
-    fn take_wrong_id(&self) -> bool {
-        take(&mut self.inner.faults.lock().wrong_ids)
-    }
 }
 
 /// Returns what is wrong with a request to continue, if anything: the text has to have as many
@@ -459,92 +337,3 @@
     let raw = part.and_then(|part| part.prompt.or(part.messages));
     raw.map_or(body, |raw| raw.get().as_bytes())
 }
-
-/// Encodes a frame as an event.
-fn encode(frame: &Frame) -> Bytes {
-    let id = event_id(&frame.request, frame.offset);
-    let data = match &frame.body {
-        FrameBody::Data(data) => String::from_utf8_lossy(data),
-        FrameBody::End => DONE.into(),
-    };
-    format!("id: {id}\ndata: {data}\n\n").into()
-}
-
-/// One connection that reads a request's stream.
-struct Reader {
-    engine: EngineStandin,
-    generation: Arc<Generation>,
-    progress: watch::Receiver<Progress>,
-    offset: u64,
-    sent: u64,
-    over: bool,
-    /// A frame that a fault sends before or after the right one.
-    extra: Option<Frame>,
-}
-
-impl Reader {
-    /// Returns the next frame to send, or `None` at the end.
-    async fn next_frame(&mut self) -> Option<Result<Frame, GenerateError>> {
-        if let Some(extra) = self.extra.take() {
-            return Some(Ok(extra));
-        }
-        if self.over {
-            return None;
-        }
-        if self.takes_break_fault() {
-            self.over = true;
-            return Some(Err(GenerateError::Broke("the stream breaks on command".into())));
-        }
-        let offset = self.offset;
-        let reached = self
-            .progress
-            .wait_for(|progress| !matches!(progress, Progress::Tokens(made) if *made <= offset))
-            .await
-            .map(|progress| *progress);
-        if self.engine.inner.faults.lock().down {
-            self.over = true;
-            return Some(Err(GenerateError::Broke("the engine is down".into())));
-        }
-        let id = self.generation.id.clone();
-        let is_last = offset >= self.generation.max_tokens();
-        let frame = match reached {
-            Ok(Progress::Tokens(_)) => Frame::data(id, offset, self.generation.chunk(offset)),
-            Ok(Progress::Done) if !is_last => {
-                Frame::data(id, offset, self.generation.chunk(offset))
-            }
-            Ok(Progress::Done) => {
-                self.over = true;
-                Frame::end(id, offset)
-            }
-            _ => {
-                self.over = true;
-                return Some(Err(GenerateError::Broke("the request was cancelled".into())));
-            }
-        };
-        self.offset += 1;
-        self.sent += 1;
-        Some(Ok(self.with_faults(frame)))
-    }
-
-    /// Adds the frames that are sent too much on command.
-    fn with_faults(&mut self, frame: Frame) -> Frame {
-        let mut faults = self.engine.inner.faults.lock();
-        if take(&mut faults.wrong_ids) {
-            // Another request's frame comes before ours, as a mix-up in the engine would send.
-            let other = Frame { request: OTHER_REQUEST.into(), ..frame.clone() };
-            self.extra = Some(frame);
-            return other;
-        }
-        if take(&mut faults.repeat_frames) {
-            self.extra = Some(frame.clone());
-        }
-        frame
-    }
-
-    fn takes_break_fault(&self) -> bool {
-        let mut faults = self.engine.inner.faults.lock();
-        faults.break_streams > 0
-            && self.sent == faults.break_after
-            && take(&mut faults.break_streams)
-    }
-}
--- /dev/null
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -0,0 +1,232 @@
+//! One send of a request to one server, and what its answer's head says.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+use trackfront_adapters::interface::Attempt;
+use trackfront_adapters::serving_metrics::KindLabel;
+use trackfront_adapters::upstream::{SendOptions, UpstreamAnswer, UpstreamError};
+use trackfront_core::ids::RequestId;
+use trackfront_core::serving::choose::Choice;
+use trackfront_core::serving::load::{Counted, Ending};
+use trackfront_core::serving::request::ModelRef;
+use trackfront_core::units::Moment;
+
+use super::Job;
+use crate::serving::node::ServingNode;
+use crate::serving::overlay::NoteKind;
+
+/// How long a connection to a server may take to open: many times the way within a region.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
+
+/// How long a kept connection may have been unused for a request that may be sent again.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+
+/// How long for a request that may not: a server may have forgotten the connection without a word.
+const MAX_IDLE_ONCE: Duration = Duration::from_secs(3);
+
+/// How many times its target an idempotent request waits at one server before another is asked.
+const PATIENCE: u32 = 4;
+
+/// A request that counts at a server until this is dropped.
+pub struct Held {
+    node: Arc<ServingNode>,
+    counted: Option<Counted>,
+    item: Option<ModelRef>,
+}
+
+impl Held {
+    /// Notes the first event.
+    pub fn first_event(&mut self) {
+        let now = self.node.now();
+        if let Some(counted) = &mut self.counted {
+            self.node.loads.lock().first_event(counted, now);
+        }
+    }
+
+    /// Notes how the request ended at the server.
+    pub fn end(&mut self, ending: Ending) {
+        let now = self.node.now();
+        if let Some(counted) = self.counted.take() {
+            if let Some(item) = &self.item {
+                self.node.adapter_use.lock().end(counted.server(), item);
+            }
+            self.node.loads.lock().end(counted, ending, now);
+        }
+    }
+
+    /// Returns how long the first event was expected to take, in milliseconds.
+    pub fn expected_ms(&self) -> f64 {
+        self.counted.as_ref().map_or(0.0, Counted::expected_ms)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.end(Ending::Abandoned);
+    }
+}
+
+/// What came of one send.
+pub enum Sent {
+    /// The head of an answer to this request.
+    Answer(Box<UpstreamAnswer>, Held),
+    /// Nothing was sent.
+    Unreachable,
+    /// The server said that it did not run the request.
+    Refused,
+    /// The server has ended; another run of it, at its address, did not run the request.
+    Ended,
+    /// The request may have run.
+    Failed(&'static str),
+}
+
+impl Job {
+    /// Returns until when the head of an answer is waited for.
+    fn head_until(&self) -> Instant {
+        if !self.route.is_idempotent() || self.route.max_attempts < 2 {
+            return self.end;
+        }
+        let patience = self.route.target * PATIENCE;
+        let half = self.end.saturating_duration_since(Instant::now()) / 2;
+        Instant::now() + patience.max(half)
+    }
+
+    /// Sends the request to one server and waits for the head of its answer.
+    pub async fn send(&self, choice: &Choice, after_event: Option<&str>) -> Sent {
+        let node = &self.node;
+        let server = &choice.server.entry;
+        let mut held = self.hold(choice);
+        self.log_send(choice, held.expected_ms(), after_event.is_some());
+        let attempt = Attempt {
+            server,
+            time_left: self
+                .deadline
+                .map(|deadline| deadline.saturating_duration_since(Instant::now())),
+            priority: self.route.priority,
+            after_event,
+        };
+        let request = node.ports.servers.request(&self.head, self.body.clone(), &attempt);
+        let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
+        let max_idle = if repeats { MAX_IDLE } else { MAX_IDLE_ONCE };
+        let options = SendOptions { connect_time: CONNECT_TIME, max_idle };
+        let sending = node.pool.send(&server.address, request, options, || true);
+        let sent = timeout_at(self.head_until().min(self.end), sending).await;
+        let (result, outcome) = match sent {
+            Err(_) => {
+                held.end(Ending::Failed);
+                ("no answer in time", Sent::Failed("no answer in time"))
+            }
+            Ok(Err(UpstreamError::NotSent(cause))) => {
+                held.end(Ending::Unreachable);
+                log::info!(request:% = self.info.id, server:% = server.id, cause; "not sent");
+                ("unreachable", Sent::Unreachable)
+            }
+            Ok(Err(UpstreamError::Lost(cause))) => {
+                held.end(Ending::Failed);
+                log::info!(request:% = self.info.id, server:% = server.id, cause; "answer lost");
+                ("lost", Sent::Failed("the answer was lost"))
+            }
+            Ok(Ok(answer)) => self.judge_head(choice, answer, held),
+        };
+        node.metrics.sends.get_or_create(&KindLabel { kind: result }).inc();
+        outcome
+    }
+
+    /// Judges the head of an answer.
+    fn judge_head(
+        &self,
+        choice: &Choice,
+        answer: UpstreamAnswer,
+        mut held: Held,
+    ) -> (&'static str, Sent) {
+        let node = &self.node;
+        let server = &choice.server.entry.id;
+        let head = node.ports.servers.read_head(&answer.head);
+        let status = answer.head.status;
+        // On a kept connection a surplus answer to an earlier request may come first; one that names
+        // no request could be such, so it says nothing of this one.
+        let is_ours = match &head.request {
+            Some(id) => *id == self.info.id,
+            None => answer.is_first,
+        };
+        if !is_ours {
+            held.end(Ending::Failed);
+            let other = head.request.as_ref().map_or("", RequestId::as_str);
+            log::warn!(request:% = self.info.id, server:%, other; "answer to another request");
+            return ("other_request", Sent::Failed("the server answered another request"));
+        }
+        if let Some(load) = head.load {
+            node.loads.lock().told(server, load, node.now());
+        }
+        if head.not_run || head.misdirected {
+            let replaced =
+                head.misdirected && head.instance.as_ref().is_some_and(|id| id != server);
+            held.end(if replaced { Ending::Replaced } else { Ending::Refused });
+            if head.misdirected && !replaced {
+                self.note_lack(choice);
+            }
+            let status = status.as_u16();
+            let misdirected = head.misdirected;
+            let request = &self.info.id;
+            log::info!(request:%, server:%, status, misdirected, replaced; "server refused");
+            return match replaced {
+                true => ("ended", Sent::Ended),
+                false => ("refused", Sent::Refused),
+            };
+        }
+        if status.is_success() && !head.signed {
+            held.end(Ending::Failed);
+            log::warn!(request:% = self.info.id, server:%; "answer without the server's mark");
+            return ("unsigned", Sent::Failed("the answer is not the server's"));
+        }
+        ("answered", Sent::Answer(Box::new(answer), held))
+    }
+
+    /// Notes that the server lacks what its row says that it holds.
+    fn note_lack(&self, choice: &Choice) {
+        let Some(item) = &self.info.model else {
+            return;
+        };
+        let (server, now) = (&choice.server.entry.id, self.node.now());
+        self.node.overlay.lock().note(server, item, NoteKind::Withdrawn, now);
+    }
+
+    fn hold(&self, choice: &Choice) -> Held {
+        let node = self.node.clone();
+        let now = node.now();
+        let id = &choice.server.entry.id;
+        let model = self.info.model.as_ref().map(|item| &item.model);
+        let work = self.info.work(choice.cached_tokens, self.route.priority);
+        let counted = node.loads.lock().begin(id, model, work, now);
+        if !self.prefixes.is_empty() {
+            node.memory.lock().read(&self.prefixes, id, now);
+        }
+        let item = self.info.model.clone();
+        if let Some(item) = &item {
+            node.adapter_use.lock().begin(id, item);
+        }
+        Held { node, counted: Some(counted), item }
+    }
+
+    fn log_send(&self, choice: &Choice, expected_ms: f64, resumes: bool) {
+        let known = &choice.server;
+        let age = |moment: Moment| self.node.now().since(moment).as_millis() as u64;
+        log::info!(
+            request:% = self.info.id,
+            route = self.route.name,
+            config = self.config_version,
+            server:% = known.entry.id,
+            row = known.version,
+            row_age_ms = age(known.learned),
+            estimate_ms = choice.estimate.as_millis() as u64,
+            expected_ms = expected_ms as u64,
+            requests = choice.requests,
+            waiting = choice.waiting,
+            cached = choice.cached_tokens,
+            resumes;
+            "request sent"
+        );
+    }
+}
--- /dev/null
+++ b/trackfrontd/src/serving/pipeline/end_log.rs
@@ -0,0 +1,51 @@
+//! The line and the figures of a request's end.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+use trackfront_core::ids::RequestId;
+use trackfront_core::serving::config::Route;
+use trackfront_core::serving::request::{ModelRef, RequestInfo};
+
+use crate::serving::node::ServingNode;
+
+/// Logs and counts the end of a request, also when the client leaves and the work is dropped.
+pub struct EndLog {
+    node: Arc<ServingNode>,
+    id: RequestId,
+    model: Option<ModelRef>,
+    /// Its route, once that is known.
+    pub route: Option<Arc<Route>>,
+    arrived: Instant,
+    ended: bool,
+}
+
+impl EndLog {
+    /// Begins with a request that was read.
+    pub fn new(node: Arc<ServingNode>, info: &RequestInfo, arrived: Instant) -> Self {
+        node.metrics.in_flight.inc();
+        let (id, model) = (info.id.clone(), info.model.clone());
+        Self { node, id, model, route: None, arrived, ended: false }
+    }
+
+    /// Notes the end.
+    pub fn end(&mut self, outcome: &'static str, cause: &str) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        self.node.metrics.in_flight.dec();
+        let kind = self.route.as_ref().map_or("unknown", |route| route.kind.name());
+        self.node.metrics.ended(kind, outcome);
+        let route = self.route.as_ref().map_or("", |route| route.name.as_str());
+        let ms = self.arrived.elapsed().as_millis() as u64;
+        let model = self.model.as_ref().map_or_else(String::new, ModelRef::to_string);
+        log::info!(request:% = self.id, route, model, outcome, cause, ms; "request ended");
+    }
+}
+
+impl Drop for EndLog {
+    fn drop(&mut self) {
+        self.end("client_left", "the client closed its connection");
+    }
+}
--- a/trackfrontd/src/serving/pipeline.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -3,42 +3,32 @@
 //! What may have run is never sent again unless it is idempotent, and never refused as not run. A
 //! request that is given up gets its answer at once.
 
+mod attempt;
+mod end_log;
+mod plain;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use attempt::{Held, Sent};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, request};
+pub use end_log::EndLog;
+use http::{Request, Response, request};
 use hyper::body::Incoming;
+pub use plain::PlainAnswer;
 use tokio::time::{Instant, timeout_at};
-use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, full, read_body};
-use trackfront_adapters::interface::{Attempt, end_to_end};
-use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_adapters::upstream::{SendOptions, UpstreamAnswer, UpstreamError};
+use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body};
 use trackfront_core::ids::{BackendId, RequestId, ServiceName};
 use trackfront_core::serving::affinity::{Prefix, prefixes};
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, choose};
-use trackfront_core::serving::config::{Route, RouteKind, ServingConfig};
-use trackfront_core::serving::load::{Counted, Ending};
+use trackfront_core::serving::config::{Route, ServingConfig};
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
-use trackfront_core::units::Moment;
 
 use super::follow;
 use super::node::ServingNode;
-use super::overlay::{NodeView, NoteKind};
+use super::overlay::NodeView;
 use super::relay;
 
-/// How long a connection to a server may take to open: many times the way within a region.
-const CONNECT_TIME: Duration = Duration::from_millis(250);
-
-/// How long a kept connection may have been unused for a request that may be sent again.
-const MAX_IDLE: Duration = Duration::from_secs(20);
-
-/// How long for a request that may not: a server may have forgotten the connection without a word.
-const MAX_IDLE_ONCE: Duration = Duration::from_secs(3);
-
-/// The largest plain answer, in bytes.
-const MAX_ANSWER: usize = 16 * 1024 * 1024;
-
 /// How long before the client's deadline the node answers by itself.
 const ANSWER_MARGIN: Duration = Duration::from_millis(40);
 
@@ -58,9 +48,6 @@
 /// When to come back for something that no engine holds.
 const LOADING_RETRY: Duration = Duration::from_millis(1_500);
 
-/// How many times its target an idempotent request waits at one server before another is asked.
-const PATIENCE: u32 = 4;
-
 /// A request on its way.
 pub struct Job {
     /// The node.
@@ -87,98 +74,6 @@
     pub config_version: u64,
 }
 
-/// Logs and counts the end of a request, also when the client leaves and the work is dropped.
-pub struct EndLog {
-    node: Arc<ServingNode>,
-    id: RequestId,
-    model: Option<ModelRef>,
-    route: Option<Arc<Route>>,
-    arrived: Instant,
-    ended: bool,
-}
-
-impl EndLog {
-    fn new(node: Arc<ServingNode>, info: &RequestInfo, arrived: Instant) -> Self {
-        node.metrics.in_flight.inc();
-        let (id, model) = (info.id.clone(), info.model.clone());
-        Self { node, id, model, route: None, arrived, ended: false }
-    }
-
-    /// Notes the end.
-    pub fn end(&mut self, outcome: &'static str, cause: &str) {
-        if self.ended {
-            return;
-        }
-        self.ended = true;
-        self.node.metrics.in_flight.dec();
-        let kind = self.route.as_ref().map_or("unknown", |route| route.kind.name());
-        self.node.metrics.ended(kind, outcome);
-        let route = self.route.as_ref().map_or("", |route| route.name.as_str());
-        let ms = self.arrived.elapsed().as_millis() as u64;
-        let model = self.model.as_ref().map_or_else(String::new, ModelRef::to_string);
-        log::info!(request:% = self.id, route, model, outcome, cause, ms; "request ended");
-    }
-}
-
-impl Drop for EndLog {
-    fn drop(&mut self) {
-        self.end("client_left", "the client closed its connection");
-    }
-}
-
-/// A request that counts at a server until this is dropped.
-pub struct Held {
-    node: Arc<ServingNode>,
-    counted: Option<Counted>,
-    item: Option<ModelRef>,
-}
-
-impl Held {
-    /// Notes the first event.
-    pub fn first_event(&mut self) {
-        let now = self.node.now();
-        if let Some(counted) = &mut self.counted {
-            self.node.loads.lock().first_event(counted, now);
-        }
-    }
-
-    /// Notes how the request ended at the server.
-    pub fn end(&mut self, ending: Ending) {
-        let now = self.node.now();
-        if let Some(counted) = self.counted.take() {
-            if let Some(item) = &self.item {
-                self.node.adapter_use.lock().end(counted.server(), item);
-            }
-            self.node.loads.lock().end(counted, ending, now);
-        }
-    }
-
-    /// Returns how long the first event was expected to take, in milliseconds.
-    pub fn expected_ms(&self) -> f64 {
-        self.counted.as_ref().map_or(0.0, Counted::expected_ms)
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.end(Ending::Abandoned);
-    }
-}
-
-/// What came of one send.
-pub enum Sent {
-    /// The head of an answer to this request.
-    Answer(Box<UpstreamAnswer>, Held),
-    /// Nothing was sent.
-    Unreachable,
-    /// The server said that it did not run the request.
-    Refused,
-    /// The server has ended; another run of it, at its address, did not run the request.
-    Ended,
-    /// The request may have run.
-    Failed(&'static str),
-}
-
 /// Answers a request of a client.
 pub async fn answer(
     node: Arc<ServingNode>,
@@ -336,14 +231,6 @@
     refused(&node, &refusal, Some(&job.info.id))
 }
 
-/// A server's whole answer.
-pub struct PlainAnswer {
-    /// Status and headers.
-    pub head: http::response::Parts,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// What was tried so far.
 #[derive(Default)]
 pub struct Tries {
@@ -454,189 +341,4 @@
             None => Refusal::NoServer { cause, retry_after: LEAST_RETRY * 2 },
         }
     }
-
-    /// Returns until when the head of an answer is waited for.
-    fn head_until(&self) -> Instant {
-        if !self.route.is_idempotent() || self.route.max_attempts < 2 {
-            return self.end;
-        }
-        let patience = self.route.target * PATIENCE;
-        let half = self.end.saturating_duration_since(Instant::now()) / 2;
-        Instant::now() + patience.max(half)
-    }
-
-    /// Sends the request to one server and waits for the head of its answer.
-    pub async fn send(&self, choice: &Choice, after_event: Option<&str>) -> Sent {
-        let node = &self.node;
-        let server = &choice.server.entry;
-        let mut held = self.hold(choice);
-        self.log_send(choice, held.expected_ms(), after_event.is_some());
-        let attempt = Attempt {
-            server,
-            time_left: self
-                .deadline
-                .map(|deadline| deadline.saturating_duration_since(Instant::now())),
-            priority: self.route.priority,
-            after_event,
-        };
-        let request = node.ports.servers.request(&self.head, self.body.clone(), &attempt);
-        let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
-        let max_idle = if repeats { MAX_IDLE } else { MAX_IDLE_ONCE };
-        let options = SendOptions { connect_time: CONNECT_TIME, max_idle };
-        let sending = node.pool.send(&server.address, request, options, || true);
-        let sent = timeout_at(self.head_until().min(self.end), sending).await;
-        let (result, outcome) = match sent {
-            Err(_) => {
-                held.end(Ending::Failed);
-                ("no answer in time", Sent::Failed("no answer in time"))
-            }
-            Ok(Err(UpstreamError::NotSent(cause))) => {
-                held.end(Ending::Unreachable);
-                log::info!(request:% = self.info.id, server:% = server.id, cause; "not sent");
-                ("unreachable", Sent::Unreachable)
-            }
-            Ok(Err(UpstreamError::Lost(cause))) => {
-                held.end(Ending::Failed);
-                log::info!(request:% = self.info.id, server:% = server.id, cause; "answer lost");
-                ("lost", Sent::Failed("the answer was lost"))
-            }
-            Ok(Ok(answer)) => self.judge_head(choice, answer, held),
-        };
-        node.metrics.sends.get_or_create(&KindLabel { kind: result }).inc();
-        outcome
-    }
-
-    /// Judges the head of an answer.
-    fn judge_head(
-        &self,
-        choice: &Choice,
-        answer: UpstreamAnswer,
-        mut held: Held,
-    ) -> (&'static str, Sent) {
-        let node = &self.node;
-        let server = &choice.server.entry.id;
-        let head = node.ports.servers.read_head(&answer.head);
-        let status = answer.head.status;
-        // On a kept connection a surplus answer to an earlier request may come first; one that names
-        // no request could be such, so it says nothing of this one.
-        let is_ours = match &head.request {
-            Some(id) => *id == self.info.id,
-            None => answer.is_first,
-        };
-        if !is_ours {
-            held.end(Ending::Failed);
-            let other = head.request.as_ref().map_or("", RequestId::as_str);
-            log::warn!(request:% = self.info.id, server:%, other; "answer to another request");
-            return ("other_request", Sent::Failed("the server answered another request"));
-        }
-        if let Some(load) = head.load {
-            node.loads.lock().told(server, load, node.now());
-        }
-        if head.not_run || head.misdirected {
-            let replaced =
-                head.misdirected && head.instance.as_ref().is_some_and(|id| id != server);
-            held.end(if replaced { Ending::Replaced } else { Ending::Refused });
-            if head.misdirected && !replaced {
-                self.note_lack(choice);
-            }
-            let status = status.as_u16();
-            let misdirected = head.misdirected;
-            let request = &self.info.id;
-            log::info!(request:%, server:%, status, misdirected, replaced; "server refused");
-            return match replaced {
-                true => ("ended", Sent::Ended),
-                false => ("refused", Sent::Refused),
-            };
-        }
-        if status.is_success() && !head.signed {
-            held.end(Ending::Failed);
-            log::warn!(request:% = self.info.id, server:%; "answer without the server's mark");
-            return ("unsigned", Sent::Failed("the answer is not the server's"));
-        }
-        ("answered", Sent::Answer(Box::new(answer), held))
-    }
-
-    /// Notes that the server lacks what its row says that it holds.
-    fn note_lack(&self, choice: &Choice) {
-        let Some(item) = &self.info.model else {
-            return;
-        };
-        let (server, now) = (&choice.server.entry.id, self.node.now());
-        self.node.overlay.lock().note(server, item, NoteKind::Withdrawn, now);
-    }
-
-    fn hold(&self, choice: &Choice) -> Held {
-        let node = self.node.clone();
-        let now = node.now();
-        let id = &choice.server.entry.id;
-        let model = self.info.model.as_ref().map(|item| &item.model);
-        let work = self.info.work(choice.cached_tokens, self.route.priority);
-        let counted = node.loads.lock().begin(id, model, work, now);
-        if !self.prefixes.is_empty() {
-            node.memory.lock().read(&self.prefixes, id, now);
-        }
-        let item = self.info.model.clone();
-        if let Some(item) = &item {
-            node.adapter_use.lock().begin(id, item);
-        }
-        Held { node, counted: Some(counted), item }
-    }
-
-    fn log_send(&self, choice: &Choice, expected_ms: f64, resumes: bool) {
-        let known = &choice.server;
-        let age = |moment: Moment| self.node.now().since(moment).as_millis() as u64;
-        log::info!(
-            request:% = self.info.id,
-            route = self.route.name,
-            config = self.config_version,
-            server:% = known.entry.id,
-            row = known.version,
-            row_age_ms = age(known.learned),
-            estimate_ms = choice.estimate.as_millis() as u64,
-            expected_ms = expected_ms as u64,
-            requests = choice.requests,
-            waiting = choice.waiting,
-            cached = choice.cached_tokens,
-            resumes;
-            "request sent"
-        );
-    }
-
-    /// Makes the client's answer out of the head of a server's.
-    pub fn client_answer(&self, head: &http::response::Parts, body: Body) -> Response<Body> {
-        let mut response = Response::new(body);
-        *response.status_mut() = head.status;
-        *response.headers_mut() = end_to_end(&head.headers);
-        response
-    }
-
-    /// Reads a plain answer whole.
-    pub async fn read_plain(&self, answer: UpstreamAnswer) -> Result<PlainAnswer, &'static str> {
-        let UpstreamAnswer { head, body, .. } = answer;
-        match timeout_at(self.end, body.read(MAX_ANSWER)).await {
-            Ok(Ok(body)) => Ok(PlainAnswer { head, body }),
-            Ok(Err(error)) => {
-                log::info!(request:% = self.info.id, error:% = error; "answer broke off");
-                Err("the answer broke off")
-            }
-            Err(_) => Err("the answer did not end in time"),
-        }
-    }
-
-    /// Makes the client's answer out of a server's whole one.
-    pub fn plain_response(&self, answer: PlainAnswer) -> Response<Body> {
-        let PlainAnswer { head, body } = answer;
-        let length = body.len();
-        let mut response = self.client_answer(&head, full(body));
-        // The length that the server stated is that of the body, or there was none.
-        if head.status != StatusCode::NO_CONTENT {
-            response.headers_mut().insert(http::header::CONTENT_LENGTH, length.into());
-        }
-        response
-    }
-
-    /// Returns whether its answer is a stream.
-    pub fn is_stream(&self) -> bool {
-        self.route.kind == RouteKind::Stream
-    }
 }
--- /dev/null
+++ b/trackfrontd/src/serving/pipeline/plain.rs
@@ -0,0 +1,62 @@
+//! Plain answers, which are read whole before they are passed on.
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use tokio::time::timeout_at;
+use trackfront_adapters::http_server::{Body, full};
+use trackfront_adapters::interface::end_to_end;
+use trackfront_adapters::upstream::UpstreamAnswer;
+use trackfront_core::serving::config::RouteKind;
+
+use super::Job;
+
+/// The largest plain answer, in bytes.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// A server's whole answer.
+pub struct PlainAnswer {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Job {
+    /// Makes the client's answer out of the head of a server's.
+    pub fn client_answer(&self, head: &http::response::Parts, body: Body) -> Response<Body> {
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = end_to_end(&head.headers);
+        response
+    }
+
+    /// Reads a plain answer whole.
+    pub async fn read_plain(&self, answer: UpstreamAnswer) -> Result<PlainAnswer, &'static str> {
+        let UpstreamAnswer { head, body, .. } = answer;
+        match timeout_at(self.end, body.read(MAX_ANSWER)).await {
+            Ok(Ok(body)) => Ok(PlainAnswer { head, body }),
+            Ok(Err(error)) => {
+                log::info!(request:% = self.info.id, error:% = error; "answer broke off");
+                Err("the answer broke off")
+            }
+            Err(_) => Err("the answer did not end in time"),
+        }
+    }
+
+    /// Makes the client's answer out of a server's whole one.
+    pub fn plain_response(&self, answer: PlainAnswer) -> Response<Body> {
+        let PlainAnswer { head, body } = answer;
+        let length = body.len();
+        let mut response = self.client_answer(&head, full(body));
+        // The length that the server stated is that of the body, or there was none.
+        if head.status != StatusCode::NO_CONTENT {
+            response.headers_mut().insert(http::header::CONTENT_LENGTH, length.into());
+        }
+        response
+    }
+
+    /// Returns whether its answer is a stream.
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == RouteKind::Stream
+    }
+}
