--- a/trackfront_core/src/ports/table.rs
+++ b/trackfront_core/src/ports/table.rs
@@ -102,7 +102,8 @@
     BadAnswer(String),
 }
 
-/// The platform's table: about 100 writes and 2,000 reads a second for the whole deployment.
+/// The platform's table. Its rates are shared by the whole deployment: some hundred writes and a few
+/// thousand reads a second (docs/CAPACITY.md).
 ///
 /// Reads see every transaction that was answered as applied before they were sent. A write
 /// whose reply was lost may take effect at any later time until a read or a conflicting write
