Count slots in the estimate of the first event and in the demand for models

Cause: engines with 16 slots make a draft for 1.5 s; the estimate charged a full engine 25 ms, and demand counted reading alone. Waiting for a slot was learnt as slow reading, up to sixteen times the real cost, so models that waited were given copies beyond their need (25 engines' time for a model that needed six). Ruled out: memory for prompts (16 requests of 1,200 tokens in 96,535); refusals by servers (230 of 16,641 arrivals once clients' headers are dropped). Change: a share has requests, reading and making by rank; the wait for a slot follows from them, for the request itself and for those that it displaces; time a token is learnt a model; reading is learnt only where a slot was free; demand is reading plus making over slots.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -1,8 +1,8 @@
 //! Which server gets a request.
 //!
 //! The time until the first event is estimated for each server that can answer: what has to be
-//! read before, the prompt's own tokens that are not kept there, a full batch, the way to another
-//! zone, and the risk that a server which failed lately fails again. The shortest time wins.
+//! read before, the prompt's own tokens that are not kept there, the wait for a slot, the way to
+//! another zone, and the risk that a server which failed lately fails again. The shortest time wins.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use crate::ids::{BackendId, ZoneName};
 use crate::serving::affinity::{Prefix, PromptMemory};
 use crate::serving::directory::KnownServer;
-use crate::serving::load::LoadBook;
+use crate::serving::load::{LoadBook, RANKS};
 use crate::serving::request::{ModelRef, RequestInfo};
 use crate::units::Moment;
 
@@ -35,6 +35,9 @@
 /// What a server that was just unreachable costs more.
 const PAUSED_MS: f64 = 1_000_000.0;
 
+/// The last rank.
+const LEAST_URGENT: u8 = RANKS as u8 - 1;
+
 /// What is asked of the servers.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -189,21 +192,25 @@
     let total = load.total(now);
     let waiting = load.waiting(now);
     let slots = server.entry.slots.max(1);
+    let requests = total.requests();
+    let slot_wait_ms = total.slot_wait_ms(query.rank, slots);
     let mut estimate = match token_cost {
         Some(cost) => {
             let unread = f64::from(query.info.work(cached_tokens, query.rank).prompt_tokens);
             total.reading_before(query.rank)
                 + unread * cost
-                + f64::from(total.requests) * BATCH_MATE_MS
+                + f64::from(requests) * BATCH_MATE_MS
+                + slot_wait_ms
         }
-        None => load.call_ms() * f64::from(total.requests) / f64::from(slots) / 4.0,
+        None => load.call_ms() * f64::from(requests) / f64::from(slots) / 4.0,
     };
-    if total.requests >= slots {
-        let over = f64::from(total.requests - slots + 1) / f64::from(slots);
+    if token_cost.is_none() && requests >= slots {
+        let over = f64::from(requests - slots + 1) / f64::from(slots);
         estimate += load.call_ms() * over + WAITING_MS;
     }
     estimate += f64::from(waiting) * WAITING_MS;
-    let mut cost = estimate;
+    // What others wait because it takes a slot before them counts like its own wait.
+    let mut cost = estimate + total.slot_wait_ms(LEAST_URGENT, slots) - slot_wait_ms;
     if server.entry.zone != *query.zone {
         cost += OTHER_ZONE_MS;
     }
@@ -222,7 +229,7 @@
         cached_tokens,
         estimate: Duration::from_secs_f64(estimate / 1_000.0),
         waiting,
-        requests: total.requests,
+        requests,
     };
     (cost, choice)
 }
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -1,13 +1,14 @@
 //! The load of each server as one node knows it.
 //!
-//! Work is counted as time: the milliseconds that an engine needs to read a prompt at the speed
-//! that was measured for the model. A node knows its own requests exactly, its peers' requests by
+//! Work is counted as time: the milliseconds that an engine needs to read a prompt, and those that a
+//! request has one of its slots for, at the speeds that were measured for the model. A node knows its own requests exactly, its peers' requests by
 //! what they last told, and all requests together by what servers say in their answers.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::ids::{BackendId, ModelName};
+use crate::serving::making::MakingSpeeds;
 use crate::units::Moment;
 
 /// How long what a peer told of its requests counts.
@@ -70,36 +71,96 @@
     pub slots: u32,
 }
 
-/// What a node has under way at one server.
+/// What a node has under way at one server for requests of one rank.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Share {
+pub struct RankShare {
     /// Requests.
     pub requests: u32,
-    /// The time that the server needs to read their prompts, in milliseconds, by rank.
-    pub reading_ms: [f64; RANKS],
+    /// The time that the server needs to read those of their prompts that are unread, in
+    /// milliseconds.
+    pub reading_ms: f64,
+    /// The time that their answers take to be made from beginning to end, in milliseconds: each of
+    /// them has a slot for that long.
+    pub making_ms: f64,
+}
+
+impl RankShare {
+    fn take_off(&mut self, other: &RankShare) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.reading_ms = (self.reading_ms - other.reading_ms).max(0.0);
+        self.making_ms = (self.making_ms - other.making_ms).max(0.0);
+    }
+
+    fn add(&mut self, other: &RankShare) {
+        self.requests += other.requests;
+        self.reading_ms += other.reading_ms;
+        self.making_ms += other.making_ms;
+    }
+}
+
+/// What a node has under way at one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share {
+    /// By rank.
+    pub by_rank: [RankShare; RANKS],
 }
 
 impl Share {
+    /// Returns how many requests are under way.
+    pub fn requests(&self) -> u32 {
+        self.by_rank.iter().map(|rank| rank.requests).sum()
+    }
+
     /// Returns the reading that a request of `rank` waits for, in milliseconds.
     pub fn reading_before(&self, rank: u8) -> f64 {
-        let first_after = (usize::from(rank) + 1).min(RANKS);
-        let (before, after) = self.reading_ms.split_at(first_after);
-        before.iter().sum::<f64>() + after.iter().sum::<f64>() * LESS_URGENT_PART
+        let (before, after) = self.by_rank.split_at(first_after(rank));
+        let reading = |ranks: &[RankShare]| ranks.iter().map(|rank| rank.reading_ms).sum::<f64>();
+        reading(before) + reading(after) * LESS_URGENT_PART
+    }
+
+    /// Returns how long a request of `rank` waits for one of `slots` slots, in milliseconds. Those
+    /// that are less urgent make way for it.
+    ///
+    /// With all slots taken one is free each time that a request ends, which is as often as a
+    /// request takes, divided by the number of slots.
+    pub fn slot_wait_ms(&self, rank: u8, slots: u32) -> f64 {
+        let slots = slots.max(1);
+        let before = &self.by_rank[..first_after(rank)];
+        let requests: u32 = before.iter().map(|rank| rank.requests).sum();
+        if requests < slots {
+            return 0.0;
+        }
+        let taken_ms: f64 = before.iter().map(|rank| rank.making_ms).sum();
+        let mean_ms = taken_ms / f64::from(requests);
+        f64::from(requests - slots + 1) * mean_ms / f64::from(slots)
     }
 
     fn take_off(&mut self, other: &Share) {
-        self.requests = self.requests.saturating_sub(other.requests);
-        for (sum, less) in self.reading_ms.iter_mut().zip(other.reading_ms) {
-            *sum = (*sum - less).max(0.0);
+        for (sum, less) in self.by_rank.iter_mut().zip(&other.by_rank) {
+            sum.take_off(less);
         }
     }
 
     fn add(&mut self, other: &Share) {
-        self.requests += other.requests;
-        for (sum, more) in self.reading_ms.iter_mut().zip(other.reading_ms) {
-            *sum += more;
+        for (sum, more) in self.by_rank.iter_mut().zip(&other.by_rank) {
+            sum.add(more);
         }
     }
+
+    /// Adds requests of which only the number is known: they are taken for such as most of the known
+    /// ones are, or for the most urgent if none is known.
+    fn add_unknown(&mut self, requests: u32) {
+        let most = self.by_rank.iter_mut().rev().max_by_key(|rank| rank.requests);
+        let most = most.expect("there are ranks");
+        let mean_ms = most.making_ms / f64::from(most.requests.max(1));
+        most.requests += requests;
+        most.making_ms += mean_ms * f64::from(requests);
+    }
+}
+
+/// Returns the first rank that is less urgent than `rank`.
+fn first_after(rank: u8) -> usize {
+    (usize::from(rank) + 1).min(RANKS)
 }
 
 /// How a request ended at a server.
@@ -148,8 +209,9 @@
         if let Some((told, at, own_then)) = self.told
             && now.since(at) < TOLD_FOR
         {
-            let since = self.own.requests.saturating_sub(own_then);
-            total.requests = total.requests.max(told.running + told.waiting + since);
+            let since = self.own.requests().saturating_sub(own_then);
+            let requests = told.running + told.waiting + since;
+            total.add_unknown(requests.saturating_sub(total.requests()));
         }
         total
     }
@@ -216,9 +278,13 @@
     model: Option<ModelName>,
     rank: usize,
     reading_ms: f64,
+    making_ms: f64,
+    output_tokens: u32,
     expected_ms: f64,
+    /// Whether there was a free slot, so that the time to the first event is that of reading.
+    had_slot: bool,
     began: Moment,
-    reading: bool,
+    first_event: Option<Moment>,
 }
 
 impl Counted {
@@ -240,6 +306,7 @@
     /// What each peer told last, and when.
     peers: HashMap<u32, (Vec<(BackendId, Share)>, Moment)>,
     token_cost_ms: HashMap<ModelName, f64>,
+    making: MakingSpeeds,
 }
 
 impl LoadBook {
@@ -265,30 +332,50 @@
         }
     }
 
-    /// Counts a request at a server.
+    /// Returns the time to make an answer of `tokens` tokens, in milliseconds.
+    pub fn making_ms(&self, model: &ModelName, tokens: u32) -> f64 {
+        self.making.token_ms(model) * f64::from(tokens)
+    }
+
+    /// Counts a request at a server that works on `slots` at once.
     pub fn begin(
         &mut self,
         server: &BackendId,
+        slots: u32,
         model: Option<&ModelName>,
         work: Work,
         now: Moment,
     ) -> Counted {
         let cost = model.map_or(0.0, |model| self.token_cost_ms(model));
         let reading_ms = f64::from(work.prompt_tokens) * cost;
+        let making_ms = model.map_or(0.0, |model| self.making_ms(model, work.output_tokens));
         let load = self.server(server);
-        let expected_ms = load.total(now).reading_before(work.rank) + reading_ms;
+        let total = load.total(now);
+        let slot_wait_ms = total.slot_wait_ms(work.rank, slots);
+        let expected_ms = total.reading_before(work.rank) + reading_ms + slot_wait_ms;
         let rank = usize::from(work.rank).min(RANKS - 1);
-        load.own.requests += 1;
-        load.own.reading_ms[rank] += reading_ms;
-        let (server, model) = (server.clone(), model.cloned());
-        Counted { server, model, rank, reading_ms, expected_ms, began: now, reading: true }
+        load.own.by_rank[rank].add(&RankShare { requests: 1, reading_ms, making_ms });
+        Counted {
+            server: server.clone(),
+            model: model.cloned(),
+            rank,
+            reading_ms,
+            making_ms,
+            output_tokens: work.output_tokens,
+            expected_ms,
+            had_slot: total.requests() < slots,
+            began: now,
+            first_event: None,
+        }
     }
 
     /// Notes the first event of an answer: the prompt has been read.
     pub fn first_event(&mut self, counted: &mut Counted, now: Moment) {
         self.end_reading(counted);
+        counted.first_event = Some(now);
         self.server(&counted.server.clone()).note_reachable();
-        let Some(model) = &counted.model else {
+        // The time to wait for a slot says nothing of the speed of reading.
+        let Some(model) = counted.model.as_ref().filter(|_| counted.had_slot) else {
             return;
         };
         let took_ms = now.since(counted.began).as_secs_f64() * 1_000.0;
@@ -304,8 +391,16 @@
         self.end_reading(&mut counted);
         let took_ms = now.since(counted.began).as_secs_f64() * 1_000.0;
         let plain = counted.model.is_none();
+        if ending == Ending::Answered
+            && let (Some(model), Some(first)) = (&counted.model, counted.first_event)
+        {
+            let made_ms = now.since(first).as_secs_f64() * 1_000.0;
+            self.making.note(model, counted.output_tokens, made_ms);
+        }
         let load = self.server(&counted.server);
-        load.own.requests = load.own.requests.checked_sub(1).expect("a request ends once");
+        let own = &mut load.own.by_rank[counted.rank];
+        assert!(own.requests > 0, "a request ends once");
+        own.take_off(&RankShare { requests: 1, making_ms: counted.making_ms, reading_ms: 0.0 });
         match ending {
             Ending::Answered => {
                 load.note_reachable();
@@ -333,7 +428,7 @@
     /// Notes what a server told of its load.
     pub fn told(&mut self, server: &BackendId, told: ToldLoad, now: Moment) {
         let load = self.server(server);
-        load.told = Some((told, now, load.own.requests));
+        load.told = Some((told, now, load.own.requests()));
     }
 
     /// Notes what a peer has under way, at all servers together: what it told before is replaced.
@@ -364,22 +459,20 @@
 
     /// Forgets a server, unless a request still counts there.
     pub fn forget(&mut self, server: &BackendId) {
-        if self.servers.get(server).is_some_and(|load| load.own.requests == 0) {
+        if self.servers.get(server).is_some_and(|load| load.own.requests() == 0) {
             self.servers.remove(server);
         }
     }
 
     /// Returns this node's own share at each server where it has requests under way.
     pub fn own_shares(&self) -> impl Iterator<Item = (&BackendId, Share)> {
-        let busy = self.servers.iter().filter(|(_, load)| load.own.requests > 0);
+        let busy = self.servers.iter().filter(|(_, load)| load.own.requests() > 0);
         busy.map(|(id, load)| (id, load.own))
     }
 
     fn end_reading(&mut self, counted: &mut Counted) {
-        if counted.reading {
-            counted.reading = false;
-            let own = &mut self.server(&counted.server.clone()).own.reading_ms[counted.rank];
-            *own = (*own - counted.reading_ms).max(0.0);
-        }
+        let reading_ms = std::mem::take(&mut counted.reading_ms);
+        let own = &mut self.server(&counted.server.clone()).own.by_rank[counted.rank];
+        own.take_off(&RankShare { reading_ms, ..RankShare::default() });
     }
 }
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod demand;
 pub mod directory;
 pub mod load;
+pub mod making;
 pub mod orders;
 pub mod planner;
 pub mod request;
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -76,7 +76,7 @@
     fn busy(&mut self, id: &str, prompt_tokens: u32) {
         let work = Work { prompt_tokens, output_tokens: 1, rank: 1 };
         let model = self.info.model.as_ref().map(|item| item.model.clone());
-        let _ = self.loads.begin(&id.into(), model.as_ref(), work, at(self.now));
+        let _ = self.loads.begin(&id.into(), 4, model.as_ref(), work, at(self.now));
     }
 }
 
@@ -159,7 +159,7 @@
 fn an_engine_whose_place_another_run_took_is_out() {
     let mut case = case(vec![entry("x", &["m"])], info(Some(item("m", None)), 1));
     let work = Work::default();
-    let counted = case.loads.begin(&"x".into(), None, work, at(0));
+    let counted = case.loads.begin(&"x".into(), 4, None, work, at(0));
     case.loads.end(counted, Ending::Replaced, at(0));
     case.now = 60_000;
     assert_eq!(case.choose().unwrap_err(), NoChoice::NoServer);
@@ -170,7 +170,7 @@
     let plain = |id: &str| ServerEntry { models: Default::default(), ..entry(id, &[]) };
     let mut case = case(vec![plain("x"), plain("y")], info(None, 0));
     for _ in 0..5 {
-        let counted = case.loads.begin(&"x".into(), None, Work::default(), at(0));
+        let counted = case.loads.begin(&"x".into(), 4, None, Work::default(), at(0));
         case.loads.end(counted, Ending::Failed, at(0));
     }
     assert_eq!(case.chosen(), "y");
@@ -189,3 +189,21 @@
     case.busy("yy", 1_000);
     assert_eq!(case.chosen(), "x");
 }
+
+#[test]
+fn an_engine_with_a_free_slot_goes_before_one_that_reads_less() {
+    let servers = vec![entry("x", &["m"]), entry("y", &["m"])];
+    let mut case = case(servers, info(Some(item("m", None)), 1_000));
+    // All four slots of x are taken for a second each; y has more to read, and free slots.
+    let long = Work { prompt_tokens: 0, output_tokens: 100, rank: 1 };
+    for _ in 0..4 {
+        for id in ["x", "y"] {
+            let _ = case.loads.begin(&id.into(), 4, Some(&"m".into()), long, at(0));
+        }
+    }
+    case.busy("y", 500);
+    case.servers[1].slots = 8;
+    assert_eq!(case.chosen(), "y");
+    case.servers[0].slots = 8;
+    assert_eq!(case.chosen(), "x", "with free slots at both, reading decides");
+}
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use trackfront_core::lease::HolderWord;
-use trackfront_core::serving::load::Share;
+use trackfront_core::serving::load::{RankShare, Share};
 use trackfront_core::units::Moment;
 
 use super::spread::Relay;
@@ -76,26 +76,46 @@
 pub struct ToldShare {
     /// The server's short name.
     pub server: u32,
+    /// For each rank that has some.
+    pub ranks: Vec<ToldRank>,
+}
+
+/// What is under way for requests of one rank.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldRank {
+    /// The rank.
+    pub rank: u8,
     /// Requests.
     pub requests: u32,
-    /// Milliseconds of reading, for each rank that has some.
-    pub reading_ms: Vec<(u8, u32)>,
+    /// Milliseconds of reading.
+    pub reading_ms: u32,
+    /// Milliseconds of making answers.
+    pub making_ms: u32,
 }
 
 impl ToldShare {
     /// Makes it out of a share, to the millisecond.
     pub fn new(server: u32, share: &Share) -> Self {
-        let ranks = share.reading_ms.iter().enumerate().filter(|(_, ms)| **ms >= 1.0);
-        let reading_ms = ranks.map(|(rank, ms)| (rank as u8, ms.round() as u32)).collect();
-        Self { server, requests: share.requests, reading_ms }
+        let ranks = share.by_rank.iter().enumerate().filter(|(_, one)| one.requests > 0);
+        let told = |(rank, one): (usize, &RankShare)| ToldRank {
+            rank: rank as u8,
+            requests: one.requests,
+            reading_ms: one.reading_ms.round() as u32,
+            making_ms: one.making_ms.round() as u32,
+        };
+        Self { server, ranks: ranks.map(told).collect() }
     }
 
     /// Returns the share.
     pub fn share(&self) -> Share {
-        let mut share = Share { requests: self.requests, ..Share::default() };
-        for (rank, ms) in &self.reading_ms {
-            if let Some(reading) = share.reading_ms.get_mut(usize::from(*rank)) {
-                *reading = f64::from(*ms);
+        let mut share = Share::default();
+        for told in &self.ranks {
+            if let Some(rank) = share.by_rank.get_mut(usize::from(told.rank)) {
+                *rank = RankShare {
+                    requests: told.requests,
+                    reading_ms: f64::from(told.reading_ms),
+                    making_ms: f64::from(told.making_ms),
+                };
             }
         }
         share
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -199,7 +199,8 @@
         let id = &choice.server.entry.id;
         let model = self.info.model.as_ref().map(|item| &item.model);
         let work = self.info.work(choice.cached_tokens, self.route.priority);
-        let counted = node.loads.lock().begin(id, model, work, now);
+        let slots = choice.server.entry.slots.max(1);
+        let counted = node.loads.lock().begin(id, slots, model, work, now);
         if !self.prefixes.is_empty() {
             node.memory.lock().read(&self.prefixes, id, now);
         }
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -168,10 +168,15 @@
     let node = &job.node;
     let now = node.now();
     node.budgets.lock().count(&job.service, now);
-    let is_placed = config.services.get(&job.service).is_some_and(|spec| spec.engine.is_some());
-    if let Some(item) = job.info.model.as_ref().filter(|_| is_placed) {
-        let cost = node.loads.lock().token_cost_ms(&item.model);
-        let work_ms = f64::from(job.info.prompt_tokens) * cost;
+    let engine = config.services.get(&job.service).and_then(|spec| spec.engine.as_ref());
+    if let (Some(item), Some(engine)) = (&job.info.model, engine) {
+        let loads = node.loads.lock();
+        let reading_ms = f64::from(job.info.prompt_tokens) * loads.token_cost_ms(&item.model);
+        let making_ms = loads.making_ms(&item.model, job.info.output_tokens);
+        drop(loads);
+        // An engine reads one prompt after the other, and makes as many answers at once as it has
+        // slots.
+        let work_ms = reading_ms + making_ms / f64::from(engine.slots.max(1));
         let mut demand = node.demand.lock();
         let model = ModelRef { model: item.model.clone(), adapter: None };
         demand.count(&model, work_ms, now);
