Let idle last copies give way to overloaded models, and tell refused clients a true time

(1) Cause: with 37 of 90 engines crashed there were fewer places than models, so every model was wanted once and the busiest, asked for 25 times what its one copy bears, got no more. Change: places are shared out one by one to the model for which each is worth most; a last copy gives way if nobody asked for its model lately and its engine keeps the weights, so that the first request brings it back. (2) Cause: times to come back were constants; clients came back early and were refused again.

--- a/trackfront_core/src/serving/planner/mod.rs
+++ b/trackfront_core/src/serving/planner/mod.rs
@@ -29,6 +29,10 @@
 /// What it is worth that a model is there at all, as a share of an engine's time.
 const WORTH_BEING_THERE: f64 = 0.5;
 
+/// The same for a model that was not asked for lately and that an engine has in its memory or on its
+/// disk: the first request brings it back in about a second.
+const WORTH_BEING_THERE_IDLE: f64 = 0.25;
+
 /// The demand under which a model is not named in a plan's summary.
 const LEAST_DEMAND: f64 = 0.02;
 
@@ -150,6 +154,8 @@
     engines: &'a [EngineView],
     /// The demand for each model, as a share of one engine's time.
     demand: BTreeMap<&'a ModelName, f64>,
+    /// What it is worth that each model is there at all, as a share of an engine's time.
+    presence: BTreeMap<&'a ModelName, f64>,
     /// The engines that offer each model.
     offers: BTreeMap<&'a ModelName, Vec<usize>>,
     /// How many engines should offer each model.
@@ -196,6 +202,17 @@
                 *sum += rate.work_ms / 1_000.0;
             }
         }
+        let presence = spec.models.keys().map(|name| {
+            let item = ModelRef { model: name.clone(), adapter: None };
+            let is_idle = !demand.contains_key(&item);
+            let is_at_hand = || engines.iter().any(|engine| engine.has_at_hand(name));
+            let there = match is_idle && is_at_hand() {
+                true => WORTH_BEING_THERE_IDLE,
+                false => WORTH_BEING_THERE + by_model[name],
+            };
+            (name, there)
+        });
+        let presence = presence.collect();
         let offering = |name: &ModelName| {
             let offers = engines.iter().enumerate().filter(|(_, engine)| engine.offers(name));
             offers.map(|(index, _)| index).collect::<Vec<_>>()
@@ -205,6 +222,7 @@
             spec,
             engines,
             demand: by_model,
+            presence,
             offers,
             wanted: BTreeMap::new(),
             taken: BTreeSet::new(),
@@ -217,28 +235,26 @@
         plan
     }
 
-    /// Shares the room of all engines out: one copy for each model, the rest by demand.
+    /// Shares the room of all engines out, one place after the other to the model for which it is
+    /// worth most: a first copy of what is missing, or one more of what is asked for.
     fn share_room(&self) -> BTreeMap<&'a ModelName, usize> {
-        let mut wanted: BTreeMap<&ModelName, usize> =
-            self.spec.models.keys().map(|name| (name, 1)).collect();
         let largest = self.spec.models.values().map(|model| model.weight_mb).fold(1.0, f64::max);
         let places = (self.spec.memory_mb / largest).floor() as usize * self.engines.len();
-        for _ in wanted.len()..places {
-            let level = |name: &ModelName, copies: usize| self.demand[name] / copies as f64;
-            let hottest = wanted
-                .iter()
-                .filter(|(_, copies)| **copies < self.engines.len())
-                .max_by(|a, b| level(a.0, *a.1).total_cmp(&level(b.0, *b.1)));
-            let Some((name, copies)) = hottest else {
+        let mut wanted: Vec<(&ModelName, f64, usize)> =
+            self.presence.iter().map(|(name, worth)| (*name, *worth, 0)).collect();
+        for _ in 0..places {
+            let best = wanted.iter_mut().max_by(|a, b| a.1.total_cmp(&b.1));
+            let Some((name, worth, copies)) = best.filter(|(_, worth, _)| *worth > 0.0) else {
                 break;
             };
-            if level(name, *copies) < WORTH_A_COPY {
-                break;
-            }
-            let name = *name;
-            *wanted.get_mut(name).expect("it was just found") += 1;
+            *copies += 1;
+            let is_enough = *copies == self.engines.len();
+            *worth = match self.level(name, *copies) {
+                level if is_enough || level < WORTH_A_COPY => 0.0,
+                _ => self.level(name, *copies + 1),
+            };
         }
-        wanted
+        wanted.into_iter().map(|(name, _, copies)| (name, copies)).collect()
     }
 
     fn summary(&self) -> Vec<ModelPlan> {
@@ -293,12 +309,11 @@
     }
 
     fn bring_back_missing(&mut self) {
-        let mut missing: Vec<&'a ModelName> =
-            self.spec.models.keys().filter(|name| self.copies(name) == 0).collect();
-        missing.sort_by(|a, b| self.demand[b].total_cmp(&self.demand[a]).then(a.cmp(b)));
+        let is_missing = |name: &&ModelName| self.copies(name) == 0 && self.wanted[name] > 0;
+        let mut missing: Vec<&'a ModelName> = self.spec.models.keys().filter(is_missing).collect();
+        missing.sort_by(|a, b| self.presence[b].total_cmp(&self.presence[a]).then(a.cmp(b)));
         for model in missing {
-            let worth = self.demand[model] + WORTH_BEING_THERE;
-            self.add_copy(model, worth, "no engine holds it");
+            self.add_copy(model, self.presence[model], "no engine holds it");
         }
     }
 
@@ -386,10 +401,16 @@
             let (victim, spec) = self.spec.models.get_key_value(name)?;
             // A copy on its way in serves nobody yet, so it is no reason to let another go.
             let others = self.serving_elsewhere(name, index);
-            let spare = others >= 1 && free + spec.weight_mb >= needed;
             let adapters = self.adapters_only_on(index, name) as f64;
-            let left = self.level(name, others) + adapters * WORTH_AN_ADAPTER;
-            (spare && left * WORTH_A_SWAP < worth).then_some((left, victim))
+            // Until it is known to have been kept on the way out, a model that is nowhere else stays.
+            let left = match others {
+                0 if !engine.has_at_hand(name) => return None,
+                0 => self.presence[name],
+                _ => self.level(name, others),
+            };
+            let left = left + adapters * WORTH_AN_ADAPTER;
+            let fits = free + spec.weight_mb >= needed;
+            (fits && left * WORTH_A_SWAP < worth).then_some((left, victim))
         });
         let least = victims.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
         least.map(Some)
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -8,6 +8,7 @@
     mod budget;
     mod choice;
     mod config;
+    mod crowding;
     mod demand;
     mod directory;
     mod load;
--- a/trackfront_core/tests/serving/planner.rs
+++ b/trackfront_core/tests/serving/planner.rs
@@ -191,3 +191,43 @@
         [("x".into(), Operation::Load, "m".into()), ("y".into(), Operation::Load, "n".into())];
     assert_eq!(names(&proposals), expected, "one from the store, the busiest, and one from disk");
 }
+
+/// Two engines that hold one model each beside `i`, of which x keeps a copy on its disk.
+fn engines_with_an_idle_model() -> [EngineView; 2] {
+    let mut keeps = engine("x", &["m", "n", "i"]);
+    keeps.on_disk.insert("i".into());
+    [keeps, engine("y", &["m", "n", "o"])]
+}
+
+#[test]
+fn the_last_copy_of_what_nobody_asks_for_gives_way_to_what_is_overloaded() {
+    let spec = spec(&["m", "n", "o", "i"], 0, 0);
+    let rates = [("m", None, 1.8), ("n", None, 1.8), ("o", None, 1.8)];
+    let proposals = models_only(&spec, &engines_with_an_idle_model(), &rates);
+    assert_eq!(names(&proposals), [("x".into(), Operation::Unload, "i".into())]);
+    assert_eq!(proposals[0].makes_room_for, Some("o".into()));
+}
+
+#[test]
+fn the_last_copy_stays_if_it_is_asked_for_or_would_be_slow_to_come_back() {
+    let spec = spec(&["m", "n", "o", "i"], 0, 0);
+    let engines = engines_with_an_idle_model();
+    let asked = [("m", None, 0.9), ("n", None, 0.9), ("o", None, 0.9), ("i", None, 0.01)];
+    assert_eq!(models_only(&spec, &engines, &asked), []);
+    let nowhere = engines.map(|one| EngineView { on_disk: BTreeSet::new(), ..one });
+    let rates = [("m", None, 1.8), ("n", None, 1.8), ("o", None, 1.8)];
+    assert_eq!(models_only(&spec, &nowhere, &rates), []);
+}
+
+#[test]
+fn what_gave_way_comes_back_once_it_is_asked_for() {
+    let spec = spec(&["m", "n", "o", "i"], 0, 0);
+    let mut engines = engines_with_an_idle_model();
+    engines[0].models = residents(&["m", "n", "o"]);
+    let idle = [("m", None, 1.8), ("n", None, 1.8), ("o", None, 1.8)];
+    assert_eq!(models_only(&spec, &engines, &idle), [], "the room is worth more to the others");
+    let asked = [("m", None, 0.2), ("n", None, 0.2), ("o", None, 0.2), ("i", None, 0.01)];
+    let proposals = models_only(&spec, &engines, &asked);
+    assert_eq!(proposals[0].makes_room_for, Some("i".into()));
+    assert_eq!(proposals[0].engine.as_str(), "x", "where it is at hand");
+}
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -16,6 +16,7 @@
 use trackfront_core::serving::adapter_use::AdapterUse;
 use trackfront_core::serving::affinity::PromptMemory;
 use trackfront_core::serving::config::ServingConfig;
+use trackfront_core::serving::crowding::Crowding;
 use trackfront_core::serving::demand::DemandMeter;
 use trackfront_core::serving::directory::Directory;
 use trackfront_core::serving::load::LoadBook;
@@ -73,6 +74,8 @@
     pub memory: Mutex<PromptMemory>,
     /// The budget of retries.
     pub budgets: Mutex<RetryBudgets>,
+    /// What share of requests found no free server.
+    pub crowding: Mutex<Crowding>,
     /// The demand for models.
     pub demand: Mutex<DemandMeter>,
     /// The adapters that requests in progress use.
@@ -118,6 +121,7 @@
             loads: Mutex::default(),
             memory: Mutex::default(),
             budgets: Mutex::new(budgets),
+            crowding: Mutex::default(),
             demand: Mutex::default(),
             adapter_use: Mutex::default(),
             overlay: Mutex::default(),
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -217,7 +217,7 @@
         log::info!(
             request:% = self.info.id,
             route = self.route.name,
-            config = self.config_version,
+            config = self.config.version,
             server:% = known.entry.id,
             row = known.version,
             row_age_ms = age(known.learned),
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -4,6 +4,7 @@
 //! request that is given up gets its answer at once.
 
 mod attempt;
+mod come_back;
 mod end_log;
 mod plain;
 
@@ -45,8 +46,8 @@
 /// The shortest time to come back after a refusal.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 
-/// When to come back for something that no engine holds.
-const LOADING_RETRY: Duration = Duration::from_millis(1_500);
+/// When to come back to a node that has no configuration yet.
+const STARTING_RETRY: Duration = Duration::from_millis(1_500);
 
 /// A request on its way.
 pub struct Job {
@@ -70,8 +71,8 @@
     pub deadline: Option<Instant>,
     /// When the node gives its final answer at the latest.
     pub end: Instant,
-    /// The version of the configuration that it is answered under.
-    pub config_version: u64,
+    /// The configuration that it is answered under.
+    pub config: Arc<ServingConfig>,
 }
 
 /// Answers a request of a client.
@@ -125,7 +126,7 @@
     end: &mut EndLog,
 ) -> Result<Job, Refusal> {
     let config = node.config.load_full();
-    let config = config.ok_or(Refusal::NotReady { retry_after: LOADING_RETRY })?;
+    let config = config.ok_or(Refusal::NotReady { retry_after: STARTING_RETRY })?;
     let route = config.route(&info.host, &info.path).cloned().ok_or(Refusal::NoRoute)?;
     end.route = Some(route.clone());
     let deadline = info.deadline.map(|left| arrived + left);
@@ -140,7 +141,6 @@
     })?;
     let service = route.service_for(short_hash(info.id.as_str())).clone();
     let prefixes = info.model.as_ref().map_or_else(Vec::new, |item| prefixes(item, &info.prompt));
-    let config_version = config.version;
     let job = Job {
         node: node.clone(),
         route,
@@ -152,9 +152,9 @@
         arrived,
         deadline,
         end: last,
-        config_version,
+        config,
     };
-    count(&job, &config);
+    count(&job);
     Ok(job)
 }
 
@@ -164,11 +164,11 @@
 }
 
 /// Counts the request for the budget of retries and for the demand.
-fn count(job: &Job, config: &ServingConfig) {
+fn count(job: &Job) {
     let node = &job.node;
     let now = node.now();
     node.budgets.lock().count(&job.service, now);
-    let engine = config.services.get(&job.service).and_then(|spec| spec.engine.as_ref());
+    let engine = job.config.services.get(&job.service).and_then(|spec| spec.engine.as_ref());
     if let (Some(item), Some(engine)) = (&job.info.model, engine) {
         let loads = node.loads.lock();
         let reading_ms = f64::from(job.info.prompt_tokens) * loads.token_cost_ms(&item.model);
@@ -271,11 +271,7 @@
             }
             // Another server that is tried after a failure is not waited for.
             if !tries.servers.is_empty() || timeout_at(hold_until, changed).await.is_err() {
-                let retry_after = match lack {
-                    NoChoice::NoServer => LEAST_RETRY * 4,
-                    NoChoice::NoModel => LOADING_RETRY,
-                    NoChoice::NoAdapter => LEAST_RETRY * 2,
-                };
+                let retry_after = self.come_back_for(lack);
                 return Err(match tries.may_have_run {
                     Some(cause) => Refusal::Failed(cause),
                     None => Refusal::NoServer { cause: lack.name(), retry_after },
@@ -314,9 +310,13 @@
         }
         let left = (self.end - now).min(self.route.target.mul_f64(QUEUE_PART));
         if tries.sends == 0 && choice.estimate > left {
-            let retry_after = (choice.estimate - left).max(LEAST_RETRY);
+            self.count_crowding(true);
+            let retry_after = self.come_back_after(choice.estimate - left);
             return Some(Refusal::NoServer { cause: "none is free in time", retry_after });
         }
+        if tries.servers.is_empty() {
+            self.count_crowding(false);
+        }
         let is_repeat = tries.sends + tries.ended > 0;
         if is_repeat && !self.take_repeat() {
             return Some(self.give_up(tries, "the budget of retries is spent"));
@@ -324,6 +324,11 @@
         None
     }
 
+    /// Counts whether there was a free server for the request when it came.
+    fn count_crowding(&self, refused: bool) {
+        self.node.crowding.lock().count(&self.service, refused, self.node.now());
+    }
+
     /// Takes one send more from the budget that all nodes share.
     pub fn take_repeat(&self) -> bool {
         let now = self.node.now();
@@ -343,7 +348,7 @@
         match tries.may_have_run {
             Some(_) if Instant::now() >= self.end => Refusal::TimedOut,
             Some(cause) => Refusal::Failed(cause),
-            None => Refusal::NoServer { cause, retry_after: LEAST_RETRY * 2 },
+            None => Refusal::NoServer { cause, retry_after: self.come_back_after(Duration::ZERO) },
         }
     }
 }
