--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -34,8 +34,9 @@
 /// How long an engine is left alone after an order that did not go as planned.
 const AFTER_FAULT: Duration = Duration::from_millis(700);
 
-/// How often an engine is asked whether a load or unload of a model is done.
-const MODEL_POLL: Duration = Duration::from_millis(500);
+/// How often an engine is asked whether a load or unload of a model is done: its reports are some
+/// tenths of a second old.
+const MODEL_POLL: Duration = Duration::from_millis(200);
 
 /// The first pause before an engine is asked whether it has an adapter; it doubles each time.
 const ADAPTER_POLL: Duration = Duration::from_millis(100);
@@ -58,6 +59,15 @@
 /// How large an engine's report may be, in bytes.
 const MAX_REPORT: usize = 256 * 1024;
 
+/// Orders that an engine took.
+struct Given<'a> {
+    proposals: Vec<&'a Proposal>,
+    /// How many orders the engine has taken then.
+    sequence: u64,
+    /// How long the load of a model should take, by where its weights are; zero for other orders.
+    load_time: Duration,
+}
+
 /// Orders to one engine on their way: one for a model, or some for adapters.
 pub struct OrderTask {
     /// The node.
@@ -105,8 +115,9 @@
             let of_model = leaving.iter().any(|one| one.item.adapter.is_none());
             sleep(if of_model { WITHDRAW_TIME } else { WITHDRAW_ADAPTER_TIME }).await;
         }
-        let (taken, sequence) = self.order_all().await;
-        let done = self.wait(&taken, sequence).await && taken.len() == self.proposals.len();
+        let given = self.order_all().await;
+        let all = given.proposals.len() == self.proposals.len();
+        let done = self.wait(&given).await && all;
         if !done {
             let mut overlay = self.node.overlay.lock();
             for proposal in leaving {
@@ -128,12 +139,11 @@
         self.node.tell_peers.notify_one();
     }
 
-    /// Gives the orders one after the other. Returns those that the engine took, and how many
-    /// orders it has taken then.
-    async fn order_all(&self) -> (Vec<&Proposal>, u64) {
-        let mut taken = Vec::new();
+    /// Gives the orders one after the other, as far as the engine takes them.
+    async fn order_all(&self) -> Given<'_> {
+        let mut given = Given { proposals: Vec::new(), sequence: 0, load_time: Duration::ZERO };
         let Some(mut report) = self.report().await else {
-            return (taken, 0);
+            return given;
         };
         for proposal in &self.proposals {
             if let Err(fault) = check(proposal.operation, &proposal.item, &report, &self.spec) {
@@ -151,7 +161,8 @@
             if !matches!(answer, OrderAnswer::Taken | OrderAnswer::AlreadyDone) {
                 break;
             }
-            taken.push(proposal);
+            given.load_time = given.load_time.max(self.load_time(proposal, &report));
+            given.proposals.push(proposal);
             // It goes once the requests that use it have ended; nothing can take its place before.
             let waits = proposal.operation == Operation::Unload && answer == OrderAnswer::Taken;
             if waits && proposal.item.adapter.is_some() {
@@ -161,7 +172,8 @@
             report.sequence += 1;
             note_order(&mut report, proposal);
         }
-        (taken, report.sequence)
+        given.sequence = report.sequence;
+        given
     }
 
     /// Takes a load off the weight store's rate, if it comes from there.
@@ -210,21 +222,20 @@
 
     /// Waits until the orders are done, and tells all nodes of each as it is. Returns whether all
     /// are.
-    async fn wait(&self, taken: &[&Proposal], sequence: u64) -> bool {
-        if taken.is_empty() {
+    async fn wait(&self, given: &Given<'_>) -> bool {
+        let mut open = given.proposals.clone();
+        if open.is_empty() {
             return false;
         }
-        let load_time = self.load_time(taken);
         let start = self.node.now();
-        let of_model = taken.iter().any(|proposal| proposal.item.adapter.is_none());
-        let patience = match of_model {
-            true => (load_time * LOAD_PATIENCE).max(LEAST_PATIENCE),
-            false => ADAPTER_PATIENCE,
+        let of_model = open.iter().any(|proposal| proposal.item.adapter.is_none());
+        let (patience, mut pause) = match of_model {
+            true => ((given.load_time * LOAD_PATIENCE).max(LEAST_PATIENCE), MODEL_POLL),
+            false => (ADAPTER_PATIENCE, ADAPTER_POLL),
         };
-        let mut open: Vec<&Proposal> = taken.to_vec();
-        let mut pause = if of_model { MODEL_POLL } else { ADAPTER_POLL };
-        if !of_model {
-            self.expect_adapters(taken).await;
+        match of_model {
+            true => sleep(given.load_time).await,
+            false => self.expect_adapters(&given.proposals).await,
         }
         while self.node.now().since(start) < patience {
             sleep(pause).await;
@@ -235,13 +246,8 @@
             if open.is_empty() {
                 return true;
             }
-            let waited = self.node.now().since(start);
-            // Until a load can be done, the row is enough.
-            if of_model && waited < load_time / 2 {
-                continue;
-            }
             // A report that is from before the orders says nothing about them.
-            if let Some(report) = self.report().await.filter(|it| it.sequence >= sequence) {
+            if let Some(report) = self.report().await.filter(|it| it.sequence >= given.sequence) {
                 self.settle(&mut open, Some(&report.models));
                 if open.is_empty() {
                     return true;
@@ -269,13 +275,16 @@
         }
     }
 
-    /// The time that the longest of the loads may take; nothing for unloads and adapters.
-    fn load_time(&self, taken: &[&Proposal]) -> Duration {
-        let loads = taken
-            .iter()
-            .filter(|one| one.operation == Operation::Load && one.item.adapter.is_none());
-        let times = loads.filter_map(|one| Some(self.spec.models.get(&one.item.model)?.load_time));
-        times.max().unwrap_or(Duration::ZERO)
+    /// How long the load of a model takes by where the engine has its weights; zero for other orders.
+    fn load_time(&self, proposal: &Proposal, report: &EngineReport) -> Duration {
+        let Proposal { operation, item, .. } = proposal;
+        let spec = self.spec.models.get(&item.model);
+        match spec.filter(|_| *operation == Operation::Load && item.adapter.is_none()) {
+            None => Duration::ZERO,
+            Some(spec) if report.in_memory.contains(&item.model) => spec.memory_load_time,
+            Some(spec) if report.on_disk.contains(&item.model) => spec.disk_load_time,
+            Some(spec) => spec.load_time,
+        }
     }
 
     /// Takes those that are done by `models` off `open`, and tells all nodes what was added.
