--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -15,5 +15,6 @@
 pub mod making;
 pub mod orders;
 pub mod planner;
+pub mod reading;
 pub mod request;
 pub mod retry_budget;
