Say when every holder of a model was asked, and count refusals by cause

Ruled out: that the holders had dropped the model (they answered 503, not 421). Change: a reason of its own, with the wait for a slot as the time to come back; a counter of refusals by cause. The test that expected 'no server' for a tried holder now expects the new reason, which is stricter.

--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -35,6 +35,8 @@
     registry: Registry,
     /// Requests that came to an end.
     pub requests: Family<OutcomeLabels, Counter>,
+    /// Requests that were refused as not run, by cause.
+    pub refusals: Family<KindLabel, Counter>,
     /// Sends to servers, by how they ended.
     pub sends: Family<KindLabel, Counter>,
     /// Time to the first event or the whole plain answer, by kind of route.
@@ -70,6 +72,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("trackfront_serving"),
             requests: Family::default(),
+            refusals: Family::default(),
             sends: Family::default(),
             first_event: Family::new_with_constructor(latency),
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
@@ -92,6 +95,8 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests that came to an end", self.requests.clone());
+        let refusals = self.refusals.clone();
+        registry.register("refusals", "Requests refused as not run by cause", refusals);
         registry.register("sends", "Sends to servers by how they ended", self.sends.clone());
         registry.register_with_unit(
             "first_event",
--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -81,6 +81,8 @@
     NoModel,
     /// Engines hold the model, but none the adapter.
     NoAdapter,
+    /// Every server that offers what is asked for got the request already.
+    AllTried,
 }
 
 impl NoChoice {
@@ -90,6 +92,7 @@
             NoChoice::NoServer => "no server takes requests",
             NoChoice::NoModel => "no engine holds the model",
             NoChoice::NoAdapter => "no engine holds the adapter",
+            NoChoice::AllTried => "every server that offers it was asked",
         }
     }
 }
@@ -118,11 +121,15 @@
     let mut reason = NoChoice::NoServer;
     for server in servers {
         let id = &server.entry.id;
-        let is_out = query.tried.contains(id) || loads.server(id).is_replaced();
-        if is_out || !takes_requests(server, query) {
+        if loads.server(id).is_replaced() || !takes_requests(server, query) {
             continue;
         }
-        if let Err(lack) = holds(server, query.info.model.as_ref(), view) {
+        let lack = match holds(server, query.info.model.as_ref(), view) {
+            Ok(()) if query.tried.contains(id) => Some(NoChoice::AllTried),
+            Ok(()) => None,
+            Err(lack) => Some(lack),
+        };
+        if let Some(lack) = lack {
             reason = worse(reason, lack);
             continue;
         }
@@ -143,12 +150,13 @@
 
 /// The lack that is nearest to an answer explains why there is none.
 fn worse(a: NoChoice, b: NoChoice) -> NoChoice {
-    let rank = |lack| match lack {
+    let nearness = |lack| match lack {
         NoChoice::NoServer => 0,
         NoChoice::NoModel => 1,
         NoChoice::NoAdapter => 2,
+        NoChoice::AllTried => 3,
     };
-    if rank(b) > rank(a) { b } else { a }
+    if nearness(b) > nearness(a) { b } else { a }
 }
 
 fn holds(
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -123,7 +123,14 @@
     adapter.notes.added.insert(("x".into(), item("m", Some("a1"))));
     assert_eq!(adapter.chosen(), "x");
     adapter.tried.push("x".into());
-    assert_eq!(adapter.choose().unwrap_err(), NoChoice::NoServer);
+    assert_eq!(adapter.choose().unwrap_err(), NoChoice::AllTried);
+    let mut refused = case(vec![entry("x", &["m"]), entry("y", &["n"])], info(None, 1));
+    refused.info.model = Some(item("m", None));
+    refused.tried.push("x".into());
+    assert_eq!(refused.choose().unwrap_err(), NoChoice::AllTried, "x holds the model");
+    refused.tried = vec!["y".into()];
+    refused.servers.remove(0);
+    assert_eq!(refused.choose().unwrap_err(), NoChoice::NoModel, "y does not");
 }
 
 #[test]
--- a/trackfrontd/src/serving/pipeline/come_back.rs
+++ b/trackfrontd/src/serving/pipeline/come_back.rs
@@ -26,6 +26,7 @@
     /// Returns when to come back for what no server offers.
     pub fn come_back_for(&self, lack: NoChoice) -> Duration {
         let wait = match lack {
+            NoChoice::AllTried => return self.come_back_after(Duration::ZERO),
             NoChoice::NoServer => NO_SERVER_RETRY,
             NoChoice::NoModel => self.load_time() + LOAD_OVERHEAD,
             NoChoice::NoAdapter => ADAPTER_RETRY,
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -19,6 +19,7 @@
 pub use plain::PlainAnswer;
 use tokio::time::{Instant, timeout_at};
 use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body};
+use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::{BackendId, RequestId, ServiceName};
 use trackfront_core::serving::affinity::{Prefix, prefixes};
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, choose};
@@ -232,6 +233,9 @@
         close_if_stopping(&node, &mut response);
         return response;
     }
+    if let Refusal::NoServer { cause, .. } = &refusal {
+        node.metrics.refusals.get_or_create(&KindLabel { kind: cause }).inc();
+    }
     end.end(refusal.name(), &refusal.to_string());
     refused(&node, &refusal, Some(&job.info.id))
 }
@@ -266,7 +270,7 @@
                 Ok(choice) => return Ok(choice),
                 Err(lack) => lack,
             };
-            if lack != NoChoice::NoServer {
+            if matches!(lack, NoChoice::NoModel | NoChoice::NoAdapter) {
                 self.node.note_lack();
             }
             // Another server that is tried after a failure is not waited for.
