--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -1,8 +1,9 @@
 //! The load of each server as one node knows it.
 //!
 //! Work is counted as time: the milliseconds that an engine needs to read a prompt, and those that a
-//! request has one of its slots for, at the speeds that were measured for the model. A node knows its own requests exactly, its peers' requests by
-//! what they last told, and all requests together by what servers say in their answers.
+//! request has one of its slots for, at the speeds that were measured for the model. A node knows its
+//! own requests exactly, its peers' requests by what they last told, and all requests together by
+//! what servers say in their answers.
 
 use std::collections::HashMap;
 use std::time::Duration;
