--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -196,7 +196,6 @@
     let id = &server.entry.id;
     let cached_tokens = memory.cached(query.prefixes, id, now);
     let token_cost = query.info.model.as_ref().map(|item| loads.token_cost_ms(&item.model));
-    let start_ms = loads.start_ms();
     let load = loads.server(id);
     let total = load.total(now);
     let waiting = load.waiting(now);
@@ -206,8 +205,7 @@
     let mut estimate = match token_cost {
         Some(cost) => {
             let unread = f64::from(query.info.work(cached_tokens, query.rank).prompt_tokens);
-            start_ms
-                + total.reading_before(query.rank)
+            total.reading_before(query.rank)
                 + unread * cost
                 + f64::from(requests) * BATCH_MATE_MS
                 + slot_wait_ms
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -10,7 +10,6 @@
 
 use crate::ids::{BackendId, ModelName};
 use crate::serving::making::MakingSpeeds;
-use crate::serving::reading::ReadingSpeeds;
 use crate::units::Moment;
 
 /// How long what a peer told of its requests counts.
@@ -19,9 +18,19 @@
 /// How long what a server told of its load counts.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
 
+/// The time to read one token of a prompt before any was measured at any model: ten in a
+/// millisecond, a round figure that the first measurements replace.
+const FIRST_TOKEN_COST_MS: f64 = 0.1;
+
+/// The bounds of a measured time to read one token.
+const TOKEN_COST_BOUNDS_MS: (f64, f64) = (0.01, 0.4);
+
 /// The weight of one measurement in a running mean.
 const MEAN_WEIGHT: f64 = 0.08;
 
+/// The bounds of one measurement against what was expected.
+const SURPRISE_BOUNDS: (f64, f64) = (0.3, 3.0);
+
 /// How long a server gets no requests after its first failure; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 
@@ -271,9 +280,7 @@
     rank: usize,
     reading_ms: f64,
     making_ms: f64,
-    work: Work,
-    /// The reading before it, in milliseconds.
-    before_ms: f64,
+    output_tokens: u32,
     expected_ms: f64,
     /// Whether there was a free slot, so that the time to the first event is that of reading.
     had_slot: bool,
@@ -299,7 +306,7 @@
     servers: HashMap<BackendId, ServerLoad>,
     /// What each peer told last, and when.
     peers: HashMap<u32, (Vec<(BackendId, Share)>, Moment)>,
-    reading: ReadingSpeeds,
+    token_cost_ms: HashMap<ModelName, f64>,
     making: MakingSpeeds,
 }
 
@@ -312,15 +319,18 @@
         self.servers.get_mut(id).expect("it was just put in")
     }
 
-    /// Returns the time until the first event of a request that has nothing to read and waits for
-    /// nothing, in milliseconds.
-    pub fn start_ms(&self) -> f64 {
-        self.reading.start_ms()
+    /// Returns the time to read one token of a prompt for `model`, in milliseconds; for one that was
+    /// not measured yet the mean of those that were.
+    pub fn token_cost_ms(&self, model: &ModelName) -> f64 {
+        let measured = self.token_cost_ms.get(model).copied();
+        measured.unwrap_or_else(|| self.mean_token_cost_ms())
     }
 
-    /// Returns the time to read one token of a prompt for `model`, in milliseconds.
-    pub fn token_cost_ms(&self, model: &ModelName) -> f64 {
-        self.reading.token_ms(model)
+    fn mean_token_cost_ms(&self) -> f64 {
+        match self.token_cost_ms.len() {
+            0 => FIRST_TOKEN_COST_MS,
+            models => self.token_cost_ms.values().sum::<f64>() / models as f64,
+        }
     }
 
     /// Returns the time to make an answer of `tokens` tokens, in milliseconds.
@@ -340,12 +350,10 @@
         let cost = model.map_or(0.0, |model| self.token_cost_ms(model));
         let reading_ms = f64::from(work.prompt_tokens) * cost;
         let making_ms = model.map_or(0.0, |model| self.making_ms(model, work.output_tokens));
-        let start_ms = model.map_or(0.0, |_| self.start_ms());
         let load = self.server(server);
         let total = load.total(now);
-        let before_ms = total.reading_before(work.rank);
         let slot_wait_ms = total.slot_wait_ms(work.rank, slots);
-        let expected_ms = start_ms + before_ms + reading_ms + slot_wait_ms;
+        let expected_ms = total.reading_before(work.rank) + reading_ms + slot_wait_ms;
         let rank = usize::from(work.rank).min(RANKS - 1);
         load.own.by_rank[rank].add(&RankShare { requests: 1, reading_ms, making_ms });
         Counted {
@@ -354,8 +362,7 @@
             rank,
             reading_ms,
             making_ms,
-            work,
-            before_ms,
+            output_tokens: work.output_tokens,
             expected_ms,
             had_slot: total.requests() < slots,
             began: now,
@@ -373,7 +380,11 @@
             return;
         };
         let took_ms = now.since(counted.began).as_secs_f64() * 1_000.0;
-        self.reading.note(model, counted.work.prompt_tokens, took_ms - counted.before_ms);
+        let (low, high) = SURPRISE_BOUNDS;
+        let surprise = (took_ms / counted.expected_ms.max(1.0)).clamp(low, high);
+        let cost = self.token_cost_ms(model) * (1.0 + MEAN_WEIGHT * (surprise - 1.0));
+        let (low, high) = TOKEN_COST_BOUNDS_MS;
+        self.token_cost_ms.insert(model.clone(), cost.clamp(low, high));
     }
 
     /// Takes a request off a server's load.
@@ -385,7 +396,7 @@
             && let (Some(model), Some(first)) = (&counted.model, counted.first_event)
         {
             let made_ms = now.since(first).as_secs_f64() * 1_000.0;
-            self.making.note(model, counted.work.output_tokens, made_ms);
+            self.making.note(model, counted.output_tokens, made_ms);
         }
         let load = self.server(&counted.server);
         let own = &mut load.own.by_rank[counted.rank];
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -15,6 +15,5 @@
 pub mod making;
 pub mod orders;
 pub mod planner;
-pub mod reading;
 pub mod request;
 pub mod retry_budget;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -15,5 +15,4 @@
     mod orders;
     mod orders_random;
     mod planner;
-    mod reading;
 }
--- a/trackfront_core/tests/serving/load.rs
+++ b/trackfront_core/tests/serving/load.rs
@@ -138,8 +138,7 @@
         book.end(counted, Ending::Answered, at(start + 6));
     }
     assert!(book.token_cost_ms(&known) < before);
-    // One prompt after the other is alike, so the line through them is that of the known model.
-    assert!((book.token_cost_ms(&new) - book.token_cost_ms(&known)).abs() < 0.002);
+    assert_eq!(book.token_cost_ms(&new), book.token_cost_ms(&known));
 }
 
 fn busy(requests: u32, rank: usize, making_ms: f64) -> Share {
