--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -50,19 +50,29 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::new(false)
+    }
+}
+
+impl HttpClient {
+    /// Makes a client that speaks HTTP/2 only, to servers that are known to.
+    pub fn http2() -> Self {
+        Self::new(true)
+    }
+
+    fn new(http2_only: bool) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
+            .http2_only(http2_only)
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
             .build(connector);
         Self { client }
     }
-}
 
-impl HttpClient {
     /// Sends `request` and returns once the answer's head is there.
     pub async fn send(
         &self,
--- a/trackfront_core/src/serving/config.rs
+++ b/trackfront_core/src/serving/config.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::ids::{AdapterName, ModelName, ServiceName};
@@ -44,7 +45,7 @@
 }
 
 /// What may be done with a request of a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RouteKind {
     /// It may run more than once.
     Repeatable,
@@ -66,7 +67,7 @@
 }
 
 /// A service that a route sends to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// The service.
     pub service: ServiceName,
@@ -75,7 +76,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The name, for logs.
     pub name: String,
@@ -127,7 +128,7 @@
 }
 
 /// A model that a service's engines can hold.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelSpec {
     /// The name.
     pub name: ModelName,
@@ -146,7 +147,7 @@
 }
 
 /// The engines of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// How many requests an engine runs at once.
     pub slots: u32,
@@ -163,7 +164,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// The path of the health check.
     pub health_path: String,
@@ -174,7 +175,7 @@
 }
 
 /// What a client may send, and how long it may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// The largest head, in bytes.
     pub head_bytes: usize,
@@ -186,8 +187,9 @@
     pub idle_time: Duration,
 }
 
-/// A whole configuration.
-#[derive(Clone, Debug, PartialEq)]
+/// A whole configuration. One that another box passed on is checked like one that was stored.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "ConfigParts", into = "ConfigParts")]
 pub struct ServingConfig {
     /// The number of the configuration; it only grows.
     pub version: u64,
@@ -199,6 +201,31 @@
     routes: BTreeMap<String, Vec<Arc<Route>>>,
 }
 
+/// What a configuration is made of, before it is checked and indexed.
+#[derive(Serialize, Deserialize)]
+struct ConfigParts {
+    version: u64,
+    routes: Vec<Route>,
+    services: BTreeMap<ServiceName, ServiceSpec>,
+    limits: ClientLimits,
+}
+
+impl TryFrom<ConfigParts> for ServingConfig {
+    type Error = ConfigError;
+
+    fn try_from(parts: ConfigParts) -> Result<Self, ConfigError> {
+        ServingConfig::new(parts.version, parts.routes, parts.services, parts.limits)
+    }
+}
+
+impl From<ServingConfig> for ConfigParts {
+    fn from(config: ServingConfig) -> Self {
+        let routes = config.routes().map(|route| Route::clone(route)).collect();
+        let ServingConfig { version, services, limits, .. } = config;
+        ConfigParts { version, routes, services, limits }
+    }
+}
+
 impl ServingConfig {
     /// Checks and indexes a configuration.
     pub fn new(
--- a/trackfront_core/src/serving/directory.rs
+++ b/trackfront_core/src/serving/directory.rs
@@ -321,6 +321,19 @@
         events.iter().map(change).chain(self.lapsed.iter().map(gone)).collect()
     }
 
+    /// Returns what has changed since version `after`: all that is known if that is 0. Rows that lapsed
+    /// are among those that went.
+    pub fn changes_after(&self, after: u64) -> Vec<ServerChange> {
+        let newer = self.servers.values().filter(|known| known.version > after);
+        let set = newer
+            .map(|known| ServerChange::Set { version: known.version, entry: known.entry.clone() });
+        let went = self.gone.iter().map(|(id, (version, _))| (id, *version));
+        let lapsed = self.lapsed.iter().map(|(id, version)| (id, *version));
+        let gone = went.chain(lapsed).filter(|(_, version)| *version > after);
+        let gone = gone.map(|(id, version)| ServerChange::Gone { version, id: id.clone() });
+        set.chain(gone).collect()
+    }
+
     fn apply_one(&mut self, change: ServerChange, now: Moment) -> Option<DirectoryEvent> {
         match change {
             ServerChange::Set { version, entry } => self.set(version, entry, now),
--- a/trackfront_core/src/serving/planner/adapters.rs
+++ b/trackfront_core/src/serving/planner/adapters.rs
@@ -1,9 +1,11 @@
 //! Which adapters should be loaded and unloaded where.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::{EngineView, Plan, Proposal};
-use crate::ids::{AdapterName, ModelName};
+use super::inventory::Inventory;
+use super::models::ModelPlanner;
+use super::{EngineView, Proposal};
+use crate::ids::AdapterName;
 use crate::serving::demand::Rate;
 use crate::serving::orders::Operation;
 use crate::serving::request::ModelRef;
@@ -17,125 +19,137 @@
 
 /// An adapter that should have one more copy.
 struct ShortAdapter<'a> {
-    model: &'a ModelName,
+    model: usize,
     adapter: &'a AdapterName,
     /// Requests a second for each copy that it would have then.
     asked: f64,
     copies: usize,
 }
 
-impl<'a> Plan<'a> {
+/// Plans the adapters of one service, where the models' plan leaves an engine free.
+pub struct AdapterPlanner<'a> {
+    inventory: &'a Inventory<'a>,
+    models: &'a ModelPlanner<'a>,
+    demand: &'a HashMap<ModelRef, Rate>,
+    /// How many orders to adapters were proposed for each engine.
+    proposed: BTreeMap<usize, usize>,
+    /// The adapters that were proposed to give way.
+    leaving: BTreeSet<(usize, ModelRef)>,
+    proposals: Vec<Proposal>,
+}
+
+impl<'a> AdapterPlanner<'a> {
+    /// Makes a plan without proposals.
+    pub fn new(
+        inventory: &'a Inventory<'a>,
+        models: &'a ModelPlanner<'a>,
+        demand: &'a HashMap<ModelRef, Rate>,
+    ) -> Self {
+        let (proposed, leaving) = (BTreeMap::new(), BTreeSet::new());
+        Self { inventory, models, demand, proposed, leaving, proposals: Vec::new() }
+    }
+
+    /// Returns the proposals, the most urgent first.
+    pub fn into_proposals(self) -> Vec<Proposal> {
+        self.proposals
+    }
+
     /// Places each adapter on one engine that holds its model, busy ones on more; those that are
     /// asked for first, then those of models that are. An engine that loads a model takes no orders
     /// meanwhile, so adapters are placed ahead of need wherever a place is free.
-    pub(super) fn place_adapters(&mut self, demand: &HashMap<ModelRef, Rate>) {
+    pub fn place_all(&mut self) {
         let mut short: Vec<ShortAdapter<'a>> = Vec::new();
-        for (name, model) in &self.spec.models {
-            for adapter in &model.adapters {
-                let item = ModelRef { model: name.clone(), adapter: Some(adapter.clone()) };
-                let asked = demand.get(&item).copied().unwrap_or_default();
-                let copies = self.engines.iter().filter(|e| e.offers_adapter(name, adapter));
-                let copies = copies.count();
+        for (model, spec) in self.inventory.models.iter().enumerate() {
+            for adapter in &spec.adapters {
+                let asked =
+                    self.demand.get(&self.item(model, adapter)).copied().unwrap_or_default();
+                let copies = self.inventory.adapter_offers(model, adapter).len();
                 let level = asked.work_ms / 1_000.0 / copies.max(1) as f64;
                 if copies == 0 || level > WORTH_AN_ADAPTER_COPY {
-                    let (asked, model) = (asked.requests / (copies + 1) as f64, name);
+                    let asked = asked.requests / (copies + 1) as f64;
                     short.push(ShortAdapter { model, adapter, asked, copies });
                 }
             }
         }
         short.sort_by(|a, b| {
-            let by_model = self.demand[b.model].total_cmp(&self.demand[a.model]);
-            let by_copies = self.copies(b.model).cmp(&self.copies(a.model));
+            let by_model = self.models.demand(b.model).total_cmp(&self.models.demand(a.model));
+            let by_copies = self.models.copies(b.model).cmp(&self.models.copies(a.model));
             let by_name = (a.model, a.adapter).cmp(&(b.model, b.adapter));
             b.asked.total_cmp(&a.asked).then(by_model).then(by_copies).then(by_name)
         });
         for one in short {
-            self.place_adapter(one.model, one.adapter, one.asked, one.copies, demand);
+            self.place(&one);
         }
     }
 
-    fn place_adapter(
-        &mut self,
-        model: &'a ModelName,
-        adapter: &'a AdapterName,
-        asked: f64,
-        copies: usize,
-        demand: &HashMap<ModelRef, Rate>,
-    ) {
-        let slots = self.spec.adapter_slots as usize;
+    fn place(&mut self, short: &ShortAdapter<'a>) {
+        let ShortAdapter { model, adapter, asked, copies } = *short;
+        let slots = self.inventory.spec.adapter_slots as usize;
+        let name = &self.inventory.models[model].name;
+        let offers = self.inventory.adapter_offers(model, adapter);
         let fits = |index: &usize| {
-            let engine = &self.engines[*index];
-            let there = engine.models.contains_key(model) && engine.leaving.as_ref() != Some(model);
-            let proposed = self.proposed(*index);
-            let free = !engine.busy && !self.taken.contains(index) && proposed < ADAPTERS_AT_ONCE;
-            there && free && !engine.offers_adapter(model, adapter)
+            let engine = self.engine(*index);
+            let stays = engine.leaving.as_ref() != Some(name);
+            let has_time = self.proposed(*index) < ADAPTERS_AT_ONCE;
+            stays && has_time && self.models.is_open(*index) && !offers.contains(index)
         };
-        let open: Vec<usize> = (0..self.engines.len()).filter(fits).collect();
-        let count = |index: &usize| self.engines[*index].adapter_count() + self.proposed(*index);
+        let open: Vec<usize> = self.inventory.holders[model].iter().copied().filter(fits).collect();
+        let count = |index: &usize| self.engine(*index).adapter_count() + self.proposed(*index);
         let roomy = open.iter().copied().filter(|index| count(index) < slots);
         let roomiest = roomy.min_by_key(count);
-        let item = |model: &ModelName, adapter: &AdapterName| ModelRef {
-            model: model.clone(),
-            adapter: Some(adapter.clone()),
-        };
-        let (index, item, reason) = match roomiest {
-            Some(index) => {
-                let reason = "the adapter is asked for or its model is";
-                (index, item(model, adapter), reason)
-            }
+        let item = self.item(model, adapter);
+        let (index, reason) = match roomiest {
+            Some(index) => (index, "the adapter is asked for or its model is"),
             // Only what is asked for displaces another adapter, and only its first copy does.
             None if copies == 0 && asked > 0.0 => {
-                let Some((index, victim)) = self.least_adapter(&open, asked, demand) else {
+                let Some((index, victim)) = self.least_asked_for(&open, asked) else {
                     return;
                 };
                 let reason = "the adapter gives way to one that is asked for";
-                self.adapters_leaving.insert((index, victim.clone()));
-                self.propose_adapter(index, Operation::Unload, victim, reason);
-                (index, item(model, adapter), "the adapter is asked for")
+                self.leaving.insert((index, victim.clone()));
+                self.propose(index, Operation::Unload, victim, reason);
+                (index, "the adapter is asked for")
             }
             None => return,
         };
-        self.propose_adapter(index, Operation::Load, item, reason);
+        self.propose(index, Operation::Load, item, reason);
     }
 
-    fn propose_adapter(
+    fn propose(
         &mut self,
         index: usize,
         operation: Operation,
         item: ModelRef,
         reason: &'static str,
     ) {
-        *self.adapters_proposed.entry(index).or_default() += 1;
-        let engine = self.engines[index].id.clone();
+        *self.proposed.entry(index).or_default() += 1;
+        let engine = self.engine(index).id.clone();
         self.proposals.push(Proposal { engine, operation, item, makes_room_for: None, reason });
     }
 
     fn proposed(&self, index: usize) -> usize {
-        self.adapters_proposed.get(&index).copied().unwrap_or(0)
+        self.proposed.get(&index).copied().unwrap_or(0)
     }
 
     /// Finds the adapter that is asked for least on the engines in `open`, if it is asked for less
     /// than `asked`. One that is in use would keep its place. A swap takes some milliseconds, so it
     /// need not be worth more than what gives way.
-    fn least_adapter(
-        &self,
-        open: &[usize],
-        asked: f64,
-        demand: &HashMap<ModelRef, Rate>,
-    ) -> Option<(usize, ModelRef)> {
+    fn least_asked_for(&self, open: &[usize], asked: f64) -> Option<(usize, ModelRef)> {
         let mut least: Option<(f64, usize, ModelRef)> = None;
         let has_time = |index: &&usize| self.proposed(**index) + 2 <= ADAPTERS_AT_ONCE;
         for index in open.iter().filter(has_time) {
-            for (model, resident) in &self.engines[*index].models {
+            let engine = self.engine(*index);
+            for (name, resident) in &engine.models {
                 for adapter in &resident.adapters {
-                    let item = ModelRef { model: model.clone(), adapter: Some(adapter.clone()) };
-                    let is_leaving = self.adapters_leaving.contains(&(*index, item.clone()));
-                    if is_leaving || self.engines[*index].in_use.contains(&item) {
+                    let item = ModelRef { model: name.clone(), adapter: Some(adapter.clone()) };
+                    let is_leaving = self.leaving.contains(&(*index, item.clone()));
+                    if is_leaving || engine.in_use.contains(&item) {
                         continue;
                     }
-                    let offering = |e: &&EngineView| e.offers_adapter(model, adapter);
-                    let copies = self.engines.iter().filter(offering).count();
-                    let rate = demand.get(&item).map_or(0.0, |rate| rate.requests);
+                    let model = self.inventory.number(name);
+                    let copies = model
+                        .map_or(1, |model| self.inventory.adapter_offers(model, adapter).len());
+                    let rate = self.demand.get(&item).map_or(0.0, |rate| rate.requests);
                     let worth = rate / copies.max(1) as f64;
                     let lower = least.as_ref().is_none_or(|(lowest, _, _)| worth < *lowest);
                     if worth < asked && lower {
@@ -146,4 +160,13 @@
         }
         least.map(|(_, index, item)| (index, item))
     }
+
+    fn item(&self, model: usize, adapter: &AdapterName) -> ModelRef {
+        let model = self.inventory.models[model].name.clone();
+        ModelRef { model, adapter: Some(adapter.clone()) }
+    }
+
+    fn engine(&self, index: usize) -> &'a EngineView {
+        &self.inventory.engines[index]
+    }
 }
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -15,4 +15,5 @@
     mod orders;
     mod orders_random;
     mod planner;
+    mod planner_random;
 }
--- /dev/null
+++ b/trackfrontd/src/serving/exchange.rs
@@ -0,0 +1,225 @@
+//! Whole copies that boxes give each other: the configuration in force and the list of servers.
+//!
+//! If every box read the platform's store for itself, each change of the configuration would cost
+//! as many calls as there are boxes, and each start two more. A box asks others of its hall first and
+//! reads the store where none of them has what it lacks. A copy is checked like what the store holds,
+//! and one that is older than what a box has changes nothing there.
+//!
+//! Copies go over HTTP/2 as `bincode`, deflated. Of the servers only what has changed since the version
+//! that the asker knows.
+
+use std::io::{Read, Write};
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use http::{Method, Response, StatusCode};
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use trackfront_adapters::http_client::{HttpClient, HttpError, request, with_body};
+use trackfront_adapters::http_server::{Body, response};
+use trackfront_core::ports::StoredConfig;
+use trackfront_core::serving::config::ServingConfig;
+use trackfront_core::serving::directory::ServerChange;
+use trackfront_core::units::Moment;
+
+use super::node::ServingNode;
+
+/// The path of the configuration; the row's version that the asker has follows.
+const CONFIG_PATH: &str = "/copy/1/config/";
+
+/// The path of the list of servers; the version that the asker knows follows, 0 for the whole list.
+const SERVERS_PATH: &str = "/copy/1/servers/";
+
+/// How long a box may take to hand a copy out. A copy is some 10 KB; a box with the smallest link of
+/// today, 10 Mbit/s, sends thirty of them in a quarter of a second.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+
+/// How many boxes are asked, one after the other, before the store is.
+const BOXES_ASKED: usize = 2;
+
+/// The largest copy once it is inflated, in bytes: a stored configuration has 4 MB at most.
+const MAX_COPY_BYTES: usize = 8 * 1024 * 1024;
+
+const CONTENT_TYPE: &str = "application/octet-stream";
+
+/// Why a box gave no copy.
+#[derive(Debug, Error)]
+pub enum CopyError {
+    /// It has nothing newer.
+    #[error("the box has nothing newer")]
+    NothingNewer,
+    /// It did not answer.
+    #[error("the box did not answer: {0}")]
+    Unreachable(#[from] HttpError),
+    /// It answered something else.
+    #[error("the copy cannot be used: {0}; check that both boxes run the same version")]
+    Broken(String),
+}
+
+#[derive(Serialize, Deserialize)]
+struct ConfigCopy {
+    row: u64,
+    config: ServingConfig,
+}
+
+/// Changes of servers that another box handed out.
+#[derive(Serialize, Deserialize)]
+pub struct ServersCopy {
+    /// The version up to which they reach.
+    pub version: u64,
+    /// The changes.
+    pub changes: Vec<ServerChange>,
+}
+
+/// A copy as it goes over the wire, and the version that it is of.
+type Packed = Mutex<Option<(u64, Bytes)>>;
+
+/// The client that asks for copies, and the last copies that were handed out: many boxes ask for the
+/// same one.
+pub struct Exchange {
+    client: HttpClient,
+    config: Packed,
+    servers: Packed,
+}
+
+impl Default for Exchange {
+    fn default() -> Self {
+        let (config, servers) = (Packed::default(), Packed::default());
+        Self { client: HttpClient::http2(), config, servers }
+    }
+}
+
+/// Answers a box that asks for a copy; `None` if the path is not that of a copy.
+pub fn answer(node: &ServingNode, path: &str) -> Option<Response<Body>> {
+    let known = |prefix| path.strip_prefix(prefix)?.parse::<u64>().ok();
+    let packed = match (known(CONFIG_PATH), known(SERVERS_PATH)) {
+        (Some(known), _) => config_copy(node, known),
+        (None, Some(known)) => servers_copy(node, known),
+        (None, None) => return None,
+    };
+    Some(match packed {
+        Some(bytes) => response(StatusCode::OK, CONTENT_TYPE, bytes),
+        None => response(StatusCode::NO_CONTENT, CONTENT_TYPE, ""),
+    })
+}
+
+fn config_copy(node: &ServingNode, known: u64) -> Option<Bytes> {
+    // Read first: the configuration may be newer than the row, never older.
+    let row = node.config_row_in_force();
+    let config = node.config.load_full()?;
+    if known >= row {
+        return None;
+    }
+    let copy = || ConfigCopy { row, config: ServingConfig::clone(&config) };
+    Some(packed(&node.exchange.config, row, copy))
+}
+
+fn servers_copy(node: &ServingNode, known: u64) -> Option<Bytes> {
+    if !node.knows_servers() {
+        return None;
+    }
+    let directory = node.directory.lock();
+    let version = directory.newest();
+    if known >= version {
+        return None;
+    }
+    let copy = || ServersCopy { version, changes: directory.changes_after(known) };
+    Some(match known {
+        0 => packed(&node.exchange.servers, version, copy),
+        _ => pack(&copy()),
+    })
+}
+
+fn packed<T: Serialize>(last: &Packed, version: u64, copy: impl FnOnce() -> T) -> Bytes {
+    let mut last = last.lock();
+    match last.as_ref().filter(|(of, _)| *of == version) {
+        Some((_, bytes)) => bytes.clone(),
+        None => {
+            let bytes = pack(&copy());
+            *last = Some((version, bytes.clone()));
+            bytes
+        }
+    }
+}
+
+fn pack(value: &impl Serialize) -> Bytes {
+    let plain = bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .expect("our own types always encode");
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&plain).expect("memory takes all that is written");
+    encoder.finish().expect("memory takes all that is written").into()
+}
+
+fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CopyError> {
+    let broken = |error: &dyn std::error::Error| CopyError::Broken(error.to_string());
+    let mut plain = Vec::new();
+    let mut decoder = DeflateDecoder::new(bytes).take(MAX_COPY_BYTES as u64);
+    decoder.read_to_end(&mut plain).map_err(|error| broken(&error))?;
+    let config = bincode::config::standard().with_limit::<MAX_COPY_BYTES>();
+    let decoded = bincode::serde::decode_from_slice(&plain, config);
+    decoded.map(|(value, _)| value).map_err(|error| broken(&error))
+}
+
+/// Asks `boxes` for a configuration that is newer than row `known`.
+pub async fn fetch_config(
+    node: &ServingNode,
+    boxes: &[Ipv4Addr],
+    known: u64,
+) -> Option<StoredConfig> {
+    let path = format!("{CONFIG_PATH}{known}");
+    let copy: ConfigCopy = fetch_first(node, boxes, &path).await?;
+    Some(StoredConfig { row_version: copy.row, config: Ok(copy.config) })
+}
+
+/// Asks `boxes` for what has changed of the servers since version `known`.
+pub async fn fetch_servers(
+    node: &ServingNode,
+    boxes: &[Ipv4Addr],
+    known: u64,
+) -> Option<ServersCopy> {
+    fetch_first(node, boxes, &format!("{SERVERS_PATH}{known}")).await
+}
+
+async fn fetch_first<T: DeserializeOwned>(
+    node: &ServingNode,
+    boxes: &[Ipv4Addr],
+    path: &str,
+) -> Option<T> {
+    for ip in boxes.iter().take(BOXES_ASKED) {
+        let began = node.now();
+        match fetch(node, *ip, path).await {
+            Ok(copy) => {
+                log_fetch(*ip, path, "taken", began, node.now());
+                return Some(copy);
+            }
+            Err(error) => log_fetch(*ip, path, &error.to_string(), began, node.now()),
+        }
+    }
+    None
+}
+
+fn log_fetch(ip: Ipv4Addr, path: &str, outcome: &str, began: Moment, now: Moment) {
+    let ms = now.since(began).as_millis() as u64;
+    log::info!(from:% = ip, path, outcome, ms; "copy asked for");
+}
+
+async fn fetch<T: DeserializeOwned>(
+    node: &ServingNode,
+    ip: Ipv4Addr,
+    path: &str,
+) -> Result<T, CopyError> {
+    let address = format!("{ip}:{}", node.settings.load().listen.peers);
+    let request = with_body(request(Method::GET, &address, path), Bytes::new())?;
+    let answer = node.exchange.client.fetch(request, ANSWER_TIME).await?;
+    match answer.status {
+        StatusCode::OK => unpack(&answer.body),
+        StatusCode::NO_CONTENT => Err(CopyError::NothingNewer),
+        other => Err(CopyError::Broken(format!("status {other}"))),
+    }
+}
--- /dev/null
+++ b/trackfrontd/src/serving/follow/mod.rs
@@ -0,0 +1,13 @@
+//! Keeps the configuration and the servers up to date from the platform.
+//!
+//! One box of each hall follows the platform's feeds and relays what comes ([`super::spread`]); the
+//! others fetch from boxes of their hall what they lack ([`super::exchange`]) and call the platform
+//! where none of them has it. When a feed's history is gone, or the platform was away, everything is
+//! read again. An answer that is older than what is known changes nothing.
+
+mod config;
+mod link;
+mod servers;
+
+pub use config::follow_config;
+pub use servers::{end_lapses, follow_servers, note_events};
--- /dev/null
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -0,0 +1,172 @@
+//! Follows the list of servers.
+
+use std::sync::Arc;
+
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use trackfront_core::ports::{Feed, Listing};
+use trackfront_core::serving::directory::{DirectoryEvent, ServerChange, ServerEntry};
+
+use super::link::{FIRST_PAUSE, Link};
+use crate::serving::boxes;
+use crate::serving::exchange;
+use crate::serving::node::ServingNode;
+use crate::serving::spread::{FeedKind, Relay, relay};
+
+/// How long the box waits after a change of servers, so that one call brings the changes of many,
+/// as a part of the time within which a draining server has to be known.
+const GATHER_PART: f64 = 0.125;
+
+/// Follows the servers for as long as the box lives.
+pub async fn follow_servers(node: Arc<ServingNode>, socket: Arc<UdpSocket>) {
+    let mut link = Link::new(node.clone(), FeedKind::Servers);
+    boxes::wait_for_list(&node).await;
+    if take_copy(&node, &link).await {
+        follow_from(&node, &socket, &mut link).await;
+    }
+    loop {
+        link.count("list_servers");
+        let listing = match node.ports.knowledge.list_servers().await {
+            Ok(listing) => listing,
+            Err(error) => {
+                link.failed(&error).await;
+                if !node.knows_servers() && take_copy(&node, &link).await {
+                    follow_from(&node, &socket, &mut link).await;
+                }
+                continue;
+            }
+        };
+        link.works();
+        let to = listing.version;
+        let (from, found) = take_listing(&node, listing);
+        let Some(Found { events, changes }) = found else {
+            log::info!(version = to; "list of servers older than what is known");
+            relay(&node, &socket, &Relay::nothing(from));
+            sleep(FIRST_PAUSE).await;
+            continue;
+        };
+        note_events(&node, events, to);
+        relay(&node, &socket, &Relay::Servers { from, to, changes, lapses_ms: 0 });
+        node.set_knows_servers();
+        follow_from(&node, &socket, &mut link).await;
+    }
+}
+
+/// Takes in what another box knows that this one does not. Returns whether there was something.
+async fn take_copy(node: &Arc<ServingNode>, link: &Link) -> bool {
+    let known = node.directory.lock().newest();
+    let mut sources = link.sources(None);
+    if sources.is_empty() && known == 0 {
+        sources = boxes::likely_up(node);
+    }
+    let Some(copy) = exchange::fetch_servers(node, &sources, known).await else {
+        return false;
+    };
+    let events = {
+        let mut directory = node.directory.lock();
+        // What came in between by relay is newer, or was passed over for the gap.
+        directory.apply(copy.changes, copy.version, node.now())
+    };
+    note_events(node, events, copy.version);
+    node.relayed.lock().note(FeedKind::Servers, node.now());
+    node.set_knows_servers();
+    true
+}
+
+/// What a listing of the servers has changed.
+struct Found {
+    events: Vec<DirectoryEvent>,
+    /// The same for the other boxes of the hall.
+    changes: Vec<ServerChange>,
+}
+
+/// Takes in a listing of the servers. Returns the newest version before it, and what it has changed;
+/// nothing if it is older than what is known.
+fn take_listing(node: &ServingNode, listing: Listing<ServerEntry>) -> (u64, Option<Found>) {
+    let mut directory = node.directory.lock();
+    let from = directory.newest();
+    let events = directory.replace(listing.rows, listing.version, node.now());
+    let found = events.map(|events| {
+        let changes = directory.changes(&events, listing.version);
+        Found { events, changes }
+    });
+    (from, found)
+}
+
+/// Follows the feed until everything has to be read again.
+async fn follow_from(node: &Arc<ServingNode>, socket: &UdpSocket, link: &mut Link) {
+    while !link.must_reread() {
+        link.wait_for_reader(|| node.relayed.lock().has_gap()).await;
+        if node.relayed.lock().take_gap() && take_copy(node, link).await {
+            continue;
+        }
+        link.count("follow_servers");
+        let from = node.directory.lock().newest();
+        match node.ports.knowledge.follow_servers(from, link.feed_wait()).await {
+            Ok(Feed::Changes { changes, version: to }) => {
+                link.works();
+                let told = Relay::Servers { from, to, changes: changes.clone(), lapses_ms: 0 };
+                let some = !changes.is_empty();
+                let events = node.directory.lock().apply(changes, to, node.now());
+                note_events(node, events, to);
+                relay(node, socket, &told);
+                if some {
+                    sleep(link.part_of_drain(GATHER_PART)).await;
+                }
+            }
+            Ok(Feed::HistoryGone) => {
+                log::info!(table = "servers", after = from; "history gone, reading anew");
+                relay(node, socket, &Relay::nothing(from));
+                sleep(FIRST_PAUSE).await;
+                return;
+            }
+            Err(error) => link.failed(&error).await,
+        }
+    }
+    link.forgive();
+}
+
+/// Takes servers away whose rows lapsed and did not come back in time.
+pub fn end_lapses(node: &ServingNode) {
+    let events = node.directory.lock().end_lapses(node.now());
+    if !events.is_empty() {
+        let version = node.directory.lock().newest();
+        log::info!(servers = events.len(), version; "rows lapsed and did not come back");
+        note_events(node, events, version);
+    }
+}
+
+/// Logs what has changed and lets the rest of the box know.
+pub fn note_events(node: &ServingNode, events: Vec<DirectoryEvent>, version: u64) {
+    if events.is_empty() {
+        return;
+    }
+    let directory = node.directory.lock();
+    for event in &events {
+        let (id, what) = match event {
+            DirectoryEvent::Joined(id) => (id, "server joined"),
+            DirectoryEvent::Changed(id) => (id, "server changed"),
+            DirectoryEvent::Draining(id) => (id, "server drains"),
+            DirectoryEvent::Left(id) => (id, "server left"),
+        };
+        match directory.get(id) {
+            Some(known) => {
+                let entry = &known.entry;
+                let (address, service) = (&entry.address, &entry.service);
+                let models = entry.models.len();
+                log::info!(server:% = id, address, service:%, models, version; "{what}");
+            }
+            None => log::info!(server:% = id, version; "{what}"),
+        }
+    }
+    node.names.lock().set_servers(directory.all().map(|known| &known.entry.id));
+    drop(directory);
+    let mut loads = node.loads.lock();
+    for event in &events {
+        if let DirectoryEvent::Left(id) = event {
+            loads.forget(id);
+        }
+    }
+    drop(loads);
+    node.servers_changed.notify_waiters();
+}
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -15,6 +15,7 @@
 use trackfront_core::serving::demand::Rate;
 use trackfront_core::units::Moment;
 
+use super::boxes;
 use super::messages::{Digest, Message, ToldDemand, ToldRight, ToldShare};
 use super::node::{ServingNode, short_item, short_server, short_zone};
 use super::overlay::NoteKind;
@@ -184,7 +185,8 @@
         match bincode::serde::decode_from_slice::<Message, _>(&buffer[..length], config) {
             Ok((Message::Digest(digest), _)) => take_in(&node, ip, digest),
             Ok((Message::Demand(told), _)) => take_demand(&node, ip, &told),
-            Ok((Message::Relay(relay), _)) => relay::take_in(&node, relay),
+            Ok((Message::Relay(relay), _)) => relay::take_in(&node, ip, relay),
+            Ok((Message::Boxes(all), _)) => boxes::take_in(&node, &all),
             Err(error) => {
                 let now = node.now();
                 if now.since(reported) > ALIVE_FOR {
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -1,6 +1,5 @@
-//! The listeners of a serving node: clients, the balancer's question, metrics.
+//! The listeners of a serving box: clients, the balancer's question, metrics and copies for other boxes.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,6 +11,7 @@
 use trackfront_adapters::http_server::{Body, ServerLimits, response, serve, serve_with};
 use trackfront_adapters::metrics::CONTENT_TYPE;
 
+use super::exchange;
 use super::log_queue::DroppedLines;
 use super::node::ServingNode;
 use super::pipeline;
@@ -75,26 +75,27 @@
     serve(listener, handler, stop).await;
 }
 
-/// Serves the metrics.
-pub async fn serve_metrics(
+/// Serves copies for other boxes, and on any other path the metrics.
+pub async fn serve_boxes(
     node: Arc<ServingNode>,
     dropped: DroppedLines,
     listener: TcpListener,
     stop: watch::Receiver<bool>,
 ) {
-    let handler = move |_: Request<Incoming>| {
-        let text = metrics_text(&node, &dropped);
-        async move { Ok(text.unwrap_or_else(|never| match never {})) }
+    let handler = move |request: Request<Incoming>| {
+        let copy = exchange::answer(&node, request.uri().path());
+        let answer = copy.unwrap_or_else(|| metrics_text(&node, &dropped));
+        async move { Ok(answer) }
     };
     serve(listener, handler, stop).await;
 }
 
-fn metrics_text(node: &ServingNode, dropped: &DroppedLines) -> Result<Response<Body>, Infallible> {
+fn metrics_text(node: &ServingNode, dropped: &DroppedLines) -> Response<Body> {
     let counts = node.pool.counts();
     let metrics = &node.metrics;
     metrics.dropped_lines.set(dropped.count() as i64);
     metrics.connections_opened.set(counts.opened as i64);
     metrics.connections_reused.set(counts.reused as i64);
     metrics.nodes.set(node.peers.lock().alive(node.now()).len() as i64 + 1);
-    Ok(response(StatusCode::OK, CONTENT_TYPE, metrics.encode()))
+    response(StatusCode::OK, CONTENT_TYPE, metrics.encode())
 }
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -1,5 +1,6 @@
 //! What nodes send to each other, in one datagram each.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -16,8 +17,10 @@
     Digest(Digest),
     /// The demand at a node, for the giver of orders.
     Demand(ToldDemand),
-    /// What a node learned from the platform, for those in its zone.
+    /// What a box learned from the platform, for those in its hall.
     Relay(Relay),
+    /// All boxes that a list had.
+    Boxes(Vec<Ipv4Addr>),
 }
 
 /// What a node tells.
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -1,12 +1,14 @@
 //! A serving node: the request pipeline and placement behind a deployment's own interfaces.
 //!
-//! [`node`] holds what the node knows; [`follow`] keeps it up to date from the platform,
-//! [`gossip`] and [`spread`] from other nodes, which [`peer_book`] lists; [`pipeline`] and [`relay`]
+//! [`node`] holds what the box knows; [`follow`] keeps it up to date from the platform,
+//! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`pipeline`] and [`relay`]
 //! answer requests, [`listeners`] takes them; [`lease`], [`placement`] and [`order_task`] give orders
 //! to engines; [`run`] wires it all.
 //! This folder depends on the decisions in `trackfront_core::serving` and on the traits in
 //! `trackfront_adapters::interface`; it knows no names or formats of any deployment.
 
+pub mod boxes;
+pub mod exchange;
 pub mod follow;
 pub mod gossip;
 pub mod lease;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use trackfront_adapters::interface::{ClientInterface, ServerInterface};
 use trackfront_adapters::serving_metrics::{KindLabel, ServingMetrics};
 use trackfront_adapters::upstream::UpstreamPool;
@@ -24,6 +24,7 @@
 use trackfront_core::serving::retry_budget::RetryBudgets;
 use trackfront_core::units::Moment;
 
+use super::exchange::Exchange;
 use super::overlay::Overlay;
 use super::peer_book::PeerBook;
 use super::settings::ServingSettings;
@@ -84,8 +85,10 @@
     pub overlay: Mutex<Overlay>,
     /// The other nodes.
     pub peers: Mutex<PeerBook>,
-    /// What readers of this zone relay from the platform.
+    /// What readers of this hall relay from the platform.
     pub relayed: Mutex<Relayed>,
+    /// Copies that boxes give each other.
+    pub exchange: Exchange,
     /// Told when something came from a reader.
     pub relay_came: Notify,
     /// Short names of servers and items.
@@ -99,6 +102,10 @@
     started: Moment,
     knows_servers: AtomicBool,
     nodes_listed_at: Mutex<Option<Moment>>,
+    first_list_over: watch::Sender<bool>,
+    told_of_boxes: AtomicBool,
+    config_row: AtomicU64,
+    config_row_in_force: AtomicU64,
     store_lost: AtomicBool,
     store_failed_at: Mutex<Option<Moment>>,
     stopping: AtomicBool,
@@ -128,6 +135,7 @@
             peers: Mutex::default(),
             relayed: Mutex::default(),
             relay_came: Notify::new(),
+            exchange: Exchange::default(),
             names: Mutex::default(),
             servers_changed: Notify::new(),
             tell_peers: Notify::new(),
@@ -135,6 +143,10 @@
             started,
             knows_servers: AtomicBool::new(false),
             nodes_listed_at: Mutex::default(),
+            first_list_over: watch::Sender::new(false),
+            told_of_boxes: AtomicBool::new(false),
+            config_row: AtomicU64::new(0),
+            config_row_in_force: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
             store_failed_at: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -168,6 +180,46 @@
         self.nodes_listed_at.lock().get_or_insert(self.now());
     }
 
+    /// Notes that the first attempt to list the other boxes is over, whatever came of it.
+    pub fn end_first_list(&self) {
+        self.first_list_over.send_replace(true);
+    }
+
+    /// Waits for the end of the first attempt to list the other boxes.
+    pub async fn first_list_ended(&self) {
+        let mut over = self.first_list_over.subscribe();
+        // The sender lives as long as this node, so the wait cannot fail.
+        let _ = over.wait_for(|over| *over).await;
+    }
+
+    /// Notes that another box told of all.
+    pub fn set_told_of_boxes(&self) {
+        self.told_of_boxes.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether another box told of all, this one among them.
+    pub fn was_told_of_boxes(&self) -> bool {
+        self.told_of_boxes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the newest row of the configuration that was looked at, put in force or refused.
+    pub fn config_row(&self) -> u64 {
+        self.config_row.load(Ordering::Relaxed)
+    }
+
+    /// Returns the row of the configuration in force. What is in force may be newer, never older.
+    pub fn config_row_in_force(&self) -> u64 {
+        self.config_row_in_force.load(Ordering::Relaxed)
+    }
+
+    /// Notes a row of the configuration, and whether it is in force.
+    pub fn set_config_row(&self, row: u64, in_force: bool) {
+        self.config_row.fetch_max(row, Ordering::Relaxed);
+        if in_force {
+            self.config_row_in_force.fetch_max(row, Ordering::Relaxed);
+        }
+    }
+
     /// Returns whether the node has just started and does not know the others yet. What one node
     /// does for all is not begun then, or every node of a deployment that starts would do it.
     pub fn is_alone_for_now(&self) -> bool {
--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -46,9 +46,19 @@
 }
 
 impl PeerBook {
-    /// Learns of a node from a list.
-    pub fn list(&mut self, ip: Ipv4Addr, now: Moment) {
-        self.peers.entry(ip).or_insert(Peer { listed: now, ..Peer::default() });
+    /// Learns of a box from a list, which may say in which hall it stands.
+    pub fn list(&mut self, ip: Ipv4Addr, hall: Option<u32>, now: Moment) {
+        let peer = self.peers.entry(ip).or_insert(Peer { listed: now, ..Peer::default() });
+        if peer.heard.is_none() {
+            peer.zone = hall.unwrap_or(peer.zone);
+        }
+    }
+
+    /// Returns the boxes that are alive or were listed just now, those of `hall` first.
+    pub fn likely_up(&self, hall: u32, now: Moment) -> Vec<Ipv4Addr> {
+        let mut boxes = self.reachable(now);
+        boxes.sort_by_key(|ip| self.peers.get(ip).is_none_or(|peer| peer.zone != hall));
+        boxes
     }
 
     /// Learns that a node is alive.
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -1,26 +1,24 @@
 //! Starts, reloads and stops a serving node.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
-use bytes::Bytes;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
-use trackfront_core::ids::{TxnId, draw_id};
-use trackfront_core::ports::{CommitOutcome, Expect, RowKey, Transaction, Write};
 
 use super::gossip::{self, Giving};
 use super::log_queue::DroppedLines;
 use super::node::{ServingNode, ServingPorts};
 use super::placement::Placement;
 use super::settings::ServingSettings;
-use super::{follow, listeners};
+use super::{boxes, follow, listeners};
 
 /// How long a call to the platform's store may take beyond the time that it asks the store to wait.
 pub const STORE_CALL_TIME: Duration = Duration::from_millis(900);
@@ -44,19 +42,6 @@
 /// How long a connection to a server stays open unused.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 
-/// The start of the keys of nodes' rows.
-const NODE_PREFIX: &str = "node/";
-
-/// How long after its own row was written a node lists the others: those that start with it have
-/// written theirs by then. Of two nodes at least one finds the other, and tells it.
-const FIRST_LIST: Duration = Duration::from_millis(500);
-
-/// How long after a failed call the row is written or the nodes are listed again.
-const LIST_AGAIN: Duration = Duration::from_millis(700);
-
-/// How often the nodes are listed after that.
-const LIST_EVERY: Duration = Duration::from_secs(60);
-
 /// Runs a node until it is told to stop and every request in progress is answered.
 pub async fn run(
     path: PathBuf,
@@ -84,17 +69,22 @@
     tasks.spawn(follow::follow_config(node.clone(), socket.clone()));
     tasks.spawn(follow::follow_servers(node.clone(), socket.clone()));
     tasks.spawn(gossip::tell(node.clone(), socket.clone(), giving.clone()));
+    tasks.spawn(boxes::list_boxes(node.clone(), socket.clone()));
     tasks.spawn(gossip::hear(node.clone(), socket));
-    tasks.spawn(list_nodes(node.clone()));
     tasks.spawn(sweep(node.clone()));
     tasks.spawn(reload(node.clone(), path, hangup));
     tasks.spawn(listeners::serve_readiness(node.clone(), readiness, rest_stopped.clone()));
-    match listeners::bind(SocketAddr::from((ip, listen.metrics))) {
-        Ok(listener) => {
-            tasks.spawn(listeners::serve_metrics(node.clone(), dropped, listener, rest_stopped));
+    let ports = BTreeSet::from([listen.peers, listen.metrics]);
+    for port in ports {
+        match listeners::bind(SocketAddr::from((ip, port))) {
+            Ok(listener) => {
+                let (node, dropped) = (node.clone(), dropped.clone());
+                let serving = listeners::serve_boxes(node, dropped, listener, rest_stopped.clone());
+                tasks.spawn(serving);
+            }
+            // Serving clients matters more than figures, and than copies for other boxes.
+            Err(error) => log::error!(error:% = error, port; "metrics and copies not served"),
         }
-        // Serving matters more than its figures.
-        Err(error) => log::error!(error:% = error; "metrics not served"),
     }
     let placement = tokio::spawn(Placement::new(node.clone(), giving).run());
     let serving = listeners::serve_clients(node.clone(), clients, clients_stopped);
@@ -186,51 +176,3 @@
         }
     }
 }
-
-/// Writes this node's row and learns of the others, again and again but seldom.
-async fn list_nodes(node: Arc<ServingNode>) {
-    while !write_row(&node).await {
-        sleep(LIST_AGAIN).await;
-    }
-    sleep(FIRST_LIST).await;
-    loop {
-        let pause = match node.ports.table.scan(NODE_PREFIX).await {
-            Ok(rows) => {
-                let now = node.now();
-                let me = node.settings.load().node.ip;
-                let mut peers = node.peers.lock();
-                let ips = rows.iter().filter_map(|row| {
-                    row.key.0.strip_prefix(NODE_PREFIX)?.parse::<Ipv4Addr>().ok()
-                });
-                let others: Vec<_> = ips.filter(|ip| *ip != me).collect();
-                for ip in &others {
-                    peers.list(*ip, now);
-                }
-                drop(peers);
-                log::info!(nodes = others.len(); "nodes listed");
-                node.set_knows_nodes();
-                node.tell_peers.notify_one();
-                LIST_EVERY
-            }
-            Err(error) => {
-                log::info!(error:% = error; "nodes not listed");
-                LIST_AGAIN
-            }
-        };
-        sleep(pause).await;
-    }
-}
-
-async fn write_row(node: &ServingNode) -> bool {
-    let settings = node.settings.load();
-    let key = RowKey(format!("{NODE_PREFIX}{}", settings.node.ip));
-    // If the row is there already, an earlier process of this machine wrote it.
-    let expect = Expect::Absent;
-    let id = TxnId::from(draw_id("node", &mut rand::rng()));
-    let value = Some(Bytes::from(settings.node.name.clone()));
-    let transaction = Transaction { id, writes: vec![Write { key, expect, value }] };
-    matches!(
-        node.ports.table.commit(&transaction).await,
-        CommitOutcome::Applied | CommitOutcome::Conflict { .. }
-    )
-}
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -60,6 +60,9 @@
     pub zone: ZoneName,
     /// The region.
     pub region: RegionName,
+    /// Whether the whole system starts for the first time: no other box is up yet.
+    #[serde(default)]
+    pub first_start: bool,
 }
 
 /// The addresses that the node listens on.
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -1,8 +1,9 @@
-//! What readers of the platform's feeds relay to the other nodes of their zone.
+//! What one box of each hall reads from the platform's feeds and relays to the others there.
 //!
-//! If every node followed the feeds itself, the calls would grow with nodes times changes. In each
-//! zone one node, the first in the order of addresses, reads the feeds and passes on what came, also
-//! when nothing came: silence tells the others that it is lost, and they read for themselves.
+//! If every box followed the feeds itself, the calls would grow with boxes times changes. In each hall
+//! one box, the first in the order of addresses, reads the feeds and passes on what came, also when
+//! nothing came: after some silence the others read for themselves, one after the other, and the first
+//! that gets an answer relays it.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -17,10 +18,15 @@
 use super::messages::Message;
 use super::node::{ServingNode, short_zone};
 
-/// How long after a reader's last word its zone counts as read, as a part of the time within which
+/// How long after a reader's last word its hall counts as read, as a part of the time within which
 /// a draining server has to be known.
 const FRESH_PART: f64 = 0.65;
 
+/// How much longer than the first successor of a silent reader the next ones wait, times the square of
+/// their place: the first two read at once, and an outage of the store for ten seconds is asked about
+/// by seven boxes of a hall instead of all.
+const SUCCESSOR_STEP: Duration = Duration::from_millis(150);
+
 /// How many changes one message carries: at about 400 bytes each they fit a datagram.
 const CHANGES_AT_ONCE: usize = 24;
 
@@ -50,15 +56,13 @@
     pub fn nothing(version: u64) -> Self {
         Relay::Servers { from: version, to: version, changes: Vec::new(), lapses_ms: 0 }
     }
-}
 
-/// What came from readers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Relayed {
-    config_at: Option<Moment>,
-    config_row: u64,
-    servers_at: Option<Moment>,
-    servers_gap: bool,
+    fn kind(&self) -> FeedKind {
+        match self {
+            Relay::Config { .. } => FeedKind::Config,
+            Relay::Servers { .. } => FeedKind::Servers,
+        }
+    }
 }
 
 /// One of the platform's feeds.
@@ -70,14 +74,32 @@
     Servers,
 }
 
+/// What came from the feeds, by way of a reader or of this box's own calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Relayed {
+    config_at: Option<Moment>,
+    config_row: u64,
+    config_from: Option<Ipv4Addr>,
+    servers_at: Option<Moment>,
+    servers_gap: bool,
+}
+
 impl Relayed {
-    /// Returns whether a reader was heard of a feed lately.
-    pub fn is_fresh(&self, kind: FeedKind, drain: Duration, now: Moment) -> bool {
+    /// Returns how long nothing came of a feed; `None` if nothing ever did.
+    pub fn silence(&self, kind: FeedKind, now: Moment) -> Option<Duration> {
         let heard = match kind {
             FeedKind::Config => self.config_at,
             FeedKind::Servers => self.servers_at,
         };
-        heard.is_some_and(|at| now.since(at) < drain.mul_f64(FRESH_PART))
+        heard.map(|at| now.since(at))
+    }
+
+    /// Notes that something came of a feed.
+    pub fn note(&mut self, kind: FeedKind, now: Moment) {
+        match kind {
+            FeedKind::Config => self.config_at = Some(now),
+            FeedKind::Servers => self.servers_at = Some(now),
+        }
     }
 
     /// Returns the newest row of the configuration that a reader told of.
@@ -85,43 +107,86 @@
         self.config_row
     }
 
+    /// Returns the box that told of it.
+    pub fn config_from(&self) -> Option<Ipv4Addr> {
+        self.config_from
+    }
+
+    /// Returns whether changes of servers were missed.
+    pub fn has_gap(&self) -> bool {
+        self.servers_gap
+    }
+
     /// Returns whether changes of servers were missed, and takes note that they are read now.
     pub fn take_gap(&mut self) -> bool {
         std::mem::take(&mut self.servers_gap)
     }
 }
 
-/// Returns the other nodes of this zone, and whether this node is its reader: the first by address
-/// of those that the platform's store does not fail, or of all if it fails them all.
-pub fn zone_mates(node: &ServingNode) -> (Vec<Ipv4Addr>, bool) {
+/// The time after which a reader that says nothing is taken for lost.
+pub fn fresh_for(drain: Duration) -> Duration {
+    drain.mul_f64(FRESH_PART)
+}
+
+/// How much longer the box at a place in the order of readers waits after that.
+pub fn successor_wait(rank: usize) -> Duration {
+    let place = u32::try_from(rank.saturating_sub(1)).unwrap_or(u32::MAX);
+    SUCCESSOR_STEP.saturating_mul(place.saturating_mul(place))
+}
+
+/// The boxes of this box's hall.
+#[derive(Clone, Debug, Default)]
+pub struct HallMates {
+    /// The others that are alive.
+    pub others: Vec<Ipv4Addr>,
+    /// How many go before this box in reading for the hall.
+    pub rank: usize,
+    /// The box that reads, if it is not this one.
+    pub reader: Option<Ipv4Addr>,
+}
+
+impl HallMates {
+    /// Returns whether this box reads for the hall.
+    pub fn is_reader(&self) -> bool {
+        self.rank == 0
+    }
+}
+
+/// Returns the boxes of this hall. They read in the order of their addresses, those that the platform's
+/// store fails after the others.
+pub fn hall_mates(node: &ServingNode) -> HallMates {
     let settings = node.settings.load();
-    let zone = short_zone(&settings.node.zone);
-    let mates = node.peers.lock().alive_in(zone, node.now());
-    let me = settings.node.ip;
+    let hall = short_zone(&settings.node.zone);
+    let me = (node.is_store_lost(), settings.node.ip);
     let peers = node.peers.lock();
-    let mut served = mates.iter().filter(|ip| !peers.is_store_lost(**ip)).peekable();
-    let is_reader = match (node.is_store_lost(), served.peek().is_some()) {
-        (true, true) => false,
-        (true, false) => mates.iter().all(|ip| *ip > me),
-        (false, _) => served.all(|ip| *ip > me),
-    };
+    let others = peers.alive_in(hall, node.now());
+    let place = |ip: &Ipv4Addr| (peers.is_store_lost(*ip), *ip);
+    let before = others.iter().filter(|ip| place(ip) < me);
+    let reader = before.clone().copied().min_by_key(|ip| place(ip));
+    let rank = before.count();
     drop(peers);
-    (mates, is_reader)
+    HallMates { others, rank, reader }
 }
 
-/// Passes on to the zone what came from a feed.
+/// Passes on to the hall what came from a feed, if this box reads for it or the reader fell silent.
 pub fn relay(node: &ServingNode, socket: &UdpSocket, relay: &Relay) {
-    let (mates, is_reader) = zone_mates(node);
-    if !is_reader || mates.is_empty() {
+    let kind = relay.kind();
+    let now = node.now();
+    let drain = node.settings.load().promises.drain();
+    let silence = node.relayed.lock().silence(kind, now);
+    node.relayed.lock().note(kind, now);
+    let mates = hall_mates(node);
+    let was_silent = silence.is_some_and(|silence| silence >= fresh_for(drain));
+    if mates.others.is_empty() || !(mates.is_reader() || was_silent) {
         return;
     }
     let port = node.settings.load().listen.peers;
     match relay {
-        Relay::Config { .. } => send(socket, &Message::Relay(relay.clone()), &mates, port),
+        Relay::Config { .. } => send(socket, &Message::Relay(relay.clone()), &mates.others, port),
         Relay::Servers { from, to, changes, .. } => {
             let lapses = node.directory.lock().lapses_for(node.now());
             for part in parts(*from, *to, changes, lapses.as_millis() as u64) {
-                send(socket, &Message::Relay(part), &mates, port);
+                send(socket, &Message::Relay(part), &mates.others, port);
             }
         }
     }
@@ -146,13 +211,16 @@
 }
 
 /// Takes in what a reader passed on.
-pub fn take_in(node: &ServingNode, relay: Relay) {
+pub fn take_in(node: &ServingNode, from_ip: Ipv4Addr, relay: Relay) {
     let now = node.now();
     match relay {
         Relay::Config { row } => {
             let mut relayed = node.relayed.lock();
-            relayed.config_at = Some(now);
-            relayed.config_row = relayed.config_row.max(row);
+            relayed.note(FeedKind::Config, now);
+            if row >= relayed.config_row {
+                relayed.config_row = row;
+                relayed.config_from = Some(from_ip);
+            }
         }
         Relay::Servers { from, to, changes, lapses_ms } => {
             if lapses_ms > 0 {
@@ -178,6 +246,6 @@
     drop(directory);
     follow::note_events(node, events, to);
     let mut relayed = node.relayed.lock();
-    relayed.servers_at = Some(now);
+    relayed.note(FeedKind::Servers, now);
     relayed.servers_gap |= misses;
 }
