Hold requests for what is known to come, and let in what is likely in time

Cause: requests were held for a quarter of their aim whether or not anything was to come, and let in up to 1.25 times their aim by estimates that were off by a factor that nobody measured. A request with a long aim was refused although a load that was sure to be ordered would have ended in time; one with a short aim waited in vain. Change: the holder of the lease tells boxes that lack something when it comes (lacks); a request waits until then if it is still in time, else it is refused at once (hold); what came in place of what was expected is counted (forecast), and a request is let in if it is more likely in time than late, also for a second server after a refusal (admission). Two log mends: the last event of a resumed stream no longer hides the name of its line, and changes of servers have a line at the box that read them, sums elsewhere.

--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -43,6 +43,8 @@
     pub first_event: Family<KindLabel, Histogram>,
     /// Time to the first event over what was estimated.
     pub estimate_ratio: Histogram,
+    /// How long requests were held for what was to come, by whether it came.
+    pub held: Family<KindLabel, Histogram>,
     /// Requests in progress.
     pub in_flight: Gauge,
     /// Calls to the platform's store, by kind.
@@ -76,6 +78,7 @@
             sends: Family::default(),
             first_event: Family::new_with_constructor(latency),
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
+            held: Family::new_with_constructor(latency),
             in_flight: Gauge::default(),
             store_calls: Family::default(),
             orders: Family::default(),
@@ -106,6 +109,8 @@
         );
         let ratio = self.estimate_ratio.clone();
         registry.register("estimate_ratio", "Time to the first event over its estimate", ratio);
+        let held = "How long requests were held for what was to come";
+        registry.register_with_unit("held", held, Unit::Seconds, self.held.clone());
         registry.register("in_flight", "Requests in progress", self.in_flight.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register("orders", "Orders given to engines by answer", self.orders.clone());
--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -217,7 +217,9 @@
         estimate += load.call_ms() * over + WAITING_MS;
     }
     estimate += f64::from(waiting) * WAITING_MS;
-    // What others wait because it takes a slot before them counts like its own wait.
+    // What others wait because it takes a slot before them counts like its own wait. The time of a plain
+    // call itself is expected, but is no reason to go elsewhere: it differs by chance.
+    let own_call_ms = if token_cost.is_none() { load.call_ms() } else { 0.0 };
     let mut cost = estimate + total.slot_wait_ms(LEAST_URGENT, slots) - slot_wait_ms;
     if server.entry.zone != *query.zone {
         cost += OTHER_ZONE_MS;
@@ -235,7 +237,7 @@
     let choice = Choice {
         server: server.clone(),
         cached_tokens,
-        estimate: Duration::from_secs_f64(estimate / 1_000.0),
+        estimate: Duration::from_secs_f64((estimate + own_call_ms) / 1_000.0),
         waiting,
         requests,
     };
--- a/trackfront_core/src/serving/config.rs
+++ b/trackfront_core/src/serving/config.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: routes, services, models and the limits of clients.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -146,6 +146,23 @@
     pub adapter_mb: f64,
 }
 
+impl ModelSpec {
+    /// Returns how long a load takes on an engine whose host memory and disk keep these models.
+    pub fn load_time_with(
+        &self,
+        in_memory: &BTreeSet<ModelName>,
+        on_disk: &BTreeSet<ModelName>,
+    ) -> Duration {
+        if in_memory.contains(&self.name) {
+            return self.memory_load_time;
+        }
+        match on_disk.contains(&self.name) {
+            true => self.disk_load_time,
+            false => self.load_time,
+        }
+    }
+}
+
 /// The engines of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::ids::{BackendId, ModelName};
+use crate::serving::forecast::Forecast;
 use crate::serving::making::MakingSpeeds;
 use crate::units::Moment;
 
@@ -281,6 +282,9 @@
     reading_ms: f64,
     making_ms: f64,
     output_tokens: u32,
+    /// How long reading, what is read before it and the wait for a slot should take.
+    reading_expected_ms: f64,
+    /// How long the first event should take by the choice of the server, which looks at more.
     expected_ms: f64,
     /// Whether there was a free slot, so that the time to the first event is that of reading.
     had_slot: bool,
@@ -298,6 +302,11 @@
     pub fn expected_ms(&self) -> f64 {
         self.expected_ms
     }
+
+    /// Notes what the choice of the server expected.
+    pub fn expect(&mut self, estimate: Duration) {
+        self.expected_ms = estimate.as_secs_f64() * 1_000.0;
+    }
 }
 
 /// The load of all servers, and the measured speed of models.
@@ -308,6 +317,22 @@
     peers: HashMap<u32, (Vec<(BackendId, Share)>, Moment)>,
     token_cost_ms: HashMap<ModelName, f64>,
     making: MakingSpeeds,
+    forecasts: Forecasts,
+}
+
+/// How far off estimates were, apart for what is estimated in another way: first events or plain calls,
+/// with a free slot or without.
+#[derive(Debug, Default)]
+struct Forecasts {
+    first_events: [Forecast; 2],
+    calls: [Forecast; 2],
+}
+
+impl Forecasts {
+    fn of(&mut self, of_model: bool, has_slot: bool) -> &mut Forecast {
+        let forecasts = if of_model { &mut self.first_events } else { &mut self.calls };
+        &mut forecasts[usize::from(has_slot)]
+    }
 }
 
 impl LoadBook {
@@ -338,6 +363,19 @@
         self.making.token_ms(model) * f64::from(tokens)
     }
 
+    /// Returns how likely it is that the first event of an answer by a model, or a plain answer, that is
+    /// expected after `estimate` comes within `limit`, from 0 to 1; by whether the server has a free slot.
+    pub fn chance(
+        &mut self,
+        of_model: bool,
+        has_slot: bool,
+        estimate: Duration,
+        limit: Duration,
+    ) -> f64 {
+        let forecast = self.forecasts.of(of_model, has_slot);
+        forecast.within(estimate.as_secs_f64() * 1_000.0, limit.as_secs_f64() * 1_000.0)
+    }
+
     /// Counts a request at a server that works on `slots` at once.
     pub fn begin(
         &mut self,
@@ -353,7 +391,7 @@
         let load = self.server(server);
         let total = load.total(now);
         let slot_wait_ms = total.slot_wait_ms(work.rank, slots);
-        let expected_ms = total.reading_before(work.rank) + reading_ms + slot_wait_ms;
+        let reading_expected_ms = total.reading_before(work.rank) + reading_ms + slot_wait_ms;
         let rank = usize::from(work.rank).min(RANKS - 1);
         load.own.by_rank[rank].add(&RankShare { requests: 1, reading_ms, making_ms });
         Counted {
@@ -363,7 +401,8 @@
             reading_ms,
             making_ms,
             output_tokens: work.output_tokens,
-            expected_ms,
+            reading_expected_ms,
+            expected_ms: reading_expected_ms,
             had_slot: total.requests() < slots,
             began: now,
             first_event: None,
@@ -375,13 +414,14 @@
         self.end_reading(counted);
         counted.first_event = Some(now);
         self.server(&counted.server.clone()).note_reachable();
+        let took_ms = now.since(counted.began).as_secs_f64() * 1_000.0;
+        self.forecasts.of(true, counted.had_slot).note(counted.expected_ms, took_ms);
         // The time to wait for a slot says nothing of the speed of reading.
         let Some(model) = counted.model.as_ref().filter(|_| counted.had_slot) else {
             return;
         };
-        let took_ms = now.since(counted.began).as_secs_f64() * 1_000.0;
         let (low, high) = SURPRISE_BOUNDS;
-        let surprise = (took_ms / counted.expected_ms.max(1.0)).clamp(low, high);
+        let surprise = (took_ms / counted.reading_expected_ms.max(1.0)).clamp(low, high);
         let cost = self.token_cost_ms(model) * (1.0 + MEAN_WEIGHT * (surprise - 1.0));
         let (low, high) = TOKEN_COST_BOUNDS_MS;
         self.token_cost_ms.insert(model.clone(), cost.clamp(low, high));
@@ -392,6 +432,9 @@
         self.end_reading(&mut counted);
         let took_ms = now.since(counted.began).as_secs_f64() * 1_000.0;
         let plain = counted.model.is_none();
+        if plain && ending == Ending::Answered {
+            self.forecasts.of(false, counted.had_slot).note(counted.expected_ms, took_ms);
+        }
         if ending == Ending::Answered
             && let (Some(model), Some(first)) = (&counted.model, counted.first_event)
         {
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod crowding;
 pub mod demand;
 pub mod directory;
+pub mod forecast;
 pub mod load;
 pub mod making;
 pub mod orders;
--- a/trackfront_core/src/serving/planner/mod.rs
+++ b/trackfront_core/src/serving/planner/mod.rs
@@ -64,11 +64,7 @@
 
     /// How long a load would take here, in seconds.
     fn load_seconds(&self, model: &ModelSpec) -> f64 {
-        let time = match &model.name {
-            name if self.in_memory.contains(name) => model.memory_load_time,
-            name if self.on_disk.contains(name) => model.disk_load_time,
-            _ => model.load_time,
-        };
+        let time = model.load_time_with(&self.in_memory, &self.on_disk);
         time.as_secs_f64()
     }
 }
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -11,6 +11,7 @@
     mod crowding;
     mod demand;
     mod directory;
+    mod forecast;
     mod load;
     mod orders;
     mod orders_random;
--- a/trackfrontd/src/serving/follow/mod.rs
+++ b/trackfrontd/src/serving/follow/mod.rs
@@ -10,4 +10,4 @@
 mod servers;
 
 pub use config::follow_config;
-pub use servers::{end_lapses, follow_servers, note_events};
+pub use servers::{Source, end_lapses, follow_servers, note_events};
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -45,7 +45,7 @@
             sleep(FIRST_PAUSE).await;
             continue;
         };
-        note_events(&node, events, to);
+        note_events(&node, events, to, Source::Platform);
         relay(&node, &socket, &Relay::Servers { from, to, changes, lapses_ms: 0 });
         node.set_knows_servers();
         follow_from(&node, &socket, &mut link).await;
@@ -67,7 +67,7 @@
         // What came in between by relay is newer, or was passed over for the gap.
         directory.apply(copy.changes, copy.version, node.now())
     };
-    note_events(node, events, copy.version);
+    note_events(node, events, copy.version, Source::OtherBox);
     node.relayed.lock().note(FeedKind::Servers, node.now());
     node.set_knows_servers();
     true
@@ -108,7 +108,7 @@
                 let told = Relay::Servers { from, to, changes: changes.clone(), lapses_ms: 0 };
                 let some = !changes.is_empty();
                 let events = node.directory.lock().apply(changes, to, node.now());
-                note_events(node, events, to);
+                note_events(node, events, to, Source::Platform);
                 relay(node, socket, &told);
                 if some {
                     sleep(link.part_of_drain(GATHER_PART)).await;
@@ -132,19 +132,35 @@
     if !events.is_empty() {
         let version = node.directory.lock().newest();
         log::info!(servers = events.len(), version; "rows lapsed and did not come back");
-        note_events(node, events, version);
+        note_events(node, events, version, Source::OtherBox);
     }
 }
 
-/// Logs what has changed and lets the rest of the box know.
-pub fn note_events(node: &ServingNode, events: Vec<DirectoryEvent>, version: u64) {
+/// How a box learned of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// It read them from the platform.
+    Platform,
+    /// Another box handed them on.
+    OtherBox,
+}
+
+/// Logs what has changed and lets the rest of the box know. A change of what a server says of itself has
+/// a line at the box that read it; at the others such changes are summed up, or lines would grow with
+/// boxes times changes.
+pub fn note_events(node: &ServingNode, events: Vec<DirectoryEvent>, version: u64, source: Source) {
     if events.is_empty() {
         return;
     }
     let directory = node.directory.lock();
+    let mut summed_up = 0;
     for event in &events {
         let (id, what) = match event {
             DirectoryEvent::Joined(id) => (id, "server joined"),
+            DirectoryEvent::Changed(_) if source == Source::OtherBox => {
+                summed_up += 1;
+                continue;
+            }
             DirectoryEvent::Changed(id) => (id, "server changed"),
             DirectoryEvent::Draining(id) => (id, "server drains"),
             DirectoryEvent::Left(id) => (id, "server left"),
@@ -159,6 +175,9 @@
             None => log::info!(server:% = id, version; "{what}"),
         }
     }
+    if summed_up > 0 {
+        log::info!(servers = summed_up, version; "servers changed");
+    }
     node.names.lock().set_servers(directory.all().map(|known| &known.entry.id));
     drop(directory);
     let mut loads = node.loads.lock();
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -4,6 +4,7 @@
 //! estimates better, and a lost one costs time at most. One thing that has to hold depends on a word
 //! in them: when the holder of the lease on orders says that its right ends.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,14 +14,15 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use trackfront_core::lease::HolderWord;
 use trackfront_core::serving::demand::Rate;
+use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
-use super::boxes;
 use super::messages::{Digest, Message, ToldDemand, ToldRight, ToldShare};
 use super::node::{ServingNode, short_item, short_server, short_zone};
 use super::overlay::NoteKind;
 use super::peer_book::ALIVE_FOR;
 use super::spread as relay;
+use super::{boxes, lacks};
 
 /// The least time between two digests.
 const LEAST_GAP: Duration = Duration::from_millis(100);
@@ -67,10 +69,10 @@
             let right = gives_orders.told_right(now);
             send(&socket, &Message::Digest(digest(&node, zone, gives, right)), &told, port);
         }
-        let lacks = node.take_lacks();
-        if !gives && (lacks || (is_due && round.is_multiple_of(DEMAND_EVERY))) {
+        let lacks = node.lacks.take();
+        if !gives && (!lacks.is_empty() || (is_due && round.is_multiple_of(DEMAND_EVERY))) {
             let giver = node.peers.lock().giver(now);
-            let demand = Message::Demand(demand(&node, lacks));
+            let demand = Message::Demand(demand(&node, &lacks));
             send(&socket, &demand, giver.as_slice(), port);
         }
         let gap = LEAST_GAP.max(GAP_FOR_EACH_PEER * told.len() as u32);
@@ -155,13 +157,14 @@
     overlay.all().map(note).collect()
 }
 
-fn demand(node: &ServingNode, lacks: bool) -> ToldDemand {
+fn demand(node: &ServingNode, lacks: &BTreeSet<ModelRef>) -> ToldDemand {
     let own = node.demand.lock().own(node.now());
     let told = |(item, rate): &(_, Rate)| {
         (short_item(item), (rate.requests * 100.0) as u32, rate.work_ms as u32)
     };
     let adapter_use = node.adapter_use.lock();
     let in_use = adapter_use.own().map(|(server, item)| (short_server(server), short_item(item)));
+    let lacks = lacks.iter().map(short_item).collect();
     ToldDemand { rates: own.iter().map(told).collect(), lacks, in_use: in_use.collect() }
 }
 
@@ -184,8 +187,9 @@
         let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
         match bincode::serde::decode_from_slice::<Message, _>(&buffer[..length], config) {
             Ok((Message::Digest(digest), _)) => take_in(&node, ip, digest),
-            Ok((Message::Demand(told), _)) => take_demand(&node, ip, &told),
+            Ok((Message::Demand(told), _)) => take_demand(&node, &socket, ip, &told),
             Ok((Message::Relay(relay), _)) => relay::take_in(&node, ip, relay),
+            Ok((Message::Coming(coming), _)) => lacks::take_in(&node, &coming),
             Ok((Message::Boxes(all), _)) => boxes::take_in(&node, &all),
             Err(error) => {
                 let now = node.now();
@@ -198,7 +202,7 @@
     }
 }
 
-fn take_demand(node: &ServingNode, ip: Ipv4Addr, told: &ToldDemand) {
+fn take_demand(node: &ServingNode, socket: &UdpSocket, ip: Ipv4Addr, told: &ToldDemand) {
     let names = node.names.lock();
     let rates = told.rates.iter().filter_map(|(item, requests, work_ms)| {
         let rate = Rate { requests: f64::from(*requests) / 100.0, work_ms: f64::from(*work_ms) };
@@ -209,7 +213,11 @@
         Some((names.server(*server)?.clone(), names.item(*item)?.clone()))
     });
     node.adapter_use.lock().told(ip.to_bits(), in_use.collect(), node.now());
-    if told.lacks {
+    let lacks: Vec<ModelRef> =
+        told.lacks.iter().filter_map(|item| names.item(*item).cloned()).collect();
+    drop(names);
+    if !lacks.is_empty() {
+        lacks::answer(node, socket, ip, &lacks);
         node.lacking.notify_one();
     }
 }
--- /dev/null
+++ b/trackfrontd/src/serving/lacks.rs
@@ -0,0 +1,165 @@
+//! Who lacks what, and what is on its way.
+//!
+//! A box that lacks a model or an adapter tells the holder of the lease on orders, which answers when it
+//! should be there: at once if the order was given, else when it is. A request waits for what is known to
+//! come in time for it; for what nobody is known to load it is refused at once.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use trackfront_core::ids::BackendId;
+use trackfront_core::serving::request::ModelRef;
+use trackfront_core::units::Moment;
+
+use super::gossip::send;
+use super::messages::Message;
+use super::node::{ServingNode, short_item, short_server};
+use super::overlay::NoteKind;
+
+/// How long a box that lacks something is told of it, in case its question came before the order.
+const ASKED_FOR: Duration = Duration::from_secs(5);
+
+/// How long an adapter that was asked for takes to be there before any was measured: an order, the load
+/// and word of both.
+const FIRST_ADAPTER_WAIT: Duration = Duration::from_millis(150);
+
+/// The weight of one measurement in the mean of such times.
+const MEAN_WEIGHT: f64 = 0.1;
+
+/// How many times the mean an adapter is waited for.
+const PATIENCE: f64 = 2.0;
+
+/// Word of an item that should be at an engine so many milliseconds from now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ComingItem {
+    server: u32,
+    item: u32,
+    ms: u32,
+}
+
+/// What is lacking here, and who else lacks something.
+#[derive(Debug)]
+pub struct Lacks {
+    /// What this box lacked since it last told.
+    own: Mutex<BTreeSet<ModelRef>>,
+    /// The boxes that asked for items that were not on their way.
+    askers: Mutex<HashMap<ModelRef, HashMap<Ipv4Addr, Moment>>>,
+    /// Told when something that was asked for is on its way.
+    on_its_way: Notify,
+    /// What has come on its way since askers were told.
+    ordered: Mutex<BTreeSet<ModelRef>>,
+    adapter_wait_ms: Mutex<f64>,
+}
+
+impl Default for Lacks {
+    fn default() -> Self {
+        Self {
+            own: Mutex::default(),
+            askers: Mutex::default(),
+            on_its_way: Notify::new(),
+            ordered: Mutex::default(),
+            adapter_wait_ms: Mutex::new(FIRST_ADAPTER_WAIT.as_secs_f64() * 1_000.0),
+        }
+    }
+}
+
+impl Lacks {
+    /// Notes that this box lacks an item.
+    pub fn note(&self, item: &ModelRef) {
+        self.own.lock().insert(item.clone());
+    }
+
+    /// Returns what this box lacked since the last question.
+    pub fn take(&self) -> BTreeSet<ModelRef> {
+        std::mem::take(&mut self.own.lock())
+    }
+
+    /// Returns how long an adapter is waited for that this box has just asked for.
+    pub fn adapter_wait(&self) -> Duration {
+        Duration::from_secs_f64(*self.adapter_wait_ms.lock() * PATIENCE / 1_000.0)
+    }
+
+    /// Notes how long one took, or for how long it was waited for in vain.
+    pub fn note_adapter_wait(&self, took: Duration) {
+        let mut mean = self.adapter_wait_ms.lock();
+        *mean += MEAN_WEIGHT * (took.as_secs_f64() * 1_000.0 - *mean);
+    }
+}
+
+/// Notes, at the box that gave the order, that an item should be at an engine at a moment.
+pub fn expect(node: &ServingNode, server: &BackendId, item: &ModelRef, at: Moment) {
+    let kind = NoteKind::Coming(at);
+    node.overlay.lock().note(server, item, kind, node.now());
+    node.lacks.ordered.lock().insert(item.clone());
+    node.lacks.on_its_way.notify_one();
+}
+
+/// Tells boxes that asked for what has come on its way, for as long as the box lives.
+pub async fn tell_askers(node: Arc<ServingNode>, socket: Arc<UdpSocket>) {
+    loop {
+        node.lacks.on_its_way.notified().await;
+        let now = node.now();
+        let ordered = std::mem::take(&mut *node.lacks.ordered.lock());
+        let mut words: HashMap<Ipv4Addr, Vec<ComingItem>> = HashMap::new();
+        for item in ordered {
+            let askers = node.lacks.askers.lock().remove(&item).unwrap_or_default();
+            let recent = askers.into_iter().filter(|(_, at)| now.since(*at) < ASKED_FOR);
+            for (ip, _) in recent {
+                words.entry(ip).or_default().extend(word(&node, &item, now));
+            }
+        }
+        let port = node.settings.load().listen.peers;
+        for (ip, word) in words {
+            send(&socket, &Message::Coming(word), &[ip], port);
+        }
+    }
+}
+
+/// Answers a box that lacks items: what is on its way, and later what will be.
+pub fn answer(node: &ServingNode, socket: &UdpSocket, ip: Ipv4Addr, items: &[ModelRef]) {
+    let now = node.now();
+    let mut known = Vec::new();
+    for item in items {
+        let word = word(node, item, now);
+        if word.is_empty() {
+            node.lacks.askers.lock().entry(item.clone()).or_default().insert(ip, now);
+        }
+        known.extend(word);
+    }
+    if !known.is_empty() {
+        let port = node.settings.load().listen.peers;
+        send(socket, &Message::Coming(known), &[ip], port);
+    }
+}
+
+fn word(node: &ServingNode, item: &ModelRef, now: Moment) -> Vec<ComingItem> {
+    let overlay = node.overlay.lock();
+    let coming = overlay.coming(item).map(|(server, at)| ComingItem {
+        server: short_server(server),
+        item: short_item(item),
+        ms: u32::try_from(at.since(now).as_millis()).unwrap_or(u32::MAX),
+    });
+    coming.collect()
+}
+
+/// Takes in what the holder of the lease said is on its way.
+pub fn take_in(node: &ServingNode, coming: &[ComingItem]) {
+    let now = node.now();
+    let names = node.names.lock();
+    let mut overlay = node.overlay.lock();
+    for word in coming {
+        if let (Some(server), Some(item)) = (names.server(word.server), names.item(word.item)) {
+            let at = now + Duration::from_millis(u64::from(word.ms));
+            overlay.note(server, item, NoteKind::Coming(at), now);
+        }
+    }
+    drop(overlay);
+    drop(names);
+    node.servers_changed.notify_waiters();
+}
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -8,6 +8,7 @@
 use trackfront_core::serving::load::{RankShare, Share};
 use trackfront_core::units::Moment;
 
+use super::lacks::ComingItem;
 use super::spread::Relay;
 
 /// What nodes send to each other.
@@ -19,6 +20,8 @@
     Demand(ToldDemand),
     /// What a box learned from the platform, for those in its hall.
     Relay(Relay),
+    /// Items that are on their way, for a box that lacks them.
+    Coming(Vec<ComingItem>),
     /// All boxes that a list had.
     Boxes(Vec<Ipv4Addr>),
 }
@@ -49,8 +52,8 @@
 pub struct ToldDemand {
     /// Item, hundredths of requests a second, milliseconds of work a second.
     pub rates: Vec<(u32, u32, u32)>,
-    /// Whether something is asked for that no engine holds.
-    pub lacks: bool,
+    /// Items that were asked for and that no engine holds.
+    pub lacks: Vec<u32>,
     /// Adapters that requests in progress use: server, item.
     pub in_use: Vec<(u32, u32)>,
 }
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod gossip;
+pub mod lacks;
 pub mod lease;
 pub mod listeners;
 pub mod log_queue;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -25,6 +25,7 @@
 use trackfront_core::units::Moment;
 
 use super::exchange::Exchange;
+use super::lacks::Lacks;
 use super::overlay::Overlay;
 use super::peer_book::PeerBook;
 use super::settings::ServingSettings;
@@ -81,6 +82,8 @@
     pub demand: Mutex<DemandMeter>,
     /// The adapters that requests in progress use.
     pub adapter_use: Mutex<AdapterUse>,
+    /// What is lacking, and who lacks it.
+    pub lacks: Lacks,
     /// Notes of the giver of orders.
     pub overlay: Mutex<Overlay>,
     /// The other nodes.
@@ -109,7 +112,6 @@
     store_lost: AtomicBool,
     store_failed_at: Mutex<Option<Moment>>,
     stopping: AtomicBool,
-    lacks: AtomicBool,
 }
 
 impl ServingNode {
@@ -131,6 +133,7 @@
             crowding: Mutex::default(),
             demand: Mutex::default(),
             adapter_use: Mutex::default(),
+            lacks: Lacks::default(),
             overlay: Mutex::default(),
             peers: Mutex::default(),
             relayed: Mutex::default(),
@@ -150,7 +153,6 @@
             store_lost: AtomicBool::new(false),
             store_failed_at: Mutex::default(),
             stopping: AtomicBool::new(false),
-            lacks: AtomicBool::new(false),
         })
     }
 
@@ -247,18 +249,13 @@
         self.store_lost.load(Ordering::Relaxed)
     }
 
-    /// Notes that something is asked for that no engine holds, and has it told to the other nodes.
-    pub fn note_lack(&self) {
-        self.lacks.store(true, Ordering::Relaxed);
+    /// Notes that an item is asked for that no engine holds, and has the holder of the lease told.
+    pub fn note_lack(&self, item: &ModelRef) {
+        self.lacks.note(item);
         self.lacking.notify_one();
         self.tell_peers.notify_one();
     }
 
-    /// Returns whether something was lacking since the last question.
-    pub fn take_lacks(&self) -> bool {
-        self.lacks.swap(false, Ordering::Relaxed)
-    }
-
     /// Returns whether the node was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
@@ -267,6 +264,8 @@
     /// Begins to stop.
     pub fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Relaxed);
+        // Requests that are held for something are refused now.
+        self.servers_changed.notify_waiters();
     }
 
     /// Returns how long after it began to drain a server may still be sent what no other answers.
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -15,7 +15,9 @@
     EngineOrder, EngineReport, ORDER_TIMEOUT, Operation, OrderAnswer, check,
 };
 use trackfront_core::serving::planner::Proposal;
+use trackfront_core::serving::request::ModelRef;
 
+use super::lacks;
 use super::lease::OrderRight;
 use super::node::ServingNode;
 use super::order_book::OrderBook;
@@ -120,8 +122,12 @@
         let done = self.wait(&given).await && all;
         if !done {
             let mut overlay = self.node.overlay.lock();
-            for proposal in leaving {
+            for proposal in &self.proposals {
                 overlay.clear(self.id(), &proposal.item);
+                if let Some(model) = &proposal.makes_room_for {
+                    let promised = ModelRef { model: model.clone(), adapter: None };
+                    overlay.clear(self.id(), &promised);
+                }
             }
         }
         done
@@ -161,7 +167,11 @@
             if !matches!(answer, OrderAnswer::Taken | OrderAnswer::AlreadyDone) {
                 break;
             }
-            given.load_time = given.load_time.max(self.load_time(proposal, &report));
+            let load_time = self.load_time(proposal, &report);
+            given.load_time = given.load_time.max(load_time);
+            if proposal.operation == Operation::Load {
+                self.expect(&proposal.item, load_time);
+            }
             given.proposals.push(proposal);
             // It goes once the requests that use it have ended; nothing can take its place before.
             let waits = proposal.operation == Operation::Unload && answer == OrderAnswer::Taken;
@@ -176,6 +186,15 @@
         given
     }
 
+    /// Notes when what was ordered should be there, for boxes that lack it.
+    fn expect(&self, item: &ModelRef, load_time: Duration) {
+        let wait = match item.adapter {
+            Some(_) => ADAPTER_TIME,
+            None => load_time + MODEL_POLL,
+        };
+        lacks::expect(&self.node, self.id(), item, self.node.now() + wait);
+    }
+
     /// Takes a load off the weight store's rate, if it comes from there.
     fn may_load(&self, proposal: &Proposal, report: &EngineReport) -> bool {
         let Proposal { operation, item, .. } = proposal;
@@ -279,12 +298,10 @@
     fn load_time(&self, proposal: &Proposal, report: &EngineReport) -> Duration {
         let Proposal { operation, item, .. } = proposal;
         let spec = self.spec.models.get(&item.model);
-        match spec.filter(|_| *operation == Operation::Load && item.adapter.is_none()) {
-            None => Duration::ZERO,
-            Some(spec) if report.in_memory.contains(&item.model) => spec.memory_load_time,
-            Some(spec) if report.on_disk.contains(&item.model) => spec.disk_load_time,
-            Some(spec) => spec.load_time,
-        }
+        let spec = spec.filter(|_| *operation == Operation::Load && item.adapter.is_none());
+        spec.map_or(Duration::ZERO, |model| {
+            model.load_time_with(&report.in_memory, &report.on_disk)
+        })
     }
 
     /// Takes those that are done by `models` off `open`, and tells all nodes what was added.
--- a/trackfrontd/src/serving/overlay.rs
+++ b/trackfrontd/src/serving/overlay.rs
@@ -1,4 +1,4 @@
-//! What the giver of orders told about engines before their own rows say so.
+//! What the holder of the lease on orders told of engines before their own rows say so.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,7 +9,8 @@
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
-/// How long a note counts after it was last told. Rows say the same by then.
+/// How long a note counts after it was last told, or after what it says should have come. Rows say the
+/// same by then.
 const NOTES_FOR: Duration = Duration::from_millis(2_500);
 
 /// What a note says.
@@ -19,19 +20,32 @@
     Withdrawn,
     /// The item was loaded.
     Added,
+    /// The item should be there at this moment. An adapter is used from then on; whether a model has
+    /// come is told.
+    Coming(Moment),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Note {
+    kind: NoteKind,
+    until: Moment,
 }
 
 /// Notes about items on engines.
 #[derive(Debug, Default)]
 pub struct Overlay {
-    notes: HashMap<BackendId, HashMap<ModelRef, (NoteKind, Moment)>>,
+    notes: HashMap<BackendId, HashMap<ModelRef, Note>>,
 }
 
 impl Overlay {
     /// Takes a note.
     pub fn note(&mut self, server: &BackendId, item: &ModelRef, kind: NoteKind, now: Moment) {
-        let notes = self.notes.entry(server.clone()).or_default();
-        notes.insert(item.clone(), (kind, now));
+        let from = match kind {
+            NoteKind::Coming(at) => at.max(now),
+            NoteKind::Withdrawn | NoteKind::Added => now,
+        };
+        let note = Note { kind, until: from + NOTES_FOR };
+        self.notes.entry(server.clone()).or_default().insert(item.clone(), note);
     }
 
     /// Drops a note.
@@ -44,21 +58,42 @@
     /// Drops notes that were not told again for long.
     pub fn forget_old(&mut self, now: Moment) {
         for notes in self.notes.values_mut() {
-            notes.retain(|_, (_, at)| now.since(*at) < NOTES_FOR);
+            notes.retain(|_, note| now < note.until);
         }
         self.notes.retain(|_, notes| !notes.is_empty());
     }
 
-    /// Returns all notes.
+    /// Returns what was added and withdrawn.
     pub fn all(&self) -> impl Iterator<Item = (&BackendId, &ModelRef, NoteKind)> {
-        self.notes.iter().flat_map(|(server, notes)| {
-            notes.iter().map(move |(item, (kind, _))| (server, item, *kind))
+        let all = self.notes.iter().flat_map(|(server, notes)| {
+            notes.iter().map(move |(item, note)| (server, item, note.kind))
+        });
+        all.filter(|(_, _, kind)| !matches!(kind, NoteKind::Coming(_)))
+    }
+
+    /// Returns when an item should be there, on the engine that has it first.
+    pub fn comes_at(&self, item: &ModelRef) -> Option<Moment> {
+        let notes = self.notes.values().filter_map(|notes| notes.get(item));
+        let coming = notes.filter_map(|note| match note.kind {
+            NoteKind::Coming(at) => Some(at),
+            NoteKind::Withdrawn | NoteKind::Added => None,
+        });
+        coming.min()
+    }
+
+    /// Returns the engines on which an item should be there, and when.
+    pub fn coming<'a>(
+        &'a self,
+        item: &'a ModelRef,
+    ) -> impl Iterator<Item = (&'a BackendId, Moment)> {
+        self.notes.iter().filter_map(|(server, notes)| match notes.get(item)?.kind {
+            NoteKind::Coming(at) => Some((server, at)),
+            NoteKind::Withdrawn | NoteKind::Added => None,
         })
     }
 
-    fn says(&self, server: &BackendId, item: &ModelRef, kind: NoteKind) -> bool {
-        let note = self.notes.get(server).and_then(|notes| notes.get(item));
-        note.is_some_and(|(noted, _)| *noted == kind)
+    fn kind(&self, server: &BackendId, item: &ModelRef) -> Option<NoteKind> {
+        Some(self.notes.get(server)?.get(item)?.kind)
     }
 }
 
@@ -69,15 +104,21 @@
     pub overlay: &'a Overlay,
     /// The connections.
     pub pool: &'a UpstreamPool,
+    /// The present moment.
+    pub now: Moment,
 }
 
 impl ServerView for NodeView<'_> {
     fn is_withdrawn(&self, server: &BackendId, item: &ModelRef) -> bool {
-        self.overlay.says(server, item, NoteKind::Withdrawn)
+        self.overlay.kind(server, item) == Some(NoteKind::Withdrawn)
     }
 
     fn is_added(&self, server: &BackendId, item: &ModelRef) -> bool {
-        self.overlay.says(server, item, NoteKind::Added)
+        match self.overlay.kind(server, item) {
+            Some(NoteKind::Added) => true,
+            Some(NoteKind::Coming(at)) => item.adapter.is_some() && at <= self.now,
+            Some(NoteKind::Withdrawn) | None => false,
+        }
     }
 
     fn is_connected(&self, address: &str) -> bool {
--- /dev/null
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -0,0 +1,64 @@
+//! Whether a request is sent to the server that was chosen, or refused.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use trackfront_core::serving::choose::Choice;
+use trackfront_core::serving::request::Refusal;
+
+use super::{Job, Tries};
+
+/// How likely an answer has to be in time for its request to be let in: what is more likely late than in
+/// time would make those behind it late as well, and its client does better later.
+const LEAST_CHANCE: f64 = 0.5;
+
+impl Job {
+    /// Refuses what is not likely to be answered in time, and sends once more only as the budget allows.
+    pub(super) fn judge(&self, choice: &Choice, tries: &Tries) -> Option<Refusal> {
+        let now = Instant::now();
+        if now >= self.end {
+            return Some(self.give_up(tries, "its time ran out"));
+        }
+        // What may have run is tried again as long as there is time: its client cannot.
+        let has_not_run = tries.may_have_run.is_none() && tries.failure.is_none();
+        if has_not_run && !self.is_likely_in_time(choice, now) {
+            self.count_crowding(true);
+            let retry_after =
+                self.come_back_after(choice.estimate.saturating_sub(self.route.target));
+            return Some(Refusal::NoServer { cause: "none is free in time", retry_after });
+        }
+        if tries.servers.is_empty() {
+            self.count_crowding(false);
+        }
+        let is_repeat = tries.sends + tries.ended > 0;
+        if is_repeat && !self.take_repeat() {
+            return Some(self.give_up(tries, "the budget of retries is spent"));
+        }
+        None
+    }
+
+    /// Returns whether the answer of the server that was chosen is more likely in time than late, by how
+    /// far off estimates were lately.
+    fn is_likely_in_time(&self, choice: &Choice, now: Instant) -> bool {
+        let spent = now.saturating_duration_since(self.arrived);
+        let left = self.route.target.saturating_sub(spent).min(self.end - now);
+        let has_slot = choice.requests < choice.server.entry.slots;
+        let mut loads = self.node.loads.lock();
+        loads.chance(self.info.model.is_some(), has_slot, choice.estimate, left) >= LEAST_CHANCE
+    }
+
+    /// Returns how long after it came to a free engine the first event of this request is expected.
+    pub(super) fn own_time(&self) -> Duration {
+        let Some(item) = &self.info.model else {
+            return Duration::ZERO;
+        };
+        let loads = self.node.loads.lock();
+        let reading = f64::from(self.info.prompt_tokens) * loads.token_cost_ms(&item.model);
+        Duration::from_secs_f64(reading / 1_000.0)
+    }
+
+    /// Counts whether there was a free server for the request when it came.
+    fn count_crowding(&self, refused: bool) {
+        self.node.crowding.lock().count(&self.service, refused, self.node.now());
+    }
+}
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -165,7 +165,7 @@
                 head.misdirected && head.instance.as_ref().is_some_and(|id| id != server);
             held.end(if replaced { Ending::Replaced } else { Ending::Refused });
             if head.misdirected && !replaced {
-                self.note_lack(choice);
+                self.note_withdrawn(choice);
             }
             let status = status.as_u16();
             let misdirected = head.misdirected;
@@ -185,7 +185,7 @@
     }
 
     /// Notes that the server lacks what its row says that it holds.
-    fn note_lack(&self, choice: &Choice) {
+    fn note_withdrawn(&self, choice: &Choice) {
         let Some(item) = &self.info.model else {
             return;
         };
@@ -200,7 +200,8 @@
         let model = self.info.model.as_ref().map(|item| &item.model);
         let work = self.info.work(choice.cached_tokens, self.route.priority);
         let slots = choice.server.entry.slots.max(1);
-        let counted = node.loads.lock().begin(id, slots, model, work, now);
+        let mut counted = node.loads.lock().begin(id, slots, model, work, now);
+        counted.expect(choice.estimate);
         if !self.prefixes.is_empty() {
             node.memory.lock().read(&self.prefixes, id, now);
         }
@@ -221,7 +222,6 @@
             server:% = known.entry.id,
             row = known.version,
             row_age_ms = age(known.learned),
-            estimate_ms = choice.estimate.as_millis() as u64,
             expected_ms = expected_ms as u64,
             requests = choice.requests,
             waiting = choice.waiting,
--- a/trackfrontd/src/serving/pipeline/come_back.rs
+++ b/trackfrontd/src/serving/pipeline/come_back.rs
@@ -28,12 +28,24 @@
         let wait = match lack {
             NoChoice::AllTried => return self.come_back_after(Duration::ZERO),
             NoChoice::NoServer => NO_SERVER_RETRY,
-            NoChoice::NoModel => self.load_time() + LOAD_OVERHEAD,
+            NoChoice::NoModel => self.model_comes_in().unwrap_or_else(|| self.load_from_now()),
             NoChoice::NoAdapter => ADAPTER_RETRY,
         };
         self.spread(wait)
     }
 
+    /// Returns in what time the model would be there if its load were ordered now.
+    fn load_from_now(&self) -> Duration {
+        self.load_time().unwrap_or_default() + LOAD_OVERHEAD
+    }
+
+    /// Returns in what time the model should be there, if its load is under way.
+    fn model_comes_in(&self) -> Option<Duration> {
+        let item = self.lacking(NoChoice::NoModel)?;
+        let at = self.node.overlay.lock().comes_at(&item)?;
+        Some(at.since(self.node.now()).max(LEAST_RETRY))
+    }
+
     /// Returns when to come back if the next free slot is `wait` away.
     pub fn come_back_after(&self, wait: Duration) -> Duration {
         let share = self.node.crowding.lock().share(&self.service, self.node.now());
@@ -41,21 +53,17 @@
     }
 
     /// The shortest time in which an engine of the service could load the model: by its rows, from
-    /// its memory or its disk, or else from the weight store.
-    fn load_time(&self) -> Duration {
-        let engine = self.config.services.get(&self.service).and_then(|spec| spec.engine.as_ref());
-        let item = self.info.model.as_ref();
-        let Some(model) = item.and_then(|item| engine?.models.get(&item.model)) else {
-            return Duration::ZERO;
-        };
+    /// its memory or its disk, or else from the weight store; `None` for one that is not configured.
+    pub(super) fn load_time(&self) -> Option<Duration> {
+        let engine = self.config.services.get(&self.service)?.engine.as_ref()?;
+        let model = engine.models.get(&self.info.model.as_ref()?.model)?;
         let directory = self.node.directory.lock();
         let ready = directory.of_service(&self.service).iter().filter(|server| server.is_ready());
-        let from = ready.map(|server| match &server.entry {
-            entry if entry.in_memory.contains(&model.name) => model.memory_load_time,
-            entry if entry.on_disk.contains(&model.name) => model.disk_load_time,
-            _ => model.load_time,
+        let from = ready.map(|server| {
+            let entry = &server.entry;
+            model.load_time_with(&entry.in_memory, &entry.on_disk)
         });
-        from.min().unwrap_or(model.load_time)
+        Some(from.min().unwrap_or(model.load_time))
     }
 
     /// Lengthens a wait by up to half, by the request's identifier.
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -3,9 +3,11 @@
 //! What may have run is never sent again unless it is idempotent, and never refused as not run. A
 //! request that is given up gets its answer at once.
 
+mod admission;
 mod attempt;
 mod come_back;
 mod end_log;
+mod hold;
 mod plain;
 
 use std::sync::Arc;
@@ -17,7 +19,7 @@
 use http::{Request, Response, request};
 use hyper::body::Incoming;
 pub use plain::PlainAnswer;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body};
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::{BackendId, RequestId, ServiceName};
@@ -37,13 +39,6 @@
 /// How many servers that cannot be reached are tried.
 const MAX_UNREACHABLE: u32 = 3;
 
-/// What part of its target a request may be held for something that no engine holds yet.
-const HOLD_PART: f64 = 0.24;
-
-/// How many times its target a request's estimate may be. A longer queue would make every answer
-/// late; a bounded one keeps those that it takes in time.
-const QUEUE_PART: f64 = 1.25;
-
 /// The shortest time to come back after a refusal.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 
@@ -258,32 +253,6 @@
 }
 
 impl Job {
-    /// Chooses a server; waits a little for one that is about to be able to answer.
-    async fn choose_or_wait(&self, tries: &Tries) -> Result<Choice, Refusal> {
-        let hold_until = self.arrived + self.route.target.mul_f64(HOLD_PART);
-        let hold_until = hold_until.min(self.end);
-        loop {
-            let changed = self.node.servers_changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            let lack = match self.choose(&tries.servers) {
-                Ok(choice) => return Ok(choice),
-                Err(lack) => lack,
-            };
-            if matches!(lack, NoChoice::NoModel | NoChoice::NoAdapter) {
-                self.node.note_lack();
-            }
-            // Another server that is tried after a failure is not waited for.
-            if !tries.servers.is_empty() || timeout_at(hold_until, changed).await.is_err() {
-                let retry_after = self.come_back_for(lack);
-                return Err(match tries.may_have_run {
-                    Some(cause) => Refusal::Failed(cause),
-                    None => Refusal::NoServer { cause: lack.name(), retry_after },
-                });
-            }
-        }
-    }
-
     /// Chooses a server that is not in `tried`.
     pub fn choose(&self, tried: &[BackendId]) -> Result<Choice, NoChoice> {
         let node = &self.node;
@@ -301,38 +270,11 @@
         let directory = node.directory.lock();
         let servers = directory.of_service(&self.service);
         let mut loads = node.loads.lock();
-        let view = NodeView { overlay: &node.overlay.lock(), pool: &node.pool };
+        let overlay = node.overlay.lock();
+        let view = NodeView { overlay: &overlay, pool: &node.pool, now: query.now };
         choose(&query, servers, &mut loads, &node.memory.lock(), &view)
     }
 
-    /// Refuses what cannot be answered in time any more, and sends once more only as the budget
-    /// allows.
-    fn judge(&self, choice: &Choice, tries: &Tries) -> Option<Refusal> {
-        let now = Instant::now();
-        if now >= self.end {
-            return Some(self.give_up(tries, "its time ran out"));
-        }
-        let left = (self.end - now).min(self.route.target.mul_f64(QUEUE_PART));
-        if tries.sends == 0 && choice.estimate > left {
-            self.count_crowding(true);
-            let retry_after = self.come_back_after(choice.estimate - left);
-            return Some(Refusal::NoServer { cause: "none is free in time", retry_after });
-        }
-        if tries.servers.is_empty() {
-            self.count_crowding(false);
-        }
-        let is_repeat = tries.sends + tries.ended > 0;
-        if is_repeat && !self.take_repeat() {
-            return Some(self.give_up(tries, "the budget of retries is spent"));
-        }
-        None
-    }
-
-    /// Counts whether there was a free server for the request when it came.
-    fn count_crowding(&self, refused: bool) {
-        self.node.crowding.lock().count(&self.service, refused, self.node.now());
-    }
-
     /// Takes one send more from the budget that all nodes share.
     pub fn take_repeat(&self) -> bool {
         let now = self.node.now();
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -15,9 +15,11 @@
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::orders::{LoadPacer, Operation};
 use trackfront_core::serving::planner::{EngineView, Planned, Proposal, plan};
+use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
 use super::gossip::Giving;
+use super::lacks;
 use super::lease::{OrderLease, OrderRight};
 use super::node::ServingNode;
 use super::order_book::{OrderBook, view};
@@ -35,6 +37,10 @@
 /// How many models such a line names at most.
 const SUMMARY_MODELS: usize = 12;
 
+/// How long it takes as a rule until a model that gives way has left: it is withdrawn for 150 ms, and its
+/// requests in progress end.
+const ROOM_TIME: Duration = Duration::from_millis(1_000);
+
 /// How long an engine that fails requests is taken to hold nothing, before it is planned without.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(700);
 
@@ -174,6 +180,7 @@
                 }
             }
         }
+        self.expect(&server, &proposals, spec);
         let task = OrderTask {
             node: self.node.clone(),
             right: self.right.clone(),
@@ -186,6 +193,28 @@
     }
 }
 
+impl Placement {
+    /// Notes when the models that were proposed should be there, for boxes that lack them. The orders'
+    /// answers make it more exact.
+    fn expect(&self, server: &KnownServer, proposals: &[Proposal], spec: &EngineSpec) {
+        for proposal in proposals.iter().filter(|proposal| proposal.item.adapter.is_none()) {
+            let (comes, room_time) = match (proposal.operation, &proposal.makes_room_for) {
+                (Operation::Load, _) => (&proposal.item.model, Duration::ZERO),
+                (Operation::Unload, Some(comes)) => (comes, ROOM_TIME),
+                (Operation::Unload, None) => continue,
+            };
+            let Some(model) = spec.models.get(comes) else {
+                continue;
+            };
+            let entry = &server.entry;
+            let load_time = model.load_time_with(&entry.in_memory, &entry.on_disk);
+            let item = ModelRef { model: comes.clone(), adapter: None };
+            let at = self.node.now() + room_time + load_time;
+            lacks::expect(&self.node, &server.entry.id, &item, at);
+        }
+    }
+}
+
 /// Logs what a plan was made from: for each model that counts, demand, copies and copies wanted.
 fn log_summary(service: &ServiceName, engines: usize, idle: usize, planned: &Planned) {
     let models = planned
--- a/trackfrontd/src/serving/relay.rs
+++ b/trackfrontd/src/serving/relay.rs
@@ -274,8 +274,8 @@
         let after = self.last_event.clone();
         let request = &job.info.id;
         let server = &choice.server.entry.id;
-        let event = after.as_deref().unwrap_or_default();
-        log::info!(request:%, server:%, cause, event; "stream resumed");
+        let after_event = after.as_deref().unwrap_or_default();
+        log::info!(request:%, server:%, cause, after_event; "stream resumed");
         match job.send(&choice, after.as_deref()).await {
             Sent::Answer(answer, held) if answer.head.status.is_success() => {
                 self.body = answer.body;
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -244,7 +244,7 @@
         false => directory.apply(changes, to, now),
     };
     drop(directory);
-    follow::note_events(node, events, to);
+    follow::note_events(node, events, to, follow::Source::OtherBox);
     let mut relayed = node.relayed.lock();
     relayed.note(FeedKind::Servers, now);
     relayed.servers_gap |= misses;
