--- a/trackfront/src/cli.rs
+++ b/trackfront/src/cli.rs
@@ -31,6 +31,8 @@
     Explain(Explain),
     /// Explain a request.
     ExplainRequest(ExplainRequest),
+    /// Sum up what requests were lost to.
+    Losses(Losses),
     /// Show the audit trail.
     Audit(Audit),
     /// Hash a caller's key.
@@ -67,6 +69,20 @@
     pub json: bool,
 }
 
+/// Sum up from the logs of serving boxes what requests were lost to: refusals by cause and second, refusals by
+/// servers, sends that failed, how long requests were held for what, and how far off estimates were.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub struct Losses {
+    /// log files of boxes; standard input if there are none
+    #[argh(positional)]
+    pub logs: Vec<PathBuf>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Show what would change if a tree were applied: files, loads, unloads, names that disappear.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "diff")]
--- a/trackfront/src/commands/mod.rs
+++ b/trackfront/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod explain_request;
 mod hash_key;
+mod losses;
 mod status;
 
 use std::path::Path;
@@ -27,6 +28,7 @@
         Command::Status(args) => status::run(&args).await,
         Command::Explain(args) => explain::run(&args),
         Command::ExplainRequest(args) => explain_request::run(&args),
+        Command::Losses(args) => losses::run(&args),
         Command::Audit(args) => audit::run(&args).await,
         Command::HashKey(_) => hash_key::run(),
     }
--- a/trackfront/src/lib.rs
+++ b/trackfront/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod client;
 pub mod commands;
 pub mod exit;
+pub mod logs;
+pub mod losses;
 pub mod story;
--- a/trackfront/src/story.rs
+++ b/trackfront/src/story.rs
@@ -68,9 +68,20 @@
         Some(LogLine { time, node, event, fields: own.collect(), at_ms })
     }
 
-    fn text(&self, field: &str) -> Option<&str> {
+    /// Returns when it was written, in milliseconds since the epoch.
+    pub fn at_ms(&self) -> i64 {
+        self.at_ms
+    }
+
+    /// Returns a field that is text.
+    pub fn text(&self, field: &str) -> Option<&str> {
         self.fields.get(field)?.as_str()
     }
+
+    /// Returns a field that is a number.
+    pub fn number(&self, field: &str) -> Option<f64> {
+        self.fields.get(field)?.as_f64()
+    }
 }
 
 fn millis(time: &str) -> Option<i64> {
--- a/trackfront_bench/src/cli.rs
+++ b/trackfront_bench/src/cli.rs
@@ -26,6 +26,8 @@
     Drain(Drain),
     /// The cost of a round of planning.
     Plan(Plan),
+    /// A plan of a serving deployment.
+    ServingPlan(ServingPlan),
     /// Stale owners and late orders.
     Fences(Fences),
     /// Moves and attainment of planners.
@@ -139,6 +141,11 @@
     pub models: usize,
 }
 
+/// What a plan of models and adapters costs that a box of a serving deployment makes some times a second.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "serving-plan")]
+pub struct ServingPlan {}
+
 /// Random steps of pauses, takeovers, lost and late orders, for engines that check fencing
 /// tokens and engines that do not.
 #[derive(Debug, FromArgs)]
--- a/trackfront_bench/src/main.rs
+++ b/trackfront_bench/src/main.rs
@@ -17,6 +17,7 @@
 mod plan;
 mod repeat;
 mod route;
+mod serving_plan;
 mod spread;
 
 use cli::{Cli, Question};
@@ -30,6 +31,7 @@
         Question::Repeat(args) => repeat::run(&args),
         Question::Drain(args) => drain::run(&args),
         Question::Plan(args) => plan::run(&args),
+        Question::ServingPlan(_) => serving_plan::run(),
         Question::Fences(args) => fences::run(&args),
         Question::Moves(args) => moves::run(&args),
         Question::Spread(args) => spread::run(&args),
