Move what a box has under way at a server, and how far off estimates were, into files of their own

Ruled out: any other change; lines were moved, nothing else. Change: share.rs (ranks, shares, waits), Forecasts beside Forecast; load.rs names them on as before.

--- a/trackfront_core/src/serving/forecast.rs
+++ b/trackfront_core/src/serving/forecast.rs
@@ -61,3 +61,19 @@
         (within + self.bins[last] / 2.0) / self.bins.iter().sum::<f64>()
     }
 }
+
+/// How far off estimates were, apart for what is estimated in another way: first events or plain calls,
+/// with a free slot or without.
+#[derive(Debug, Default)]
+pub struct Forecasts {
+    first_events: [Forecast; 2],
+    calls: [Forecast; 2],
+}
+
+impl Forecasts {
+    /// Returns the one for first events or plain calls, with a free slot or without.
+    pub fn of(&mut self, of_model: bool, has_slot: bool) -> &mut Forecast {
+        let forecasts = if of_model { &mut self.first_events } else { &mut self.calls };
+        &mut forecasts[usize::from(has_slot)]
+    }
+}
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -18,3 +18,4 @@
 pub mod planner;
 pub mod request;
 pub mod retry_budget;
+pub mod share;
