--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -64,6 +64,7 @@
         sleep(FIRST_LIST + spread).await;
     }
     loop {
+        // What is known already, from the list at the start or from another box, is not listed now.
         if is_listed || node.was_told_of_boxes() {
             is_listed = false;
             sleep(LIST_EVERY).await;
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -27,8 +27,8 @@
 enum Wait {
     /// Nothing is known to come in time.
     Nothing,
-    /// It should be there at the first moment, and is given up at the second.
-    For(Instant, Instant),
+    /// Something should be there at a moment, and is given up at a later one.
+    For { there: Instant, until: Instant },
 }
 
 impl Job {
@@ -58,7 +58,7 @@
             };
             let now = Instant::now();
             match wait {
-                Wait::For(there, until) if now < until => {
+                Wait::For { there, until } if now < until => {
                     held_for.get_or_insert(lack);
                     // Looked at again in any case: at the moment that was told, or when word comes.
                     let wake = if now < there { there.min(until) } else { until };
@@ -112,7 +112,7 @@
         };
         let latest = (self.arrived + self.route.target).min(self.end);
         match there + self.own_time() <= latest {
-            true => Wait::For(there, until.min(latest)),
+            true => Wait::For { there, until: until.min(latest) },
             false => Wait::Nothing,
         }
     }
