Find out connections that fall silent without a reset, and leave them at once

Cause (read, then shown by tests): after a time-out a client took the next connection that it kept open, as silent as the last; HTTP/2 stayed on its one connection for ever. A request that may be repeated waited for its first server and then for the second, both over silent connections, and ended as 504. A connection at rest was not probed, nor was one on which an answer is awaited, nor any of a client.

--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -1,5 +1,6 @@
 //! An HTTP client whose errors say whether anything was sent.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -9,9 +10,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::keep_alive;
+
 /// How long a connection may take to open: several times the way to the farthest hall.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -56,10 +60,15 @@
     pub body: Bytes,
 }
 
+type Connections = Client<HttpConnector, Full<Bytes>>;
+
 /// A client that keeps connections open. It never repeats a request by itself.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    http2_only: bool,
+    /// Replaced when an answer stays out: connections that were kept open may be as silent as the one that
+    /// it did not come on.
+    connections: Arc<Mutex<Connections>>,
 }
 
 impl Default for HttpClient {
@@ -75,16 +84,8 @@
     }
 
     fn new(http2_only: bool) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .http2_only(http2_only)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+        let connections = Arc::new(Mutex::new(new_connections(http2_only)));
+        Self { http2_only, connections }
     }
 
     /// Sends `request` and returns once the answer's head is there.
@@ -92,7 +93,8 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpError> {
-        self.client.request(request).await.map_err(|error| {
+        let connections = self.connections.lock().clone();
+        connections.request(request).await.map_err(|error| {
             let detail = chain(&error);
             if error.is_connect() { HttpError::NotSent(detail) } else { HttpError::Lost(detail) }
         })
@@ -108,7 +110,7 @@
             let response = self.send(request).await?;
             read_answer(response).await
         });
-        fetched.await.unwrap_or_else(|_| Err(too_late("no answer", time)))
+        fetched.await.unwrap_or_else(|_| Err(self.too_late("no answer", time)))
     }
 
     /// Sends `request` and reads an answer that may be large. What bounds it is that it keeps coming: a
@@ -122,30 +124,47 @@
         let Patience { head, whole } = patience;
         let fetched = timeout(whole, async {
             let response = timeout(head, self.send(request)).await;
-            read_large(response.map_err(|_| too_late("no answer", head))??).await
+            self.read_large(response.map_err(|_| self.too_late("no answer", head))??).await
         });
-        fetched.await.unwrap_or_else(|_| Err(too_late("no whole answer", whole)))
+        fetched.await.unwrap_or_else(|_| Err(self.too_late("no whole answer", whole)))
     }
-}
-
-fn too_late(what: &str, time: Duration) -> HttpError {
-    HttpError::Lost(format!("{what} within {} ms", time.as_millis()))
-}
 
-/// Reads the rest of an answer for as long as it keeps coming.
-async fn read_large(response: Response<Incoming>) -> Result<Answer, HttpError> {
-    let (parts, body) = response.into_parts();
-    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
-    let mut whole = BytesMut::new();
-    while let Some(frame) =
-        timeout(MAX_PAUSE, body.frame()).await.map_err(|_| too_late("no more of it", MAX_PAUSE))?
-    {
-        let frame = frame.map_err(|error| HttpError::Lost(error.to_string()))?;
-        if let Ok(piece) = frame.into_data() {
-            whole.extend_from_slice(&piece);
+    /// Reads the rest of an answer for as long as it keeps coming.
+    async fn read_large(&self, response: Response<Incoming>) -> Result<Answer, HttpError> {
+        let (parts, body) = response.into_parts();
+        let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+        let mut whole = BytesMut::new();
+        loop {
+            let frame = timeout(MAX_PAUSE, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| self.too_late("no more of it", MAX_PAUSE))? else {
+                break;
+            };
+            let frame = frame.map_err(|error| HttpError::Lost(error.to_string()))?;
+            if let Ok(piece) = frame.into_data() {
+                whole.extend_from_slice(&piece);
+            }
         }
+        Ok(Answer { status: parts.status, headers: parts.headers, body: whole.freeze() })
+    }
+
+    /// Says what did not come in time, and leaves the connections that are kept open for new ones.
+    fn too_late(&self, what: &str, time: Duration) -> HttpError {
+        *self.connections.lock() = new_connections(self.http2_only);
+        HttpError::Lost(format!("{what} within {} ms", time.as_millis()))
     }
-    Ok(Answer { status: parts.status, headers: parts.headers, body: whole.freeze() })
+}
+
+fn new_connections(http2_only: bool) -> Connections {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    keep_alive::watch_all(&mut connector);
+    Client::builder(TokioExecutor::new())
+        .http2_only(http2_only)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .retry_canceled_requests(false)
+        .build(connector)
 }
 
 /// Reads the rest of an answer.
--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -17,6 +17,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::keep_alive;
+
 /// How many headers a request may have: more than any client library sends.
 const MAX_HEADERS: usize = 64;
 
@@ -179,6 +181,7 @@
     F: Future<Output = Result<Response<Body>, Abort>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    keep_alive::watch(&stream);
     let service = service_fn(handler);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/trackfront_adapters/src/lib.rs
+++ b/trackfront_adapters/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod interface;
+pub mod keep_alive;
 pub mod key;
 pub mod metrics;
 pub mod peers;
--- a/trackfront_adapters/src/peers.rs
+++ b/trackfront_adapters/src/peers.rs
@@ -20,6 +20,7 @@
 use trackfront_core::ports::{PeerError, Peers};
 
 use crate::http_server::stopped;
+use crate::keep_alive;
 use crate::key::DeploymentKey;
 
 /// The path of the one kind of request there is. A change of the messages changes it.
@@ -53,6 +54,7 @@
         }
         let stream = TcpStream::connect(address).await.map_err(unavailable)?;
         let _ = stream.set_nodelay(true);
+        keep_alive::watch(&stream);
         let (link, connection) = h2::client::handshake(stream).await.map_err(unavailable)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -143,6 +145,7 @@
     F: Future<Output = PeerAnswer> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    keep_alive::watch(&stream);
     let Ok(mut connection) = h2::server::handshake(stream).await else {
         return;
     };
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::http_client::chain;
+use crate::keep_alive;
 
 /// How many unused connections to one server are kept.
 const MAX_IDLE: usize = 32;
@@ -29,9 +30,6 @@
 /// How long before a server would close an unused connection it is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// How long bytes may stay unacknowledged until the system gives a connection up.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
-
 /// Why there is no answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum UpstreamError {
@@ -149,6 +147,11 @@
         self.idle.lock().get(address).is_some_and(|kept| !kept.is_empty())
     }
 
+    /// Closes the unused connections to `address`: one that was used before them has fallen silent.
+    pub fn forget(&self, address: &str) {
+        self.idle.lock().remove(address);
+    }
+
     /// Closes unused connections that have been so for longer than `max_idle`.
     pub fn close_idle(&self, max_idle: Duration) {
         let now = Instant::now();
@@ -198,9 +201,7 @@
     let address: SocketAddr = address.parse().map_err(|error| not_sent(&error))?;
     let stream = TcpStream::connect(address).await.map_err(|error| not_sent(&error))?;
     let _ = stream.set_nodelay(true);
-    let socket = socket2::SockRef::from(&stream);
-    // Not every system has the option; without it a dead peer is found by time-outs only.
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    keep_alive::watch(&stream);
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
     let task = tokio::spawn(async move {
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -349,6 +349,7 @@
                 return None;
             }
             Err(_) => {
+                self.node.pool.forget(&server.address);
                 log::info!(server:% = server.id; "report not read in time");
                 return None;
             }
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one server, and what its answer's head says.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::{Instant, timeout_at};
@@ -108,14 +109,14 @@
             after_event,
         };
         let request = node.ports.servers.request(&self.head, self.body.clone(), &attempt);
-        let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
-        let max_idle = if repeats { MAX_IDLE } else { MAX_IDLE_ONCE };
-        let options = SendOptions { connect_time: CONNECT_TIME, max_idle };
+        let options = SendOptions { connect_time: CONNECT_TIME, max_idle: self.max_idle() };
         let sending = node.pool.send(&server.address, request, options, || true);
         let sent = timeout_at(self.head_until().min(self.end), sending).await;
         let (result, outcome) = match sent {
             Err(_) => {
                 held.end(Ending::Failed);
+                self.note_silence();
+                node.pool.forget(&server.address);
                 ("no answer in time", Sent::Failed("no answer in time"))
             }
             Ok(Err(UpstreamError::NotSent(cause))) => {
@@ -134,6 +135,22 @@
         outcome
     }
 
+    /// Returns how long a kept connection may have been unused for this request.
+    fn max_idle(&self) -> Duration {
+        let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
+        match self.met_silence.load(Ordering::Relaxed) {
+            true => Duration::ZERO,
+            false if repeats => MAX_IDLE,
+            false => MAX_IDLE_ONCE,
+        }
+    }
+
+    /// Notes that a server fell silent. Its connection may be at fault, and others that were open then may
+    /// be as well: the rest of this request goes over new ones.
+    pub fn note_silence(&self) {
+        self.met_silence.store(true, Ordering::Relaxed);
+    }
+
     /// Judges the head of an answer.
     fn judge_head(
         &self,
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -11,6 +11,7 @@
 mod plain;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 pub use attempt::{Held, Sent};
@@ -69,6 +70,8 @@
     pub end: Instant,
     /// The configuration that it is answered under.
     pub config: Arc<ServingConfig>,
+    /// Whether a server that it was sent to fell silent.
+    met_silence: AtomicBool,
 }
 
 /// Answers a request of a client.
@@ -149,6 +152,7 @@
         deadline,
         end: last,
         config,
+        met_silence: AtomicBool::new(false),
     };
     count(&job);
     Ok(job)
--- a/trackfrontd/src/serving/relay.rs
+++ b/trackfrontd/src/serving/relay.rs
@@ -221,7 +221,10 @@
                 Err(_) if Instant::now() >= self.job.end => {
                     return Next::Broken("the stream did not end in time");
                 }
-                Err(_) => return Next::Broken("the stream stayed silent"),
+                Err(_) => {
+                    self.job.note_silence();
+                    return Next::Broken("the stream stayed silent");
+                }
                 Ok(Some(Err(error))) => {
                     let request = &self.job.info.id;
                     log::info!(request:%, error:% = error; "stream broke off");
