Give large messages of the product's own boxes and objects the time that they take

Change: time for what is sent by its size (0.2 MB/s at the least), and an answer is read for as long as it keeps coming.

--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -27,7 +27,15 @@
 
 /// How long an answer that has begun may pause: over it, a link that loses packets has sent the lost ones
 /// again more than once.
-const MAX_PAUSE: Duration = Duration::from_millis(900);
+pub(crate) const MAX_PAUSE: Duration = Duration::from_millis(900);
+
+/// What the narrowest link has left for one body, in bytes a second: a sixth of 10 Mbit/s.
+const LEAST_RATE: f64 = 200_000.0;
+
+/// Returns how long a body may be on its way.
+pub(crate) fn time_on_the_way(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / LEAST_RATE)
+}
 
 /// How long an answer may take whose size depends on the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/trackfront_adapters/src/peers.rs
+++ b/trackfront_adapters/src/peers.rs
@@ -16,9 +16,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use trackfront_core::ports::peers::{PeerAnswer, PeerMessage};
 use trackfront_core::ports::{PeerError, Peers};
 
+use crate::http_client::{MAX_PAUSE, time_on_the_way};
 use crate::http_server::stopped;
 use crate::keep_alive;
 use crate::key::DeploymentKey;
@@ -26,7 +28,7 @@
 /// The path of the one kind of request there is. A change of the messages changes it.
 const PATH: &str = "/peer/1";
 
-/// How long a peer may take to answer.
+/// How long a peer may take to answer, beside the time that the message is on its way.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
 
 /// The largest message, in bytes: a tree's snapshot with room to spare.
@@ -71,6 +73,21 @@
         address: &str,
         message: &PeerMessage,
     ) -> Result<PeerAnswer, PeerError> {
+        let message = encode(message);
+        let time = ANSWER_TIME + time_on_the_way(message.len());
+        let response = timeout(time, self.send(address, message)).await;
+        let response = response.unwrap_or_else(|_| Err(unavailable("no answer in time")))?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::UNAUTHORIZED => return Err(PeerError::Refused),
+            status => return Err(PeerError::BadAnswer(format!("status {status}"))),
+        }
+        let bytes = read_all(response.into_body()).await.map_err(unavailable)?;
+        decode(&bytes).map_err(PeerError::BadAnswer)
+    }
+
+    /// Sends a message and waits for the head of the answer.
+    async fn send(&self, address: &str, message: Bytes) -> Result<Response<RecvStream>, PeerError> {
         let mut link = self.link(address).await?;
         let request = Request::builder()
             .method(Method::POST)
@@ -79,23 +96,15 @@
             .body(())
             .map_err(unavailable)?;
         let (response, mut body) = link.send_request(request, false).map_err(unavailable)?;
-        send_all(&mut body, encode(message)).await.map_err(unavailable)?;
-        let response = response.await.map_err(unavailable)?;
-        match response.status() {
-            StatusCode::OK => {}
-            StatusCode::UNAUTHORIZED => return Err(PeerError::Refused),
-            status => return Err(PeerError::BadAnswer(format!("status {status}"))),
-        }
-        let bytes = read_all(response.into_body()).await.map_err(unavailable)?;
-        decode(&bytes).map_err(PeerError::BadAnswer)
+        send_all(&mut body, message).await.map_err(unavailable)?;
+        response.await.map_err(unavailable)
     }
 }
 
 #[async_trait]
 impl Peers for H2Peers {
     async fn ask(&self, address: &str, message: PeerMessage) -> Result<PeerAnswer, PeerError> {
-        let asked = tokio::time::timeout(ANSWER_TIME, self.exchange(address, &message)).await;
-        let answer = asked.unwrap_or_else(|_| Err(unavailable("no answer in time")));
+        let answer = self.exchange(address, &message).await;
         if matches!(answer, Err(PeerError::Unavailable(_))) {
             self.links.lock().remove(address);
         }
@@ -225,10 +234,13 @@
     stream.send_data(Bytes::new(), true)
 }
 
-/// Reads a whole body, up to the largest message.
+/// Reads a whole body, up to the largest message, for as long as it keeps coming.
 async fn read_all(mut stream: RecvStream) -> Result<Bytes, h2::Error> {
     let mut bytes = BytesMut::new();
-    while let Some(chunk) = stream.data().await {
+    let next = async |stream: &mut RecvStream| {
+        timeout(MAX_PAUSE, stream.data()).await.map_err(|_| h2::Error::from(h2::Reason::CANCEL))
+    };
+    while let Some(chunk) = next(&mut stream).await? {
         let chunk = chunk?;
         if bytes.len() + chunk.len() > MAX_MESSAGE_BYTES {
             return Err(h2::Reason::ENHANCE_YOUR_CALM.into());
--- a/trackfront_adapters/src/platform/objects.rs
+++ b/trackfront_adapters/src/platform/objects.rs
@@ -1,14 +1,21 @@
 //! The platform's object store over HTTP.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use trackfront_core::ports::{ObjectError, Objects};
 
 use super::ANSWER_TIME;
-use crate::http_client::{Answer, HttpClient, HttpError, request, with_body};
+use crate::http_client::{
+    Answer, HttpClient, HttpError, Patience, request, time_on_the_way, with_body,
+};
 use crate::wire::platform::{OBJECT_LIST_PATH, OBJECTS_PATH};
 
+/// How long an object may go on coming: the largest snapshot of a tree, 8 MB, on a link of 10 Mbit/s.
+const READING_TIME: Duration = Duration::from_secs(8);
+
 /// The platform's object store at an address.
 #[derive(Clone, Debug)]
 pub struct HttpObjects {
@@ -24,8 +31,10 @@
 
     async fn ask(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, ObjectError> {
         let unavailable = |error: HttpError| ObjectError::Unavailable(error.to_string());
+        let head = ANSWER_TIME + time_on_the_way(body.len());
+        let patience = Patience { head, whole: head + READING_TIME };
         let request = with_body(request(method, &self.address, path), body).map_err(unavailable)?;
-        let answer = self.client.fetch(request, ANSWER_TIME).await.map_err(unavailable)?;
+        let answer = self.client.fetch_large(request, patience).await.map_err(unavailable)?;
         match answer.status {
             StatusCode::OK | StatusCode::NOT_FOUND => Ok(answer),
             status => Err(ObjectError::Unavailable(format!("status {status}"))),
