--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -12,7 +12,7 @@
 use trackfront_adapters::metrics::CONTENT_TYPE;
 
 use super::exchange;
-use super::log_queue::DroppedLines;
+use super::log_queue::LogQueue;
 use super::node::ServingNode;
 use super::pipeline;
 
@@ -78,22 +78,22 @@
 /// Serves copies for other boxes, and on any other path the metrics.
 pub async fn serve_boxes(
     node: Arc<ServingNode>,
-    dropped: DroppedLines,
+    lines: LogQueue,
     listener: TcpListener,
     stop: watch::Receiver<bool>,
 ) {
     let handler = move |request: Request<Incoming>| {
         let copy = exchange::answer(&node, request.uri().path());
-        let answer = copy.unwrap_or_else(|| metrics_text(&node, &dropped));
+        let answer = copy.unwrap_or_else(|| metrics_text(&node, &lines));
         async move { Ok(answer) }
     };
     serve(listener, handler, stop).await;
 }
 
-fn metrics_text(node: &ServingNode, dropped: &DroppedLines) -> Response<Body> {
+fn metrics_text(node: &ServingNode, lines: &LogQueue) -> Response<Body> {
     let counts = node.pool.counts();
     let metrics = &node.metrics;
-    metrics.dropped_lines.set(dropped.count() as i64);
+    metrics.dropped_lines.set(lines.dropped() as i64);
     metrics.connections_opened.set(counts.opened as i64);
     metrics.connections_reused.set(counts.reused as i64);
     metrics.nodes.set(node.peers.lock().alive(node.now()).len() as i64 + 1);
--- a/trackfrontd/src/serving/log_queue.rs
+++ b/trackfrontd/src/serving/log_queue.rs
@@ -1,12 +1,14 @@
 //! Log lines on standard output through a bounded queue.
 //!
 //! Logging never waits: a line that finds the queue full is dropped and counted, and the count is
-//! written once there is room again.
+//! written once there is room again. Only the end of the program waits, for a bounded time, until the queue
+//! is written: its last lines say why it ended.
 
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use log::kv::{Error, Key, Value, VisitSource};
@@ -19,14 +21,38 @@
 /// How many lines are written with one call at most.
 const BATCH: usize = 256;
 
-/// How many lines were dropped.
+/// How often it is looked whether the queue is written.
+const LOOK_EVERY: Duration = Duration::from_millis(2);
+
+/// The queue of lines, as others see it.
 #[derive(Clone, Debug, Default)]
-pub struct DroppedLines(Arc<AtomicU64>);
+pub struct LogQueue(Arc<Counts>);
+
+/// Counts of lines since the start.
+#[derive(Debug, Default)]
+struct Counts {
+    queued: AtomicU64,
+    written: AtomicU64,
+    dropped: AtomicU64,
+}
 
-impl DroppedLines {
+impl LogQueue {
     /// Returns how many lines were dropped since the start.
-    pub fn count(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    pub fn dropped(&self) -> u64 {
+        self.0.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Waits until what is queued is written, for `time` at most. Returns whether it is.
+    pub fn wait_written(&self, time: Duration) -> bool {
+        let start = Instant::now();
+        let queued = self.0.queued.load(Ordering::Acquire);
+        while self.0.written.load(Ordering::Acquire) < queued {
+            if start.elapsed() >= time {
+                return false;
+            }
+            std::thread::sleep(LOOK_EVERY);
+        }
+        true
     }
 }
 
@@ -35,15 +61,15 @@
     node: &str,
     level: LevelFilter,
     output: impl Write + Send + 'static,
-) -> anyhow::Result<DroppedLines> {
-    let dropped = DroppedLines::default();
+) -> anyhow::Result<LogQueue> {
+    let lines = LogQueue::default();
     let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let counted = dropped.clone();
+    let counted = lines.clone();
     std::thread::Builder::new()
         .name("log".into())
         .spawn(move || write_lines(&receiver, output, &counted))
         .context("cannot start the thread that writes the log")?;
-    let counted = dropped.clone();
+    let counted = lines.clone();
     let node = node.to_owned();
     let queue = fern::Output::call(move |record| enqueue(&sender, line(&node, record), &counted));
     fern::Dispatch::new()
@@ -53,24 +79,29 @@
         .chain(queue)
         .apply()
         .context("cannot start logging")?;
-    Ok(dropped)
+    Ok(lines)
 }
 
-fn enqueue(sender: &SyncSender<String>, line: String, dropped: &DroppedLines) {
-    if let Err(TrySendError::Full(_)) = sender.try_send(line) {
-        dropped.0.fetch_add(1, Ordering::Relaxed);
-    }
+fn enqueue(sender: &SyncSender<String>, line: String, LogQueue(counts): &LogQueue) {
+    match sender.try_send(line) {
+        Ok(()) => counts.queued.fetch_add(1, Ordering::Release),
+        Err(TrySendError::Full(_)) => counts.dropped.fetch_add(1, Ordering::Relaxed),
+        // The thread that writes has ended, so nobody reads lines any more.
+        Err(TrySendError::Disconnected(_)) => 0,
+    };
 }
 
-fn write_lines(receiver: &Receiver<String>, mut output: impl Write, dropped: &DroppedLines) {
+fn write_lines(receiver: &Receiver<String>, mut output: impl Write, lines: &LogQueue) {
     let mut told = 0;
     let mut batch = String::new();
     while let Ok(first) = receiver.recv() {
+        let mut taken = 1;
         batch.push_str(&first);
         for more in receiver.try_iter().take(BATCH) {
             batch.push_str(&more);
+            taken += 1;
         }
-        let count = dropped.count();
+        let count = lines.dropped();
         if count > told {
             let event = "log lines dropped";
             batch.push_str(&format!("{{\"event\":\"{event}\",\"total\":{count}}}\n"));
@@ -79,6 +110,7 @@
         // A reader that has gone away is no reason to stop serving.
         let _ = output.write_all(batch.as_bytes());
         let _ = output.flush();
+        lines.0.written.fetch_add(taken, Ordering::Release);
         batch.clear();
     }
 }
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::gossip::{self, Giving};
-use super::log_queue::DroppedLines;
+use super::log_queue::LogQueue;
 use super::node::{ServingNode, ServingPorts};
 use super::peer_socket::PeerSocket;
 use super::placement::Placement;
@@ -47,7 +47,7 @@
     path: PathBuf,
     settings: ServingSettings,
     ports: ServingPorts,
-    dropped: DroppedLines,
+    lines: LogQueue,
 ) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -80,8 +80,8 @@
     for port in ports {
         match listeners::bind(SocketAddr::from((ip, port))) {
             Ok(listener) => {
-                let (node, dropped) = (node.clone(), dropped.clone());
-                let serving = listeners::serve_boxes(node, dropped, listener, rest_stopped.clone());
+                let (node, lines) = (node.clone(), lines.clone());
+                let serving = listeners::serve_boxes(node, lines, listener, rest_stopped.clone());
                 tasks.spawn(serving);
             }
             // Serving clients matters more than figures, and than copies for other boxes.
--- a/trackfrontd/tests/serving.rs
+++ b/trackfrontd/tests/serving.rs
@@ -82,14 +82,14 @@
 #[test]
 fn a_stalled_reader_of_the_log_holds_nothing_up_and_loses_are_counted() {
     let output = Stalled::default();
-    let dropped = log_queue::start("n", log::LevelFilter::Info, output.clone()).expect("first");
+    let lines = log_queue::start("n", log::LevelFilter::Info, output.clone()).expect("first");
     let start = Instant::now();
     for number in 0..20_000u64 {
         log::info!(number, text = "x"; "event");
     }
     // Twenty thousand lines into a queue of four thousand: nobody waited for the reader.
     assert!(start.elapsed() < Duration::from_secs(10));
-    assert!(dropped.count() > 10_000, "{}", dropped.count());
+    assert!(lines.dropped() > 10_000, "{}", lines.dropped());
     *output.gate.0.lock().expect("no panic") = true;
     output.gate.1.notify_all();
     let text =
