Bound what another box can tell of its requests, and forget old askers

Cause: both stood open as read, not measured. Counts of a datagram were added without a bound: ten ranks of the largest count overflow their sum, which ends a debug build and wraps in a release. Boxes that asked for an item that never came were kept for good.

--- a/trackfrontd/src/serving/lacks.rs
+++ b/trackfrontd/src/serving/lacks.rs
@@ -126,7 +126,10 @@
     for item in items {
         let word = word(node, item, now);
         if word.is_empty() {
-            node.lacks.askers.lock().entry(item.clone()).or_default().insert(ip, now);
+            let mut askers = node.lacks.askers.lock();
+            let boxes = askers.entry(item.clone()).or_default();
+            boxes.retain(|_, at| now.since(*at) < ASKED_FOR);
+            boxes.insert(ip, now);
         }
         known.extend(word);
     }
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -11,6 +11,10 @@
 use super::lacks::ComingItem;
 use super::spread::Relay;
 
+/// How many requests of one rank a box can have under way at a server: more than it takes connections. What
+/// is told beyond that is wrong, and sums over all boxes stay far from the end of their range.
+const MAX_TOLD_REQUESTS: u32 = 10_000;
+
 /// What nodes send to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -120,7 +124,7 @@
         for told in &self.ranks {
             if let Some(rank) = share.by_rank.get_mut(usize::from(told.rank)) {
                 *rank = RankShare {
-                    requests: told.requests,
+                    requests: told.requests.min(MAX_TOLD_REQUESTS),
                     reading_ms: f64::from(told.reading_ms),
                     making_ms: f64::from(told.making_ms),
                 };
