Leave only the connections to the address whose answer stayed out

Cause, from reading the change before: one client serves all engines of the product's daemon and all boxes of a hall, and a single answer that stayed out closed the kept connections to all of them. Change: kept connections by address (4,096 at most); a time-out drops those of its own address.

--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -1,12 +1,14 @@
 //! An HTTP client whose errors say whether anything was sent.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::uri::Authority;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -22,6 +24,10 @@
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// How many addresses are kept connections to. Far more than a deployment has; servers that come and go
+/// leave theirs behind.
+const MAX_ADDRESSES: usize = 4_096;
+
 /// The largest answer that is read whole, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -74,9 +80,9 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     http2_only: bool,
-    /// Replaced when an answer stays out: connections that were kept open may be as silent as the one that
-    /// it did not come on.
-    connections: Arc<Mutex<Connections>>,
+    /// By address. Those to one address are left for new ones when an answer stays out: the ones that were
+    /// kept open may be as silent as the one that it did not come on.
+    connections: Arc<Mutex<HashMap<Authority, Connections>>>,
 }
 
 impl Default for HttpClient {
@@ -92,8 +98,18 @@
     }
 
     fn new(http2_only: bool) -> Self {
-        let connections = Arc::new(Mutex::new(new_connections(http2_only)));
-        Self { http2_only, connections }
+        Self { http2_only, connections: Arc::default() }
+    }
+
+    /// Returns the connections to the address of `request`.
+    fn connections(&self, request: &Request<Full<Bytes>>) -> Option<Connections> {
+        let address = request.uri().authority()?.clone();
+        let mut connections = self.connections.lock();
+        if connections.len() >= MAX_ADDRESSES && !connections.contains_key(&address) {
+            connections.clear();
+        }
+        let new = || new_connections(self.http2_only);
+        Some(connections.entry(address).or_insert_with(new).clone())
     }
 
     /// Sends `request` and returns once the answer's head is there.
@@ -101,7 +117,9 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpError> {
-        let connections = self.connections.lock().clone();
+        let connections = self.connections(&request);
+        let connections = connections
+            .ok_or_else(|| HttpError::NotSent(format!("{} names no address", request.uri())))?;
         connections.request(request).await.map_err(|error| {
             let detail = chain(&error);
             if error.is_connect() { HttpError::NotSent(detail) } else { HttpError::Lost(detail) }
@@ -114,11 +132,12 @@
         request: Request<Full<Bytes>>,
         time: Duration,
     ) -> Result<Answer, HttpError> {
+        let address = request.uri().authority().cloned();
         let fetched = timeout(time, async {
             let response = self.send(request).await?;
             read_answer(response).await
         });
-        fetched.await.unwrap_or_else(|_| Err(self.too_late("no answer", time)))
+        fetched.await.unwrap_or_else(|_| Err(self.too_late(address, "no answer", time)))
     }
 
     /// Sends `request` and reads an answer that may be large. What bounds it is that it keeps coming: a
@@ -130,36 +149,43 @@
         patience: Patience,
     ) -> Result<Answer, HttpError> {
         let Patience { head, whole } = patience;
+        let address = request.uri().authority().cloned();
         let fetched = timeout(whole, async {
-            let response = timeout(head, self.send(request)).await;
-            self.read_large(response.map_err(|_| self.too_late("no answer", head))??).await
+            let Ok(response) = timeout(head, self.send(request)).await else {
+                return Err(self.too_late(address.clone(), "no answer", head));
+            };
+            match read_large(response?).await {
+                Some(answer) => answer,
+                None => Err(self.too_late(address.clone(), "no more of it", MAX_PAUSE)),
+            }
         });
-        fetched.await.unwrap_or_else(|_| Err(self.too_late("no whole answer", whole)))
+        let fetched = fetched.await;
+        fetched.unwrap_or_else(|_| Err(self.too_late(address, "no whole answer", whole)))
     }
 
-    /// Reads the rest of an answer for as long as it keeps coming.
-    async fn read_large(&self, response: Response<Incoming>) -> Result<Answer, HttpError> {
-        let (parts, body) = response.into_parts();
-        let mut body = Limited::new(body, MAX_ANSWER_BYTES);
-        let mut whole = BytesMut::new();
-        loop {
-            let frame = timeout(MAX_PAUSE, body.frame()).await;
-            let Some(frame) = frame.map_err(|_| self.too_late("no more of it", MAX_PAUSE))? else {
-                break;
-            };
-            let frame = frame.map_err(|error| HttpError::Lost(error.to_string()))?;
-            if let Ok(piece) = frame.into_data() {
-                whole.extend_from_slice(&piece);
-            }
+    /// Says what did not come in time, and leaves the connections to that address that are kept open.
+    fn too_late(&self, address: Option<Authority>, what: &str, time: Duration) -> HttpError {
+        if let Some(address) = address {
+            self.connections.lock().remove(&address);
         }
-        Ok(Answer { status: parts.status, headers: parts.headers, body: whole.freeze() })
+        HttpError::Lost(format!("{what} within {} ms", time.as_millis()))
     }
+}
 
-    /// Says what did not come in time, and leaves the connections that are kept open for new ones.
-    fn too_late(&self, what: &str, time: Duration) -> HttpError {
-        *self.connections.lock() = new_connections(self.http2_only);
-        HttpError::Lost(format!("{what} within {} ms", time.as_millis()))
+/// Reads the rest of an answer for as long as it keeps coming; `None` if it stops.
+async fn read_large(response: Response<Incoming>) -> Option<Result<Answer, HttpError>> {
+    let (parts, body) = response.into_parts();
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = timeout(MAX_PAUSE, body.frame()).await.ok()? {
+        match frame.map(Frame::into_data) {
+            Ok(Ok(piece)) => whole.extend_from_slice(&piece),
+            // Trailers say nothing that anybody here asks for.
+            Ok(Err(_)) => {}
+            Err(error) => return Some(Err(HttpError::Lost(error.to_string()))),
+        }
     }
+    Some(Ok(Answer { status: parts.status, headers: parts.headers, body: whole.freeze() }))
 }
 
 fn new_connections(http2_only: bool) -> Connections {
