Keep the limits of client accounts over all boxes

Ruled out: even shares (a box's part of a limit is less than one long prompt a second) and shares that follow the demand that boxes tell each other.

Change: each box lends its Nth of every limit to one keeper a partition, found by rendezvous hashing among those that answer, and is granted what the lent rights bring in. A box that hears nobody has its own Nth. 429 with when a try would pass; what did not run goes back.

--- a/trackfront_core/src/lib.rs
+++ b/trackfront_core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod placement;
 pub mod ports;
 pub mod prefix;
+pub mod quota;
 pub mod retry;
 pub mod routing;
 pub mod serving;
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -147,6 +147,7 @@
         Ok(config) => {
             let (version, routes) = (config.version, config.routes().count());
             node.names.lock().set_items(&config);
+            node.quotas.set_limits(&config);
             node.config.store(Some(Arc::new(config)));
             node.metrics.config_version.set(version as i64);
             node.servers_changed.notify_waiters();
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -22,7 +22,7 @@
 use super::peer_book::ALIVE_FOR;
 use super::peer_socket::{MAX_DATAGRAM, PeerSocket};
 use super::spread as relay;
-use super::{boxes, lacks, newest};
+use super::{boxes, lacks, newest, quota};
 
 /// The least time between two digests.
 const LEAST_GAP: Duration = Duration::from_millis(100);
@@ -176,6 +176,8 @@
             Ok((Message::Boxes(all), _)) => boxes::take_in(&node, &all),
             Ok((Message::AskNewest(question), _)) => newest::answer(&node, &socket, ip, question),
             Ok((Message::Newest(told), _)) => newest::take_in(&node, ip, told),
+            Ok((Message::AskQuota(ask), _)) => quota::answer(&node, &socket, ip, &ask),
+            Ok((Message::Quota(answer), _)) => quota::take_in(&node, ip, &answer),
             Err(error) => {
                 let now = node.now();
                 if now.since(reported) > ALIVE_FOR {
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use trackfront_core::lease::HolderWord;
+use trackfront_core::quota::{Answer, Ask};
 use trackfront_core::serving::load::{RankShare, Share};
 use trackfront_core::units::Moment;
 
@@ -34,6 +35,10 @@
     AskNewest(AskNewest),
     /// The answer to it.
     Newest(ToldNewest),
+    /// A question to the keeper of some accounts' limits.
+    AskQuota(Ask),
+    /// The answer to it.
+    Quota(Answer),
 }
 
 /// A question for the newest row of the configuration.
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -26,6 +26,7 @@
 pub mod peer_socket;
 pub mod pipeline;
 pub mod placement;
+pub mod quota;
 pub mod relay;
 pub mod run;
 pub mod settings;
--- a/trackfrontd/src/serving/newest.rs
+++ b/trackfrontd/src/serving/newest.rs
@@ -30,9 +30,6 @@
 /// How many times more often is asked while answers are missing.
 const HURRY: u32 = 4;
 
-/// How much longer than the box before it in the order of readers a box waits until it asks the store.
-const STORE_STEP: Duration = Duration::from_millis(25);
-
 /// How often a box looks whether keys have to be kept track of at all.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
@@ -49,6 +46,8 @@
 #[derive(Debug, Default)]
 struct Questions {
     last: u32,
+    /// When another box last answered.
+    answered_at: Option<Moment>,
     open: VecDeque<(u32, Moment)>,
 }
 
@@ -108,7 +107,7 @@
         let age = node.newest.age(began);
         log_change(&node, terms, age, &mut was_usable);
         ask(&node, &socket, terms, &mates, age).await;
-        if must_ask_store(terms, &mates, age) {
+        if must_ask_store(&node, terms, &mates, age) {
             store.check().await;
         }
         let is_late = node.newest.age(node.now()).is_none_or(|age| age >= terms.wider_after());
@@ -154,9 +153,18 @@
     socket.send(&Message::AskNewest(AskNewest { number }), &boxes).await;
 }
 
-fn must_ask_store(terms: KeyTerms, mates: &HallMates, age: Option<Duration>) -> bool {
-    let step = STORE_STEP * u32::try_from(mates.rank).unwrap_or(u32::MAX);
-    mates.is_reader() || age.is_none_or(|age| age >= terms.store_after() + step)
+/// Returns whether this box asks the store: as the reader of its hall; as the first after it, where its answers
+/// are too old; and any box that no other answers. In an outage of the store the others would all ask in vain.
+fn must_ask_store(
+    node: &ServingNode,
+    terms: KeyTerms,
+    mates: &HallMates,
+    age: Option<Duration>,
+) -> bool {
+    let is_late = age.is_none_or(|age| age >= terms.store_after());
+    let answered_at = node.newest.questions.lock().answered_at;
+    let is_alone = answered_at.is_none_or(|at| node.now().since(at) >= terms.wider_after());
+    mates.is_reader() || (is_late && (mates.rank == 1 || is_alone))
 }
 
 /// Questions to the store, and whether the last one failed.
@@ -211,7 +219,13 @@
 
 /// Takes in the answer of another box.
 pub fn take_in(node: &ServingNode, ip: Ipv4Addr, told: ToldNewest) {
-    let Some(asked_at) = node.newest.questions.lock().asked_at(told.number) else {
+    let asked_at = {
+        let mut questions = node.newest.questions.lock();
+        let asked_at = questions.asked_at(told.number);
+        questions.answered_at = asked_at.map_or(questions.answered_at, |_| Some(node.now()));
+        asked_at
+    };
+    let Some(asked_at) = asked_at else {
         return;
     };
     let age = Duration::from_millis(u64::from(told.age_ms));
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -29,6 +29,7 @@
 use super::newest::Newest;
 use super::overlay::Overlay;
 use super::peer_book::PeerBook;
+use super::quota::Quotas;
 use super::settings::ServingSettings;
 use super::spread::Relayed;
 
@@ -89,6 +90,8 @@
     pub lacks: Lacks,
     /// Notes of the giver of orders.
     pub overlay: Mutex<Overlay>,
+    /// The limits of client accounts.
+    pub quotas: Quotas,
     /// The other nodes.
     pub peers: Mutex<PeerBook>,
     /// What readers of this hall relay from the platform.
@@ -123,6 +126,7 @@
         let budgets = RetryBudgets::new(settings.promises.budget());
         let directory = Directory::new(settings.promises.heartbeat());
         let started = ports.clock.now();
+        let quotas = Quotas::new(settings.node.ip);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             ports,
@@ -139,6 +143,7 @@
             adapter_use: Mutex::default(),
             lacks: Lacks::default(),
             overlay: Mutex::default(),
+            quotas,
             peers: Mutex::default(),
             relayed: Mutex::default(),
             relay_came: Notify::new(),
@@ -186,6 +191,11 @@
         self.nodes_listed_at.lock().get_or_insert(self.now());
     }
 
+    /// Returns whether the other nodes were listed.
+    pub fn knows_nodes(&self) -> bool {
+        self.nodes_listed_at.lock().is_some()
+    }
+
     /// Notes that the first attempt to list the other boxes is over, whatever came of it.
     pub fn end_first_list(&self) {
         self.first_list_over.send_replace(true);
--- /dev/null
+++ b/trackfrontd/src/serving/pipeline/limit.rs
@@ -0,0 +1,103 @@
+//! The units that a request takes of its account's limit.
+//!
+//! They are taken last before a send, since what was granted has to be used soon, and given back if the request
+//! did not run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use trackfront_core::quota::AccountId;
+use trackfront_core::quota::share::Outcome;
+use trackfront_core::serving::request::Refusal;
+
+use super::{Job, Tries};
+use crate::serving::node::ServingNode;
+
+/// How long units are waited for: some questions to a keeper that is gone, and one to the next.
+const PATIENCE: Duration = Duration::from_millis(600);
+
+/// The wait for units after which a server is chosen anew.
+const LONG_WAIT: Duration = Duration::from_millis(40);
+
+/// Units that were taken and are not used yet. Dropped, they are given back.
+pub struct Units {
+    node: Arc<ServingNode>,
+    account: AccountId,
+    units: u32,
+}
+
+impl Units {
+    /// The request may have run: they are used up.
+    pub fn used(mut self) {
+        self.units = 0;
+    }
+}
+
+impl Drop for Units {
+    fn drop(&mut self) {
+        if self.units > 0 {
+            self.node.quotas.give_back(self.account, self.units);
+        }
+    }
+}
+
+/// What came of taking units.
+pub enum Taken {
+    /// They are there, or none are needed.
+    Now(Option<Units>),
+    /// They are there, after a wait in which much may have changed.
+    AfterWait(Option<Units>),
+}
+
+impl Job {
+    /// Takes the units of one run of the request, unless `tries` has them.
+    pub(super) async fn take_units(&self, tries: &mut Tries) -> Result<Taken, Refusal> {
+        if let Some(units) = tries.units.take() {
+            return Ok(Taken::Now(Some(units)));
+        }
+        let began = Instant::now();
+        let units = self.units().await;
+        let refused = |refusal| match tries.may_have_run {
+            Some(cause) => Refusal::Failed(cause),
+            None => refusal,
+        };
+        let units = units.map_err(refused)?;
+        Ok(match began.elapsed() < LONG_WAIT {
+            true => Taken::Now(units),
+            false => Taken::AfterWait(units),
+        })
+    }
+
+    /// Takes the units of one run of the request; `None` if its account has no limit.
+    pub async fn units(&self) -> Result<Option<Units>, Refusal> {
+        let Some(account) = &self.account else {
+            return Ok(None);
+        };
+        let Some(limit) = &account.limit else {
+            return Ok(None);
+        };
+        let units = limit.units(self.info.counted_tokens).min(f64::from(u32::MAX)) as u32;
+        let id = AccountId::of(&account.name);
+        let patience = self.end.saturating_duration_since(Instant::now()).min(PATIENCE);
+        let outcome = self.node.quotas.take(&self.node, id, units, patience).await;
+        let (refusal, cause, wait) = match outcome {
+            Outcome::Granted => {
+                return Ok(Some(Units { node: self.node.clone(), account: id, units }));
+            }
+            Outcome::Reached(retry_after) => {
+                let refusal = Refusal::LimitReached { account: account.name.clone(), retry_after };
+                (refusal, "the limit is reached", retry_after)
+            }
+            Outcome::Unknown(retry_after) => {
+                let cause = "no box answers for its account's limit";
+                (Refusal::NoServer { cause, retry_after }, cause, retry_after)
+            }
+        };
+        let keeper = self.node.quotas.keeper(id).map_or_else(String::new, |ip| ip.to_string());
+        let (request, wait_ms) = (&self.info.id, wait.as_millis() as u64);
+        let (account, config) = (account.name.as_str(), self.config.version);
+        log::info!(request:%, account, units, keeper, wait_ms, config, cause; "units refused");
+        Err(refusal)
+    }
+}
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -9,6 +9,7 @@
 mod end_log;
 mod hold;
 mod key;
+mod limit;
 mod plain;
 
 use std::sync::Arc;
@@ -20,6 +21,8 @@
 pub use end_log::EndLog;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
+use limit::Taken;
+pub use limit::Units;
 pub use plain::PlainAnswer;
 use tokio::time::Instant;
 use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body};
@@ -211,8 +214,22 @@
         if let Some(refusal) = job.judge(&choice, &tries) {
             break refusal;
         }
+        match job.take_units(&mut tries).await {
+            Ok(Taken::Now(units)) => tries.units = units,
+            Ok(Taken::AfterWait(units)) => {
+                tries.units = units;
+                // Without any, nothing was waited for.
+                if tries.units.is_some() {
+                    continue;
+                }
+            }
+            Err(refusal) => break refusal,
+        }
         let server = choice.server.entry.id.clone();
         let sent = job.send(&choice, None).await;
+        if matches!(sent, Sent::Answer(..) | Sent::Failed(_)) {
+            tries.units.take().into_iter().for_each(Units::used);
+        }
         tries.servers.push(server);
         match sent {
             Sent::Answer(answer, held) => {
@@ -267,6 +284,8 @@
     pub may_have_run: Option<&'static str>,
     /// A failure that a server answered with, to be passed on if nothing better comes.
     pub failure: Option<PlainAnswer>,
+    /// Units of its account's limit that are taken for the next send.
+    pub units: Option<Units>,
 }
 
 impl Job {
--- a/trackfrontd/src/serving/relay.rs
+++ b/trackfrontd/src/serving/relay.rs
@@ -17,7 +17,7 @@
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::load::Ending;
 
-use super::pipeline::{EndLog, Held, Job, PlainAnswer, Sent, Tries};
+use super::pipeline::{EndLog, Held, Job, PlainAnswer, Sent, Tries, Units};
 
 /// How many times the longest pause in time a resumable stream may stay silent.
 const SILENCE: u32 = 4;
@@ -272,6 +272,9 @@
         if !job.take_repeat() {
             return false;
         }
+        let Ok(units) = job.units().await else {
+            return false;
+        };
         self.tried.push(choice.server.entry.id.clone());
         self.sends += 1;
         let after = self.last_event.clone();
@@ -279,7 +282,11 @@
         let server = &choice.server.entry.id;
         let after_event = after.as_deref().unwrap_or_default();
         log::info!(request:%, server:%, cause, after_event; "stream resumed");
-        match job.send(&choice, after.as_deref()).await {
+        let sent = job.send(&choice, after.as_deref()).await;
+        if matches!(sent, Sent::Answer(..) | Sent::Failed(_)) {
+            units.into_iter().for_each(Units::used);
+        }
+        match sent {
             Sent::Answer(answer, held) if answer.head.status.is_success() => {
                 self.body = answer.body;
                 self.held = held;
