--- a/trackfrontd/src/serving/pipeline/limit.rs
+++ b/trackfrontd/src/serving/pipeline/limit.rs
@@ -97,7 +97,8 @@
         let keeper = self.node.quotas.keeper(id).map_or_else(String::new, |ip| ip.to_string());
         let (request, wait_ms) = (&self.info.id, wait.as_millis() as u64);
         let (account, config) = (account.name.as_str(), self.config.version);
-        log::info!(request:%, account, units, keeper, wait_ms, config, cause; "units refused");
+        let (per_s, burst) = (limit.per_s, limit.burst);
+        log::info!(request:%, account, units, per_s, burst, keeper, wait_ms, config, cause; "units refused");
         Err(refusal)
     }
 }
