Keep callers' limits of the product's own interface by the same module

Limits stood twice: shares that follow demand for the product's own interface, keepers for the platform. Questions go over the peers' links, whose path is /peer/2 now. Keys are hashed in one place.

--- a/trackfront/src/commands/hash_key.rs
+++ b/trackfront/src/commands/hash_key.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 
 use anyhow::{Context, bail};
+use trackfront_core::accounts::KeyHash;
 
 use crate::exit::Exit;
 
@@ -14,6 +15,6 @@
     if key.is_empty() {
         bail!("there is no key on standard input; pipe one in");
     }
-    println!("{}", blake3::hash(key.as_bytes()).to_hex());
+    println!("{}", KeyHash::of(key.as_bytes()).to_hex());
     Ok(Exit::Done)
 }
--- a/trackfront_adapters/src/peers.rs
+++ b/trackfront_adapters/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::key::DeploymentKey;
 
 /// The path of the one kind of request there is. A change of the messages changes it.
-const PATH: &str = "/peer/1";
+const PATH: &str = "/peer/2";
 
 /// How long a peer may take to answer, beside the time that the message is on its way.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
--- a/trackfront_core/src/lib.rs
+++ b/trackfront_core/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod ids;
 pub mod lease;
 pub mod ledger;
-pub mod limits;
 pub mod members;
 pub mod order;
 pub mod outcome;
--- a/trackfront_core/src/members.rs
+++ b/trackfront_core/src/members.rs
@@ -63,11 +63,14 @@
 #[derive(Debug, Default)]
 pub struct Members {
     by_address: BTreeMap<String, Member>,
+    /// Whether the platform's list was read.
+    listed: bool,
 }
 
 impl Members {
     /// Takes in the platform's list. `own_address` is left out.
     pub fn set_list(&mut self, list: &[ListedBox], own_address: &str, now: Moment) {
+        self.listed = true;
         for member in self.by_address.values_mut() {
             member.listed = None;
         }
@@ -112,6 +115,11 @@
         changed.then(|| MemberChange { id: heartbeat.from.clone(), state })
     }
 
+    /// Returns whether the platform's list was read, so that all boxes are known.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Returns the addresses of all known boxes.
     pub fn addresses(&self) -> Vec<String> {
         self.by_address.keys().cloned().collect()
--- a/trackfront_core/src/members/tests.rs
+++ b/trackfront_core/src/members/tests.rs
@@ -9,7 +9,6 @@
         revision: Revision(revision),
         digests: vec![],
         claims: vec![],
-        demand: vec![],
         items: vec![],
     }
 }
--- a/trackfront_core/src/ports/peers.rs
+++ b/trackfront_core/src/ports/peers.rs
@@ -9,7 +9,7 @@
 use crate::demand::ItemDemand;
 use crate::fleet::EngineDigest;
 use crate::ids::{Fence, NodeId, Revision, ShardId, ZoneName};
-use crate::limits::CallerDemand;
+use crate::quota::{Answer, Ask, BoxId};
 
 /// What a box says of its own life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,8 +49,6 @@
     pub digests: Vec<EngineDigest>,
     /// The shards whose claims the sender keeps.
     pub claims: Vec<ClaimsKept>,
-    /// How much of callers' demand the sender sees.
-    pub demand: Vec<CallerDemand>,
     /// How much of the models' and adapters' demand the sender sees.
     pub items: Vec<ItemDemand>,
 }
@@ -82,6 +80,13 @@
         /// The request that had it.
         request: RequestHash,
     },
+    /// Asks the keeper of some callers' limits.
+    Quota {
+        /// The box that asks.
+        from: BoxId,
+        /// The question.
+        ask: Ask,
+    },
     /// Tells the answer of a claimed call, for repeats.
     Answered {
         /// The shard of the service.
@@ -109,6 +114,8 @@
     NoNewerTree,
     /// The answer to a claim.
     Claim(ClaimReply),
+    /// The answer to a question for limits.
+    Quota(Answer),
     /// The message was taken in.
     Noted,
 }
--- a/trackfront_core/src/quota/mod.rs
+++ b/trackfront_core/src/quota/mod.rs
@@ -30,7 +30,16 @@
 impl AccountId {
     /// Returns the identity of an account.
     pub fn of(name: &AccountName) -> Self {
-        let hash = blake3::hash(name.as_str().as_bytes());
+        Self::hashed(name.as_str().as_bytes())
+    }
+
+    /// Returns the identity of an account's limit of requests, where it has one of tokens beside that.
+    pub fn of_requests(name: &AccountName) -> Self {
+        Self::hashed(format!("{name}\0requests").as_bytes())
+    }
+
+    fn hashed(bytes: &[u8]) -> Self {
+        let hash = blake3::hash(bytes);
         Self(u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes")))
     }
 
--- a/trackfront_core/src/serving/freshness.rs
+++ b/trackfront_core/src/serving/freshness.rs
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Takes in the answer of another box to a question that was asked at `asked_at`: that `row` was the newest
+    /// `age` before its answer. When the answer came does not count: it may have lain here while the process
+    /// stood still.
+    pub fn told(&mut self, row: u64, age: Duration, asked_at: Moment) {
+        // An age beyond the clock's start says nothing.
+        if let Some(as_of) = asked_at.0.checked_sub(age) {
+            self.newest(row, Moment(as_of));
+        }
+    }
+
     /// Returns the row in force.
     pub fn row(&self) -> u64 {
         self.in_force
--- a/trackfront_core/src/tree/build.rs
+++ b/trackfront_core/src/tree/build.rs
@@ -6,8 +6,8 @@
 use serde::de::DeserializeOwned;
 use toml::Spanned;
 
+use crate::accounts::{AccountLimit, LimitUnit};
 use crate::ids::{AdapterName, BackendId, ModelName, RegionName, ServiceName, ZoneName};
-use crate::limits::CallerLimit;
 use crate::units::Mib;
 
 use super::error::{TreeError, TreeErrorKind, TreeErrors, line_of};
@@ -51,6 +51,17 @@
     }
 }
 
+/// How many seconds of its rate a caller may use at once.
+const BURST_SECS: f64 = 2.0;
+
+/// Tokens are counted where a call has some.
+const PLAIN_CALLS_TAKE_NONE: LimitUnit = LimitUnit::Tokens { plain: 0 };
+
+fn limit(unit: LimitUnit, rate: &Spanned<f64>) -> AccountLimit {
+    let per_s = *rate.get_ref();
+    AccountLimit { unit, per_s, burst: per_s * BURST_SECS }
+}
+
 struct Builder<'a> {
     files: &'a TreeFiles,
     errors: Vec<TreeError>,
@@ -90,10 +101,8 @@
         }
         Caller {
             key_blake3: table.key_blake3.get_ref().clone(),
-            limit: CallerLimit {
-                requests_per_s: table.requests_per_s.as_ref().map(|rate| *rate.get_ref()),
-                tokens_per_s: table.tokens_per_s.as_ref().map(|rate| *rate.get_ref()),
-            },
+            requests: table.requests_per_s.as_ref().map(|rate| limit(LimitUnit::Requests, rate)),
+            tokens: table.tokens_per_s.as_ref().map(|rate| limit(PLAIN_CALLS_TAKE_NONE, rate)),
         }
     }
 
--- a/trackfront_core/src/tree/mod.rs
+++ b/trackfront_core/src/tree/mod.rs
@@ -25,11 +25,11 @@
 
 use std::collections::BTreeMap;
 
+use crate::accounts::{AccountLimit, KeyHash};
 use crate::ids::{
     AccountName, AdapterName, BackendId, ItemKey, ModelName, RegionName, ServiceName, ShardId,
     Version, ZoneName,
 };
-use crate::limits::CallerLimit;
 use crate::placement::{Bundle, SizedItem};
 use crate::units::Mib;
 
@@ -55,8 +55,10 @@
 pub struct Caller {
     /// The BLAKE3 hash, in hexadecimal, of the key by which the caller is known.
     pub key_blake3: String,
-    /// What the caller may use.
-    pub limit: CallerLimit,
+    /// How many requests it may send; `None` is no limit.
+    pub requests: Option<AccountLimit>,
+    /// How many tokens of prompts and answers it may use; `None` is no limit.
+    pub tokens: Option<AccountLimit>,
 }
 
 /// A region.
@@ -285,11 +287,8 @@
 
     /// Finds the caller that has `key`.
     pub fn caller_by_key(&self, key: &str) -> Option<&AccountName> {
-        let hash = blake3::hash(key.as_bytes()).to_hex();
-        self.callers
-            .iter()
-            .find(|(_, caller)| caller.key_blake3 == hash.as_str())
-            .map(|(name, _)| name)
+        let hash = KeyHash::of(key.as_bytes()).to_hex();
+        self.callers.iter().find(|(_, caller)| caller.key_blake3 == hash).map(|(name, _)| name)
     }
 }
 
--- a/trackfront_core/tests/quota/keeper.rs
+++ b/trackfront_core/tests/quota/keeper.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use super::world::{Keepers, Net, Run, STEP, Way, accounts};
+use trackfront_core::accounts::{AccountLimit, LimitUnit};
+use trackfront_core::quota::AccountId;
+use trackfront_core::units::Moment;
+
+use super::world::{Keepers, Net, Run, STEP, TestAccount, Way, accounts};
 
 fn run(boxes: usize) -> Run<Keepers> {
     let accounts = accounts(900_000.0, boxes / 2);
@@ -65,3 +69,70 @@
     assert!((0.2..0.95).contains(&part), "{part}");
     assert!(run.worst_part() <= 1.0, "{}", run.worst_part());
 }
+
+/// Demand far beyond every limit, through all boxes.
+fn flooded(boxes: usize) -> Run<Keepers> {
+    let mut run = run(boxes);
+    for index in 0..16 {
+        let account = run.account(index);
+        account.demand *= 8.0;
+        account.entries = boxes;
+    }
+    run.move_clients();
+    run
+}
+
+#[test]
+fn two_halves_that_do_not_reach_each_other_stay_under_one_limit() {
+    let mut run = flooded(30);
+    go_on(&mut run, Duration::from_secs(10));
+    for at in 0..30 {
+        run.net.group[at] = at as u32 % 2;
+    }
+    go_on(&mut run, Duration::from_secs(20));
+    assert!(run.worst_part() <= 1.0, "{}", run.worst_part());
+    let part = run.passed_part();
+    assert!(part > 0.9, "both halves use their part: {part}");
+}
+
+#[test]
+fn boxes_that_are_cut_off_again_and_again_stay_under_the_limit() {
+    let mut run = flooded(30);
+    go_on(&mut run, Duration::from_secs(10));
+    for round in 0..30 {
+        for at in 0..30 {
+            run.net.group[at] = if round % 2 == 0 { at as u32 % 2 } else { 0 };
+        }
+        go_on(&mut run, Duration::from_millis(800));
+    }
+    assert!(run.worst_part() <= 1.0, "{}", run.worst_part());
+}
+
+/// Sends `rates` requests a second to each box and returns how many pass in `secs`.
+fn passed(rates: &[u64], per_s: f64, secs: u64) -> u64 {
+    let limit = AccountLimit { unit: LimitUnit::Requests, per_s, burst: per_s * 2.0 };
+    let id = AccountId::of(&"c".into());
+    let account = TestAccount { id, limit, demand: 0.0, entries: 1 };
+    let mut way = Keepers::new(&[account], rates.len());
+    let mut net = Net::new(rates.len(), 11);
+    let mut passed = 0;
+    for step in 0..secs * 100 {
+        let now = Moment(STEP * step as u32);
+        for (at, rate) in rates.iter().enumerate() {
+            for _ in step * rate / 100..(step + 1) * rate / 100 {
+                passed += u64::from(way.take(at, id, 1, now) == Some(true));
+            }
+        }
+        passed += way.step(&mut net, now).len() as u64;
+    }
+    passed
+}
+
+#[test]
+fn the_limit_holds_over_all_boxes_and_is_not_wasted() {
+    for rates in [&[100, 100, 100][..], &[250, 0, 0], &[200, 50, 0]] {
+        let (passed, allowed) = (passed(rates, 60.0, 60), 60 * 60);
+        assert!(passed <= allowed + 120, "{rates:?}: {passed} of {allowed}");
+        assert!(passed >= allowed * 95 / 100, "{rates:?}: {passed} of {allowed}");
+    }
+}
--- a/trackfront_core/tests/quota/ways.rs
+++ b/trackfront_core/tests/quota/ways.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 
 use trackfront_core::accounts::AccountLimit;
-use trackfront_core::ids::{AccountName, NodeId};
-use trackfront_core::limits::{CallerLimit, CallerLimits};
 use trackfront_core::quota::AccountId;
 use trackfront_core::units::Moment;
 
@@ -45,34 +43,53 @@
     fn restart(&mut self, _: usize, _: Moment) {}
 }
 
-/// Shares follow the demand, told each half second.
+/// Shares follow the demand that boxes tell each other each half second; a fifth is split evenly.
 struct Following {
     limits: HashMap<AccountId, AccountLimit>,
-    boxes: Vec<CallerLimits>,
-    names: HashMap<AccountId, AccountName>,
+    /// By box and account: what is left, the demand seen, and as of when.
+    here: HashMap<(usize, AccountId), (f64, f64, Moment)>,
+    /// What all boxes told last, by box and account.
+    told: HashMap<(usize, AccountId), f64>,
+    boxes: usize,
     told_at: Moment,
 }
 
+/// The share that is split evenly, and how fast the demand that was seen is forgotten.
+const FLOOR: f64 = 0.2;
+const HALF_LIFE_S: f64 = 2.0;
+
+impl Following {
+    fn share(&self, at: usize, account: AccountId, own: f64) -> f64 {
+        let told = |other: usize| self.told.get(&(other, account)).copied().unwrap_or(0.0);
+        let others: f64 = (0..self.boxes).filter(|other| *other != at).map(told).sum();
+        let even = 1.0 / self.boxes as f64;
+        let by_demand = if own + others > 0.0 { own / (own + others) } else { even };
+        FLOOR * even + (1.0 - FLOOR) * by_demand
+    }
+}
+
 impl Way for Following {
     fn take(&mut self, at: usize, account: AccountId, units: u32, now: Moment) -> Option<bool> {
         let limit = self.limits[&account];
-        let limit = CallerLimit { requests_per_s: None, tokens_per_s: Some(limit.per_s) };
-        let name = &self.names[&account];
-        let taken = self.boxes[at].take(name, limit, f64::from(units), self.boxes.len(), now);
-        Some(taken.is_ok())
+        let (mut level, mut demand, since) =
+            self.here.get(&(at, account)).copied().unwrap_or((f64::MAX, 0.0, now));
+        let passed_s = now.since(since).as_secs_f64();
+        demand = demand * 0.5f64.powf(passed_s / HALF_LIFE_S) + f64::from(units);
+        let share = self.share(at, account, demand);
+        level = (level + limit.per_s * share * passed_s).min(limit.burst * share);
+        let passes = level > 0.0;
+        if passes {
+            level -= f64::from(units);
+        }
+        self.here.insert((at, account), (level, demand, now));
+        Some(passes)
     }
 
     fn step(&mut self, _: &mut Net, now: Moment) -> Vec<(AccountId, u32)> {
-        if now.since(self.told_at) < Duration::from_millis(500) {
-            return Vec::new();
-        }
-        self.told_at = now;
-        for from in 0..self.boxes.len() {
-            let told = self.boxes[from].demand(now);
-            let name = NodeId::from(from.to_string());
-            for to in (0..self.boxes.len()).filter(|to| *to != from) {
-                self.boxes[to].heard(&name, &told, now);
-            }
+        if now.since(self.told_at) >= Duration::from_millis(500) {
+            self.told_at = now;
+            let demand = self.here.iter().map(|(key, (_, demand, _))| (*key, *demand));
+            self.told = demand.collect();
         }
         Vec::new()
     }
@@ -104,11 +121,11 @@
 fn keepers_pass_what_one_counter_would_where_even_and_following_shares_refuse_it() {
     let all = accounts(USUAL, BOXES / 3);
     let even = Even { limits: limits(&all), levels: HashMap::new(), boxes: BOXES as f64 };
-    let names = (0..all.len()).map(|rank| AccountName::from(format!("account-{rank}")));
     let following = Following {
         limits: limits(&all),
-        boxes: (0..BOXES).map(|_| CallerLimits::default()).collect(),
-        names: names.map(|name| (AccountId::of(&name), name)).collect(),
+        here: HashMap::new(),
+        told: HashMap::new(),
+        boxes: BOXES,
         told_at: Moment::default(),
     };
     let even = play(even);
--- a/trackfront_core/tests/serving/freshness.rs
+++ b/trackfront_core/tests/serving/freshness.rs
@@ -61,3 +61,15 @@
     freshness.in_force(3);
     assert!(freshness.is_usable(TERMS, at(4_700)));
 }
+
+#[test]
+fn word_of_another_box_counts_from_the_question_and_grows_by_what_that_box_tells() {
+    let mut freshness = Freshness::default();
+    freshness.in_force(7);
+    // Asked at 6 s, and the other box was 1.5 s old: whenever the answer is read, it is of 4.5 s.
+    freshness.told(7, Duration::from_millis(1_500), at(6_000));
+    assert_eq!(freshness.age(at(6_100)), Some(Duration::from_millis(1_600)));
+    assert!(!freshness.is_usable(TERMS, at(9_200)), "the process stood still meanwhile");
+    freshness.told(7, Duration::from_millis(8_000), at(6_000));
+    assert_eq!(freshness.age(at(6_100)), Some(Duration::from_millis(1_600)));
+}
--- a/trackfrontd/src/follower.rs
+++ b/trackfrontd/src/follower.rs
@@ -12,6 +12,7 @@
 use trackfront_core::tree::{ServiceKind, Snapshot};
 
 use crate::in_force::InstallError;
+use crate::limits;
 use crate::shared::Shared;
 
 /// How often the head row is read.
@@ -120,6 +121,7 @@
             .map(|(id, backend)| (id.clone(), backend.hall.clone()))
             .collect();
         shared.fleet.set_engines(&engines);
+        shared.quotas.set_limits(limits::limits(&current.tree));
     }
     shared.audit.record(AuditEvent::TreeInForce { revision, source: source.into() });
     Ok(revision)
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -17,6 +17,7 @@
 use super::generate::replay;
 use super::{SERVICES_PATH, body, caller, idempotency_key, own_deadline, tree};
 use crate::in_force::{PlainServer, PlainTarget, TreeInForce};
+use crate::limits;
 use crate::shared::Shared;
 
 /// When to come back if no server can be reached.
@@ -82,7 +83,7 @@
     known: &KnownCall,
 ) -> Result<Answered, RequestError> {
     let target = tree.plain.get(&known.service).ok_or(RequestError::NoSuchPath)?;
-    caller::take_share(shared, tree, &known.caller, 0.0)?;
+    limits::take(shared, tree, &known.caller, 0.0).await?;
     shared.retries.earn();
     let path = known.call.path_and_query.split('?').next().unwrap_or("/");
     let marked = target.service.is_repeatable(&known.call.method, path);
--- a/trackfrontd/src/gateway/text.rs
+++ b/trackfrontd/src/gateway/text.rs
@@ -17,6 +17,7 @@
 use super::answer::{Answer, Piece, Wanted};
 use super::{caller, too_large};
 use crate::in_force::{ResolvedTarget, TreeInForce};
+use crate::limits;
 use crate::shared::Shared;
 
 /// How many bytes of a prompt make a token, about.
@@ -113,12 +114,11 @@
 ) -> Result<(Answer, Piece), RequestError> {
     shared.demand.arrived(&wanted.name, shared.outside.clock.now());
     let tokens = wanted.prompt_tokens + wanted.output_tokens;
-    caller::take_share(shared, tree, &wanted.caller, tokens)?;
-    let caller = wanted.caller.clone();
+    let taken = limits::take(shared, tree, &wanted.caller, tokens).await?;
     let started = Answer::start(shared, tree, wanted).await;
     let not_run = started.as_ref().err().is_some_and(|e| e.outcome() == Outcome::NotRun);
     if not_run {
-        shared.limits.give_back(&caller, tokens);
+        taken.give_back(shared);
     }
     started
 }
--- a/trackfrontd/src/node.rs
+++ b/trackfrontd/src/node.rs
@@ -11,7 +11,7 @@
 use crate::settings::Place;
 use crate::shards::ShardTasks;
 use crate::shared::Shared;
-use crate::{cache_events, follower, peering, reader, shards};
+use crate::{cache_events, follower, limits, peering, reader, shards};
 
 /// A running box without listeners. Tests and benchmarks run it on ports in memory.
 pub struct Node {
@@ -42,6 +42,7 @@
             tokio::spawn(follower::run(shared.clone())),
             tokio::spawn(peering::run_list(shared.clone())),
             tokio::spawn(peering::run_heartbeats(shared.clone())),
+            tokio::spawn(limits::run(shared.clone())),
             tokio::spawn(reader::run(shared.clone())),
             tokio::spawn(cache_events::run(shared.clone())),
             tokio::spawn(shards::run(shared.clone(), shards.clone())),
--- a/trackfrontd/src/peering.rs
+++ b/trackfrontd/src/peering.rs
@@ -100,6 +100,10 @@
             shared.claims.release(&shard, key, request);
             PeerAnswer::Noted
         }
+        PeerMessage::Quota { from, ask } => {
+            let answer = shared.quotas.answer(from, &ask, shared.outside.clock.now());
+            answer.map_or(PeerAnswer::Noted, PeerAnswer::Quota)
+        }
         PeerMessage::Answered { shard, key, request, answer } => {
             shared.claims.answered(&shard, key, request, answer);
             PeerAnswer::Noted
@@ -115,7 +119,6 @@
         let state = format!("{:?}", change.state).to_lowercase();
         shared.audit.record(AuditEvent::MemberChanged { member: change.id, state });
     }
-    shared.limits.heard(&heartbeat.from, &heartbeat.demand, now);
     shared.demand.heard(&heartbeat.from, &heartbeat.items, now);
     for digest in &heartbeat.digests {
         shared.fleet.observe(digest, now);
@@ -140,7 +143,6 @@
         revision: shared.in_force.revision(),
         digests,
         claims: shared.claims.kept(),
-        demand: shared.limits.demand(now),
         items: shared.demand.told(now),
     }
 }
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -11,6 +11,7 @@
 use crate::serving::exchange;
 use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
+use crate::serving::quota;
 use crate::serving::spread::{FeedKind, Relay, hall_mates, relay};
 
 /// How long a box that reads for itself alone waits after a change of the configuration, so that
@@ -147,7 +148,7 @@
         Ok(config) => {
             let (version, routes) = (config.version, config.routes().count());
             node.names.lock().set_items(&config);
-            node.quotas.set_limits(&config);
+            node.quotas.set_limits(quota::limits(&config));
             node.config.store(Some(Arc::new(config)));
             node.metrics.config_version.set(version as i64);
             node.servers_changed.notify_waiters();
--- a/trackfrontd/src/serving/newest.rs
+++ b/trackfrontd/src/serving/newest.rs
@@ -229,10 +229,7 @@
         return;
     };
     let age = Duration::from_millis(u64::from(told.age_ms));
-    // An age beyond the clock's start says nothing.
-    if let Some(as_of) = asked_at.0.checked_sub(age) {
-        node.newest.confirm(told.row, Moment(as_of));
-    }
+    node.newest.freshness.lock().told(told.row, age, asked_at);
     if told.row > node.config_row() {
         node.relayed.lock().note_config(told.row, Some(ip));
         node.relay_came.notify_waiters();
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -24,12 +24,14 @@
 use trackfront_core::serving::retry_budget::RetryBudgets;
 use trackfront_core::units::Moment;
 
+use crate::quotas::Quotas;
+
 use super::exchange::Exchange;
 use super::lacks::Lacks;
 use super::newest::Newest;
 use super::overlay::Overlay;
 use super::peer_book::PeerBook;
-use super::quota::Quotas;
+use super::quota::box_id;
 use super::settings::ServingSettings;
 use super::spread::Relayed;
 
@@ -126,7 +128,8 @@
         let budgets = RetryBudgets::new(settings.promises.budget());
         let directory = Directory::new(settings.promises.heartbeat());
         let started = ports.clock.now();
-        let quotas = Quotas::new(settings.node.ip);
+        // Questions of an earlier process at this address had other numbers.
+        let quotas = Quotas::new(box_id(settings.node.ip), rand::random());
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             ports,
--- a/trackfrontd/src/serving/pipeline/limit.rs
+++ b/trackfrontd/src/serving/pipeline/limit.rs
@@ -3,6 +3,7 @@
 //! They are taken last before a send, since what was granted has to be used soon, and given back if the request
 //! did not run.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,7 +81,7 @@
         let units = limit.units(self.info.counted_tokens).min(f64::from(u32::MAX)) as u32;
         let id = AccountId::of(&account.name);
         let patience = self.end.saturating_duration_since(Instant::now()).min(PATIENCE);
-        let outcome = self.node.quotas.take(&self.node, id, units, patience).await;
+        let outcome = self.node.quotas.take(id, units, self.node.now(), patience).await;
         let (refusal, cause, wait) = match outcome {
             Outcome::Granted => {
                 return Ok(Some(Units { node: self.node.clone(), account: id, units }));
@@ -94,7 +95,8 @@
                 (Refusal::NoServer { cause, retry_after }, cause, retry_after)
             }
         };
-        let keeper = self.node.quotas.keeper(id).map_or_else(String::new, |ip| ip.to_string());
+        let keeper = self.node.quotas.keeper(id).map(|id| Ipv4Addr::from_bits(id.0).to_string());
+        let keeper = keeper.unwrap_or_default();
         let (request, wait_ms) = (&self.info.id, wait.as_millis() as u64);
         let (account, config) = (account.name.as_str(), self.config.version);
         let (per_s, burst) = (limit.per_s, limit.burst);
--- a/trackfrontd/src/shared.rs
+++ b/trackfrontd/src/shared.rs
@@ -14,15 +14,16 @@
 use trackfront_core::demand::DemandMeter;
 use trackfront_core::fleet::Fleet;
 use trackfront_core::ids::{NodeId, ShardId, draw_id};
-use trackfront_core::limits::CallerLimits;
 use trackfront_core::members::Members;
 use trackfront_core::ports::peers::PeerState;
 use trackfront_core::retry::RetryBudget;
 use trackfront_core::routing::ChooseEngine;
 
 use crate::in_force::InForce;
+use crate::limits;
 use crate::outputs::OutputMeans;
 use crate::outside::Outside;
+use crate::quotas::Quotas;
 use crate::settings::Place;
 use crate::shards::claims::ClaimDesks;
 
@@ -54,7 +55,7 @@
     /// How much models and adapters are asked for.
     pub demand: DemandMeter,
     /// The limits of callers.
-    pub limits: CallerLimits,
+    pub quotas: Quotas,
     /// How many retries may be sent.
     pub retries: RetryBudget,
     /// Where claims of calls that may run once come in.
@@ -80,6 +81,8 @@
     ) -> Self {
         let fleet = Arc::new(Fleet::default());
         Self {
+            // Questions of an earlier process at this address had other numbers.
+            quotas: Quotas::new(limits::box_id(&peer_address), seed as u32),
             me,
             peer_address,
             metrics,
@@ -88,7 +91,6 @@
             router: outside.chooser(fleet.clone(), &place.hall),
             outputs: OutputMeans::default(),
             demand: DemandMeter::default(),
-            limits: CallerLimits::default(),
             retries: RetryBudget::default(),
             claims: ClaimDesks::default(),
             place,
