--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -1,8 +1,8 @@
 //! The decisions behind the request pipeline: routes, servers, load, choice, retries, placement.
 //!
 //! Every module is free of I/O and of clocks; moments come in as arguments. The runtime around
-//! them stands in `trackfrontd::serving`. This folder depends on [`crate::ids`], [`crate::units`]
-//! and [`crate::lease`] only.
+//! them stands in `trackfrontd::serving`. This folder depends on [`crate::accounts`], [`crate::ids`],
+//! [`crate::units`] and [`crate::lease`] only.
 
 pub mod adapter_use;
 pub mod affinity;
@@ -19,4 +19,5 @@
 pub mod planner;
 pub mod request;
 pub mod retry_budget;
+pub mod returns;
 pub mod share;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -19,4 +19,5 @@
     mod orders_random;
     mod planner;
     mod planner_random;
+    mod returns;
 }
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -148,6 +149,8 @@
         Ok(config) => {
             let (version, routes) = (config.version, config.routes().count());
             node.names.lock().set_items(&config);
+            let names: HashSet<&str> = config.routes().map(|route| route.name.as_str()).collect();
+            node.returns.lock().retain(|route| names.contains(route));
             node.quotas.set_limits(quota::limits(&config));
             node.config.store(Some(Arc::new(config)));
             node.metrics.config_version.set(version as i64);
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -1,7 +1,8 @@
 //! A serving node: the request pipeline and placement behind a deployment's own interfaces.
 //!
 //! [`node`] holds what the box knows; [`follow`] keeps it up to date from the platform,
-//! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`pipeline`] and [`relay`]
+//! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`newest`] tells how new the
+//! configuration is, and [`quota`] keeps the limits of client accounts with other boxes; [`pipeline`] and [`relay`]
 //! answer requests, [`listeners`] takes them; [`lease`], [`placement`] and [`order_task`] give orders
 //! to engines; [`run`] wires it all.
 //! This folder depends on the decisions in `trackfront_core::serving` and on the traits in
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -22,6 +22,7 @@
 use trackfront_core::serving::load::LoadBook;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::serving::retry_budget::RetryBudgets;
+use trackfront_core::serving::returns::Returns;
 use trackfront_core::units::Moment;
 
 use crate::quotas::Quotas;
@@ -84,6 +85,8 @@
     pub budgets: Mutex<RetryBudgets>,
     /// What share of requests found no free server.
     pub crowding: Mutex<Crowding>,
+    /// Which requests come back after a refusal.
+    pub returns: Mutex<Returns>,
     /// The demand for models.
     pub demand: Mutex<DemandMeter>,
     /// The adapters that requests in progress use.
@@ -142,6 +145,7 @@
             memory: Mutex::default(),
             budgets: Mutex::new(budgets),
             crowding: Mutex::default(),
+            returns: Mutex::default(),
             demand: Mutex::default(),
             adapter_use: Mutex::default(),
             lacks: Lacks::default(),
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -12,6 +12,12 @@
 /// time would make those behind it late as well, and its client does better later.
 const LEAST_CHANCE: f64 = 0.5;
 
+/// The part of the target within which an answer has to be likely so that a request is let in whose client was
+/// refused before and is late already. On two days of 90 boxes with bursts, calls in time of those that are owed
+/// go from 0.65 to 0.74 and from 0.60 to 0.67, streams by 0.01 to 0.04, and as many clients go without in the end;
+/// with a part of 0.2 more of them do.
+const RETURN_PART: f64 = 0.4;
+
 impl Job {
     /// Refuses what is not likely to be answered in time, and sends once more only as the budget allows.
     pub(super) fn judge(&self, choice: &Choice, tries: &Tries) -> Option<Refusal> {
@@ -40,13 +46,23 @@
     /// Returns whether the answer of the server that was chosen is more likely in time than late, by how
     /// far off estimates were lately.
     fn is_likely_in_time(&self, choice: &Choice, now: Instant) -> bool {
-        let spent = now.saturating_duration_since(self.arrived);
-        let left = self.route.target.saturating_sub(spent).min(self.end - now);
+        let left = self.time_to_be_let_in(now).min(self.end - now);
         let has_slot = choice.requests < choice.server.entry.slots;
         let mut loads = self.node.loads.lock();
         loads.chance(self.info.model.is_some(), has_slot, choice.estimate, left) >= LEAST_CHANCE
     }
 
+    /// Returns the time within which an answer has to be likely: what is left of the target since the client
+    /// first tried, or for one that is late already a part of it, which keeps the rest for first tries.
+    fn time_to_be_let_in(&self, now: Instant) -> Duration {
+        let spent = self.tried_before + now.saturating_duration_since(self.arrived);
+        let left = self.route.target.saturating_sub(spent);
+        match self.tried_before.is_zero() {
+            true => left,
+            false => left.max(self.route.target.mul_f64(RETURN_PART)),
+        }
+    }
+
     /// Returns how long after it came to a free engine the first event of this request is expected.
     pub(super) fn own_time(&self) -> Duration {
         let Some(item) = &self.info.model else {
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -73,6 +73,8 @@
     pub body: Bytes,
     /// When it arrived.
     pub arrived: Instant,
+    /// How long before that its client first tried, as far as that can be told.
+    pub tried_before: Duration,
     /// When the client stops waiting.
     pub deadline: Option<Instant>,
     /// When the node gives its final answer at the latest.
@@ -149,6 +151,9 @@
         ReadBodyError::TooSlow => Refusal::TooSlow,
         ReadBodyError::Broken(cause) => Refusal::Bad(cause),
     })?;
+    let tried_before = info
+        .deadline
+        .map_or(Duration::ZERO, |left| node.returns.lock().note(&route.name, left, node.now()));
     let service = route.service_for(short_hash(info.id.as_str())).clone();
     let prefixes = info.model.as_ref().map_or_else(Vec::new, |item| prefixes(item, &info.prompt));
     let job = Job {
@@ -162,6 +167,7 @@
         head,
         body,
         arrived,
+        tried_before,
         deadline,
         end: last,
         config,
