--- a/trackfront_core/src/serving/returns.rs
+++ b/trackfront_core/src/serving/returns.rs
@@ -5,7 +5,6 @@
 //! servers that bear 200, each refused client coming back once, 42 in 100 clients are answered in time if first
 //! tries and returns are let in alike, 63 if what is late already is let in only while little waits (trunk
 //! reservation); 12 and 13 in 100 go without (`tests/serving/returns`).
-//! they can be in time.
 //!
 //! A request does not say that its client tried before. But clients give the time that they still wait, and on
 //! most routes that begins at about the same value; one that has clearly less has spent the rest.
