--- a/trackfront/tests/losses.rs
+++ b/trackfront/tests/losses.rs
@@ -41,6 +41,36 @@
     assert_eq!(losses.first_event_ratio.quantiles, [0.5, 0.5, 0.5], "of two values the lower ones");
 }
 
+#[test]
+fn requests_of_client_accounts_are_counted_by_account() {
+    let end = |second: u32, account: &str, outcome: &str, cause: &str| {
+        format!(
+            "{{\"time\":\"2026-05-30T11:14:1{second}.000Z\",\"node\":\"a\",\"level\":\"INFO\",\
+             \"event\":\"request ended\",\"request\":\"r\",\"account\":\"{account}\",\
+             \"outcome\":\"{outcome}\",\"cause\":\"{cause}\"}}"
+        )
+    };
+    let reached = |account: &str| {
+        format!(
+            "the client account {account} has reached its limit; the request has not run, come back later"
+        )
+    };
+    let mut counter = LossCounter::default();
+    for line in [
+        end(0, "acct-1", "answered", ""),
+        end(2, "acct-1", "limit_reached", &reached("acct-1")),
+        end(2, "acct-2", "limit_reached", &reached("acct-2")),
+        end(3, "", "answered", ""),
+    ] {
+        counter.take(LogLine::read(&line, "file").as_ref());
+    }
+    let losses = counter.sum_up();
+    assert_eq!(losses.by_account.len(), 2, "a request without an account is none's");
+    assert_eq!(losses.by_account["acct-1"]["answered"], 1);
+    assert_eq!(losses.by_account["acct-1"]["limit_reached"], 1);
+    assert_eq!(losses.refused_by_second[&2]["the account has reached its limit"], 2);
+}
+
 fn command(arguments: &[&str], input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_trackfront"))
         .arg("losses")
