--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -17,6 +17,7 @@
 use super::Job;
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::NoteKind;
+use crate::serving::spread::FeedKind;
 
 /// How long a connection to a server may take to open: many times the way within a region.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
@@ -232,7 +233,10 @@
 
     fn log_send(&self, choice: &Choice, expected_ms: f64, resumes: bool) {
         let known = &choice.server;
-        let age = |moment: Moment| self.node.now().since(moment).as_millis() as u64;
+        let now = self.node.now();
+        let age = |moment: Moment| now.since(moment).as_millis() as u64;
+        let list = self.node.directory.lock().newest();
+        let heard = self.node.relayed.lock().silence(FeedKind::Servers, now);
         log::info!(
             request:% = self.info.id,
             route = self.route.name,
@@ -240,6 +244,8 @@
             server:% = known.entry.id,
             row = known.version,
             row_age_ms = age(known.learned),
+            list,
+            list_age_ms = heard.map_or(-1, |silence| silence.as_millis() as i64),
             expected_ms = expected_ms as u64,
             requests = choice.requests,
             waiting = choice.waiting,
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -274,13 +274,22 @@
                 let failed_at = node.store_failed_at();
                 node.directory.lock().reader_expects_lapses(left, failed_at, now);
             }
-            take_servers(node, from, to, changes, now);
+            take_servers(node, from_ip, Told { from, to, changes }, now);
         }
     }
     node.relay_came.notify_waiters();
 }
 
-fn take_servers(node: &ServingNode, from: u64, to: u64, changes: Vec<ServerChange>, now: Moment) {
+/// Changes of servers as another box told them.
+struct Told {
+    from: u64,
+    to: u64,
+    changes: Vec<ServerChange>,
+}
+
+fn take_servers(node: &ServingNode, from_ip: Ipv4Addr, told: Told, now: Moment) {
+    let Told { from, to, changes } = told;
+    let count = changes.len();
     let mut directory = node.directory.lock();
     let known = directory.newest();
     // Before the first listing, and after a lost message, changes alone are not enough.
@@ -290,6 +299,10 @@
         false => directory.apply(changes, to, now),
     };
     drop(directory);
+    if count > 0 || misses {
+        let outcome = if misses { "some are missing" } else { "taken" };
+        log::info!(by:% = from_ip, from, to, known, changes = count, outcome; "told of servers");
+    }
     follow::note_events(node, events, to, follow::Source::OtherBox);
     let mut relayed = node.relayed.lock();
     relayed.note(FeedKind::Servers, now);
