Count the last use of a draining server from when it may have begun to drain

Now nothing is sent after 0.6 of it, counted from when the list without that word was last known to be the newest. Where the reader lives the time stays as it was, a quarter, unless the last word is older than 0.35 of it. Test without processes, red before.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -51,8 +51,10 @@
     pub tried: &'a [BackendId],
     /// The node's zone.
     pub zone: &'a ZoneName,
-    /// How long after it began to drain a server may still be sent what no other can answer.
+    /// How long after the node learned that it drains a server may still be sent what no other can answer.
     pub drain_grace: Duration,
+    /// How long after it may have begun to drain at the latest.
+    pub drain_end: Duration,
     /// The present moment.
     pub now: Moment,
 }
@@ -144,7 +146,12 @@
 fn takes_requests(server: &KnownServer, query: &Query<'_>) -> bool {
     match server.draining_since {
         None => true,
-        Some(since) => server.was_ready && query.now.since(since) < query.drain_grace,
+        Some(since) => {
+            let may = server.may_drain_since.unwrap_or(since);
+            server.was_ready
+                && query.now.since(since) < query.drain_grace
+                && query.now.since(may) < query.drain_end
+        }
     }
 }
 
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -1,10 +1,11 @@
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::affinity::{PromptMemory, prefixes};
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, ServerView, choose};
-use trackfront_core::serving::directory::{ServerEntry, ServerState};
+use trackfront_core::serving::directory::{KnownServer, ServerEntry, ServerState};
 use trackfront_core::serving::load::{Ending, LoadBook, Work};
 use trackfront_core::serving::request::{ModelRef, PromptPart, RequestInfo};
 
@@ -56,6 +57,10 @@
 
 impl Case {
     fn choose(&mut self) -> Result<Choice, NoChoice> {
+        self.choose_among(&known(self.servers.clone()))
+    }
+
+    fn choose_among(&mut self, servers: &[Arc<KnownServer>]) -> Result<Choice, NoChoice> {
         let found = self.info.model.as_ref().map(|model| prefixes(model, &self.info.prompt));
         let query = Query {
             info: &self.info,
@@ -64,9 +69,10 @@
             tried: &self.tried,
             zone: &"a".into(),
             drain_grace: Duration::from_millis(800),
+            drain_end: Duration::from_millis(2_000),
             now: at(self.now),
         };
-        choose(&query, &known(self.servers.clone()), &mut self.loads, &self.memory, &self.notes)
+        choose(&query, servers, &mut self.loads, &self.memory, &self.notes)
     }
 
     fn chosen(&mut self) -> String {
@@ -162,6 +168,21 @@
     assert_eq!(case.choose().unwrap_err(), NoChoice::NoServer);
 }
 
+#[test]
+fn a_draining_server_that_was_learned_late_gets_nothing() {
+    let mut leaving = entry("x", &["m"]);
+    let ready = leaving.clone();
+    leaving.state = ServerState::Draining { remaining: None };
+    let mut case = case(vec![ready, leaving], info(Some(item("m", None)), 1));
+    // The list was last known to be the newest 2 s before.
+    let mut servers = known(case.servers.clone());
+    Arc::make_mut(&mut servers[0]).draining_since = Some(at(2_000));
+    case.now = 2_000;
+    assert_eq!(case.choose_among(&servers).unwrap_err(), NoChoice::NoServer);
+    case.now = 1_999;
+    assert!(case.choose_among(&servers).is_ok());
+}
+
 #[test]
 fn an_engine_whose_place_another_run_took_is_out() {
     let mut case = case(vec![entry("x", &["m"])], info(Some(item("m", None)), 1));
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -40,6 +40,11 @@
 /// other can answer.
 const DRAIN_PART: f64 = 0.25;
 
+/// The part of that time, from when the server may have begun to drain, after which nothing is sent to it. A box
+/// whose hall is read late learns late: with the part above alone it sent the last request 1.1 times the promised
+/// time after the server's word.
+const DRAIN_END_PART: f64 = 0.6;
+
 /// How long after its start a node waits to learn of the others before it acts alone.
 const ALONE_FOR: Duration = Duration::from_millis(2_000);
 
@@ -297,12 +302,16 @@
         self.servers_changed.notify_waiters();
     }
 
-    /// Returns how long after it began to drain a server may still be sent what no other answers.
+    /// Returns how long after this box learned that it drains a server may still be sent what no other answers.
     pub fn drain_grace(&self) -> Duration {
-        // A part of the promise only: the node may have learned late.
         self.settings.load().promises.drain().mul_f64(DRAIN_PART)
     }
 
+    /// Returns how long after it may have begun to drain.
+    pub fn drain_end(&self) -> Duration {
+        self.settings.load().promises.drain().mul_f64(DRAIN_END_PART)
+    }
+
     /// Notes whether a dependency is there.
     pub fn set_dependency(&self, kind: &'static str, is_there: bool) {
         self.metrics.dependencies.get_or_create(&KindLabel { kind }).set(i64::from(is_there));
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -307,6 +307,7 @@
             tried,
             zone: &settings.node.zone,
             drain_grace: node.drain_grace(),
+            drain_end: node.drain_end(),
             now: node.now(),
         };
         let directory = node.directory.lock();
