Tell runs of a server apart, and take no server from what another writer wrote

A server may start again under the key that it had, and a row may come from another writer. A row of an earlier run that comes late changes nothing, nor does it bring back one that went. An order is not given, and none is taken for done, by the report of another run; an engine that may still get an order meant for its earlier run gets no others for 15 s.

One line a row and version, eight an answer, and a counter.

--- a/trackfront_adapters/src/interface.rs
+++ b/trackfront_adapters/src/interface.rs
@@ -8,7 +8,7 @@
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderMap, Request, Response, StatusCode, request, response};
 use http_body_util::Full;
-use trackfront_core::ids::{AccountName, BackendId, RequestId};
+use trackfront_core::ids::{AccountName, RequestId, ServerKey};
 use trackfront_core::serving::directory::ServerEntry;
 use trackfront_core::serving::load::ToldLoad;
 use trackfront_core::serving::orders::{EngineOrder, EngineReport, OrderAnswer};
@@ -61,7 +61,7 @@
     /// Whether the server says that it is another one than expected, or lacks the model.
     pub misdirected: bool,
     /// The run of the server that answered, if it says.
-    pub instance: Option<BackendId>,
+    pub instance: Option<ServerKey>,
     /// Whether the answer bears the mark that makes it count as the server's own.
     pub signed: bool,
     /// The server's load.
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -58,6 +58,8 @@
     accounts: Mutex<BTreeSet<String>>,
     /// Requests that were refused as not run, by cause.
     pub refusals: Family<KindLabel, Counter>,
+    /// Rows of servers that name none to use, by version.
+    pub unusable_rows: Counter,
     /// Sends to servers, by how they ended.
     pub sends: Family<KindLabel, Counter>,
     /// Time to the first event or the whole plain answer, by kind of route.
@@ -98,6 +100,7 @@
             by_account: Family::default(),
             accounts: Mutex::default(),
             refusals: Family::default(),
+            unusable_rows: Counter::default(),
             sends: Family::default(),
             first_event: Family::new_with_constructor(latency),
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
@@ -129,6 +132,8 @@
         );
         let refusals = self.refusals.clone();
         registry.register("refusals", "Requests refused as not run by cause", refusals);
+        let unusable = self.unusable_rows.clone();
+        registry.register("unusable_rows", "Rows of servers that name none to use", unusable);
         registry.register("sends", "Sends to servers by how they ended", self.sends.clone());
         registry.register_with_unit(
             "first_event",
--- a/trackfront_core/src/ids.rs
+++ b/trackfront_core/src/ids.rs
@@ -54,6 +54,10 @@
     /// The name of a hall (zone).
     ZoneName
 }
+name_type! {
+    /// The key under which a server's entries stand, whichever run of it wrote them.
+    ServerKey
+}
 name_type! {
     /// The name of a service in the tree.
     ServiceName
--- a/trackfront_core/src/ports/knowledge.rs
+++ b/trackfront_core/src/ports/knowledge.rs
@@ -8,7 +8,7 @@
 
 use crate::ports::TableError;
 use crate::serving::config::ServingConfig;
-use crate::serving::directory::{ServerChange, ServerEntry};
+use crate::serving::directory::ServerChange;
 
 /// All rows as of one moment.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,8 +59,8 @@
     /// a feed may be silent while changes are made, so its silence does not show that.
     async fn is_newest_config(&self, row: u64) -> Result<bool, TableError>;
 
-    /// Reads all servers.
-    async fn list_servers(&self) -> Result<Listing<ServerEntry>, TableError>;
+    /// Reads the rows of all servers; no row is told as gone.
+    async fn list_servers(&self) -> Result<Listing<ServerChange>, TableError>;
 
     /// Waits at most `wait` for changes of servers after `version`.
     async fn follow_servers(
--- a/trackfront_core/src/serving/directory/change.rs
+++ b/trackfront_core/src/serving/directory/change.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::entry::ServerEntry;
-use crate::ids::BackendId;
+use crate::ids::{BackendId, ServerKey};
 
 /// A change of one row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,16 +19,36 @@
     Gone {
         /// The version at which it went.
         version: u64,
-        /// The server.
-        id: BackendId,
+        /// The key of the row.
+        key: ServerKey,
+    },
+    /// The row was written by another than its server: it names none to use.
+    Unusable {
+        /// The version of the row.
+        version: u64,
+        /// The key of the row.
+        key: ServerKey,
+        /// What is wrong with it, at whoever read it.
+        #[serde(skip)]
+        error: String,
     },
 }
 
 impl ServerChange {
+    /// Returns the key of the row.
+    pub fn key(&self) -> &ServerKey {
+        match self {
+            ServerChange::Set { entry, .. } => &entry.key,
+            ServerChange::Gone { key, .. } | ServerChange::Unusable { key, .. } => key,
+        }
+    }
+
     /// Returns the version of the change.
     pub fn version(&self) -> u64 {
         match self {
-            ServerChange::Set { version, .. } | ServerChange::Gone { version, .. } => *version,
+            ServerChange::Set { version, .. }
+            | ServerChange::Gone { version, .. }
+            | ServerChange::Unusable { version, .. } => *version,
         }
     }
 }
--- a/trackfront_core/src/serving/directory/entry.rs
+++ b/trackfront_core/src/serving/directory/entry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AdapterName, BackendId, ModelName, ServiceName, ZoneName};
+use crate::ids::{AdapterName, BackendId, ModelName, ServerKey, ServiceName, ZoneName};
 use crate::units::Moment;
 
 /// What a server does about new requests, by its own word.
@@ -37,6 +37,11 @@
 pub struct ServerEntry {
     /// The identity of this run of the server; a restart gets a new one.
     pub id: BackendId,
+    /// The key of its row, which a later run has as well.
+    pub key: ServerKey,
+    /// When this run started, in Unix milliseconds of the server's own clock, if it says so. It tells runs under one
+    /// key apart and is compared with nothing else.
+    pub started: Option<u64>,
     /// The service.
     pub service: ServiceName,
     /// The address, IP and port.
@@ -74,6 +79,15 @@
     pub may_drain_since: Option<Moment>,
     /// Whether this node knew it as ready before it drained. If not, it may have drained for long.
     pub was_ready: bool,
+    /// The earlier run that it took the place of, if this node knew one.
+    pub replaces: Option<BackendId>,
+}
+
+impl ServerEntry {
+    /// Returns whether an earlier run wrote this.
+    pub fn is_earlier_run(&self, other: Option<u64>) -> bool {
+        self.started.zip(other).is_some_and(|(own, other)| own < other)
+    }
 }
 
 impl KnownServer {
--- a/trackfront_core/src/serving/directory/mod.rs
+++ b/trackfront_core/src/serving/directory/mod.rs
@@ -18,7 +18,7 @@
 pub use change::{Basis, DirectoryEvent, ServerChange, ToldChanges, Update};
 pub use entry::{KnownServer, ResidentModel, Residents, ServerEntry, ServerState};
 
-use crate::ids::{BackendId, ServiceName};
+use crate::ids::{BackendId, ServerKey, ServiceName};
 use crate::units::Moment;
 
 /// How long a server that has left is remembered, so that a late row cannot bring it back.
@@ -45,9 +45,11 @@
     /// How often a server writes its row.
     heartbeat: Duration,
     servers: HashMap<BackendId, Arc<KnownServer>>,
+    /// The run under each key.
+    runs: HashMap<ServerKey, BackendId>,
     by_service: HashMap<ServiceName, Vec<Arc<KnownServer>>>,
-    /// Servers that left: the version at which they went, and when it was learned.
-    gone: HashMap<BackendId, (u64, Moment)>,
+    /// Servers that left.
+    gone: HashMap<ServerKey, GoneServer>,
     /// The newest version that any answer named.
     newest: u64,
     /// The version after which all changes are known.
@@ -59,7 +61,20 @@
     /// Until when a row that goes may have lapsed while the platform was away.
     lapse_until: Moment,
     /// Ready servers whose rows went within that time, and the versions at which they did.
-    lapsed: HashMap<BackendId, u64>,
+    lapsed: HashMap<ServerKey, u64>,
+}
+
+/// A server that left.
+#[derive(Clone, Debug)]
+struct GoneServer {
+    /// The version at which it went.
+    version: u64,
+    /// When that was learned.
+    at: Moment,
+    /// Its last run, if one was known.
+    run: Option<BackendId>,
+    /// When that run had started.
+    started: Option<u64>,
 }
 
 impl Directory {
@@ -68,6 +83,7 @@
         Self {
             heartbeat,
             servers: HashMap::new(),
+            runs: HashMap::new(),
             by_service: HashMap::new(),
             gone: HashMap::new(),
             newest: 0,
@@ -142,8 +158,9 @@
             return Vec::new();
         }
         let lapsed = std::mem::take(&mut self.lapsed);
+        let ended = lapsed.into_iter();
         let events: Vec<_> =
-            lapsed.into_iter().filter_map(|(id, version)| self.remove(version, id, now)).collect();
+            ended.filter_map(|(key, version)| self.remove(version, key, now)).collect();
         self.index();
         events
     }
@@ -191,11 +208,22 @@
         }
     }
 
-    /// Takes in all rows as of `version`. An older listing than what was seen changes nothing;
+    /// Takes in all servers as of `version`. An older listing than what was seen changes nothing;
     /// then `None` comes back.
     pub fn replace(
         &mut self,
-        rows: Vec<(u64, ServerEntry)>,
+        servers: Vec<(u64, ServerEntry)>,
+        version: u64,
+        now: Moment,
+    ) -> Option<Vec<DirectoryEvent>> {
+        let rows = servers.into_iter().map(|(version, entry)| ServerChange::Set { version, entry });
+        self.replace_rows(rows.collect(), version, now)
+    }
+
+    /// The same with all rows, among which some may name no server.
+    pub fn replace_rows(
+        &mut self,
+        rows: Vec<ServerChange>,
         version: u64,
         now: Moment,
     ) -> Option<Vec<DirectoryEvent>> {
@@ -204,15 +232,14 @@
         }
         // What came and went since the version that was known is not in the listing.
         self.complete_after = version;
-        let listed: BTreeSet<BackendId> = rows.iter().map(|(_, entry)| entry.id.clone()).collect();
+        let listed: BTreeSet<&ServerKey> = rows.iter().map(ServerChange::key).collect();
         let mut changes: Vec<ServerChange> = self
             .servers
             .values()
-            .filter(|known| !listed.contains(&known.entry.id) && known.version <= version)
-            .map(|known| ServerChange::Gone { version, id: known.entry.id.clone() })
+            .filter(|known| !listed.contains(&known.entry.key) && known.version <= version)
+            .map(|known| ServerChange::Gone { version, key: known.entry.key.clone() })
             .collect();
-        changes
-            .extend(rows.into_iter().map(|(version, entry)| ServerChange::Set { version, entry }));
+        changes.extend(rows);
         Some(self.apply_all(changes, version, now))
     }
 
@@ -223,7 +250,7 @@
         now: Moment,
     ) -> Vec<DirectoryEvent> {
         let events: Vec<_> =
-            changes.into_iter().filter_map(|change| self.apply_one(change, now)).collect();
+            changes.into_iter().flat_map(|change| self.apply_one(change, now)).collect();
         self.newest = self.newest.max(version);
         self.forget_gone(now);
         if !events.is_empty() {
@@ -235,10 +262,10 @@
     /// Forgets servers that left long ago; the record of changes reaches less far back then.
     fn forget_gone(&mut self, now: Moment) {
         let complete_after = &mut self.complete_after;
-        self.gone.retain(|_, (version, at)| {
-            let keeps = now.since(*at) < GONE_FOR;
+        self.gone.retain(|_, gone| {
+            let keeps = now.since(gone.at) < GONE_FOR;
             if !keeps {
-                *complete_after = (*complete_after).max(*version);
+                *complete_after = (*complete_after).max(gone.version);
             }
             keeps
         });
@@ -251,16 +278,21 @@
             let id = event.server();
             match self.servers.get(id) {
                 Some(known) => {
-                    ServerChange::Set { version: known.version, entry: known.entry.clone() }
+                    Some(ServerChange::Set { version: known.version, entry: known.entry.clone() })
+                }
+                // One whose place a later run took is not gone for the others either: they are told of that.
+                None => {
+                    let mut gone = self.gone.iter();
+                    let (key, _) = gone.find(|(_, gone)| gone.run.as_ref() == Some(id))?;
+                    Some(ServerChange::Gone { version, key: key.clone() })
                 }
-                None => ServerChange::Gone { version, id: id.clone() },
             }
         };
-        let gone = |(id, version): (&BackendId, &u64)| ServerChange::Gone {
+        let gone = |(key, version): (&ServerKey, &u64)| ServerChange::Gone {
             version: *version,
-            id: id.clone(),
+            key: key.clone(),
         };
-        events.iter().map(change).chain(self.lapsed.iter().map(gone)).collect()
+        events.iter().filter_map(change).chain(self.lapsed.iter().map(gone)).collect()
     }
 
     /// Returns what one that knows the servers up to version `after` lacks: the changes since then, or all
@@ -268,7 +300,7 @@
     pub fn since(&self, after: u64) -> Update {
         if after < self.complete_after {
             let listed =
-                self.servers.values().filter(|known| !self.lapsed.contains_key(&known.entry.id));
+                self.servers.values().filter(|known| !self.lapsed.contains_key(&known.entry.key));
             return Update::Whole(
                 listed.map(|known| (known.version, known.entry.clone())).collect(),
             );
@@ -276,79 +308,148 @@
         let newer = self.servers.values().filter(|known| known.version > after);
         let set = newer
             .map(|known| ServerChange::Set { version: known.version, entry: known.entry.clone() });
-        let went = self.gone.iter().map(|(id, (version, _))| (id, *version));
-        let lapsed = self.lapsed.iter().map(|(id, version)| (id, *version));
+        let went = self.gone.iter().map(|(key, gone)| (key, gone.version));
+        let lapsed = self.lapsed.iter().map(|(key, version)| (key, *version));
         let gone = went.chain(lapsed).filter(|(_, version)| *version > after);
-        let gone = gone.map(|(id, version)| ServerChange::Gone { version, id: id.clone() });
+        let gone = gone.map(|(key, version)| ServerChange::Gone { version, key: key.clone() });
         Update::Changes(set.chain(gone).collect())
     }
 
-    fn apply_one(&mut self, change: ServerChange, now: Moment) -> Option<DirectoryEvent> {
-        match change {
-            ServerChange::Set { version, entry } => self.set(version, entry, now),
-            ServerChange::Gone { version, id } => self.remove(version, id, now),
-        }
+    fn apply_one(&mut self, change: ServerChange, now: Moment) -> Vec<DirectoryEvent> {
+        let event = match change {
+            ServerChange::Set { version, entry } => return self.set(version, entry, now),
+            ServerChange::Gone { version, key } => self.remove(version, key, now),
+            ServerChange::Unusable { version, key, .. } => self.take_away(version, key, now),
+        };
+        event.into_iter().collect()
     }
 
-    fn set(&mut self, version: u64, entry: ServerEntry, now: Moment) -> Option<DirectoryEvent> {
-        let id = entry.id.clone();
-        // A server's identifier is used by one run only, so one that went does not come back
-        // except by a row that is newer than its going: the platform may have lost it for a while.
-        if self.gone.get(&id).is_some_and(|(gone, _)| *gone >= version) {
-            return None;
-        }
-        let before = self.servers.get(&id);
-        let lapsed_at = self.lapsed.get(&id).copied().unwrap_or(0);
-        if before.is_some_and(|known| known.version >= version) || lapsed_at >= version.max(1) {
-            return None;
+    fn set(&mut self, version: u64, entry: ServerEntry, now: Moment) -> Vec<DirectoryEvent> {
+        if self.is_older(version, &entry) {
+            return Vec::new();
         }
-        let drains = entry.state != ServerState::Ready;
-        let drained_before = before.and_then(|known| known.draining_since);
-        let draining_since = drains.then(|| drained_before.unwrap_or(now));
-        let may_have = before.and_then(|known| known.may_drain_since);
-        let may_drain_since = drains.then(|| may_have.unwrap_or(self.heard_at));
-        let was_ready = !drains || before.is_some_and(|known| known.was_ready);
-        let event = match before {
-            _ if drains && drained_before.is_none() => DirectoryEvent::Draining(id.clone()),
-            None => DirectoryEvent::Joined(id.clone()),
-            Some(_) => DirectoryEvent::Changed(id.clone()),
+        self.lapsed.remove(&entry.key);
+        let gone = self.gone.remove(&entry.key);
+        let before = self.runs.get(&entry.key).and_then(|run| self.servers.get(run)).cloned();
+        let (id, key) = (entry.id.clone(), entry.key.clone());
+        let known = match &before {
+            Some(same) if same.entry.id == id => self.next(same, version, entry, now),
+            _ => {
+                let earlier = before.as_ref().map(|before| before.entry.id.clone());
+                let earlier = earlier.or(gone.as_ref().and_then(|gone| gone.run.clone()));
+                let comes_back = earlier.as_ref() == Some(&id);
+                let first_learned = if comes_back { Moment::default() } else { now };
+                let replaces = earlier.filter(|_| !comes_back);
+                self.first(version, entry, now, first_learned, replaces)
+            }
         };
-        self.lapsed.remove(&id);
-        let came_back = self.gone.remove(&id).is_some();
-        let first_learned = match before {
-            Some(known) => known.first_learned,
-            None if came_back => Moment::default(),
-            None => now,
+        let drained_before = before
+            .as_ref()
+            .is_some_and(|before| before.entry.id == id && before.draining_since.is_some());
+        let event = match &before {
+            _ if known.draining_since.is_some() && !drained_before => {
+                DirectoryEvent::Draining(id.clone())
+            }
+            Some(before) if before.entry.id == id => DirectoryEvent::Changed(id.clone()),
+            _ => DirectoryEvent::Joined(id.clone()),
         };
+        self.servers.insert(id.clone(), Arc::new(known));
+        let ended = self.runs.insert(key, id.clone()).filter(|run| *run != id);
+        let ended = ended.inspect(|run| _ = self.servers.remove(run)).map(DirectoryEvent::Left);
+        ended.into_iter().chain([event]).collect()
+    }
+
+    /// Returns whether an entry is not newer than what is known. A server that went comes back only by a row that is
+    /// newer than its going: the platform may have lost it for a while. What an earlier run wrote may come last.
+    fn is_older(&self, version: u64, entry: &ServerEntry) -> bool {
+        let known = self.runs.get(&entry.key).and_then(|run| self.servers.get(run));
+        let gone = self.gone.get(&entry.key);
+        let lapsed_at = self.lapsed.get(&entry.key).copied().unwrap_or(0);
+        known.is_some_and(|known| known.version >= version)
+            || gone.is_some_and(|gone| gone.version >= version)
+            || lapsed_at >= version.max(1)
+            || known.is_some_and(|known| entry.is_earlier_run(known.entry.started))
+            || gone.is_some_and(|gone| entry.is_earlier_run(gone.started))
+    }
+
+    /// Returns a run of which the node knew nothing before.
+    fn first(
+        &mut self,
+        version: u64,
+        entry: ServerEntry,
+        now: Moment,
+        first_learned: Moment,
+        replaces: Option<BackendId>,
+    ) -> KnownServer {
         // A server begins empty, so one that is new here and holds models was missing from the list.
-        if before.is_none() && !entry.models.is_empty() {
+        if !entry.models.is_empty() {
             self.found_at = Some(now);
         }
-        let known = KnownServer {
-            entry,
+        let drains = entry.state != ServerState::Ready;
+        KnownServer {
             version,
             learned: now,
             first_learned,
-            draining_since,
-            may_drain_since,
-            was_ready,
-        };
-        self.servers.insert(id, Arc::new(known));
-        Some(event)
+            draining_since: drains.then_some(now),
+            may_drain_since: drains.then_some(self.heard_at),
+            was_ready: !drains,
+            replaces,
+            entry,
+        }
+    }
+
+    /// Returns a run by its next entry.
+    fn next(
+        &self,
+        before: &KnownServer,
+        version: u64,
+        entry: ServerEntry,
+        now: Moment,
+    ) -> KnownServer {
+        let drains = entry.state != ServerState::Ready;
+        KnownServer {
+            version,
+            learned: now,
+            first_learned: before.first_learned,
+            draining_since: drains.then(|| before.draining_since.unwrap_or(now)),
+            may_drain_since: drains.then(|| before.may_drain_since.unwrap_or(self.heard_at)),
+            was_ready: !drains || before.was_ready,
+            replaces: before.replaces.clone(),
+            entry,
+        }
     }
 
-    fn remove(&mut self, version: u64, id: BackendId, now: Moment) -> Option<DirectoryEvent> {
-        let known = self.servers.get(&id);
+    fn remove(&mut self, version: u64, key: ServerKey, now: Moment) -> Option<DirectoryEvent> {
+        let known = self.runs.get(&key).and_then(|run| self.servers.get(run));
         if known.is_some_and(|known| known.version > version) {
             return None;
         }
         if now < self.lapse_until && known.is_some_and(|known| known.is_ready()) {
-            self.lapsed.insert(id, version);
+            self.lapsed.insert(key, version);
             return None;
         }
-        let gone = self.gone.entry(id.clone()).or_insert((version, now));
-        gone.0 = gone.0.max(version);
-        self.servers.remove(&id).map(|_| DirectoryEvent::Left(id))
+        self.take_away(version, key, now)
+    }
+
+    fn take_away(&mut self, version: u64, key: ServerKey, now: Moment) -> Option<DirectoryEvent> {
+        let known = self.runs.get(&key).and_then(|run| self.servers.get(run));
+        if known.is_some_and(|known| known.version > version) {
+            return None;
+        }
+        self.lapsed.remove(&key);
+        let run = self.runs.remove(&key);
+        let known = run.as_ref().and_then(|run| self.servers.remove(run));
+        let before = self.gone.get(&key);
+        let gone = GoneServer {
+            version: before.map_or(version, |before| before.version.max(version)),
+            at: before.map_or(now, |before| before.at),
+            started: known
+                .as_ref()
+                .map_or(before.and_then(|before| before.started), |known| known.entry.started),
+            run: run.clone().or(before.and_then(|before| before.run.clone())),
+        };
+        self.gone.insert(key, gone);
+        known.and(run).map(DirectoryEvent::Left)
     }
 
     /// Lists the servers by service, but for those whose address a later one has: an address has one
--- a/trackfront_core/src/serving/orders.rs
+++ b/trackfront_core/src/serving/orders.rs
@@ -11,7 +11,7 @@
 
 use crate::ids::{AdapterName, Fence, ModelName};
 use crate::serving::config::EngineSpec;
-use crate::serving::directory::Residents;
+use crate::serving::directory::{Residents, ServerEntry};
 use crate::serving::request::ModelRef;
 use crate::units::Moment;
 
@@ -109,9 +109,16 @@
     pub running: u32,
     /// Requests waiting.
     pub waiting: u32,
+    /// When the run that reports started, if it says so.
+    pub started: Option<u64>,
 }
 
 impl EngineReport {
+    /// Returns whether another run than that of `entry` reports: its count of orders began anew.
+    pub fn is_of_other_run(&self, entry: &ServerEntry) -> bool {
+        self.started.zip(entry.started).is_some_and(|(own, other)| own != other)
+    }
+
     /// Returns whether a load of `model` takes nothing from the weight store.
     pub fn has_at_hand(&self, model: &ModelName) -> bool {
         self.in_memory.contains(model) || self.on_disk.contains(model)
--- a/trackfront_core/tests/serving/directory.rs
+++ b/trackfront_core/tests/serving/directory.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use trackfront_core::ids::BackendId;
+use trackfront_core::ids::{BackendId, ServerKey};
 use trackfront_core::serving::directory::{
     Basis, Directory, DirectoryEvent, ServerChange, ServerState, ToldChanges, Update,
 };
@@ -19,7 +19,7 @@
 }
 
 fn gone(version: u64, id: &str) -> ServerChange {
-    ServerChange::Gone { version, id: BackendId::from(id) }
+    ServerChange::Gone { version, key: ServerKey::from(id) }
 }
 
 fn ids(directory: &Directory) -> Vec<String> {
@@ -275,3 +275,94 @@
     directory.apply(vec![draining(5, "y", None)], 5, at(4_000));
     assert_eq!(directory.get(&"y".into()).expect("known").may_drain_since, Some(at(1_200)));
 }
+
+/// An entry of a run under key `x` that started at some second.
+fn run(version: u64, started: u64, models: &[&str]) -> ServerChange {
+    let mut entry = entry("x", models);
+    entry.id = BackendId::from(format!("x@{started}"));
+    entry.started = Some(started);
+    entry.sequence = 1;
+    ServerChange::Set { version, entry }
+}
+
+fn unusable(version: u64, key: &str) -> ServerChange {
+    ServerChange::Unusable { version, key: key.into(), error: "of another writer".into() }
+}
+
+#[test]
+fn a_later_run_takes_the_place_of_the_earlier_one() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.apply(vec![run(1, 100, &["m"])], 1, at(0));
+    directory.apply(vec![draining(2, "y", None)], 2, at(100));
+    let events = directory.apply(vec![run(3, 200, &[])], 3, at(1_000));
+    assert_eq!(
+        events,
+        [DirectoryEvent::Left("x@100".into()), DirectoryEvent::Joined("x@200".into())]
+    );
+    assert!(directory.get(&"x@100".into()).is_none());
+    let later = directory.get(&"x@200".into()).expect("known");
+    assert_eq!((later.first_learned, later.replaces.clone()), (at(1_000), Some("x@100".into())));
+    // What the earlier one wrote arrives last.
+    assert!(directory.apply(vec![run(4, 100, &["m"])], 4, at(1_100)).is_empty());
+    assert_eq!(ids(&directory), ["x@200", "y"]);
+    // The row goes, whichever run had it.
+    assert_eq!(
+        directory.apply(vec![gone(5, "x")], 5, at(2_000)),
+        [DirectoryEvent::Left("x@200".into())]
+    );
+    assert!(directory.apply(vec![run(6, 100, &["m"])], 6, at(2_100)).is_empty(), "it ended before");
+    assert_eq!(directory.apply(vec![run(7, 300, &[])], 7, at(2_200)).len(), 1);
+    let third = directory.get(&"x@300".into()).expect("known");
+    assert_eq!((third.first_learned, third.replaces.clone()), (at(2_200), Some("x@200".into())));
+}
+
+#[test]
+fn a_run_that_starts_after_a_draining_one_does_not_drain() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.apply(vec![run(1, 100, &[])], 1, at(0));
+    let mut leaving = entry("x", &[]);
+    (leaving.id, leaving.started) = ("x@100".into(), Some(100));
+    leaving.state = ServerState::Draining { remaining: None };
+    directory.apply(vec![ServerChange::Set { version: 2, entry: leaving }], 2, at(100));
+    directory.apply(vec![run(3, 200, &[])], 3, at(200));
+    let later = directory.get(&"x@200".into()).expect("known");
+    assert_eq!((later.draining_since, later.may_drain_since, later.is_ready()), (None, None, true));
+}
+
+#[test]
+fn a_listing_that_finds_a_later_run_is_told_as_one_change() {
+    let (mut reader, mut mate) = (Directory::new(HEARTBEAT), Directory::new(HEARTBEAT));
+    for directory in [&mut reader, &mut mate] {
+        directory.apply(vec![run(1, 100, &["m"]), set(2, "y", &[])], 2, at(0));
+    }
+    let ServerChange::Set { entry: later, .. } = run(5, 200, &[]) else {
+        unreachable!("it is set");
+    };
+    let events = reader.replace(vec![(2, entry("y", &[])), (5, later)], 6, at(100)).expect("newer");
+    let changes = reader.changes(&events, 6);
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    mate.told(ToldChanges::of_listing(2, 6, changes, 24), at(200)).expect("it knew the same");
+    assert_eq!((ids(&mate), mate.newest()), (vec!["x@200".into(), "y".into()], 6));
+}
+
+#[test]
+fn a_row_of_another_writer_takes_its_server_away_until_the_next_good_one() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.apply(vec![set(1, "x", &[]), set(2, "y", &[])], 2, at(0));
+    // Also where rows that go are waited for.
+    directory.platform_came_back(Duration::from_secs(4), at(1_000));
+    let events = directory.apply(vec![unusable(3, "x"), unusable(4, "z")], 4, at(1_100));
+    assert_eq!(events, [DirectoryEvent::Left("x".into())]);
+    assert_eq!((ids(&directory), directory.newest()), (vec!["y".into()], 4));
+    assert!(
+        directory.apply(vec![set(1, "x", &[])], 4, at(1_200)).is_empty(),
+        "what was said before"
+    );
+    directory.apply(vec![set(5, "x", &[])], 5, at(1_300));
+    assert_eq!(ids(&directory), ["x", "y"]);
+    // A listing that has such a row says the same.
+    let rows = vec![set(5, "x", &[]), unusable(8, "y")];
+    let events = directory.replace_rows(rows, 8, at(1_400)).expect("newer");
+    assert_eq!(events, [DirectoryEvent::Left("y".into())]);
+    assert_eq!(directory.changes(&events, 8), [gone(8, "y")]);
+}
--- a/trackfront_core/tests/serving/directory_random.rs
+++ b/trackfront_core/tests/serving/directory_random.rs
@@ -1,13 +1,14 @@
 //! Random runs of boxes that learn of servers from the platform and from each other: messages are lost, late and
 //! out of order, boxes start again, copies come from whoever is asked. A box that says that it knows a version has
-//! the servers of that version; one that had more sent requests to servers that were gone.
+//! the servers of that version; one that had more sent requests to servers that were gone. Servers start again under
+//! their keys, and words of earlier runs come late.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use trackfront_core::ids::BackendId;
+use trackfront_core::ids::ServerKey;
 use trackfront_core::serving::directory::{
     Basis, Directory, ServerChange, ServerEntry, ToldChanges,
 };
@@ -30,9 +31,11 @@
 
 /// The platform's table: its rows at each version.
 struct Table {
-    at_version: Vec<BTreeMap<BackendId, (u64, ServerEntry)>>,
+    at_version: Vec<BTreeMap<ServerKey, (u64, ServerEntry)>>,
     changes: Vec<ServerChange>,
     incarnation: u64,
+    /// The keys under which an earlier run's word came after a later one's.
+    mixed: BTreeSet<ServerKey>,
 }
 
 impl Table {
@@ -40,15 +43,15 @@
         self.at_version.len() as u64 - 1
     }
 
-    fn rows(&self, version: u64) -> &BTreeMap<BackendId, (u64, ServerEntry)> {
+    fn rows(&self, version: u64) -> &BTreeMap<ServerKey, (u64, ServerEntry)> {
         &self.at_version[version as usize]
     }
 
-    fn newest(&self) -> &BTreeMap<BackendId, (u64, ServerEntry)> {
+    fn newest(&self) -> &BTreeMap<ServerKey, (u64, ServerEntry)> {
         self.rows(self.version())
     }
 
-    fn write(&mut self, change: ServerChange, rows: BTreeMap<BackendId, (u64, ServerEntry)>) {
+    fn write(&mut self, change: ServerChange, rows: BTreeMap<ServerKey, (u64, ServerEntry)>) {
         self.at_version.push(rows);
         self.changes.push(change);
     }
@@ -57,13 +60,29 @@
     fn change(&mut self, rng: &mut ChaCha8Rng) {
         let version = self.version() + 1;
         let mut rows = self.newest().clone();
-        let ids: Vec<BackendId> = rows.keys().cloned().collect();
+        let ids: Vec<ServerKey> = rows.keys().cloned().collect();
         let known = ids.choose(rng).cloned();
         let joins = known.is_none() || (rows.len() < SERVERS && rng.random_bool(0.5));
         match known {
             Some(id) if !joins && rng.random_bool(0.7) => {
                 rows.remove(&id);
-                self.write(ServerChange::Gone { version, id }, rows);
+                self.write(ServerChange::Gone { version, key: id }, rows);
+            }
+            Some(id) if !joins && rng.random_bool(0.4) => {
+                // It starts again under its key, or what its first run wrote comes late.
+                let was_first = rows[&id].1.started == Some(0);
+                let comes_late = !was_first && rng.random_bool(0.3);
+                if comes_late {
+                    self.mixed.insert(id.clone());
+                }
+                let started = if comes_late { 0 } else { version };
+                let entry = ServerEntry {
+                    id: format!("{id}@{started}").into(),
+                    started: Some(started),
+                    ..rows[&id].1.clone()
+                };
+                rows.insert(id, (version, entry.clone()));
+                self.write(ServerChange::Set { version, entry }, rows);
             }
             Some(id) if !joins => {
                 let entry = ServerEntry { sequence: version, ..rows[&id].1.clone() };
@@ -72,8 +91,9 @@
             }
             _ => {
                 self.incarnation += 1;
-                let entry = entry(&format!("s{}", self.incarnation), &[]);
-                rows.insert(entry.id.clone(), (version, entry.clone()));
+                let mut entry = entry(&format!("s{}", self.incarnation), &[]);
+                (entry.id, entry.started) = (format!("{}@0", entry.key).into(), Some(0));
+                rows.insert(entry.key.clone(), (version, entry.clone()));
                 self.write(ServerChange::Set { version, entry }, rows);
             }
         }
@@ -83,7 +103,8 @@
     fn feed(&self, after: u64) -> Vec<ServerChange> {
         let mut seen = BTreeSet::new();
         let newer = self.changes.iter().rev().take_while(|change| change.version() > after);
-        let mut last: Vec<_> = newer.filter(|change| seen.insert(id_of(change))).cloned().collect();
+        let mut last: Vec<_> =
+            newer.filter(|change| seen.insert(change.key().clone())).cloned().collect();
         last.reverse();
         last
     }
@@ -95,6 +116,8 @@
     on_their_way: Vec<(usize, ToldChanges)>,
     /// Answers of the platform that have not come yet.
     answers: Vec<(usize, ToldChanges)>,
+    /// The latest start under each key that each box heard of.
+    heard: Vec<BTreeMap<ServerKey, u64>>,
     now: u64,
 }
 
@@ -148,6 +171,7 @@
 
     fn restart(&mut self, index: usize) {
         self.boxes[index] = Directory::new(HEARTBEAT);
+        self.heard[index].clear();
         self.answers.retain(|(asker, _)| *asker != index);
     }
 
@@ -182,41 +206,65 @@
         }
     }
 
-    fn check(&self) {
-        for (index, known) in self.boxes.iter().enumerate() {
-            let version = known.newest();
-            if version == 0 {
-                assert_eq!(known.all().count(), 0, "box {index} has listed nothing");
-                continue;
-            }
-            // The feed tells the last change of a row only, so what changes again later may be as it was before.
-            let later: BTreeSet<_> = self.table.feed(version).iter().map(id_of).collect();
-            let has: BTreeMap<_, _> = known
-                .all()
-                .map(|server| (server.entry.id.clone(), server.version))
-                .filter(|(id, _)| !later.contains(id))
-                .collect();
-            let rows = self.table.rows(version).iter().map(|(id, row)| (id.clone(), row.0));
-            let right: BTreeMap<_, _> = rows.filter(|(id, _)| !later.contains(id)).collect();
-            assert_eq!(has, right, "box {index} at version {version}");
+    fn check(&mut self) {
+        for index in 0..BOXES {
+            self.check_runs(index);
+            self.check_servers(index);
         }
     }
-}
 
-fn id_of(change: &ServerChange) -> BackendId {
-    match change {
-        ServerChange::Set { entry, .. } => entry.id.clone(),
-        ServerChange::Gone { id, .. } => id.clone(),
+    /// No box acts on an earlier run after it heard of a later one.
+    fn check_runs(&mut self, index: usize) {
+        let heard = &mut self.heard[index];
+        for server in self.boxes[index].all() {
+            let started = server.entry.started.expect("every server says it here");
+            let latest = heard.entry(server.entry.key.clone()).or_default();
+            assert!(started >= *latest, "box {index}: {server:?} after a run of {latest}");
+            *latest = started;
+        }
+    }
+
+    fn check_servers(&self, index: usize) {
+        let known = &self.boxes[index];
+        let version = known.newest();
+        if version == 0 {
+            assert_eq!(known.all().count(), 0, "box {index} has listed nothing");
+            return;
+        }
+        // The feed tells the last change of a row only, so what changes again later may be as it was before.
+        let later = self.table.feed(version);
+        let later: BTreeSet<&ServerKey> = later.iter().map(ServerChange::key).collect();
+        let rows = self.table.rows(version);
+        let has = known.all().map(|server| (server.entry.key.clone(), server.version));
+        let has: BTreeMap<_, _> = has.filter(|(key, _)| !later.contains(key)).collect();
+        let is_there = has.keys().all(|key| rows.contains_key(key));
+        assert!(is_there, "box {index} at version {version} has more than {rows:?}: {has:?}");
+        let is_compared = |key: &ServerKey| !later.contains(key) && !self.table.mixed.contains(key);
+        let has: BTreeMap<_, _> = has.into_iter().filter(|(key, _)| is_compared(key)).collect();
+        let right = rows.iter().map(|(key, row)| (key.clone(), row.0));
+        let right: BTreeMap<_, _> = right.filter(|(key, _)| is_compared(key)).collect();
+        assert_eq!(has, right, "box {index} at version {version}");
     }
 }
 
 #[test]
 fn a_box_that_knows_a_version_has_the_servers_of_that_version() {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let table = Table { at_version: vec![BTreeMap::new()], changes: Vec::new(), incarnation: 0 };
+    let table = Table {
+        at_version: vec![BTreeMap::new()],
+        changes: Vec::new(),
+        incarnation: 0,
+        mixed: BTreeSet::new(),
+    };
     let boxes = (0..BOXES).map(|_| Directory::new(HEARTBEAT)).collect();
-    let mut world =
-        World { table, boxes, on_their_way: Vec::new(), answers: Vec::new(), now: 1_000 };
+    let mut world = World {
+        table,
+        boxes,
+        on_their_way: Vec::new(),
+        answers: Vec::new(),
+        heard: vec![BTreeMap::new(); BOXES],
+        now: 1_000,
+    };
     world.table.change(&mut rng);
     for _ in 0..STEPS {
         world.step(&mut rng);
--- a/trackfront_core/tests/serving/support.rs
+++ b/trackfront_core/tests/serving/support.rs
@@ -41,6 +41,8 @@
 pub fn entry(id: &str, models: &[&str]) -> ServerEntry {
     ServerEntry {
         id: BackendId::from(id),
+        key: id.into(),
+        started: None,
         service: "text".into(),
         address: format!("127.0.0.1:{}", 1_000 + id.bytes().map(u32::from).sum::<u32>()),
         zone: "a".into(),
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -4,9 +4,7 @@
 
 use tokio::time::sleep;
 use trackfront_core::ports::{Feed, Listing};
-use trackfront_core::serving::directory::{
-    Basis, DirectoryEvent, ServerChange, ServerEntry, ToldChanges,
-};
+use trackfront_core::serving::directory::{Basis, DirectoryEvent, ServerChange, ToldChanges};
 
 use super::link::{FIRST_PAUSE, Link};
 use crate::serving::boxes;
@@ -87,11 +85,13 @@
 
 /// Takes in a listing of the servers. Returns the newest version before it, and what it has changed;
 /// nothing if it is older than what is known.
-fn take_listing(node: &ServingNode, listing: Listing<ServerEntry>) -> (u64, Option<Found>) {
+fn take_listing(node: &ServingNode, listing: Listing<ServerChange>) -> (u64, Option<Found>) {
+    let rows: Vec<ServerChange> = listing.rows.into_iter().map(|(_, row)| row).collect();
+    node.unusable_rows.note(&rows, &node.metrics);
     let mut directory = node.directory.lock();
     let from = directory.newest();
     let now = node.now();
-    let events = directory.replace(listing.rows, listing.version, now);
+    let events = directory.replace_rows(rows, listing.version, now);
     if events.is_some() {
         directory.heard(now);
     }
@@ -136,6 +136,7 @@
 }
 
 fn take_changes(node: &ServingNode, changes: Vec<ServerChange>, to: u64) -> Vec<DirectoryEvent> {
+    node.unusable_rows.note(&changes, &node.metrics);
     let now = node.now();
     let mut directory = node.directory.lock();
     let events = directory.apply(changes, to, now);
@@ -188,6 +189,10 @@
                 let (address, service) = (&entry.address, &entry.service);
                 let models = entry.models.len();
                 log::info!(server:% = id, address, service:%, models, version; "{what}");
+                if let (DirectoryEvent::Joined(_), Some(before)) = (event, &known.replaces) {
+                    let forgotten = "models, load, prompts and orders of the earlier run";
+                    log::info!(server:% = id, before:%, forgotten, version; "server started again");
+                }
             }
             None => log::info!(server:% = id, version; "{what}"),
         }
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -32,3 +32,4 @@
 pub mod run;
 pub mod settings;
 pub mod spread;
+pub mod unusable;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -35,6 +35,7 @@
 use super::quota::box_id;
 use super::settings::ServingSettings;
 use super::spread::Relayed;
+use super::unusable::UnusableRows;
 
 /// The part of the time that a draining server goes on for, in which it is still sent what no
 /// other can answer.
@@ -106,6 +107,8 @@
     pub peers: Mutex<PeerBook>,
     /// What readers of this hall relay from the platform.
     pub relayed: Mutex<Relayed>,
+    /// Rows of the platform that name no server.
+    pub unusable_rows: UnusableRows,
     /// Copies that boxes give each other.
     pub exchange: Exchange,
     /// Told when something came from a reader.
@@ -159,6 +162,7 @@
             peers: Mutex::default(),
             relayed: Mutex::default(),
             relay_came: Notify::new(),
+            unusable_rows: UnusableRows::default(),
             exchange: Exchange::default(),
             names: Mutex::default(),
             servers_changed: Notify::new(),
--- a/trackfrontd/src/serving/order_book.rs
+++ b/trackfrontd/src/serving/order_book.rs
@@ -1,9 +1,10 @@
 //! What the giver of orders has under way at each engine, and how the planner sees it.
 
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
-use trackfront_core::ids::{BackendId, ModelName};
-use trackfront_core::serving::directory::KnownServer;
+use trackfront_core::ids::{BackendId, ModelName, ServerKey};
+use trackfront_core::serving::directory::{KnownServer, ServerEntry};
 use trackfront_core::serving::orders::{EngineReport, LoadPacer};
 use trackfront_core::serving::planner::EngineView;
 use trackfront_core::units::Moment;
@@ -25,12 +26,43 @@
     pub report: Option<(EngineReport, Moment)>,
 }
 
+/// How long an order that was not answered may still be carried out: the engine may do so seconds later.
+const MAY_COME_FOR: Duration = Duration::from_secs(15);
+
 /// What is under way at all engines.
 pub struct OrderBook {
     /// By engine.
     pub engines: HashMap<BackendId, EngineOrders>,
     /// The rate of loads from the weight store.
     pub pacer: LoadPacer,
+    /// Orders that were not answered: the run that they were meant for, and until when they may be carried out.
+    unanswered: HashMap<ServerKey, (BackendId, Moment)>,
+}
+
+impl OrderBook {
+    /// Makes an empty one.
+    pub fn new(pacer: LoadPacer) -> Self {
+        Self { engines: HashMap::new(), pacer, unanswered: HashMap::new() }
+    }
+
+    /// Notes that no answer came to an order.
+    pub fn note_unanswered(&mut self, server: &ServerEntry, now: Moment) {
+        let until = now + MAY_COME_FOR;
+        self.unanswered.insert(server.key.clone(), (server.id.clone(), until));
+    }
+
+    /// Returns whether an order that was meant for an earlier run of a server may still be carried out by this one.
+    /// It names a count of orders taken, which starts anew; with no order of ours it stays at 0, where what may
+    /// come finds an empty engine, whose memory any load fits.
+    pub fn may_get_earlier_orders(&self, server: &ServerEntry, now: Moment) -> bool {
+        let unanswered = self.unanswered.get(&server.key);
+        unanswered.is_some_and(|(run, until)| *run != server.id && now < *until)
+    }
+
+    /// Drops what is over.
+    pub fn forget_old(&mut self, now: Moment) {
+        self.unanswered.retain(|_, (_, until)| now < *until);
+    }
 }
 
 /// Returns an engine as the planner should see it: by its report if that is newer than its row.
@@ -39,6 +71,7 @@
     let report = engine_orders
         .report
         .as_ref()
+        .filter(|(report, _)| !report.is_of_other_run(entry))
         .filter(|(report, at)| report.sequence > entry.sequence || *at > server.learned);
     let (models, in_memory, on_disk, pending) = match report {
         Some((report, _)) => (
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -58,6 +58,9 @@
 /// How long a connection to an engine may take to open.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
+/// Why an order has no effect that was meant for a run that is over.
+const OTHER_RUN: &str = "the engine has started again";
+
 /// How large an engine's report may be, in bytes.
 const MAX_REPORT: usize = 256 * 1024;
 
@@ -151,6 +154,12 @@
         let Some(mut report) = self.report().await else {
             return given;
         };
+        if report.is_of_other_run(&self.server.entry) {
+            for proposal in &self.proposals {
+                self.log(proposal, "order not given", report.sequence, OTHER_RUN);
+            }
+            return given;
+        }
         for proposal in &self.proposals {
             if let Err(fault) = check(proposal.operation, &proposal.item, &report, &self.spec) {
                 self.log(proposal, "order not given", report.sequence, &fault.to_string());
@@ -163,6 +172,9 @@
             }
             let answer = self.send(proposal, &report).await;
             self.log(proposal, "order given", report.sequence, answer.name());
+            if answer == OrderAnswer::Unknown {
+                self.book.lock().note_unanswered(&self.server.entry, self.node.now());
+            }
             self.node.metrics.orders.get_or_create(&KindLabel { kind: answer.name() }).inc();
             if !matches!(answer, OrderAnswer::Taken | OrderAnswer::AlreadyDone) {
                 break;
@@ -265,8 +277,16 @@
             if open.is_empty() {
                 return true;
             }
+            let report = self.report().await;
+            if let Some(other) = report.as_ref().filter(|it| it.is_of_other_run(&self.server.entry))
+            {
+                for proposal in &open {
+                    self.log(proposal, "order undone", other.sequence, OTHER_RUN);
+                }
+                return false;
+            }
             // A report that is from before the orders says nothing about them.
-            if let Some(report) = self.report().await.filter(|it| it.sequence >= given.sequence) {
+            if let Some(report) = report.filter(|it| it.sequence >= given.sequence) {
                 self.settle(&mut open, Some(&report.models));
                 if open.is_empty() {
                     return true;
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -180,8 +180,9 @@
             node.loads.lock().told(server, load, node.now());
         }
         if head.not_run || head.misdirected {
+            let own_key = &choice.server.entry.key;
             let replaced =
-                head.misdirected && head.instance.as_ref().is_some_and(|id| id != server);
+                head.misdirected && head.instance.as_ref().is_some_and(|key| key != own_key);
             held.end(if replaced { Ending::Replaced } else { Ending::Refused });
             if head.misdirected && !replaced {
                 self.note_withdrawn(choice);
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -3,7 +3,7 @@
 //! Each round plans from what the engines hold and what all nodes are asked for. Each engine gets
 //! its orders from a task of its own.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,7 +60,7 @@
         let right = Arc::new(OrderRight::default());
         let lease = OrderLease::new(node.clone(), right.clone(), giving);
         let terms = node.settings.load().promises.loads();
-        let book = OrderBook { engines: HashMap::new(), pacer: LoadPacer::new(terms, node.now()) };
+        let book = OrderBook::new(LoadPacer::new(terms, node.now()));
         let (book, tasks) = (Arc::new(Mutex::new(book)), JoinSet::new());
         Self { node, lease, right, book, tasks, summed_up_at: Moment::default() }
     }
@@ -129,6 +129,7 @@
             self.node.directory.lock().of_service(service).to_vec();
         let mut in_use = self.node.adapter_use.lock().by_server(now);
         let mut book = self.book.lock();
+        book.forget_old(now);
         let mut views = Vec::with_capacity(servers.len());
         for server in servers.iter().filter(|server| server.is_ready()) {
             let mut loads = self.node.loads.lock();
@@ -137,8 +138,10 @@
             let lost = silent.is_some_and(|since| now.since(since) > UNREACHABLE_FOR);
             if !lost && !load.is_replaced() {
                 let engine_orders = book.engines.entry(server.entry.id.clone()).or_default();
+                let seen = view(server, engine_orders, now);
+                let busy = seen.busy || book.may_get_earlier_orders(&server.entry, now);
                 let in_use = in_use.remove(&server.entry.id).unwrap_or_default();
-                views.push(EngineView { in_use, ..view(server, engine_orders, now) });
+                views.push(EngineView { in_use, busy, ..seen });
             }
         }
         let awaited =
--- /dev/null
+++ b/trackfrontd/src/serving/unusable.rs
@@ -0,0 +1,56 @@
+//! Rows of servers that name none to use, as others than their servers wrote them: counted, and logged once a
+//! version.
+
+use std::collections::HashMap;
+
+use parking_lot::Mutex;
+use trackfront_adapters::serving_metrics::ServingMetrics;
+use trackfront_core::ids::ServerKey;
+use trackfront_core::serving::directory::ServerChange;
+
+/// How many such rows of one answer have a line of their own; the others are summed up, or a flood of them would be
+/// one of lines.
+const LINES: usize = 8;
+
+/// How many rows are remembered as logged; a listing has them again.
+const REMEMBERED: usize = 1_024;
+
+/// What was logged.
+#[derive(Debug, Default)]
+pub struct UnusableRows {
+    logged: Mutex<HashMap<ServerKey, u64>>,
+}
+
+impl UnusableRows {
+    /// Notes those among rows that were read from the platform.
+    pub fn note(&self, rows: &[ServerChange], metrics: &ServingMetrics) {
+        let mut summed_up = 0;
+        let mut lines = 0;
+        for row in rows {
+            let ServerChange::Unusable { version, key, error } = row else {
+                continue;
+            };
+            if !self.is_new(key, *version) {
+                continue;
+            }
+            metrics.unusable_rows.inc();
+            if lines == LINES {
+                summed_up += 1;
+                continue;
+            }
+            lines += 1;
+            log::warn!(row:% = key, version, error; "row names no server to use");
+        }
+        if summed_up > 0 {
+            log::warn!(rows = summed_up; "more rows name no server to use");
+        }
+    }
+
+    fn is_new(&self, key: &ServerKey, version: u64) -> bool {
+        let mut logged = self.logged.lock();
+        if logged.len() >= REMEMBERED {
+            logged.clear();
+        }
+        logged.insert(key.clone(), version) != Some(version)
+    }
+}
--- /dev/null
+++ b/trackfrontd/tests/order_book.rs
@@ -0,0 +1,69 @@
+//! What the giver of orders believes of an engine that started again under its key.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use trackfront_core::serving::directory::{
+    Directory, KnownServer, ResidentModel, Residents, ServerChange, ServerEntry, ServerState,
+};
+use trackfront_core::serving::orders::{EngineReport, LoadPacer, LoadTerms};
+use trackfront_core::units::Moment;
+use trackfrontd::serving::order_book::{EngineOrders, OrderBook, view};
+
+fn at(ms: u64) -> Moment {
+    Moment(Duration::from_millis(ms))
+}
+
+fn models(names: &[&str]) -> Residents {
+    let held =
+        |name: &&str| ((*name).into(), ResidentModel { version: 1, adapters: BTreeSet::new() });
+    names.iter().map(held).collect()
+}
+
+/// A run that started at some second and holds nothing.
+fn run(started: u64) -> KnownServer {
+    let entry = ServerEntry {
+        id: format!("x@{started}").into(),
+        key: "x".into(),
+        started: Some(started),
+        service: "text".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "a".into(),
+        slots: 4,
+        state: ServerState::Ready,
+        models: Residents::new(),
+        sequence: 0,
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    };
+    let mut directory = Directory::new(Duration::from_secs(1));
+    let id = entry.id.clone();
+    directory.apply(vec![ServerChange::Set { version: 1, entry }], 1, at(1_000));
+    directory.get(&id).expect("known").as_ref().clone()
+}
+
+fn reported(started: Option<u64>, sequence: u64) -> EngineOrders {
+    let report =
+        EngineReport { sequence, models: models(&["m"]), started, ..EngineReport::default() };
+    EngineOrders { report: Some((report, at(500))), ..EngineOrders::default() }
+}
+
+#[test]
+fn a_report_of_another_run_is_not_believed_for_its_larger_count() {
+    let seen = |orders: &EngineOrders| view(&run(200), orders, at(2_000)).models;
+    assert_eq!(seen(&reported(Some(100), 7)), models(&[]), "the earlier run held it");
+    assert_eq!(seen(&reported(Some(200), 7)), models(&["m"]), "the row is older than the report");
+    assert_eq!(seen(&reported(None, 7)), models(&["m"]), "as where no server says when it started");
+}
+
+#[test]
+fn an_engine_that_may_get_orders_of_its_earlier_run_gets_no_others() {
+    let terms = LoadTerms { window: Duration::from_secs(5), overage: 1.1 };
+    let mut book = OrderBook::new(LoadPacer::new(terms, at(0)));
+    let (first, second) = (run(100).entry, run(200).entry);
+    assert!(!book.may_get_earlier_orders(&second, at(1_000)));
+    book.note_unanswered(&first, at(1_000));
+    assert!(!book.may_get_earlier_orders(&first, at(1_100)), "its count of orders guards that run");
+    assert!(book.may_get_earlier_orders(&second, at(15_900)));
+    assert!(!book.may_get_earlier_orders(&second, at(16_000)));
+}
