--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -42,8 +42,8 @@
 const DRAIN_PART: f64 = 0.25;
 
 /// The part of that time, from when the server may have begun to drain, after which nothing is sent to it. A box
-/// whose hall is read late learns late: with the part above alone it sent the last request 1.1 times the promised
-/// time after the server's word.
+/// whose hall is read late learns late, 0.85 of the time after the server's word at the worst that is waited for: with
+/// the part above alone the last request would go there 1.1 times the promised time after it.
 const DRAIN_END_PART: f64 = 0.6;
 
 /// How long after its start a node waits to learn of the others before it acts alone.
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -68,13 +68,13 @@
         to: u64,
         /// The differences.
         changes: Vec<ServerChange>,
-        /// As above.
+        /// For how many milliseconds rows that go may have lapsed while the platform was away.
         lapses_ms: u64,
     },
 }
 
 impl Relay {
-    /// Wraps changes of servers up.
+    /// Returns the message that tells changes of servers.
     pub fn servers(told: ToldChanges, lapses: Duration) -> Self {
         let ToldChanges { basis, from, to, changes } = told;
         let lapses_ms = lapses.as_millis() as u64;
