--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -24,7 +24,7 @@
 
 /// How many successors of a silent reader read within the promised time, one after the other: so many boxes of a
 /// hall may be cut off from the store, and not yet know it, and the rest still learn in time. With a third of
-/// the boxes cut off, more are at the front of a hall once in 5,000 times.
+/// the boxes cut off, a hall has so many at its front less than once in 6,000 times.
 const SUCCESSORS_IN_TIME: u32 = 8;
 
 /// The part of the time within which a draining server has to be known at which the last of these reads. With the
