Log what a request is apart from its identifier

No line told whether two tries are the same request, so the logs could not show which request was under way at each server that ended. A fingerprint of method, path, client account and body now stands in `request sent`.

--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod crowding;
 pub mod demand;
 pub mod directory;
+pub mod fingerprint;
 pub mod forecast;
 pub mod freshness;
 pub mod load;
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -240,6 +240,7 @@
         let heard = self.node.relayed.lock().silence(FeedKind::Servers, now);
         log::info!(
             request:% = self.info.id,
+            fingerprint:% = self.fingerprint,
             route = self.route.name,
             config = self.config.version,
             server:% = known.entry.id,
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -32,6 +32,7 @@
 use trackfront_core::serving::affinity::{Prefix, prefixes};
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, choose};
 use trackfront_core::serving::config::{Route, ServingConfig};
+use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 
 use super::follow;
@@ -65,6 +66,8 @@
     pub account: Option<Arc<ClientAccount>>,
     /// Its rank: that of its account, or else of its route.
     pub rank: u8,
+    /// What it is apart from its identifier.
+    pub fingerprint: Fingerprint,
     /// The prefixes of its prompt.
     pub prefixes: Vec<Prefix>,
     /// Its head as the client sent it.
@@ -156,8 +159,10 @@
         .map_or(Duration::ZERO, |left| node.returns.lock().note(&route.name, left, node.now()));
     let service = route.service_for(short_hash(info.id.as_str())).clone();
     let prefixes = info.model.as_ref().map_or_else(Vec::new, |item| prefixes(item, &info.prompt));
+    let fingerprint = fingerprint(&head, account.as_deref(), &body);
     let job = Job {
         node: node.clone(),
+        fingerprint,
         rank: account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority),
         account,
         route,
@@ -177,6 +182,11 @@
     Ok(job)
 }
 
+fn fingerprint(head: &request::Parts, account: Option<&ClientAccount>, body: &[u8]) -> Fingerprint {
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    Fingerprint::new(head.method.as_str(), path, account.map(|account| &account.name), body)
+}
+
 fn short_hash(text: &str) -> u64 {
     let hash = blake3::hash(text.as_bytes());
     u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes"))
