Operators see what is held off, and let it go again at all boxes

`trackfront held-off` and `trackfront let-go` ask a box's address for metrics. What is let go, by an operator or by a whole answer, loses its row.

--- a/trackfront/src/cli.rs
+++ b/trackfront/src/cli.rs
@@ -33,6 +33,10 @@
     ExplainRequest(ExplainRequest),
     /// Sum up what requests were lost to.
     Losses(Losses),
+    /// Show requests that are held off.
+    HeldOff(HeldOff),
+    /// Let a request go that is held off.
+    LetGo(LetGo),
     /// Show the audit trail.
     Audit(Audit),
     /// Hash a caller's key.
@@ -83,6 +87,36 @@
     pub json: bool,
 }
 
+/// Show the requests that serving boxes hold off, since servers crashed under them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "held-off")]
+pub struct HeldOff {
+    /// the address of a serving box's metrics; repeat it to name several
+    #[argh(option, long = "box")]
+    pub boxes: Vec<String>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Let a request go that serving boxes hold off: it may crash servers again.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "let-go")]
+pub struct LetGo {
+    /// its fingerprint, as `held-off` shows it
+    #[argh(positional)]
+    pub fingerprint: String,
+
+    /// the address of a serving box's metrics; repeat it to name several
+    #[argh(option, long = "box")]
+    pub boxes: Vec<String>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Show what would change if a tree were applied: files, loads, unloads, names that disappear.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "diff")]
--- a/trackfront/src/commands/mod.rs
+++ b/trackfront/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod explain_request;
 mod hash_key;
+mod held_off;
 mod losses;
 mod status;
 
@@ -29,6 +30,8 @@
         Command::Explain(args) => explain::run(&args),
         Command::ExplainRequest(args) => explain_request::run(&args),
         Command::Losses(args) => losses::run(&args),
+        Command::HeldOff(args) => held_off::list(&args).await,
+        Command::LetGo(args) => held_off::let_go(&args).await,
         Command::Audit(args) => audit::run(&args).await,
         Command::HashKey(_) => hash_key::run(),
     }
--- a/trackfront_core/src/serving/crashes.rs
+++ b/trackfront_core/src/serving/crashes.rs
@@ -249,6 +249,8 @@
             }
             (true, false) => {
                 suspect.held_since = None;
+                // Its row is removed; if it is held off again, another is written.
+                suspect.report.stored = false;
                 Learned::LetGo
             }
             _ if suspect.report.crashes() == crashes => Learned::Nothing,
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -4,6 +4,7 @@
 //! keeps what is held off in the platform's table and hands it to boxes that start;
 //! [`trackfront_core::serving::crashes`] decides.
 
+pub mod operators;
 mod outbox;
 mod rows;
 
@@ -51,6 +52,8 @@
     to_tell: Notify,
     /// Told when something is held off.
     to_keep: Notify,
+    /// Requests that were let go here, whose rows are to be removed.
+    rows_over: Mutex<Vec<Fingerprint>>,
     /// Whether this box knows what was held off before it started.
     is_loaded: AtomicBool,
 }
@@ -235,7 +238,11 @@
     }
     log_learned(node, fingerprint, learned, by);
     match learned {
-        Learned::HeldOff | Learned::LetGo => tell_all(node, fingerprint),
+        Learned::HeldOff => tell_all(node, fingerprint),
+        Learned::LetGo => {
+            node.crashes.rows_over.lock().push(fingerprint);
+            tell_all(node, fingerprint);
+        }
         _ => {
             node.crashes.outbox.lock().add_report(fingerprint, false, node.now());
             node.crashes.to_tell.notify_one();
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -128,10 +128,14 @@
             remove_row(node, fingerprint).await;
         }
     }
+    let let_go = std::mem::take(&mut *node.crashes.rows_over.lock());
+    for fingerprint in let_go {
+        remove_row(node, fingerprint).await;
+    }
 }
 
 /// Removes the row of a request that is held off no longer. One that stays is read by boxes that start.
-pub async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) {
+async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) {
     let removed = commit(node, fingerprint, Expect::Version(1), None).await;
     if !removed {
         log::warn!(fingerprint:%; "row of crashes not removed");
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -11,10 +11,10 @@
 use trackfront_adapters::http_server::{Body, ServerLimits, response, serve, serve_with};
 use trackfront_adapters::metrics::CONTENT_TYPE;
 
-use super::exchange;
 use super::log_queue::LogQueue;
 use super::node::ServingNode;
 use super::pipeline;
+use super::{crashes, exchange};
 
 /// How many connections wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -75,7 +75,7 @@
     serve(listener, handler, stop).await;
 }
 
-/// Serves copies for other boxes, and on any other path the metrics.
+/// Serves copies for other boxes, operators' questions on what is held off, and on any other path the metrics.
 pub async fn serve_boxes(
     node: Arc<ServingNode>,
     lines: LogQueue,
@@ -83,8 +83,10 @@
     stop: watch::Receiver<bool>,
 ) {
     let handler = move |request: Request<Incoming>| {
-        let copy = exchange::answer(&node, request.uri().path());
-        let answer = copy.unwrap_or_else(|| metrics_text(&node, &lines));
+        let (method, path) = (request.method(), request.uri().path());
+        let held_off = || crashes::operators::answer(&node, method, path);
+        let answer = exchange::answer(&node, path).or_else(held_off);
+        let answer = answer.unwrap_or_else(|| metrics_text(&node, &lines));
         async move { Ok(answer) }
     };
     serve(listener, handler, stop).await;
