Count the time for which a machine is suspended

Cause: the clock that ages, leases and bounds go by was the steady one, which stands still while a machine is suspended, and the times of a request were counted by timers. A box that woke took all for as new as before, gave a server time that its client no longer had, and sent requests whose time was over.

A box that woke says so and drops unused connections.

Not done: a table of all clocks, random runs with suspensions, the older half's own time-outs.

--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -22,7 +22,7 @@
 impl Job {
     /// Refuses what is not likely to be answered in time, and sends once more only as the budget allows.
     pub(super) fn judge(&self, choice: &Choice, tries: &Tries) -> Option<Refusal> {
-        let now = Instant::now();
+        let now = self.present();
         if now >= self.end {
             return Some(self.give_up(tries, "its time ran out"));
         }
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -116,8 +116,8 @@
             return self.end;
         }
         let patience = self.route.target * PATIENCE;
-        let half = self.end.saturating_duration_since(Instant::now()) / 2;
-        Instant::now() + patience.max(half)
+        let half = self.end.saturating_duration_since(self.present()) / 2;
+        self.present() + patience.max(half)
     }
 
     /// Sends the request to one server and waits for the head of its answer.
@@ -130,7 +130,7 @@
             server,
             time_left: self
                 .deadline
-                .map(|deadline| deadline.saturating_duration_since(Instant::now())),
+                .map(|deadline| deadline.saturating_duration_since(self.present())),
             priority: self.rank,
             account: self.account.as_ref().map(|account| &account.name),
             after_event,
@@ -139,7 +139,7 @@
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: self.max_idle() };
         let may_send = || self.key_is_good() && self.is_let_through();
         let sending = node.pool.send(&server.address, request, options, may_send);
-        let sent = timeout_at(self.head_until().min(self.end), sending).await;
+        let sent = timeout_at(self.timer(self.head_until().min(self.end)), sending).await;
         let (result, outcome) = match sent {
             Err(_) => {
                 held.end(Ending::Failed);
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -56,13 +56,13 @@
                 true => self.wait_for(lack),
                 false => Wait::Nothing,
             };
-            let now = Instant::now();
+            let now = self.present();
             match wait {
                 Wait::For { there, until } if now < until => {
                     held_for.get_or_insert(lack);
                     // Looked at again in any case: at the moment that was told, or when word comes.
                     let wake = if now < there { there.min(until) } else { until };
-                    let _ = timeout_at(wake, changed).await;
+                    let _ = timeout_at(self.timer(wake), changed).await;
                 }
                 _ => {
                     self.end_hold(held_for, began, false);
@@ -94,7 +94,7 @@
         let comes_at = self.node.overlay.lock().comes_at(&item);
         let (there, until) = match comes_at {
             Some(at) => {
-                let there = Instant::now() + at.since(self.node.now());
+                let there = self.present() + at.since(self.node.now());
                 (there, there + COMING_SLACK)
             }
             None if lack == NoChoice::NoAdapter => {
--- a/trackfrontd/src/serving/pipeline/limit.rs
+++ b/trackfrontd/src/serving/pipeline/limit.rs
@@ -80,7 +80,7 @@
         };
         let units = limit.units(self.info.counted_tokens).min(f64::from(u32::MAX)) as u32;
         let id = AccountId::of(&account.name);
-        let patience = self.end.saturating_duration_since(Instant::now()).min(PATIENCE);
+        let patience = self.end.saturating_duration_since(self.present()).min(PATIENCE);
         let outcome = self.node.quotas.take(id, units, self.node.now(), patience).await;
         let (refusal, cause, wait) = match outcome {
             Outcome::Granted => {
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -34,6 +34,7 @@
 use trackfront_core::serving::config::{Route, ServingConfig};
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
+use trackfront_core::units::Moment;
 
 use super::crashes;
 use super::follow;
@@ -79,8 +80,9 @@
     pub head: request::Parts,
     /// Its body.
     pub body: Bytes,
-    /// When it arrived.
+    /// When it arrived, by the clock of timers and by the one that counts suspensions of the machine as well.
     pub arrived: Instant,
+    arrived_at: Moment,
     /// How long before that its client first tried, as far as that can be told.
     pub tried_before: Duration,
     /// When the client stops waiting.
@@ -100,7 +102,7 @@
     node: Arc<ServingNode>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Abort> {
-    let arrived = Instant::now();
+    let (arrived, arrived_at) = (Instant::now(), node.now());
     let (head, body) = request.into_parts();
     let info = match node.ports.clients.read(&head) {
         Ok(info) => info,
@@ -112,7 +114,7 @@
     };
     let id = info.id.clone();
     let mut end = EndLog::new(node.clone(), &info, arrived);
-    let job = match admit(&node, info, head, body, arrived, &mut end).await {
+    let job = match admit(&node, info, head, body, (arrived, arrived_at), &mut end).await {
         Ok(job) => job,
         Err(refusal) => {
             end.end(refusal.name(), &refusal.to_string());
@@ -142,7 +144,7 @@
     info: RequestInfo,
     head: request::Parts,
     body: Incoming,
-    arrived: Instant,
+    (arrived, arrived_at): (Instant, Moment),
     end: &mut EndLog,
 ) -> Result<Job, Refusal> {
     let config = node.config.load_full();
@@ -179,6 +181,7 @@
         head,
         body,
         arrived,
+        arrived_at,
         tried_before,
         deadline,
         end: last,
@@ -346,8 +349,19 @@
         self.node.budgets.lock().take(&self.service, nodes, now)
     }
 
+    /// Returns the present moment on the line of this request's times, which counts suspensions of the machine: timers
+    /// do not, and would give a server time that is over for the client.
+    pub fn present(&self) -> Instant {
+        self.arrived + self.node.now().since(self.arrived_at)
+    }
+
+    /// Returns when a timer is over that is set now for a moment on the line of this request's times.
+    pub fn timer(&self, at: Instant) -> Instant {
+        Instant::now() + at.saturating_duration_since(self.present())
+    }
+
     fn may_try_again(&self, tries: &Tries) -> bool {
-        let in_time = Instant::now() < self.end;
+        let in_time = self.present() < self.end;
         let may_run = tries.may_have_run.is_none() && tries.failure.is_none();
         let attempts_left = tries.sends < self.route.max_attempts;
         let reachable =
@@ -386,7 +400,7 @@
 
     fn give_up(&self, tries: &Tries, cause: &'static str) -> Refusal {
         match tries.may_have_run {
-            Some(_) if Instant::now() >= self.end => Refusal::TimedOut,
+            Some(_) if self.present() >= self.end => Refusal::TimedOut,
             Some(cause) => Refusal::Failed(cause),
             None => Refusal::NoServer { cause, retry_after: self.come_back_after(Duration::ZERO) },
         }
--- a/trackfrontd/src/serving/pipeline/plain.rs
+++ b/trackfrontd/src/serving/pipeline/plain.rs
@@ -51,7 +51,7 @@
     /// Reads a plain answer whole.
     pub async fn read_plain(&self, answer: UpstreamAnswer) -> Result<PlainAnswer, Broken> {
         let UpstreamAnswer { head, body, .. } = answer;
-        match timeout_at(self.end, body.read(MAX_ANSWER)).await {
+        match timeout_at(self.timer(self.end), body.read(MAX_ANSWER)).await {
             Ok(Ok(body)) => Ok(PlainAnswer { head, body }),
             Ok(Err(error)) => {
                 log::info!(request:% = self.info.id, error:% = error; "answer broke off");
--- a/trackfrontd/src/serving/relay.rs
+++ b/trackfrontd/src/serving/relay.rs
@@ -217,7 +217,7 @@
         match job.route.gap_target {
             Some(gap) if job.route.resumable && self.sends < job.route.max_attempts => {
                 let silence = (gap * SILENCE).max(job.route.target);
-                job.end.min(Instant::now() + silence)
+                job.end.min(job.present() + silence)
             }
             _ => job.end,
         }
@@ -228,8 +228,8 @@
     async fn next_piece(&mut self) -> Next {
         loop {
             let until = self.silent_until();
-            match timeout_at(until, self.body.next()).await {
-                Err(_) if Instant::now() >= self.job.end => {
+            match timeout_at(self.job.timer(until), self.body.next()).await {
+                Err(_) if self.job.present() >= self.job.end => {
                     return Next::Broken(Broken::Late("the stream did not end in time"));
                 }
                 Err(_) => {
@@ -269,7 +269,7 @@
         let job = self.job.clone();
         let allowed = job.route.resumable
             && self.sends < job.route.max_attempts
-            && Instant::now() < job.end
+            && job.present() < job.end
             && self.last_event.is_some();
         if !allowed || job.may_crash_servers() {
             return false;
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::gossip::{self, Giving};
 use super::log_queue::LogQueue;
@@ -39,6 +39,10 @@
 /// How late the sweep has to be for the process to have stood still: frozen, or far too slow.
 const STOOD_STILL: Duration = Duration::from_millis(500);
 
+/// How much longer the clock that counts suspensions has gone on than the steady one for the machine to have been
+/// suspended: more than two readings of clocks that are not taken at once differ by.
+const SUSPENDED: Duration = Duration::from_millis(200);
+
 /// How long a connection to a server stays open unused.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 
@@ -139,17 +143,23 @@
     placement.abort();
 }
 
-/// Drops what is old, and notes when the process stood still: whatever it believed is that old.
+/// Drops what is old, and notes when the process stood still or its machine was suspended: whatever it believed is
+/// that old.
 async fn sweep(node: Arc<ServingNode>) {
-    let mut before = node.now();
+    let (mut before, mut awake_before) = (node.now(), Instant::now());
     loop {
         sleep(SWEEP_EVERY).await;
-        let now = node.now();
+        let (now, awake) = (node.now(), Instant::now());
+        let suspended = now.since(before).saturating_sub(awake - awake_before);
         let late = now.since(before).saturating_sub(SWEEP_EVERY);
-        if late >= STOOD_STILL {
+        if suspended >= SUSPENDED {
+            log::warn!(ms = suspended.as_millis() as u64; "machine was suspended");
+            // Servers close connections that were unused for so long; a request that may run once would be lost.
+            node.pool.close_idle(Duration::ZERO);
+        } else if late >= STOOD_STILL {
             log::warn!(ms = late.as_millis() as u64; "process stood still");
         }
-        before = now;
+        (before, awake_before) = (now, awake);
         node.pool.close_idle(MAX_IDLE);
         follow::end_lapses(&node);
         node.loads.lock().forget_old(now);
