An answer that is read just after a break does not hide a crash

Read in the code: an answer sent just before a server's end and read after the break of another request dropped that break, and the crash was not counted. Only breaks of over a second ago are dropped by an answer now.

--- a/trackfront_core/src/serving/crashes.rs
+++ b/trackfront_core/src/serving/crashes.rs
@@ -30,6 +30,10 @@
 /// heartbeats, 2.0 to 3.7 s.
 const BREAK_FOR: Duration = Duration::from_secs(10);
 
+/// How long an answer may be read after a server sent it. One that is read just after the connection of another request
+/// broke may have been sent just before the server's end.
+const JUST_NOW: Duration = Duration::from_millis(1_000);
+
 /// How many breaks are kept for one run of a server: more than run there at once.
 const MAX_BREAKS: usize = 512;
 
@@ -182,10 +186,12 @@
         self.ended.get(&run).is_some_and(|at| now.since(*at) < ENDED_FOR)
     }
 
-    /// Notes that a run of a server answered: it has not ended.
-    pub fn lives(&mut self, run: RunId) {
+    /// Notes that a run of a server answered: it had not ended when what broke there a while ago did.
+    pub fn lives(&mut self, run: RunId, now: Moment) {
         self.ended.remove(&run);
-        self.breaks.remove(&run);
+        if let Some(breaks) = self.breaks.get_mut(&run) {
+            breaks.retain(|(_, at)| now.since(*at) < JUST_NOW);
+        }
     }
 
     /// Notes that a run of a server has ended: what broke there was a crash. Returns what that changes.
--- a/trackfront_core/tests/serving/crashes.rs
+++ b/trackfront_core/tests/serving/crashes.rs
@@ -58,12 +58,21 @@
     let mut book = CrashBook::default();
     for run in 0..20 {
         book.broke(CAUSE, RunId(run), at(1_000));
-        book.lives(RunId(run));
-        assert!(book.ended(RunId(run), at(2_000)).is_empty());
+        book.lives(RunId(run), at(2_100));
+        assert!(book.ended(RunId(run), at(2_200)).is_empty());
     }
     assert!(book.report(CAUSE).is_none());
 }
 
+/// The answer to another request was on its way as the server ended, and is read after the break.
+#[test]
+fn an_answer_that_is_read_just_after_a_break_does_not_hide_a_crash() {
+    let mut book = CrashBook::default();
+    book.broke(CAUSE, RunId(1), at(1_000));
+    book.lives(RunId(1), at(1_001));
+    assert_eq!(book.ended(RunId(1), at(1_030)), [(CAUSE, Learned::Crashes(1))]);
+}
+
 #[test]
 fn a_break_long_before_a_server_ended_is_no_crash() {
     let mut book = CrashBook::default();
@@ -172,8 +181,8 @@
     assert!(!book.is_suspect(CAUSE, at(1_000)));
     book.broke(CAUSE, RunId(2), at(1_010));
     assert!(book.is_suspect(CAUSE, at(1_010)));
-    book.lives(RunId(1));
-    assert!(!book.is_suspect(CAUSE, at(1_020)));
+    book.lives(RunId(1), at(2_020));
+    assert!(!book.is_suspect(CAUSE, at(2_020)));
 }
 
 /// Clients make a box keep no more than so much, whatever they send; runs beyond add nothing.
--- a/trackfront_core/tests/serving/crashes_random.rs
+++ b/trackfront_core/tests/serving/crashes_random.rs
@@ -59,7 +59,7 @@
                 self.next_run += 1;
                 // A link breaks, and the server lives on.
                 self.boxes[index].broke(request, run, at(ms));
-                self.boxes[index].lives(run);
+                self.boxes[index].lives(run, at(ms));
             }
             _ => {}
         }
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -78,8 +78,8 @@
     }
 
     /// Notes that a run of a server answered.
-    pub fn lives(&self, server: &BackendId) {
-        self.book.lock().lives(run_id(server));
+    pub fn lives(&self, server: &BackendId, now: Moment) {
+        self.book.lock().lives(run_id(server), now);
     }
 
     fn is_loaded(&self) -> bool {
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -64,7 +64,7 @@
     /// Notes that the server's answer came to its end, whatever it says.
     pub fn answered(&mut self, ending: Ending) {
         self.end(ending);
-        self.node.crashes.lives(&self.server.entry.id);
+        self.node.crashes.lives(&self.server.entry.id, self.node.now());
         if self.has_own_end {
             crashes::answered(&self.node, self.fingerprint);
         }
