--- a/trackfront_core/src/serving/crashes.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -8,24 +8,19 @@
 //! one when the run of the server is found to have ended. Whatever ran beside the cause is struck as well, so one
 //! crash says little: a request is held off after [`MAX_CRASHES`], and a whole answer excuses all crashes before it.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+mod report;
+
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+pub use report::{CrashReport, MAX_CRASHES, RunId};
 
 use crate::serving::fingerprint::Fingerprint;
 use crate::units::Moment;
 
-/// How many servers a request may crash before it is held off: what is promised for one. The fewer, the more requests
-/// are held off that only ran beside the cause, again when they were sent again.
-pub const MAX_CRASHES: usize = 3;
-
 /// How many crashes make a request a suspect, which is sent to no second server in one try.
 const SUSPECT_AFTER: usize = 2;
 
-/// How many runs are kept for a request: enough for the bound above beside some that are excused.
-const MAX_RUNS: usize = 16;
-
 /// How long a break of a connection may wait for the word that its server ended. A row lapses within three
 /// heartbeats, 2.0 to 3.7 s.
 const BREAK_FOR: Duration = Duration::from_secs(10);
@@ -66,67 +61,6 @@
 /// How many requests are suspected or held off at once, at about 200 bytes each; those struck first are forgotten.
 const MAX_REQUESTS: usize = 4_096;
 
-/// A run of a server, by its short name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct RunId(pub u32);
-
-/// The runs of servers that ended under a request, as boxes tell each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// The runs that ended under it.
-    pub crashed: BTreeSet<RunId>,
-    /// Those of them that count no more, since it was answered whole or released.
-    pub excused: BTreeSet<RunId>,
-    /// Whether the platform's store has it.
-    pub stored: bool,
-    /// Whether the crashes that held it off came together, so that they may have had another cause.
-    pub together: bool,
-}
-
-impl CrashReport {
-    /// Returns how many runs count.
-    pub fn crashes(&self) -> usize {
-        self.crashed.difference(&self.excused).count()
-    }
-
-    /// Returns whether the request is held off.
-    pub fn is_held_off(&self) -> bool {
-        self.crashes() >= MAX_CRASHES
-    }
-
-    fn new(fingerprint: Fingerprint) -> Self {
-        let (crashed, excused) = (BTreeSet::new(), BTreeSet::new());
-        Self { fingerprint, crashed, excused, stored: false, together: false }
-    }
-
-    /// Merges another report of the same request. Returns whether that changed which runs count.
-    fn merge(&mut self, other: &CrashReport) -> bool {
-        let before = (self.crashed.clone(), self.excused.clone());
-        self.stored |= other.stored;
-        self.together |= other.together;
-        self.crashed.extend(&other.crashed);
-        self.excused.extend(&other.excused);
-        while self.crashed.len() > MAX_RUNS {
-            let excused = self.crashed.intersection(&self.excused).next().copied();
-            let Some(run) = excused.or_else(|| self.crashed.last().copied()) else {
-                break;
-            };
-            self.crashed.remove(&run);
-        }
-        while self.excused.len() > MAX_RUNS {
-            let idle = self.excused.difference(&self.crashed).next().copied();
-            let Some(run) = idle.or_else(|| self.excused.first().copied()) else {
-                break;
-            };
-            self.excused.remove(&run);
-        }
-        before != (self.crashed.clone(), self.excused.clone())
-    }
-}
-
 /// A request that servers crashed under.
 #[derive(Clone, Debug)]
 struct Suspect {
