A box that starts asks for what is held off once it knows the others

It asked two boxes every 0.3 s while these had just started as well: of 300 boxes some thousand questions in the first second, most to the first boxes of a hall.

--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -47,22 +47,21 @@
 /// Asks other boxes, and the platform's table where none of them knows.
 async fn load(node: &ServingNode) {
     boxes::wait_for_list(node).await;
-    let mut rounds = 0;
-    loop {
+    // A box that knows no other yet would take itself for the reader: of 90 boxes that start, 90 would read.
+    while node.is_alone_for_now() {
+        sleep(ASK_EVERY).await;
+    }
+    for round in 0.. {
         let others = boxes::likely_up(node);
         if let Some(reports) = exchange::fetch_crashes(node, &others).await {
             return take_in(node, reports, "another box");
         }
-        // A box that knows no other yet would take itself for the reader: of 90 boxes that start, 90 would read.
-        if !node.is_alone_for_now() {
-            let reads = spread::hall_mates(node).is_reader() || rounds >= ROUNDS_FOR_READER;
-            if reads {
-                match read_rows(node).await {
-                    Ok(reports) => return take_in(node, reports, "the platform's table"),
-                    Err(error) => log::info!(error:% = error; "crashes not read"),
-                }
+        let reads = spread::hall_mates(node).is_reader() || round >= ROUNDS_FOR_READER;
+        if reads {
+            match read_rows(node).await {
+                Ok(reports) => return take_in(node, reports, "the platform's table"),
+                Err(error) => log::info!(error:% = error; "crashes not read"),
             }
-            rounds += 1;
         }
         sleep(ASK_EVERY).await;
     }
