A request that is held off is told to all boxes whatever is learned meanwhile

Read in the code: a further crash before the word was told made it one for the boxes that count only, and these took it for told. Test red before. The boxes that count tell all as well, so that the loss of the one that found it costs nothing.

--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -5,7 +5,7 @@
 //! [`trackfront_core::serving::crashes`] decides.
 
 pub mod operators;
-mod outbox;
+pub mod outbox;
 mod rows;
 
 use std::collections::HashSet;
@@ -210,8 +210,10 @@
             // Many boxes may know that; the first that says so speaks for all.
             node.crashes.outbox.lock().add_excuse(fingerprint, node.now());
             node.crashes.to_tell.notify_one();
-        } else if is_held_off && !report.is_held_off() {
-            // The box that told knows less: it told those that count, and does not hold the request off yet.
+        } else if is_held_off
+            && (!report.is_held_off() || has_to_pass_on(node, learned, fingerprint))
+        {
+            // The box that told knows less, or may end before all have heard of it.
             tell_all(node, fingerprint);
         } else {
             node.crashes.outbox.lock().heard(fingerprint);
@@ -219,6 +221,12 @@
     }
 }
 
+/// Returns whether this box tells all others as well of what another has held off: those that count its crashes do.
+fn has_to_pass_on(node: &ServingNode, learned: Learned, fingerprint: Fingerprint) -> bool {
+    let me = node.settings.load().node.ip;
+    learned == Learned::HeldOff && keepers_of(node, fingerprint).contains(&me)
+}
+
 /// Takes in which servers another box found to have ended.
 pub fn take_in_ended(node: &ServingNode, servers: &[u32]) {
     let ids: Vec<BackendId> = {
--- a/trackfrontd/src/serving/crashes/outbox.rs
+++ b/trackfrontd/src/serving/crashes/outbox.rs
@@ -62,6 +62,9 @@
 impl Outbox {
     /// Has what is known of a request told, to all boxes or to those that count its crashes.
     pub fn add_report(&mut self, fingerprint: Fingerprint, to_all: bool, now: Moment) {
+        // What all boxes have to hear is not cut short by what only some need to know.
+        let was_for_all = self.reports.get(&fingerprint).is_some_and(|telling| telling.to_all);
+        let to_all = to_all || was_for_all;
         let telling = Telling { to_all, is_excuse: false, left: TIMES, due: now };
         self.reports.insert(fingerprint, telling);
     }
@@ -103,7 +106,7 @@
     }
 
     /// Takes the words on requests that are due, and whether each goes to all boxes.
-    fn take_due(&mut self, now: Moment) -> Vec<(Fingerprint, bool)> {
+    pub fn take_due(&mut self, now: Moment) -> Vec<(Fingerprint, bool)> {
         let mut due = Vec::new();
         self.reports.retain(|fingerprint, telling| {
             if telling.due <= now {
