--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -110,7 +110,8 @@
         *self.1.lock() = Some(word);
     }
 
-    fn told_right(&self, now: Moment) -> Option<ToldRight> {
+    /// Returns until when it may give orders, as other boxes are told.
+    pub fn told_right(&self, now: Moment) -> Option<ToldRight> {
         let HolderWord { version, ends } = (*self.1.lock())?;
         let (left, over) = (ends.since(now).as_millis(), now.since(ends).as_millis());
         let left_ms = i64::try_from(left).ok()? - i64::try_from(over).ok()?;
