Count how long a connection was unused by the clock that counts suspensions

Cause: the pool went by the timers' clock, so a connection that rested for a suspension of seconds or minutes looked fresh for up to 1 s after it; what may run once and is sent on one that its server has closed is lost, as unknown.

--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -20,7 +20,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+use trackfront_core::ports::Clock;
+use trackfront_core::units::Moment;
 
 use crate::http_client::chain;
 use crate::keep_alive;
@@ -68,11 +69,12 @@
     }
 }
 
-/// An unused connection.
+/// An unused connection. Its age counts the time for which the machine is suspended: its server may have closed it then,
+/// and what may run once and is sent on it is lost.
 struct Idle {
     connection: Connection,
-    since: Instant,
-    until: Option<Instant>,
+    since: Moment,
+    until: Option<Moment>,
 }
 
 type IdleByAddress = Arc<Mutex<HashMap<String, Vec<Idle>>>>;
@@ -87,10 +89,10 @@
 }
 
 /// Sends requests to servers.
-#[derive(Default)]
 pub struct UpstreamPool {
     idle: IdleByAddress,
     counts: Mutex<PoolCounts>,
+    clock: Arc<dyn Clock>,
 }
 
 /// The answer of a server.
@@ -114,6 +116,11 @@
 }
 
 impl UpstreamPool {
+    /// Makes a pool without connections.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { idle: IdleByAddress::default(), counts: Mutex::default(), clock }
+    }
+
     /// Returns how many connections were opened and used again.
     pub fn counts(&self) -> PoolCounts {
         *self.counts.lock()
@@ -139,9 +146,12 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
-                    let keep_until = keep_until(&head.headers);
-                    let home =
-                        Home { idle: self.idle.clone(), address: address.to_owned(), keep_until };
+                    let home = Home {
+                        idle: self.idle.clone(),
+                        clock: self.clock.clone(),
+                        address: address.to_owned(),
+                        keep_until: keep_until(&head.headers, self.clock.now()),
+                    };
                     let body = UpstreamBody { body, held: Some((connection, home)) };
                     return Ok(UpstreamAnswer { head, body, is_first: !was_used });
                 }
@@ -161,7 +171,7 @@
         let mut idle = self.idle.lock();
         let connections = idle.entry(address.to_owned()).or_default();
         if connections.len() < MAX_IDLE {
-            connections.push(Idle { connection, since: Instant::now(), until: None });
+            connections.push(Idle { connection, since: self.clock.now(), until: None });
         }
         Ok(())
     }
@@ -178,12 +188,12 @@
 
     /// Closes unused connections that have been so for longer than `max_idle`.
     pub fn close_idle(&self, max_idle: Duration) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.idle.lock();
         for connections in idle.values_mut() {
             connections.retain(|kept| {
                 let in_time = kept.until.is_none_or(|until| now < until);
-                in_time && !kept.connection.sender.is_closed() && now - kept.since < max_idle
+                in_time && !kept.connection.sender.is_closed() && now.since(kept.since) < max_idle
             });
         }
         idle.retain(|_, connections| !connections.is_empty());
@@ -210,13 +220,17 @@
     }
 
     fn kept(&self, address: &str, max_idle: Duration) -> Option<Connection> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(address)?;
         while let Some(kept) = connections.pop() {
             let in_time = kept.until.is_none_or(|until| now < until);
             let sender = &kept.connection.sender;
-            if in_time && now - kept.since < max_idle && sender.is_ready() && !sender.is_closed() {
+            if in_time
+                && now.since(kept.since) < max_idle
+                && sender.is_ready()
+                && !sender.is_closed()
+            {
                 return Some(kept.connection);
             }
         }
@@ -244,7 +258,7 @@
 }
 
 /// Until when an answer allows its connection to be used again: `None` for never.
-fn keep_until(headers: &HeaderMap) -> Option<Option<Instant>> {
+fn keep_until(headers: &HeaderMap, now: Moment) -> Option<Option<Moment>> {
     let closes = headers.get_all(CONNECTION).iter().any(|value| {
         value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
     });
@@ -256,18 +270,15 @@
         let mut words = value.split(',').map(str::trim);
         words.find_map(|word| word.strip_prefix("timeout=")?.trim().parse::<u64>().ok())
     });
-    Some(
-        seconds.map(|seconds| {
-            Instant::now() + Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)
-        }),
-    )
+    Some(seconds.map(|seconds| now + Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)))
 }
 
 /// Where a connection goes once its answer is whole.
 struct Home {
     idle: IdleByAddress,
+    clock: Arc<dyn Clock>,
     address: String,
-    keep_until: Option<Option<Instant>>,
+    keep_until: Option<Option<Moment>>,
 }
 
 /// The body of an answer. Dropped before its end, it closes its connection.
@@ -322,10 +333,11 @@
         let Some(until) = home.keep_until else {
             return;
         };
+        let since = home.clock.now();
         let mut idle = home.idle.lock();
         let connections = idle.entry(home.address).or_default();
         if connections.len() < MAX_IDLE {
-            connections.push(Idle { connection, since: Instant::now(), until });
+            connections.push(Idle { connection, since, until });
         }
     }
 }
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -146,8 +146,8 @@
         let quotas = Quotas::new(box_id(settings.node.ip), rand::random());
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
+            pool: UpstreamPool::new(ports.clock.clone()),
             ports,
-            pool: UpstreamPool::default(),
             metrics: ServingMetrics::default(),
             config: ArcSwapOption::empty(),
             newest: Newest::default(),
