--- a/trackfront_standin/src/memory/clock.rs
+++ b/trackfront_standin/src/memory/clock.rs
@@ -1,5 +1,6 @@
 //! A clock that follows the runtime's, also when that is paused.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -14,18 +15,27 @@
 #[derive(Debug)]
 pub struct MemoryClock {
     start: Instant,
+    suspended_ms: AtomicU64,
+}
+
+impl MemoryClock {
+    /// All machines are suspended for a time, which timers do not count.
+    pub fn suspend(&self, time: Duration) {
+        self.suspended_ms.fetch_add(time.as_millis() as u64, Ordering::SeqCst);
+    }
 }
 
 impl Default for MemoryClock {
     fn default() -> Self {
-        Self { start: Instant::now() }
+        Self { start: Instant::now(), suspended_ms: AtomicU64::new(0) }
     }
 }
 
 #[async_trait]
 impl Clock for MemoryClock {
     fn now(&self) -> Moment {
-        Moment(self.start.elapsed())
+        let suspended = Duration::from_millis(self.suspended_ms.load(Ordering::SeqCst));
+        Moment(self.start.elapsed() + suspended)
     }
 
     fn unix(&self) -> UnixMillis {
--- a/trackfront_standin/src/memory/load.rs
+++ b/trackfront_standin/src/memory/load.rs
@@ -119,7 +119,7 @@
             body: Bytes::from_static(b"{}"),
         },
         key: key.map(str::to_string),
-        until: start + allowed,
+        until: shared.outside.clock.now() + allowed,
         allowed,
     };
     let retry_after = Duration::from_secs(1);
--- a/trackfrontd/src/gateway/answer.rs
+++ b/trackfrontd/src/gateway/answer.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout};
 use trackfront_core::answer::{AnswerCheck, Verdict};
 use trackfront_core::engine_load::Ended;
 use trackfront_core::ids::{AccountName, BackendId, RequestId};
 use trackfront_core::outcome::{Outcome, RequestError};
 use trackfront_core::ports::{Engine, FrameStream, GenerateError, GenerateRequest, StartFrom};
 use trackfront_core::routing::{Pick, Refusal, RouteQuery};
+use trackfront_core::units::Moment;
 
 use crate::in_force::TreeInForce;
 use crate::shared::Shared;
@@ -38,8 +39,9 @@
     pub output_tokens: f64,
     /// The chained hashes of the prompt's blocks.
     pub blocks: Vec<u64>,
-    /// When the answer has to be whole.
-    pub until: Instant,
+    /// When the answer has to be whole, by the clock that counts suspensions of the machine: a timer that is set to it
+    /// would leave a request the time that its machine was suspended, and routing would believe that.
+    pub until: Moment,
     /// The time that the caller allowed.
     pub allowed: Duration,
     /// How many further engines may be tried.
@@ -48,6 +50,13 @@
     pub repeatable: bool,
 }
 
+impl Wanted {
+    /// Returns how much of the caller's time is left.
+    fn time_left(&self, shared: &Shared) -> Duration {
+        self.until.since(shared.outside.clock.now())
+    }
+}
+
 /// A piece of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
@@ -219,7 +228,8 @@
     /// Reads frames until one is for the caller.
     async fn read(&mut self) -> Result<Piece, Broken> {
         loop {
-            let frame = timeout_at(self.wanted.until, self.frames.next()).await;
+            let left = self.wanted.time_left(&self.at.shared);
+            let frame = timeout(left, self.frames.next()).await;
             let frame = match frame.map_err(|_| Broken::Late)? {
                 Some(Ok(frame)) => frame,
                 Some(Err(error)) => return Err(Broken::Off(error.to_string())),
@@ -325,7 +335,8 @@
     wanted: &Wanted,
     request: GenerateRequest,
 ) -> Result<FrameStream, Failed> {
-    let started = timeout_at(wanted.until, at.engine.generate(request)).await;
+    let left = wanted.time_left(&at.shared);
+    let started = timeout(left, at.engine.generate(request)).await;
     let Ok(started) = started else {
         return Err(Failed::last(passed(wanted, Outcome::Unknown)));
     };
@@ -381,7 +392,7 @@
         output_tokens: wanted.output_tokens,
         blocks: &wanted.blocks,
         priority: wanted.request.priority,
-        time_left: wanted.until.saturating_duration_since(Instant::now()),
+        time_left: wanted.time_left(shared),
         tried,
         now: shared.outside.clock.now(),
     };
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -5,13 +5,14 @@
 
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout;
 use trackfront_adapters::http_server::{Body, full};
 use trackfront_adapters::plain::passed_on;
 use trackfront_core::claims::RecordedAnswer;
 use trackfront_core::ids::{AccountName, RequestId, ServiceName, ZoneName};
 use trackfront_core::outcome::{Outcome, RequestError};
 use trackfront_core::ports::{PlainCall, PlainError, PlainReply};
+use trackfront_core::units::Moment;
 
 use super::claims::{Claimed, ClaimedCall};
 use super::generate::replay;
@@ -30,7 +31,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, RequestError> {
     let tree = tree(shared)?;
-    let call = read_call(&tree, id, request).await?;
+    let call = read_call(shared, &tree, id, request).await?;
     match call_service(shared, &tree, &call).await? {
         Answered::Now(reply) => plain_response(reply),
         Answered::Before(answer) => replay(answer),
@@ -48,12 +49,19 @@
     pub call: PlainCall,
     /// The caller's key, if the call may run once only.
     pub key: Option<String>,
-    /// When the answer has to be whole.
-    pub until: Instant,
+    /// When the answer has to be whole, by the clock that counts suspensions of the machine.
+    pub until: Moment,
     /// The time that the caller allowed.
     pub allowed: Duration,
 }
 
+impl KnownCall {
+    /// Returns how much of the caller's time is left.
+    fn time_left(&self, shared: &Shared) -> Duration {
+        self.until.since(shared.outside.clock.now())
+    }
+}
+
 /// The answer to a call.
 #[derive(Clone, Debug)]
 pub enum Answered {
@@ -92,8 +100,8 @@
         return send(shared, target, known, true).await.map(Answered::Now);
     }
     let claimed = claimed_call(target, known)?;
-    let claim = timeout_at(known.until, claimed.claim(shared)).await;
-    match claim.unwrap_or(Err(not_claimed(known)))? {
+    let claim = timeout(known.time_left(shared), claimed.claim(shared)).await;
+    match claim.unwrap_or(Err(not_sent(known)))? {
         Claimed::Run => {}
         Claimed::Answered(answer) => return Ok(Answered::Before(answer)),
     }
@@ -106,14 +114,15 @@
     sent.map(Answered::Now)
 }
 
-/// The deadline passed before the call was claimed; it was not sent.
-fn not_claimed(known: &KnownCall) -> RequestError {
+/// The deadline passed before the call was sent.
+fn not_sent(known: &KnownCall) -> RequestError {
     let deadline_ms = known.allowed.as_millis() as u64;
     RequestError::DeadlinePassed { deadline_ms, outcome: Outcome::NotRun }
 }
 
 /// Reads a call and checks that its caller may make it.
 async fn read_call(
+    shared: &Shared,
     tree: &TreeInForce,
     id: &RequestId,
     request: Request<Incoming>,
@@ -131,7 +140,7 @@
     let method = request.method().as_str().to_string();
     let headers = passed_on(request.headers());
     let key = idempotency_key(request.headers())?;
-    let until = Instant::now() + allowed;
+    let until = shared.outside.clock.now() + allowed;
     let body = body(request, target.limits.max_body).await?;
     let call = PlainCall { id: id.clone(), method, path_and_query, headers, body };
     Ok(KnownCall { service, caller, call, key, until, allowed })
@@ -181,13 +190,18 @@
     let servers = order_servers(shared, target);
     let mut last = None;
     for server in servers.iter().take(1 + target.limits.max_retries) {
+        // A timer lets what is ready through, also where its time is over; a server is not to run it then.
+        let left = known.time_left(shared);
+        if left.is_zero() {
+            return Err(last.unwrap_or_else(|| not_sent(known)));
+        }
         if last.is_some() {
             if !shared.retries.take() {
                 break;
             }
             shared.metrics.retries.inc();
         }
-        let error = match timeout_at(known.until, server.link.call(known.call.clone())).await {
+        let error = match timeout(left, server.link.call(known.call.clone())).await {
             Err(_) => {
                 return Err(RequestError::DeadlinePassed {
                     deadline_ms: known.allowed.as_millis() as u64,
--- a/trackfrontd/src/gateway/text.rs
+++ b/trackfrontd/src/gateway/text.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tokio::time::Instant;
 use trackfront_core::ids::{AccountName, RequestId};
 use trackfront_core::outcome::{Outcome, RequestError};
 use trackfront_core::ports::engine::GenerateKind;
@@ -98,7 +97,7 @@
         prompt_tokens: prompt.len() as f64 / BYTES_PER_TOKEN,
         output_tokens: shared.outputs.expect(&target.name, asked),
         blocks: block_hashes(prompt),
-        until: Instant::now() + allowed,
+        until: shared.outside.clock.now() + allowed,
         allowed,
         max_retries: target.limits.max_retries,
         repeatable: request.key.is_none(),
--- a/trackfrontd/tests/failures.rs
+++ b/trackfrontd/tests/failures.rs
@@ -58,6 +58,8 @@
     DownBusyEngine,
     /// Waits.
     Sleep { ms: u64 },
+    /// Suspends all machines for a time, which timers do not count.
+    Suspend { ms: u64 },
     /// Sends a text request.
     Text {
         from: usize,
@@ -162,6 +164,7 @@
                 let faults = EngineFaults { down: true, ..EngineFaults::default() };
                 busy.for_each(|engine| engine.set_faults(faults.clone()));
             }
+            Step::Suspend { ms } => self.deployment.clock.suspend(Duration::from_millis(ms)),
             Step::Sleep { ms } => tokio::time::sleep(Duration::from_millis(ms)).await,
             Step::Text { from, tokens, deadline_ms, background, expect } => {
                 let entry = self.entry(from);
