--- a/trackfront/src/commands/losses.rs
+++ b/trackfront/src/commands/losses.rs
@@ -42,6 +42,8 @@
     print_counts(losses.refused_by_servers.iter());
     println!("sends that failed:");
     print_counts(losses.failed_sends.iter());
+    println!("unanswered around a suspension or standstill of the box:");
+    print_counts(losses.around_standstills.iter());
     println!("held, in milliseconds (p10, p50, p90):");
     for (what, spread) in &losses.held_ms {
         print_spread(what, spread);
--- a/trackfront/src/losses.rs
+++ b/trackfront/src/losses.rs
@@ -9,6 +9,11 @@
 /// The shares of the estimates and waits that are told, in hundredths.
 const QUANTILES: [usize; 3] = [10, 50, 90];
 
+/// How long before its box says that it stood still, and after that, a request that ends unanswered counts as lost to it.
+/// Boxes look once a second; what they believe of servers and keys is new again some seconds later.
+const BEFORE_STANDSTILL_MS: i64 = 1_500;
+const AFTER_STANDSTILL_MS: i64 = 3_000;
+
 /// How many of something, and how long or how large it was: the tenth, fiftieth and ninetieth of a
 /// hundred.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -48,6 +53,9 @@
     pub refused_by_servers: BTreeMap<String, usize>,
     /// Sends that reached no server or got no answer, by what happened.
     pub failed_sends: BTreeMap<String, usize>,
+    /// Requests that ended unanswered around a suspension of their box's machine or a standstill of its process, by
+    /// outcome.
+    pub around_standstills: BTreeMap<String, usize>,
     /// How long requests were held, in milliseconds, by what was lacking and what came of it.
     pub held_ms: BTreeMap<String, Spread>,
     /// The time to the first event over what was expected.
@@ -60,6 +68,10 @@
     losses: Losses,
     first_ms: Option<i64>,
     refused: Vec<(i64, String)>,
+    /// Requests that ended unanswered: box, when, outcome.
+    unanswered: Vec<(String, i64, String)>,
+    /// When boxes said that they had stood still.
+    standstills: BTreeMap<String, Vec<i64>>,
     held: BTreeMap<String, Vec<f64>>,
     ratios: Vec<f64>,
 }
@@ -80,6 +92,9 @@
             "not sent" | "answer lost" | "answer to another request" | "stream broke off" => {
                 *self.losses.failed_sends.entry(line.event.clone()).or_default() += 1;
             }
+            "machine was suspended" | "process stood still" => {
+                self.standstills.entry(line.node.clone()).or_default().push(at_ms);
+            }
             "request held" => self.take_hold(line),
             "first event" => self.take_first_event(line),
             _ => {}
@@ -95,6 +110,9 @@
             let by_outcome = self.losses.by_account.entry(account.to_owned()).or_default();
             *by_outcome.entry(outcome.clone()).or_default() += 1;
         }
+        if outcome != "answered" {
+            self.unanswered.push((line.node.clone(), line.at_ms(), outcome.clone()));
+        }
         if matches!(outcome.as_str(), "no_server" | "not_current" | "limit_reached") {
             self.refused.push((line.at_ms(), cause));
         }
@@ -133,6 +151,13 @@
             let by_cause = losses.refused_by_second.entry((at_ms - first) / 1_000).or_default();
             *by_cause.entry(cause).or_default() += 1;
         }
+        for (node, at_ms, outcome) in &self.unanswered {
+            let mut standstills = self.standstills.get(node).into_iter().flatten();
+            let around = -BEFORE_STANDSTILL_MS..=AFTER_STANDSTILL_MS;
+            if standstills.any(|stood| around.contains(&(at_ms - stood))) {
+                *losses.around_standstills.entry(outcome.clone()).or_default() += 1;
+            }
+        }
         losses.held_ms =
             self.held.into_iter().map(|(key, values)| (key, Spread::of(values))).collect();
         losses.first_event_ratio = Spread::of(self.ratios);
--- a/trackfront/tests/losses.rs
+++ b/trackfront/tests/losses.rs
@@ -41,6 +41,35 @@
     assert_eq!(losses.first_event_ratio.quantiles, [0.5, 0.5, 0.5], "of two values the lower ones");
 }
 
+/// A box that woke answers what was under way with refusals and time-outs; operators look for a cause there in vain.
+#[test]
+fn requests_that_ended_unanswered_around_a_standstill_of_their_box_are_counted() {
+    let line = |second: u32, node: &str, event: &str, outcome: &str| {
+        format!(
+            "{{\"time\":\"2026-05-30T11:14:{second}.000Z\",\"node\":\"{node}\",\"level\":\"INFO\",\
+             \"event\":\"{event}\",\"ms\":4000,\"request\":\"r\",\"outcome\":\"{outcome}\"}}"
+        )
+    };
+    let mut counter = LossCounter::default();
+    for line in [
+        line(10, "a", "request ended", "no_server"),
+        line(19, "a", "request ended", "timed_out"),
+        line(20, "a", "machine was suspended", ""),
+        line(21, "a", "request ended", "timed_out"),
+        line(21, "a", "request ended", "answered"),
+        line(21, "b", "request ended", "no_server"),
+        line(40, "a", "request ended", "no_server"),
+        line(50, "b", "process stood still", ""),
+        line(51, "b", "request ended", "no_server"),
+    ] {
+        counter.take(LogLine::read(&line, "file").as_ref());
+    }
+    let losses = counter.sum_up();
+    assert_eq!(losses.around_standstills["timed_out"], 2);
+    assert_eq!(losses.around_standstills["no_server"], 1);
+    assert_eq!(losses.around_standstills.len(), 2, "answered requests are no losses");
+}
+
 #[test]
 fn requests_of_client_accounts_are_counted_by_account() {
     let end = |second: u32, account: &str, outcome: &str, cause: &str| {
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -70,6 +70,8 @@
     pub held: Family<KindLabel, Histogram>,
     /// What was learned of requests that crash servers: struck, held off, let go.
     pub crashes: Family<KindLabel, Counter>,
+    /// How often nothing ran: the machine was suspended, or the process stood still.
+    pub standstills: Family<KindLabel, Counter>,
     /// Requests in progress.
     pub in_flight: Gauge,
     /// Calls to the platform's store, by kind.
@@ -108,6 +110,7 @@
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             held: Family::new_with_constructor(latency),
             crashes: Family::default(),
+            standstills: Family::default(),
             in_flight: Gauge::default(),
             store_calls: Family::default(),
             orders: Family::default(),
@@ -150,6 +153,8 @@
         registry.register_with_unit("held", held, Unit::Seconds, self.held.clone());
         let crashes = self.crashes.clone();
         registry.register("crashes", "Requests under which servers crashed", crashes);
+        let standstills = self.standstills.clone();
+        registry.register("standstills", "How often nothing ran, and why", standstills);
         registry.register("in_flight", "Requests in progress", self.in_flight.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register("orders", "Orders given to engines by answer", self.orders.clone());
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
+use trackfront_adapters::serving_metrics::KindLabel;
 
 use super::gossip::{self, Giving};
 use super::log_queue::LogQueue;
@@ -153,10 +154,12 @@
         let suspended = now.since(before).saturating_sub(awake - awake_before);
         let late = now.since(before).saturating_sub(SWEEP_EVERY);
         if suspended >= SUSPENDED {
+            count_standstill(&node, "suspended");
             log::warn!(ms = suspended.as_millis() as u64; "machine was suspended");
             // Servers close connections that were unused for so long; a request that may run once would be lost.
             node.pool.close_idle(Duration::ZERO);
         } else if late >= STOOD_STILL {
+            count_standstill(&node, "stood_still");
             log::warn!(ms = late.as_millis() as u64; "process stood still");
         }
         (before, awake_before) = (now, awake);
@@ -167,6 +170,10 @@
     }
 }
 
+fn count_standstill(node: &ServingNode, kind: &'static str) {
+    node.metrics.standstills.get_or_create(&KindLabel { kind }).inc();
+}
+
 /// Takes over settings that have changed, by signal or without.
 async fn reload(node: Arc<ServingNode>, path: PathBuf, mut hangup: Signal) {
     loop {
