--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -1,10 +1,11 @@
 //! A serving node: the request pipeline and placement behind a deployment's own interfaces.
 //!
 //! [`node`] holds what the box knows; [`follow`] keeps it up to date from the platform,
-//! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`newest`] tells how new the
-//! configuration is, and [`quota`] keeps the limits of client accounts with other boxes, [`crashes`] what crashes servers; [`pipeline`] and [`relay`]
-//! answer requests, [`listeners`] takes them; [`lease`], [`placement`] and [`order_task`] give orders
-//! to engines; [`run`] wires it all.
+//! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`newest`] tells
+//! how new the configuration is; [`quota`] keeps the limits of client accounts with other boxes, and
+//! [`crashes`] holds off requests that crash servers; [`pipeline`] and [`relay`] answer requests,
+//! [`listeners`] takes them; [`lease`], [`placement`] and [`order_task`] give orders to engines;
+//! [`run`] wires it all.
 //! This folder depends on the decisions in `trackfront_core::serving` and on the traits in
 //! `trackfront_adapters::interface`; it knows no names or formats of any deployment.
 
