Make a request for a server last thing before its send, by one reading of the clock

Cause: the time that a server is given was worked out before a connection to it opened, and that it is over, or the choice of the server old, was not looked at again; units of a limit that were waited for were timed by timers. Change: the connection pool asks for the request once a connection is there. One reading of the clock judges the client's time, the key and the choice (500 ms at most), and gives the time that is left; else nothing is sent, which says nothing of the server. Orders are made in the same way. Ruled out on the way: separate readings for time and key left a gap between them (red at the 17th reading). Measured: a_suspension_at_any_reading_of_the_clock_makes_no_time_last_longer red at the 7th reading before; after, 64 suspensions in the midst of requests, 22 sends after one, none with time that is not there.

--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -41,6 +41,10 @@
     /// Nothing was sent: nobody listens at the address, so the server has ended.
     #[error("nothing was sent: {0}")]
     ConnectionRefused(String),
+    /// Nothing was sent: once a connection was there, the request was not to be sent any more. It says nothing of the
+    /// server.
+    #[error("nothing was sent: the request may no longer be sent")]
+    Withheld,
     /// The request was sent, wholly or in part, and no whole answer came.
     #[error("the answer is lost: {0}")]
     Lost(String),
@@ -127,20 +131,19 @@
     }
 
     /// Sends a request and returns once the head of the answer is there. Dropping the future or
-    /// the answer's body closes the connection. `may_send` is asked last thing before the send.
+    /// the answer's body closes the connection. `make` makes the request last thing before the send, since what it
+    /// says of time may be over once a connection is there; `None` if it may no longer be sent.
     pub async fn send(
         &self,
         address: &str,
-        request: Request<Full<Bytes>>,
         options: SendOptions,
-        may_send: impl Fn() -> bool,
+        make: impl Fn() -> Option<Request<Full<Bytes>>>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
-        let mut request = request;
         loop {
             let mut connection = self.connection(address, options).await?;
-            if !may_send() {
-                return Err(UpstreamError::NotSent("it may no longer be sent".into()));
-            }
+            let Some(request) = make() else {
+                return Err(UpstreamError::Withheld);
+            };
             let was_used = connection.used;
             connection.used = true;
             match connection.sender.try_send_request(request).await {
@@ -157,7 +160,7 @@
                 }
                 Err(mut error) => match error.take_message() {
                     // The server had closed the kept connection; nothing was written to it.
-                    Some(unsent) if was_used => request = unsent,
+                    Some(_) if was_used => {}
                     Some(_) => return Err(UpstreamError::NotSent(chain(error.error()))),
                     None => return Err(UpstreamError::Lost(chain(error.error()))),
                 },
--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -72,6 +72,8 @@
     pub waiting: u32,
     /// Requests under way there.
     pub requests: u32,
+    /// When it was chosen, by what was known then.
+    pub at: Moment,
 }
 
 /// Why no server gets a request.
@@ -247,6 +249,7 @@
         estimate: Duration::from_secs_f64((estimate + own_call_ms) / 1_000.0),
         waiting,
         requests,
+        at: now,
     };
     (cost, choice)
 }
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -257,11 +257,11 @@
         }
     }
 
-    /// Returns whether the box can tell that the keys in force are good. Asked before the accounts are looked
+    /// Returns whether the box can tell at `now` that the keys in force are good. Asked before the accounts are looked
     /// at, since those that are put in force meanwhile are newer.
-    pub fn knows_keys(&self) -> bool {
+    pub fn knows_keys(&self, now: Moment) -> bool {
         let terms = self.settings.load().promises.keys();
-        terms.is_none_or(|terms| self.newest.is_usable(terms, self.now()))
+        terms.is_none_or(|terms| self.newest.is_usable(terms, now))
     }
 
     /// Returns whether the node has just started and does not know the others yet. What one node
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -240,16 +240,18 @@
             expected_sequence: report.sequence,
         };
         let server = &self.server.entry;
-        let request = self.node.ports.servers.order_request(server, &order);
         // A new connection each time: nothing that was written earlier can arrive behind it.
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: Duration::ZERO };
-        let may_send = || self.right.usable(self.node.now()) == Some(fence);
-        let sending = self.node.pool.send(&server.address, request, options, may_send);
+        let has_right = || self.right.usable(self.node.now()) == Some(fence);
+        let make = || has_right().then(|| self.node.ports.servers.order_request(server, &order));
+        let sending = self.node.pool.send(&server.address, options, make);
         match timeout(ORDER_TIMEOUT, sending).await {
             Ok(Ok(answer)) => self.node.ports.servers.read_order_answer(answer.head.status),
-            Ok(Err(UpstreamError::NotSent(_) | UpstreamError::ConnectionRefused(_))) => {
-                OrderAnswer::NotSent
-            }
+            Ok(Err(
+                UpstreamError::NotSent(_)
+                | UpstreamError::ConnectionRefused(_)
+                | UpstreamError::Withheld,
+            )) => OrderAnswer::NotSent,
             Ok(Err(UpstreamError::Lost(_))) | Err(_) => OrderAnswer::Unknown,
         }
     }
@@ -355,11 +357,11 @@
     /// Reads the engine's report and keeps it for the next plan.
     async fn report(&self) -> Option<EngineReport> {
         let server = &self.server.entry;
-        let request = self.node.ports.servers.report_request(server);
+        let make = || Some(self.node.ports.servers.report_request(server));
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: Duration::from_secs(2) };
         let asked_at = self.node.now();
         let reading = async {
-            let answer = self.node.pool.send(&server.address, request, options, || true).await?;
+            let answer = self.node.pool.send(&server.address, options, make).await?;
             answer.body.read(MAX_REPORT).await
         };
         let body = match timeout(REPORT_TIMEOUT, reading).await {
@@ -371,7 +373,7 @@
                         self.node.loads.lock().unreachable(&server.id, self.node.now());
                     }
                     UpstreamError::ConnectionRefused(_) => crashes::refused(&self.node, &server.id),
-                    UpstreamError::Lost(_) => {}
+                    UpstreamError::Lost(_) | UpstreamError::Withheld => {}
                 }
                 return None;
             }
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -4,6 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use tokio::time::{Instant, timeout_at};
 use trackfront_adapters::interface::Attempt;
 use trackfront_adapters::serving_metrics::KindLabel;
@@ -25,6 +28,11 @@
 /// How long a connection to a server may take to open: many times the way within a region.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
 
+/// How long the choice of a server stands until the request is sent: twice what a connection may take to open, and
+/// little beside the seconds for which servers that leave serve on. More passes only where the box stood still or its
+/// machine was suspended.
+const CHOICE_TIME: Duration = Duration::from_millis(500);
+
 /// How long a kept connection may have been unused for a request that may be sent again.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 
@@ -126,19 +134,9 @@
         let server = &choice.server.entry;
         let mut held = self.hold(choice);
         self.log_send(choice, held.expected_ms(), after_event.is_some());
-        let attempt = Attempt {
-            server,
-            time_left: self
-                .deadline
-                .map(|deadline| deadline.saturating_duration_since(self.present())),
-            priority: self.rank,
-            account: self.account.as_ref().map(|account| &account.name),
-            after_event,
-        };
-        let request = node.ports.servers.request(&self.head, self.body.clone(), &attempt);
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: self.max_idle() };
-        let may_send = || self.key_is_good() && self.is_let_through();
-        let sending = node.pool.send(&server.address, request, options, may_send);
+        let make = || self.make(choice, after_event);
+        let sending = node.pool.send(&server.address, options, make);
         let sent = timeout_at(self.timer(self.head_until().min(self.end)), sending).await;
         let (result, outcome) = match sent {
             Err(_) => {
@@ -152,6 +150,12 @@
                 log::info!(request:% = self.info.id, server:% = server.id, cause; "not sent");
                 ("unreachable", Sent::Unreachable)
             }
+            Ok(Err(UpstreamError::Withheld)) => {
+                held.end(Ending::Abandoned);
+                let chosen_ms_ago = node.now().since(choice.at).as_millis() as u64;
+                log::info!(request:% = self.info.id, server:% = server.id, chosen_ms_ago; "send withheld");
+                ("withheld", Sent::Unreachable)
+            }
             Ok(Err(UpstreamError::ConnectionRefused(cause))) => {
                 held.end(Ending::Unreachable);
                 crashes::refused(node, &server.id);
@@ -169,6 +173,27 @@
         outcome
     }
 
+    /// Makes the request as the server gets it, a connection being there; `None` if it may no longer be sent. The
+    /// machine may have been suspended since the server was chosen, and no timer tells: the client's time may be over,
+    /// its key taken away, the server gone. One reading of the clock judges all of it, so nothing passes in between.
+    fn make(&self, choice: &Choice, after_event: Option<&str>) -> Option<Request<Full<Bytes>>> {
+        let now = self.node.now();
+        let present = self.present_at(now);
+        let stands = now.since(choice.at) <= CHOICE_TIME;
+        let may_send = stands && self.key_is_good(now) && self.is_let_through();
+        if !may_send || present >= self.end {
+            return None;
+        }
+        let attempt = Attempt {
+            server: &choice.server.entry,
+            time_left: self.deadline.map(|deadline| deadline.saturating_duration_since(present)),
+            priority: self.rank,
+            account: self.account.as_ref().map(|account| &account.name),
+            after_event,
+        };
+        Some(self.node.ports.servers.request(&self.head, self.body.clone(), &attempt))
+    }
+
     /// Returns how long a kept connection may have been unused for this request.
     fn max_idle(&self) -> Duration {
         let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
--- a/trackfrontd/src/serving/pipeline/key.rs
+++ b/trackfrontd/src/serving/pipeline/key.rs
@@ -6,6 +6,7 @@
 use trackfront_core::accounts::ClientAccount;
 use trackfront_core::serving::config::{KeyHolder, Route, ServingConfig};
 use trackfront_core::serving::request::{Refusal, RequestInfo};
+use trackfront_core::units::Moment;
 
 use super::{Job, STARTING_RETRY, Tries};
 use crate::serving::node::ServingNode;
@@ -20,7 +21,7 @@
     route: &Route,
     info: &RequestInfo,
 ) -> Result<Option<Arc<ClientAccount>>, Refusal> {
-    let knows_keys = node.knows_keys();
+    let knows_keys = node.knows_keys(node.now());
     let config = node.config.load();
     let config = config.as_ref().ok_or(Refusal::NotReady { retry_after: STARTING_RETRY })?;
     match holder(config, route, info) {
@@ -49,13 +50,13 @@
 }
 
 impl Job {
-    /// Returns whether the key of the request still belongs to its account, by accounts that are known to be
+    /// Returns whether the key of the request still belongs to its account at `now`, by accounts that are known to be
     /// the newest. To be asked last thing before each send: the process may have stood still since.
-    pub(super) fn key_is_good(&self) -> bool {
+    pub(super) fn key_is_good(&self, now: Moment) -> bool {
         let Some(account) = &self.account else {
             return true;
         };
-        if !self.node.knows_keys() {
+        if !self.node.knows_keys(now) {
             return false;
         }
         let config = self.node.config.load();
@@ -65,12 +66,13 @@
 
     /// Refuses a request whose key is no longer known to be good.
     pub(super) fn judge_key(&self, tries: &Tries) -> Option<Refusal> {
-        if self.key_is_good() {
+        let now = self.node.now();
+        if self.key_is_good(now) {
             return None;
         }
         Some(match tries.may_have_run {
             Some(cause) => Refusal::Failed(cause),
-            None if self.node.knows_keys() => Refusal::UnknownKey,
+            None if self.node.knows_keys(now) => Refusal::UnknownKey,
             None => not_current(&self.node),
         })
     }
--- a/trackfrontd/src/serving/pipeline/limit.rs
+++ b/trackfrontd/src/serving/pipeline/limit.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
 use trackfront_core::quota::AccountId;
 use trackfront_core::quota::share::Outcome;
 use trackfront_core::serving::request::Refusal;
@@ -57,14 +56,14 @@
         if let Some(units) = tries.units.take() {
             return Ok(Taken::Now(Some(units)));
         }
-        let began = Instant::now();
+        let began = self.node.now();
         let units = self.units().await;
         let refused = |refusal| match tries.may_have_run {
             Some(cause) => Refusal::Failed(cause),
             None => refusal,
         };
         let units = units.map_err(refused)?;
-        Ok(match began.elapsed() < LONG_WAIT {
+        Ok(match self.node.now().since(began) < LONG_WAIT {
             true => Taken::Now(units),
             false => Taken::AfterWait(units),
         })
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -352,7 +352,11 @@
     /// Returns the present moment on the line of this request's times, which counts suspensions of the machine: timers
     /// do not, and would give a server time that is over for the client.
     pub fn present(&self) -> Instant {
-        self.arrived + self.node.now().since(self.arrived_at)
+        self.present_at(self.node.now())
+    }
+
+    fn present_at(&self, now: Moment) -> Instant {
+        self.arrived + now.since(self.arrived_at)
     }
 
     /// Returns when a timer is over that is set now for a moment on the line of this request's times.
