Ask anew at once for what was missed while the machine was suspended

Change: both clocks are compared ten times a second, in a module of its own. On waking a box leaves its connections to the store and to other boxes, gives up the waits for changes of the configuration and of the servers, and the question for the newest configuration, and makes them anew. Ruled out: a shorter time for these calls (they wait on purpose, and each end costs a call).

--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -163,6 +163,12 @@
         fetched.unwrap_or_else(|_| Err(self.too_late(address, "no whole answer", whole)))
     }
 
+    /// Leaves all connections that are kept open: the machine was suspended, and their other ends may have given them
+    /// up.
+    pub fn forget_connections(&self) {
+        self.connections.lock().clear();
+    }
+
     /// Says what did not come in time, and leaves the connections to that address that are kept open.
     fn too_late(&self, address: Option<Authority>, what: &str, time: Duration) -> HttpError {
         if let Some(address) = address {
--- a/trackfront_core/src/ports/knowledge.rs
+++ b/trackfront_core/src/ports/knowledge.rs
@@ -68,4 +68,8 @@
         version: u64,
         wait: Duration,
     ) -> Result<Feed<ServerChange>, TableError>;
+
+    /// Leaves connections that are kept open, so that the next calls open new ones: the machine was suspended, and the
+    /// platform may have given them up.
+    fn forget_connections(&self);
 }
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -112,6 +112,13 @@
     }
 }
 
+impl Exchange {
+    /// Leaves the connections to other boxes that are kept open.
+    pub fn forget_connections(&self) {
+        self.client.forget_connections();
+    }
+}
+
 /// Answers a box that asks for a copy; `None` if the path is not that of a copy.
 pub fn answer(node: &ServingNode, path: &str) -> Option<Response<Body>> {
     if path == CRASHES_PATH {
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -100,12 +100,16 @@
         let known = node.config_row();
         let is_behind = || node.relayed.lock().config_row() > known;
         link.wait_for_reader(is_behind).await;
-        if is_behind() {
+        if is_behind() || link.woke() {
             // The row itself is read: this box's place in the feed is old, perhaps forgotten.
             return;
         }
         link.count("follow_config");
-        match node.ports.knowledge.follow_config(version, link.feed_wait()).await {
+        let call = node.ports.knowledge.follow_config(version, link.feed_wait());
+        let Some(answer) = link.unless_suspended(call).await else {
+            return;
+        };
+        match answer {
             Ok(Feed::Changes { changes, version: reached }) => {
                 link.works();
                 let some = !changes.is_empty();
--- a/trackfrontd/src/serving/follow/link.rs
+++ b/trackfrontd/src/serving/follow/link.rs
@@ -12,6 +12,7 @@
 
 use crate::serving::node::ServingNode;
 use crate::serving::spread::{FeedKind, HallMates, fresh_for, hall_mates, successor_wait};
+use crate::serving::suspension::Waking;
 
 /// How long one wait for changes lasts where no other box depends on it. The box hears at least
 /// this often that the platform is there, so it bounds how long a lost connection goes unnoticed.
@@ -53,12 +54,14 @@
     kind: FeedKind,
     failures: u32,
     failing_since: Option<Moment>,
+    waking: Waking,
 }
 
 impl Link {
     /// Makes one without failures.
     pub fn new(node: Arc<ServingNode>, kind: FeedKind) -> Self {
-        Self { node, kind, failures: 0, failing_since: None }
+        let waking = node.wakings.follow();
+        Self { node, kind, failures: 0, failing_since: None, waking }
     }
 
     /// The dependency's name in logs and metrics.
@@ -132,6 +135,18 @@
         self.failures = 1;
     }
 
+    /// Awaits a wait for changes; `None` if the machine was suspended: all has to be asked for anew.
+    pub async fn unless_suspended<T>(&mut self, call: impl Future<Output = T>) -> Option<T> {
+        self.waking.unless(call).await
+    }
+
+    /// Returns whether the machine was suspended since it was last asked.
+    pub fn woke(&mut self) -> bool {
+        let is_new = self.waking.is_new();
+        self.waking.take();
+        is_new
+    }
+
     /// Waits while a reader of this hall reads the feed for this box. Returns at once if this
     /// box has to read itself. `is_enough` says whether there is something to read after all.
     pub async fn wait_for_reader(&self, is_enough: impl Fn() -> bool) {
@@ -139,7 +154,7 @@
             let came = self.node.relay_came.notified();
             let mates = hall_mates(&self.node);
             let reads = self.must_read(&mates) && !self.node.is_alone_for_now();
-            if reads || is_enough() {
+            if reads || is_enough() || self.waking.is_new() {
                 return;
             }
             // Looked at again in any case, so nothing is lost if no word comes.
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -107,12 +107,19 @@
 async fn follow_from(node: &Arc<ServingNode>, socket: &PeerSocket, link: &mut Link) {
     while !link.must_reread() {
         link.wait_for_reader(|| node.relayed.lock().has_gap()).await;
+        if link.woke() {
+            return;
+        }
         if node.relayed.lock().has_gap() && take_copy(node, link).await {
             continue;
         }
         link.count("follow_servers");
         let from = node.directory.lock().newest();
-        match node.ports.knowledge.follow_servers(from, link.feed_wait()).await {
+        let call = node.ports.knowledge.follow_servers(from, link.feed_wait());
+        let Some(answer) = link.unless_suspended(call).await else {
+            return;
+        };
+        match answer {
             Ok(Feed::Changes { changes, version: to }) => {
                 link.works();
                 let some = !changes.is_empty();
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -34,4 +34,5 @@
 pub mod run;
 pub mod settings;
 pub mod spread;
+pub mod suspension;
 pub mod unusable;
--- a/trackfrontd/src/serving/newest.rs
+++ b/trackfrontd/src/serving/newest.rs
@@ -94,6 +94,7 @@
 pub async fn keep_newest(node: Arc<ServingNode>, socket: Arc<PeerSocket>) {
     let mut store = StoreCheck { node: node.clone(), fails: false };
     let mut was_usable = true;
+    let mut waking = node.wakings.follow();
     loop {
         let needs_keys =
             node.config.load().as_ref().is_some_and(|config| config.accounts.is_some());
@@ -102,17 +103,21 @@
             sleep(LOOK_EVERY).await;
             continue;
         };
+        // What was found out before a suspension is too old now, and a question that it broke into may stay open.
+        waking.take();
         let began = node.now();
         let mates = hall_mates(&node);
         let age = node.newest.age(began);
         log_change(&node, terms, age, &mut was_usable);
         ask(&node, &socket, terms, &mates, age).await;
-        if must_ask_store(&node, terms, &mates, age) {
-            store.check().await;
+        if must_ask_store(&node, terms, &mates, age) && waking.unless(store.check()).await.is_none()
+        {
+            continue;
         }
         let is_late = node.newest.age(node.now()).is_none_or(|age| age >= terms.wider_after());
         let pause = if is_late { terms.ask_every() / HURRY } else { terms.ask_every() };
-        sleep(pause.saturating_sub(node.now().since(began))).await;
+        // Asked again in any case, at once after a suspension.
+        let _ = waking.unless(sleep(pause.saturating_sub(node.now().since(began)))).await;
     }
 }
 
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -36,6 +36,7 @@
 use super::quota::box_id;
 use super::settings::ServingSettings;
 use super::spread::Relayed;
+use super::suspension::Wakings;
 use super::unusable::UnusableRows;
 
 /// The part of the time that a draining server goes on for, in which it is still sent what no
@@ -116,6 +117,8 @@
     pub exchange: Exchange,
     /// Told when something came from a reader.
     pub relay_came: Notify,
+    /// Told when the machine was suspended.
+    pub wakings: Wakings,
     /// Short names of servers and items.
     pub names: Mutex<ShortNames>,
     /// Told when servers or notes have changed.
@@ -166,6 +169,7 @@
             peers: Mutex::default(),
             relayed: Mutex::default(),
             relay_came: Notify::new(),
+            wakings: Wakings::default(),
             unusable_rows: UnusableRows::default(),
             exchange: Exchange::default(),
             names: Mutex::default(),
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -19,7 +19,7 @@
 use super::peer_socket::PeerSocket;
 use super::placement::Placement;
 use super::settings::ServingSettings;
-use super::{boxes, crashes, follow, lacks, listeners, newest, quota};
+use super::{boxes, crashes, follow, lacks, listeners, newest, quota, suspension};
 
 /// How long a call to the platform's store may take beyond the time that it asks the store to wait.
 pub const STORE_CALL_TIME: Duration = Duration::from_millis(900);
@@ -40,10 +40,6 @@
 /// How late the sweep has to be for the process to have stood still: frozen, or far too slow.
 const STOOD_STILL: Duration = Duration::from_millis(500);
 
-/// How much longer the clock that counts suspensions has gone on than the steady one for the machine to have been
-/// suspended: more than two readings of clocks that are not taken at once differ by.
-const SUSPENDED: Duration = Duration::from_millis(200);
-
 /// How long a connection to a server stays open unused.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 
@@ -83,6 +79,7 @@
     tasks.spawn(crashes::keep(node.clone()));
     tasks.spawn(gossip::hear(node.clone(), socket));
     tasks.spawn(sweep(node.clone()));
+    tasks.spawn(suspension::watch(node.clone()));
     tasks.spawn(reload(node.clone(), path, hangup));
     tasks.spawn(listeners::serve_readiness(node.clone(), readiness, rest_stopped.clone()));
     let ports = BTreeSet::from([listen.peers, listen.metrics]);
@@ -144,25 +141,18 @@
     placement.abort();
 }
 
-/// Drops what is old, and notes when the process stood still or its machine was suspended: whatever it believed is
-/// that old.
+/// Drops what is old, and notes when the process stood still: whatever it believed is that old.
 async fn sweep(node: Arc<ServingNode>) {
-    let (mut before, mut awake_before) = (node.now(), Instant::now());
+    let mut before = Instant::now();
     loop {
         sleep(SWEEP_EVERY).await;
-        let (now, awake) = (node.now(), Instant::now());
-        let suspended = now.since(before).saturating_sub(awake - awake_before);
-        let late = now.since(before).saturating_sub(SWEEP_EVERY);
-        if suspended >= SUSPENDED {
-            count_standstill(&node, "suspended");
-            log::warn!(ms = suspended.as_millis() as u64; "machine was suspended");
-            // Servers close connections that were unused for so long; a request that may run once would be lost.
-            node.pool.close_idle(Duration::ZERO);
-        } else if late >= STOOD_STILL {
+        let late = before.elapsed().saturating_sub(SWEEP_EVERY);
+        if late >= STOOD_STILL {
             count_standstill(&node, "stood_still");
             log::warn!(ms = late.as_millis() as u64; "process stood still");
         }
-        (before, awake_before) = (now, awake);
+        before = Instant::now();
+        let now = node.now();
         node.pool.close_idle(MAX_IDLE);
         follow::end_lapses(&node);
         node.loads.lock().forget_old(now);
@@ -170,7 +160,8 @@
     }
 }
 
-fn count_standstill(node: &ServingNode, kind: &'static str) {
+/// Counts that nothing ran for a while, and why.
+pub fn count_standstill(node: &ServingNode, kind: &'static str) {
     node.metrics.standstills.get_or_create(&KindLabel { kind }).inc();
 }
 
