A copy of the configuration says how new it is, and word of before a box's start counts

Cause: a box that took its configuration from another knew whether keys are good only by the answer to its own first question, up to 0.5 s later. And an age that is longer than the box itself has run was taken for nothing, so that word of others did not count for as long as it was older than the box. Change: the header of a copy has the row in force at the giver and its age, counted from the question, as in answers; moments before the start of the box's clock are kept. Ruled out: to call a box ready only once keys are known (a store that is away would keep all boxes from starting); to ask at once when a configuration comes (a call to the store by each box that knows no other yet).

--- a/trackfront_core/src/serving/freshness.rs
+++ b/trackfront_core/src/serving/freshness.rs
@@ -58,18 +58,36 @@
     }
 }
 
+/// A moment that may lie before the start of this box's clock: what others tell a box that has just started is mostly
+/// of such, and taken for nothing it left the box without good keys for as long as it was younger than their word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct AsOf {
+    nanos: i128,
+}
+
+impl AsOf {
+    fn before(moment: Moment, age: Duration) -> Self {
+        Self { nanos: moment.0.as_nanos() as i128 - age.as_nanos() as i128 }
+    }
+
+    fn age(self, now: Moment) -> Duration {
+        let nanos = (now.0.as_nanos() as i128 - self.nanos).max(0);
+        Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX))
+    }
+}
+
 /// That a row was the newest at a moment, or at a later one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Newest {
     row: u64,
-    as_of: Moment,
+    as_of: AsOf,
 }
 
 /// What is known of the age of the configuration in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
     in_force: u64,
-    as_of: Option<Moment>,
+    as_of: Option<AsOf>,
     /// Word of a row that is not in force here yet.
     ahead: Option<Newest>,
 }
@@ -86,6 +104,10 @@
     /// Notes that `row` was the newest at `as_of` or later. Where a newer one is in force here it was
     /// written after that moment, so this one was the newest later still.
     pub fn newest(&mut self, row: u64, as_of: Moment) {
+        self.told(row, Duration::ZERO, as_of);
+    }
+
+    fn note(&mut self, row: u64, as_of: AsOf) {
         if row <= self.in_force {
             self.confirm(as_of);
             return;
@@ -101,10 +123,7 @@
     /// `age` before its answer. When the answer came does not count: it may have lain here while the process
     /// stood still.
     pub fn told(&mut self, row: u64, age: Duration, asked_at: Moment) {
-        // An age beyond the clock's start says nothing.
-        if let Some(as_of) = asked_at.0.checked_sub(age) {
-            self.newest(row, Moment(as_of));
-        }
+        self.note(row, AsOf::before(asked_at, age));
     }
 
     /// Returns the row in force.
@@ -114,7 +133,7 @@
 
     /// Returns how long ago the configuration in force was the newest for certain; `None` if never.
     pub fn age(&self, now: Moment) -> Option<Duration> {
-        self.as_of.map(|as_of| now.since(as_of))
+        self.as_of.map(|as_of| as_of.age(now))
     }
 
     /// Returns whether keys may be answered at `now`. To be asked last thing before each send.
@@ -122,7 +141,7 @@
         self.age(now).is_some_and(|age| age < terms.usable_for())
     }
 
-    fn confirm(&mut self, as_of: Moment) {
+    fn confirm(&mut self, as_of: AsOf) {
         self.as_of = Some(self.as_of.map_or(as_of, |before| before.max(as_of)));
     }
 }
--- a/trackfront_core/tests/serving/freshness.rs
+++ b/trackfront_core/tests/serving/freshness.rs
@@ -73,3 +73,16 @@
     freshness.told(7, Duration::from_millis(8_000), at(6_000));
     assert_eq!(freshness.age(at(6_100)), Some(Duration::from_millis(1_600)));
 }
+
+#[test]
+fn a_box_that_has_just_started_takes_word_of_before_its_start() {
+    let mut freshness = Freshness::default();
+    freshness.in_force(7);
+    freshness.told(7, Duration::from_millis(900), at(20));
+    assert_eq!(freshness.age(at(30)), Some(Duration::from_millis(910)));
+    assert!(freshness.is_usable(TERMS, at(30)));
+    freshness.told(7, Duration::from_millis(400), at(40));
+    assert_eq!(freshness.age(at(40)), Some(Duration::from_millis(400)), "the younger word counts");
+    freshness.told(7, Duration::from_secs(4_000_000), at(50));
+    assert_eq!(freshness.age(at(50)), Some(Duration::from_millis(410)));
+}
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Response, StatusCode};
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
@@ -27,6 +28,7 @@
 use trackfront_core::units::Moment;
 
 use super::crashes;
+use super::newest::NewestRow;
 use super::node::ServingNode;
 use super::packing::{UnpackError, pack, unpack};
 
@@ -39,6 +41,11 @@
 /// The path of the requests that are held off.
 const CRASHES_PATH: &str = "/copy/1/crashes";
 
+/// The header of a copy of the configuration that says which row is in force at the box that gives it, and how many
+/// milliseconds ago that was the newest for certain. Without it a box that starts could not tell whether keys are good
+/// until its first question was answered, and refused what needs one for up to 0.5 s after it was ready.
+const NEWEST_ROW: HeaderName = HeaderName::from_static("newest-row");
+
 /// How long a box may take until it begins to hand a copy out, and until the copy is whole. A configuration
 /// of 4,250 routes is a copy of some 65 KB; a box with the smallest link of today, 10 Mbit/s, sends thirty of
 /// them in 1.6 s. Beyond that the store is the shorter way: 0.9 s on a link of one's own.
@@ -125,12 +132,27 @@
         return Some(copy_response(crashes::copy(node).map(|reports| pack(&reports))));
     }
     let known = |prefix| path.strip_prefix(prefix)?.parse::<u64>().ok();
-    let packed = match (known(CONFIG_PATH), known(SERVERS_PATH)) {
-        (Some(known), _) => config_copy(node, known),
-        (None, Some(known)) => servers_copy(node, known),
-        (None, None) => return None,
-    };
-    Some(copy_response(packed))
+    match (known(CONFIG_PATH), known(SERVERS_PATH)) {
+        (Some(known), _) => Some(with_newest(node, copy_response(config_copy(node, known)))),
+        (None, Some(known)) => Some(copy_response(servers_copy(node, known))),
+        (None, None) => None,
+    }
+}
+
+/// Adds what this box knows of how new its configuration is.
+fn with_newest(node: &ServingNode, mut copy: Response<Body>) -> Response<Body> {
+    if let Some(NewestRow { row, age_ms }) = node.newest.known(node.now()) {
+        let value = format!("{row} {age_ms}");
+        let value = HeaderValue::from_str(&value).expect("digits are valid in a header");
+        copy.headers_mut().insert(NEWEST_ROW, value);
+    }
+    copy
+}
+
+/// Reads what [`with_newest`] wrote; `None` from a box of the version before.
+fn read_newest(headers: &HeaderMap) -> Option<NewestRow> {
+    let (row, age_ms) = headers.get(NEWEST_ROW)?.to_str().ok()?.split_once(' ')?;
+    Some(NewestRow { row: row.parse().ok()?, age_ms: age_ms.parse().ok()? })
 }
 
 fn copy_response(packed: Option<Bytes>) -> Response<Body> {
@@ -191,7 +213,11 @@
     known: u64,
 ) -> Option<StoredConfig> {
     let path = format!("{CONFIG_PATH}{known}");
-    let copy: ConfigCopy = fetch_first(node, boxes, &path).await?;
+    let asked_at = node.now();
+    let Fetched { copy, newest } = fetch_first::<ConfigCopy>(node, boxes, &path).await?;
+    if let Some(newest) = newest {
+        node.newest.told(newest, asked_at);
+    }
     Some(StoredConfig { row_version: copy.row, config: Ok(copy.config) })
 }
 
@@ -201,25 +227,32 @@
     boxes: &[Ipv4Addr],
     known: u64,
 ) -> Option<ServersCopy> {
-    fetch_first(node, boxes, &format!("{SERVERS_PATH}{known}")).await
+    Some(fetch_first(node, boxes, &format!("{SERVERS_PATH}{known}")).await?.copy)
 }
 
 /// Asks `boxes` for the requests that are held off.
 pub async fn fetch_crashes(node: &ServingNode, boxes: &[Ipv4Addr]) -> Option<Vec<CrashReport>> {
-    fetch_first(node, boxes, CRASHES_PATH).await
+    Some(fetch_first(node, boxes, CRASHES_PATH).await?.copy)
+}
+
+/// A copy that another box gave.
+struct Fetched<T> {
+    copy: T,
+    /// What that box knows of how new its configuration is, if it says so.
+    newest: Option<NewestRow>,
 }
 
 async fn fetch_first<T: DeserializeOwned>(
     node: &ServingNode,
     boxes: &[Ipv4Addr],
     path: &str,
-) -> Option<T> {
+) -> Option<Fetched<T>> {
     for ip in boxes.iter().take(BOXES_ASKED) {
         let began = node.now();
         match fetch(node, *ip, path).await {
-            Ok(copy) => {
+            Ok(fetched) => {
                 log_fetch(*ip, path, "taken", began, node.now());
-                return Some(copy);
+                return Some(fetched);
             }
             Err(error) => log_fetch(*ip, path, &error.to_string(), began, node.now()),
         }
@@ -236,12 +269,15 @@
     node: &ServingNode,
     ip: Ipv4Addr,
     path: &str,
-) -> Result<T, CopyError> {
+) -> Result<Fetched<T>, CopyError> {
     let address = format!("{ip}:{}", node.settings.load().listen.peers);
     let request = with_body(request(Method::GET, &address, path), Bytes::new())?;
     let answer = node.exchange.client.fetch_large(request, PATIENCE).await?;
     match answer.status {
-        StatusCode::OK => Ok(unpack::<T, MAX_COPY_BYTES>(&answer.body)?),
+        StatusCode::OK => {
+            let copy = unpack::<T, MAX_COPY_BYTES>(&answer.body)?;
+            Ok(Fetched { copy, newest: read_newest(&answer.headers) })
+        }
         StatusCode::NO_CONTENT => Err(CopyError::NothingNewer),
         other => Err(CopyError::BadStatus(other)),
     }
--- a/trackfrontd/src/serving/newest.rs
+++ b/trackfrontd/src/serving/newest.rs
@@ -36,6 +36,15 @@
 /// The dependency's name in logs and metrics.
 const DEPENDENCY: &str = "store_newest";
 
+/// What one box tells another of how new its configuration is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewestRow {
+    /// The row in force there.
+    pub row: u64,
+    /// How many milliseconds ago it was the newest for certain.
+    pub age_ms: u32,
+}
+
 /// What a box knows of the age of its configuration, and its open questions.
 #[derive(Debug, Default)]
 pub struct Newest {
@@ -79,6 +88,21 @@
         self.freshness.lock().newest(row, as_of);
     }
 
+    /// Returns what this box can tell others at `now`.
+    pub fn known(&self, now: Moment) -> Option<NewestRow> {
+        let freshness = self.freshness.lock();
+        let age = freshness.age(now)?;
+        // Rounded up: an age that is told too small would lengthen the life of a removed key.
+        let age_ms = u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX);
+        Some(NewestRow { row: freshness.row(), age_ms })
+    }
+
+    /// Takes in what another box told that was asked at `asked_at`.
+    pub fn told(&self, told: NewestRow, asked_at: Moment) {
+        let age = Duration::from_millis(u64::from(told.age_ms));
+        self.freshness.lock().told(told.row, age, asked_at);
+    }
+
     /// Returns whether keys may be answered at `now`.
     pub fn is_usable(&self, terms: KeyTerms, now: Moment) -> bool {
         self.freshness.lock().is_usable(terms, now)
@@ -209,15 +233,9 @@
 
 /// Answers a box that asks.
 pub fn answer(node: &ServingNode, socket: &PeerSocket, ip: Ipv4Addr, question: AskNewest) {
-    let (row, age) = {
-        let freshness = node.newest.freshness.lock();
-        (freshness.row(), freshness.age(node.now()))
-    };
-    let Some(age) = age else {
+    let Some(NewestRow { row, age_ms }) = node.newest.known(node.now()) else {
         return;
     };
-    // Rounded up: an age that is told too small would lengthen the life of a removed key.
-    let age_ms = u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX);
     let told = ToldNewest { number: question.number, row, age_ms };
     socket.send_now(&Message::Newest(told), ip);
 }
@@ -233,8 +251,7 @@
     let Some(asked_at) = asked_at else {
         return;
     };
-    let age = Duration::from_millis(u64::from(told.age_ms));
-    node.newest.freshness.lock().told(told.row, age, asked_at);
+    node.newest.told(NewestRow { row: told.row, age_ms: told.age_ms }, asked_at);
     if told.row > node.config_row() {
         node.relayed.lock().note_config(told.row, Some(ip));
         node.relay_came.notify_waiters();
