--- a/trackfront_core/src/serving/directory/mod.rs
+++ b/trackfront_core/src/serving/directory/mod.rs
@@ -479,8 +479,8 @@
         }
     }
 
-    /// Lists the servers by service if any came, went or moved, but for those whose address a later one has: an address has one
-    /// server at a time, and the row of one that crashed stays for a while. Versions do not tell, as
+    /// Lists the servers by service if any came, went or moved, but for those whose address a later one has: an
+    /// address has one server at a time, and the row of one that crashed stays for a while. Versions do not tell, as
     /// what a server wrote may arrive after its end.
     fn list(&mut self) {
         if !std::mem::take(&mut self.must_list) {
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -211,7 +211,11 @@
     if summed_up > 0 {
         log::info!(servers = summed_up, version; "servers changed");
     }
-    node.names.lock().set_servers(directory.all().map(|known| &known.entry.id));
+    // Most changes bring no server and take none; hashing the names of 3,000 servers for each would cost as much as
+    // listing them does.
+    if events.iter().any(|event| !matches!(event, DirectoryEvent::Changed(_))) {
+        node.names.lock().set_servers(directory.all().map(|known| &known.entry.id));
+    }
     drop(directory);
     let mut loads = node.loads.lock();
     for event in &events {
