Serve only where it is allowed: emptied halls, bound regions, cold servers

Cause: the operator's rows beside the configuration, allowed-regions of routes and accounts, and the rate of cold servers were not read at all.

Halls: what the operator says of one goes with the version of its row, through the same feed, relays and copies as the configuration; of two words the later version holds, so order and repetition do not matter. The choice, the last check before a send and the plan pass such halls over. Cold servers: a few senders each, found by consistent hashing over the list of boxes; nobody is asked.

--- a/trackfront_adapters/src/interface.rs
+++ b/trackfront_adapters/src/interface.rs
@@ -66,6 +66,8 @@
     pub signed: bool,
     /// The server's load.
     pub load: Option<ToldLoad>,
+    /// How much longer it is cold, if it says so.
+    pub cold_for: Option<Duration>,
 }
 
 /// The interface to servers.
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -82,6 +82,8 @@
     pub dependencies: Family<KindLabel, Gauge>,
     /// The version of the configuration in force.
     pub config_version: Gauge,
+    /// Halls whose servers get nothing, as the operator said.
+    pub evacuated_halls: Gauge,
     /// Nodes heard of lately, this one included.
     pub nodes: Gauge,
     /// Log lines that were dropped because the reader of the output was too slow.
@@ -116,6 +118,7 @@
             orders: Family::default(),
             dependencies: Family::default(),
             config_version: Gauge::default(),
+            evacuated_halls: Gauge::default(),
             nodes: Gauge::default(),
             dropped_lines: Gauge::default(),
             connections_opened: Gauge::default(),
@@ -162,6 +165,8 @@
         registry.register("dependency_up", "Whether a dependency is there", dependencies);
         let version = self.config_version.clone();
         registry.register("config_version", "The configuration in force", version);
+        let evacuated = self.evacuated_halls.clone();
+        registry.register("evacuated_halls", "Halls whose servers get nothing", evacuated);
         registry.register("nodes", "Nodes heard of lately", self.nodes.clone());
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
         let opened = self.connections_opened.clone();
--- a/trackfront_bench/src/serving_list.rs
+++ b/trackfront_bench/src/serving_list.rs
@@ -58,6 +58,7 @@
         zone: "hall".into(),
         slots: 16,
         state: ServerState::Ready,
+        cold_for: Duration::ZERO,
         models: BTreeMap::new(),
         sequence: version,
         in_memory: BTreeSet::new(),
--- a/trackfront_core/src/accounts.rs
+++ b/trackfront_core/src/accounts.rs
@@ -3,14 +3,14 @@
 //! A key is only ever held as its hash. Boxes hand each other hashes, compare hashes, and show neither a
 //! key nor a hash in a log line, an error or a metric; those name the account.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::ids::AccountName;
+use crate::ids::{AccountName, RegionName};
 
 /// The hash of a key that clients show.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -79,6 +79,8 @@
     pub priority: Option<u8>,
     /// How much it may send; `None` is no limit.
     pub limit: Option<AccountLimit>,
+    /// The only regions in which its requests may be served, if it is bound to some.
+    pub regions: Option<BTreeSet<RegionName>>,
 }
 
 /// Why accounts are refused.
--- a/trackfront_core/src/ports/knowledge.rs
+++ b/trackfront_core/src/ports/knowledge.rs
@@ -9,6 +9,7 @@
 use crate::ports::TableError;
 use crate::serving::config::ServingConfig;
 use crate::serving::directory::ServerChange;
+use crate::serving::places::HallWord;
 
 /// All rows as of one moment.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,18 +43,27 @@
     pub config: Result<ServingConfig, String>,
 }
 
+/// What the operator wrote.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorWord {
+    /// A configuration.
+    Config(StoredConfig),
+    /// That the servers of a hall are to get nothing, or are used again.
+    Hall(HallWord),
+}
+
 /// Reads the configuration and the list of servers.
 #[async_trait]
 pub trait Knowledge: Send + Sync {
-    /// Reads the configuration; no row if none was stored yet.
-    async fn read_config(&self) -> Result<Listing<StoredConfig>, TableError>;
+    /// Reads the configuration, if one was stored yet, and the halls that are emptied.
+    async fn read_operator(&self) -> Result<Listing<OperatorWord>, TableError>;
 
-    /// Waits at most `wait` for configurations stored after `version`.
-    async fn follow_config(
+    /// Waits at most `wait` for what the operator writes after `version`.
+    async fn follow_operator(
         &self,
         version: u64,
         wait: Duration,
-    ) -> Result<Feed<StoredConfig>, TableError>;
+    ) -> Result<Feed<OperatorWord>, TableError>;
 
     /// Returns whether the row of the configuration still has version `row`, as of a moment after the call:
     /// a feed may be silent while changes are made, so its silence does not show that.
--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -9,8 +9,10 @@
 
 use crate::ids::{BackendId, ZoneName};
 use crate::serving::affinity::{Prefix, PromptMemory};
+use crate::serving::cold::Coldness;
 use crate::serving::directory::KnownServer;
 use crate::serving::load::{LoadBook, RANKS};
+use crate::serving::places::Places;
 use crate::serving::request::{ModelRef, RequestInfo};
 use crate::units::Moment;
 
@@ -29,6 +31,9 @@
 /// What a server that fails all requests seems to cost more, in milliseconds.
 const FAULT_MS: f64 = 1_500.0;
 
+/// What a server that is cold costs more: others go first while they are not full.
+const COLD_MS: f64 = 100.0;
+
 /// What a server that drains costs more: it is taken only where no other can answer.
 const DRAINING_MS: f64 = 100_000.0;
 
@@ -51,6 +56,8 @@
     pub tried: &'a [BackendId],
     /// The node's zone.
     pub zone: &'a ZoneName,
+    /// Where it may be served.
+    pub places: Places<'a>,
     /// How long after the node learned that it drains a server may still be sent what no other can answer.
     pub drain_grace: Duration,
     /// How long after it may have begun to drain at the latest.
@@ -81,10 +88,14 @@
 pub enum NoChoice {
     /// The service has no server that takes requests.
     NoServer,
+    /// It has some, none of them where the request may be served.
+    NotAllowed,
     /// No engine holds the model.
     NoModel,
     /// Engines hold the model, but none the adapter.
     NoAdapter,
+    /// Servers offer what is asked for, but are cold and may get nothing more now; the first is until then.
+    Cold(Moment),
     /// Every server that offers what is asked for got the request already.
     AllTried,
 }
@@ -94,8 +105,10 @@
     pub fn name(self) -> &'static str {
         match self {
             NoChoice::NoServer => "no server takes requests",
+            NoChoice::NotAllowed => "no server stands where it may be served",
             NoChoice::NoModel => "no engine holds the model",
             NoChoice::NoAdapter => "no engine holds the adapter",
+            NoChoice::Cold(_) => "the servers that offer it are cold",
             NoChoice::AllTried => "every server that offers it was asked",
         }
     }
@@ -111,6 +124,9 @@
 
     /// Returns whether there is an unused connection to `address`.
     fn is_connected(&self, address: &str) -> bool;
+
+    /// Returns whether `server` is cold, and whether this box may send to it all the same.
+    fn coldness(&self, server: &KnownServer) -> Coldness;
 }
 
 /// Chooses the server with the shortest estimated time among `servers`.
@@ -128,16 +144,27 @@
         if loads.server(id).is_replaced() || !takes_requests(server, query) {
             continue;
         }
+        if !query.places.allow(&server.entry.zone) {
+            reason = worse(reason, NoChoice::NotAllowed);
+            continue;
+        }
+        let coldness = view.coldness(server);
         let lack = match holds(server, query.info.model.as_ref(), view) {
             Ok(()) if query.tried.contains(id) => Some(NoChoice::AllTried),
-            Ok(()) => None,
+            Ok(()) => match coldness {
+                Coldness::Shut(until) => Some(NoChoice::Cold(until)),
+                Coldness::Warm | Coldness::Open => None,
+            },
             Err(lack) => Some(lack),
         };
         if let Some(lack) = lack {
             reason = worse(reason, lack);
             continue;
         }
-        let (cost, choice) = judge(query, server, loads, memory, view);
+        let (mut cost, choice) = judge(query, server, loads, memory, view);
+        if coldness == Coldness::Open {
+            cost += COLD_MS;
+        }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
         }
@@ -161,11 +188,17 @@
 fn worse(a: NoChoice, b: NoChoice) -> NoChoice {
     let nearness = |lack| match lack {
         NoChoice::NoServer => 0,
-        NoChoice::NoModel => 1,
-        NoChoice::NoAdapter => 2,
-        NoChoice::AllTried => 3,
+        NoChoice::NotAllowed => 1,
+        NoChoice::NoModel => 2,
+        NoChoice::NoAdapter => 3,
+        NoChoice::Cold(_) => 4,
+        NoChoice::AllTried => 5,
     };
-    if nearness(b) > nearness(a) { b } else { a }
+    match (a, b) {
+        (NoChoice::Cold(a), NoChoice::Cold(b)) => NoChoice::Cold(a.min(b)),
+        _ if nearness(b) > nearness(a) => b,
+        _ => a,
+    }
 }
 
 fn holds(
--- a/trackfront_core/src/serving/config.rs
+++ b/trackfront_core/src/serving/config.rs
@@ -8,7 +8,8 @@
 use thiserror::Error;
 
 use crate::accounts::{AccountError, Accounts, ClientAccount, KeyHash};
-use crate::ids::{AdapterName, ModelName, ServiceName};
+use crate::ids::{AdapterName, ModelName, RegionName, ServiceName};
+use crate::serving::cold::ColdStart;
 
 /// Why a configuration is refused. The one in force stays in force.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -106,6 +107,8 @@
     pub resumable: bool,
     /// Whether its requests need no key, where others do.
     pub public: bool,
+    /// The only regions in which its requests may be served, if it is bound to some.
+    pub regions: Option<BTreeSet<RegionName>>,
 }
 
 impl Route {
@@ -193,6 +196,8 @@
     pub health_path: String,
     /// How many connections one server accepts from all nodes together.
     pub connection_limit: u32,
+    /// What a server bears after a start, if that is less than later.
+    pub cold: Option<ColdStart>,
     /// The engines' figures; `None` for a plain service.
     pub engine: Option<EngineSpec>,
 }
--- a/trackfront_core/src/serving/directory/entry.rs
+++ b/trackfront_core/src/serving/directory/entry.rs
@@ -52,6 +52,8 @@
     pub slots: u32,
     /// Whether it takes requests.
     pub state: ServerState,
+    /// How much longer it was cold when it wrote this.
+    pub cold_for: Duration,
     /// The models that it holds.
     pub models: Residents,
     /// How many orders it has taken.
@@ -99,6 +101,13 @@
         }
     }
 
+    /// Returns until when it is cold by its own row. The row may have been on its way for a while, so it is so no
+    /// longer than that.
+    pub fn cold_until(&self) -> Option<Moment> {
+        let cold_for = self.entry.cold_for;
+        (!cold_for.is_zero()).then(|| self.learned + cold_for)
+    }
+
     /// Returns whether it takes new requests.
     pub fn is_ready(&self) -> bool {
         self.entry.state == ServerState::Ready
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -7,6 +7,7 @@
 pub mod adapter_use;
 pub mod affinity;
 pub mod choose;
+pub mod cold;
 pub mod config;
 pub mod crashes;
 pub mod crowding;
@@ -18,6 +19,7 @@
 pub mod load;
 pub mod making;
 pub mod orders;
+pub mod places;
 pub mod planner;
 pub mod request;
 pub mod retry_budget;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -8,6 +8,7 @@
     mod affinity;
     mod budget;
     mod choice;
+    mod cold;
     mod config;
     mod crashes;
     mod crashes_random;
@@ -21,6 +22,7 @@
     mod load;
     mod orders;
     mod orders_random;
+    mod places;
     mod planner;
     mod planner_random;
     mod returns;
--- a/trackfront_core/tests/serving/accounts.rs
+++ b/trackfront_core/tests/serving/accounts.rs
@@ -11,6 +11,7 @@
         keys: keys.iter().map(|key| KeyHash::of(key.as_bytes())).collect(),
         priority: None,
         limit: None,
+        regions: None,
     }
 }
 
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -1,12 +1,14 @@
-use std::collections::HashSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use trackfront_core::ids::BackendId;
+use trackfront_core::ids::{BackendId, RegionName, ZoneName};
 use trackfront_core::serving::affinity::{PromptMemory, prefixes};
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, ServerView, choose};
+use trackfront_core::serving::cold::Coldness;
 use trackfront_core::serving::directory::{KnownServer, ServerEntry, ServerState};
 use trackfront_core::serving::load::{Ending, LoadBook, Work};
+use trackfront_core::serving::places::{Evacuations, HallWord, Places};
 use trackfront_core::serving::request::{ModelRef, PromptPart, RequestInfo};
 
 use super::support::{at, entry, info, item, known, with_adapter};
@@ -17,6 +19,7 @@
     withdrawn: HashSet<(String, ModelRef)>,
     added: HashSet<(String, ModelRef)>,
     connected: HashSet<String>,
+    cold: HashMap<String, Coldness>,
 }
 
 impl ServerView for Notes {
@@ -31,6 +34,10 @@
     fn is_connected(&self, address: &str) -> bool {
         self.connected.contains(address)
     }
+
+    fn coldness(&self, server: &KnownServer) -> Coldness {
+        self.cold.get(server.entry.id.as_str()).copied().unwrap_or(Coldness::Warm)
+    }
 }
 
 struct Case {
@@ -40,6 +47,9 @@
     memory: PromptMemory,
     notes: Notes,
     tried: Vec<BackendId>,
+    evacuations: Evacuations,
+    regions: BTreeMap<ZoneName, RegionName>,
+    bounds: [Option<BTreeSet<RegionName>>; 2],
     now: u64,
 }
 
@@ -51,6 +61,9 @@
         memory: PromptMemory::default(),
         notes: Notes::default(),
         tried: Vec::new(),
+        evacuations: Evacuations::default(),
+        regions: BTreeMap::new(),
+        bounds: [None, None],
         now: 0,
     }
 }
@@ -68,6 +81,11 @@
             rank: 1,
             tried: &self.tried,
             zone: &"a".into(),
+            places: Places {
+                evacuations: &self.evacuations,
+                regions: &self.regions,
+                bounds: [self.bounds[0].as_ref(), self.bounds[1].as_ref()],
+            },
             drain_grace: Duration::from_millis(800),
             drain_end: Duration::from_millis(2_000),
             now: at(self.now),
@@ -235,3 +253,58 @@
     case.servers[0].slots = 8;
     assert_eq!(case.chosen(), "x", "with free slots at both, reading decides");
 }
+
+fn in_hall(id: &str, hall: &str) -> ServerEntry {
+    ServerEntry { zone: hall.into(), ..entry(id, &["m"]) }
+}
+
+fn regions(names: &[&str]) -> Option<BTreeSet<RegionName>> {
+    Some(names.iter().map(|name| RegionName::from(*name)).collect())
+}
+
+#[test]
+fn a_hall_that_is_emptied_gets_nothing_until_it_is_used_again() {
+    let servers = vec![in_hall("x", "a"), in_hall("y", "b")];
+    let mut case = case(servers, info(Some(item("m", None)), 1_000));
+    case.busy("y", 9_000);
+    assert_eq!(case.chosen(), "x");
+    let word = |version, is_evacuated| HallWord { hall: "a".into(), version, is_evacuated };
+    case.evacuations.told(&word(5, true), at(0));
+    assert_eq!(case.chosen(), "y");
+    case.evacuations.told(&word(4, false), at(0));
+    assert_eq!(case.chosen(), "y", "an earlier word that comes late changes nothing");
+    case.evacuations.told(&HallWord { hall: "b".into(), ..word(6, true) }, at(0));
+    assert_eq!(case.choose().unwrap_err(), NoChoice::NotAllowed);
+    case.evacuations.told(&word(7, false), at(0));
+    assert_eq!(case.chosen(), "x");
+}
+
+#[test]
+fn what_is_bound_to_regions_goes_to_no_other() {
+    let servers = vec![in_hall("x", "a"), in_hall("y", "b"), in_hall("z", "unknown")];
+    let mut case = case(servers, info(Some(item("m", None)), 1_000));
+    case.regions = BTreeMap::from([("a".into(), "north".into()), ("b".into(), "south".into())]);
+    case.bounds[0] = regions(&["south"]);
+    assert_eq!(case.chosen(), "y");
+    case.tried.push("y".into());
+    assert_eq!(case.choose().unwrap_err(), NoChoice::AllTried, "x and z are no second choice");
+    case.tried.clear();
+    case.bounds = [regions(&["north", "south"]), regions(&["north"])];
+    assert_eq!(case.chosen(), "x");
+    case.bounds = [regions(&["south"]), regions(&["north"])];
+    assert_eq!(case.choose().unwrap_err(), NoChoice::NotAllowed, "both bind");
+}
+
+#[test]
+fn a_cold_server_goes_last_and_gets_nothing_beyond_its_part() {
+    let servers = vec![entry("x", &["m"]), entry("y", &["m"])];
+    let mut case = case(servers, info(Some(item("m", None)), 100));
+    case.notes.cold.insert("x".into(), Coldness::Open);
+    assert_eq!(case.chosen(), "y");
+    case.busy("y", 9_000);
+    assert_eq!(case.chosen(), "x", "the other has much to read");
+    case.notes.cold.insert("x".into(), Coldness::Shut(at(900)));
+    assert_eq!(case.chosen(), "y");
+    case.notes.cold.insert("y".into(), Coldness::Shut(at(700)));
+    assert_eq!(case.choose().unwrap_err(), NoChoice::Cold(at(700)), "the first that is warm");
+}
--- a/trackfront_core/tests/serving/support.rs
+++ b/trackfront_core/tests/serving/support.rs
@@ -48,6 +48,7 @@
         zone: "a".into(),
         slots: 4,
         state: ServerState::Ready,
+        cold_for: Duration::ZERO,
         models: residents(models),
         sequence: 0,
         in_memory: BTreeSet::new(),
@@ -120,12 +121,18 @@
         max_attempts: 2,
         resumable: false,
         public: false,
+        regions: None,
     }
 }
 
 pub fn services(names: &[&str]) -> BTreeMap<trackfront_core::ids::ServiceName, ServiceSpec> {
     let service = |name: &&str| {
-        let spec = ServiceSpec { health_path: "/health".into(), connection_limit: 9, engine: None };
+        let spec = ServiceSpec {
+            health_path: "/health".into(),
+            connection_limit: 9,
+            cold: None,
+            engine: None,
+        };
         ((*name).into(), spec)
     };
     names.iter().map(service).collect()
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -25,15 +25,17 @@
 use trackfront_core::serving::config::ServingConfig;
 use trackfront_core::serving::crashes::CrashReport;
 use trackfront_core::serving::directory::Update;
+use trackfront_core::serving::places::HallWord;
 use trackfront_core::units::Moment;
 
 use super::crashes;
+use super::follow;
 use super::newest::NewestRow;
 use super::node::ServingNode;
 use super::packing::{UnpackError, pack, unpack};
 
 /// The path of the configuration; the row's version that the asker has follows.
-const CONFIG_PATH: &str = "/copy/2/config/";
+const CONFIG_PATH: &str = "/copy/3/config/";
 
 /// The path of the list of servers; the version that the asker knows follows, 0 for the whole list.
 const SERVERS_PATH: &str = "/copy/2/servers/";
@@ -81,6 +83,8 @@
 struct ConfigCopy {
     row: u64,
     config: ServingConfig,
+    /// What the operator said of halls, as of the moment at which it was packed.
+    halls: Vec<HallWord>,
 }
 
 /// What another box knows more of the servers.
@@ -94,7 +98,7 @@
 
 /// A copy as it goes over the wire.
 struct PackedCopy {
-    /// The version that the asker knew: the copy has what came after it.
+    /// The version that the asker knew, where the copy has what came after it; of a configuration that of the halls.
     after: u64,
     /// The version that it is of.
     version: u64,
@@ -169,9 +173,11 @@
     if known >= row {
         return None;
     }
-    let copy = || ConfigCopy { row, config: ServingConfig::clone(&config) };
-    // A whole configuration: what the asker knew makes no difference to it.
-    Some(packed(&node.exchange.config, 0, row, copy))
+    let halls = node.evacuations.lock().words();
+    let halls_version = halls.iter().map(|word| word.version).max().unwrap_or(0);
+    let copy = || ConfigCopy { row, config: ServingConfig::clone(&config), halls };
+    // A whole configuration: what the asker knew makes no difference to it, but what is known of halls does.
+    Some(packed(&node.exchange.config, halls_version, row, copy))
 }
 
 fn servers_copy(node: &ServingNode, known: u64) -> Option<Bytes> {
@@ -218,6 +224,7 @@
     if let Some(newest) = newest {
         node.newest.told(newest, asked_at);
     }
+    follow::note_halls(node, &copy.halls, follow::Source::OtherBox);
     Some(StoredConfig { row_version: copy.row, config: Ok(copy.config) })
 }
 
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -1,19 +1,21 @@
-//! Follows the configuration.
+//! Follows what the operator writes: the configuration, and the halls that are emptied.
 
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::sleep;
-use trackfront_core::ports::{Feed, StoredConfig};
+use trackfront_core::ports::{Feed, Listing, OperatorWord, StoredConfig};
+use trackfront_core::serving::places::HallWord;
 
+use super::Source;
 use super::link::{FIRST_PAUSE, Link};
 use crate::serving::boxes;
 use crate::serving::exchange;
 use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
 use crate::serving::quota;
-use crate::serving::spread::{FeedKind, hall_mates, relay_config};
+use crate::serving::spread::{FeedKind, hall_mates, relay_operator};
 
 /// How long a box that reads for itself alone waits after a change of the configuration, so that
 /// of some in quick succession it reads the last.
@@ -29,19 +31,19 @@
     boxes::wait_for_list(&node).await;
     loop {
         let known = node.config_row();
-        let begin = match take_copy(&node, &link).await {
-            true => node.config_row(),
+        let read = match take_copy(&node, &link).await {
+            true => Read { version: node.config_row(), halls_are_news: false },
             false => match read(&node, &mut link).await {
-                Some(version) => version,
+                Some(read) => read,
                 None => continue,
             },
         };
-        relay_config(&node, &socket, node.config_row()).await;
+        relay_operator(&node, &socket, node.config_row(), read.halls_are_news).await;
         if node.relayed.lock().config_row() > node.config_row() && node.config_row() == known {
             // The platform's answer is older than what the reader of the hall has seen.
             sleep(GATHER).await;
         }
-        follow_from(&node, &socket, &mut link, begin).await;
+        follow_from(&node, &socket, &mut link, read.version).await;
     }
 }
 
@@ -68,19 +70,35 @@
     node.config_row() > known
 }
 
-/// Reads the configuration from the platform. Returns the version from which to follow it.
-async fn read(node: &Arc<ServingNode>, link: &mut Link) -> Option<u64> {
+/// What a reading from the platform, or a copy, brought.
+struct Read {
+    /// The version from which to follow.
+    version: u64,
+    /// Whether halls are used differently from now on.
+    halls_are_news: bool,
+}
+
+/// Reads what the operator wrote from the platform.
+async fn read(node: &Arc<ServingNode>, link: &mut Link) -> Option<Read> {
     link.count("read_config");
     let asked_at = node.now();
-    match node.ports.knowledge.read_config().await {
-        Ok(listing) => {
+    match node.ports.knowledge.read_operator().await {
+        Ok(Listing { rows, version }) => {
             link.works();
-            for (_, stored) in listing.rows {
-                let row = stored.row_version;
-                take(node, stored);
-                node.newest.confirm(row, asked_at);
+            let mut halls = Vec::new();
+            for (_, word) in rows {
+                match word {
+                    OperatorWord::Hall(word) => halls.push(word),
+                    OperatorWord::Config(stored) => {
+                        let row = stored.row_version;
+                        take(node, stored);
+                        node.newest.confirm(row, asked_at);
+                    }
+                }
             }
-            Some(listing.version)
+            let words = node.evacuations.lock().of_listing(halls, version);
+            let halls_are_news = note_halls(node, &words, Source::Platform);
+            Some(Read { version, halls_are_news })
         }
         Err(error) => {
             link.failed(&error).await;
@@ -105,7 +123,7 @@
             return;
         }
         link.count("follow_config");
-        let call = node.ports.knowledge.follow_config(version, link.feed_wait());
+        let call = node.ports.knowledge.follow_operator(version, link.feed_wait());
         let Some(answer) = link.unless_suspended(call).await else {
             return;
         };
@@ -113,11 +131,17 @@
             Ok(Feed::Changes { changes, version: reached }) => {
                 link.works();
                 let some = !changes.is_empty();
-                for stored in changes {
-                    take(node, stored);
+                let mut halls_are_news = false;
+                for word in changes {
+                    match word {
+                        OperatorWord::Config(stored) => take(node, stored),
+                        OperatorWord::Hall(word) => {
+                            halls_are_news |= note_halls(node, &[word], Source::Platform);
+                        }
+                    }
                 }
                 version = version.max(reached);
-                relay_config(node, socket, node.config_row()).await;
+                relay_operator(node, socket, node.config_row(), halls_are_news).await;
                 if some && !link.is_reader() {
                     sleep(GATHER).await;
                 }
@@ -134,6 +158,27 @@
     link.forgive();
 }
 
+/// Takes in what the operator said of halls. Returns whether one is used differently from now on.
+pub fn note_halls(node: &ServingNode, words: &[HallWord], source: Source) -> bool {
+    let now = node.now();
+    let mut evacuations = node.evacuations.lock();
+    let changed: Vec<&HallWord> = words.iter().filter(|word| evacuations.told(word, now)).collect();
+    node.metrics.evacuated_halls.set(evacuations.count() as i64);
+    drop(evacuations);
+    for word in &changed {
+        let (hall, version) = (&word.hall, word.version);
+        let by = source.name();
+        match word.is_evacuated {
+            true => log::info!(hall:%, version, by; "hall evacuated"),
+            false => log::info!(hall:%, version, by; "hall used again"),
+        }
+    }
+    if !changed.is_empty() {
+        node.servers_changed.notify_waiters();
+    }
+    !changed.is_empty()
+}
+
 /// Puts a stored configuration in force if it is newer than the one in force and valid.
 fn take(node: &Arc<ServingNode>, stored: StoredConfig) {
     if stored.row_version <= node.config_row() {
--- a/trackfrontd/src/serving/follow/mod.rs
+++ b/trackfrontd/src/serving/follow/mod.rs
@@ -9,5 +9,5 @@
 mod link;
 mod servers;
 
-pub use config::follow_config;
+pub use config::{follow_config, note_halls};
 pub use servers::{Source, end_lapses, follow_servers, note_events};
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -172,6 +172,16 @@
     OtherBox,
 }
 
+impl Source {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Source::Platform => "platform",
+            Source::OtherBox => "other box",
+        }
+    }
+}
+
 /// Logs what has changed and lets the rest of the box know. A change of what a server says of itself has
 /// a line at the box that read it; at the others such changes are summed up, or lines would grow with
 /// boxes times changes.
@@ -221,6 +231,7 @@
     for event in &events {
         if let DirectoryEvent::Left(id) = event {
             loads.forget(id);
+            node.cold.lock().forget(id);
             gone.push(id.clone());
         }
     }
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -10,6 +10,7 @@
 //! `trackfront_adapters::interface`; it knows no names or formats of any deployment.
 
 pub mod boxes;
+mod cold;
 pub mod crashes;
 pub mod exchange;
 pub mod follow;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -15,11 +15,13 @@
 use trackfront_core::ports::{Clock, Knowledge, Table};
 use trackfront_core::serving::adapter_use::AdapterUse;
 use trackfront_core::serving::affinity::PromptMemory;
+use trackfront_core::serving::cold::ColdBook;
 use trackfront_core::serving::config::ServingConfig;
 use trackfront_core::serving::crowding::Crowding;
 use trackfront_core::serving::demand::DemandMeter;
 use trackfront_core::serving::directory::Directory;
 use trackfront_core::serving::load::LoadBook;
+use trackfront_core::serving::places::Evacuations;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::serving::retry_budget::RetryBudgets;
 use trackfront_core::serving::returns::Returns;
@@ -85,8 +87,12 @@
     pub newest: Newest,
     /// The servers.
     pub directory: Mutex<Directory>,
+    /// The halls that the operator empties.
+    pub evacuations: Mutex<Evacuations>,
     /// The load of servers.
     pub loads: Mutex<LoadBook>,
+    /// The servers that are cold.
+    pub cold: Mutex<ColdBook>,
     /// Prompts that engines keep.
     pub memory: Mutex<PromptMemory>,
     /// The budget of retries.
@@ -155,7 +161,9 @@
             config: ArcSwapOption::empty(),
             newest: Newest::default(),
             directory: Mutex::new(directory),
+            evacuations: Mutex::default(),
             loads: Mutex::default(),
+            cold: Mutex::default(),
             memory: Mutex::default(),
             budgets: Mutex::new(budgets),
             crowding: Mutex::default(),
--- a/trackfrontd/src/serving/overlay.rs
+++ b/trackfrontd/src/serving/overlay.rs
@@ -6,9 +6,13 @@
 use trackfront_adapters::upstream::UpstreamPool;
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::choose::ServerView;
+use trackfront_core::serving::cold::Coldness;
+use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
+use super::cold::ColdView;
+
 /// How long a note counts after it was last told, or after what it says should have come. Rows say the
 /// same by then.
 const NOTES_FOR: Duration = Duration::from_millis(2_500);
@@ -97,13 +101,15 @@
     }
 }
 
-/// The notes and the connections as a choice sees them.
+/// The notes, the connections and the cold servers as a choice sees them.
 #[derive(Clone, Copy)]
 pub struct NodeView<'a> {
     /// The notes.
     pub overlay: &'a Overlay,
     /// The connections.
     pub pool: &'a UpstreamPool,
+    /// The cold servers.
+    pub cold: ColdView<'a>,
     /// The present moment.
     pub now: Moment,
 }
@@ -124,4 +130,8 @@
     fn is_connected(&self, address: &str) -> bool {
         self.pool.is_connected(address)
     }
+
+    fn coldness(&self, server: &KnownServer) -> Coldness {
+        self.cold.judge(server, self.now)
+    }
 }
--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -121,6 +121,11 @@
         self.peers.iter().filter(|(_, peer)| recent(peer)).map(|(ip, _)| *ip).collect()
     }
 
+    /// Returns every box that was ever listed or heard.
+    pub fn all(&self) -> Vec<Ipv4Addr> {
+        self.peers.keys().copied().collect()
+    }
+
     /// Returns how many nodes share budgets, this one included.
     pub fn sharing(&self, now: Moment) -> usize {
         let counted = self
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -20,10 +20,10 @@
 use trackfront_core::units::Moment;
 
 use super::Job;
-use crate::serving::crashes;
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::NoteKind;
 use crate::serving::spread::FeedKind;
+use crate::serving::{cold, crashes};
 
 /// How long a connection to a server may take to open: many times the way within a region.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
@@ -181,7 +181,7 @@
         let present = self.present_at(now);
         let stands = now.since(choice.at) <= CHOICE_TIME;
         let may_send = stands && self.key_is_good(now) && self.is_let_through();
-        if !may_send || present >= self.end {
+        if !may_send || present >= self.end || !self.may_reach(&choice.server) {
             return None;
         }
         let attempt = Attempt {
@@ -194,6 +194,13 @@
         Some(self.node.ports.servers.request(&self.head, self.body.clone(), &attempt))
     }
 
+    /// Returns whether the server may still be sent this request: its hall may have been emptied, and it may have
+    /// become cold, since it was chosen.
+    fn may_reach(&self, server: &KnownServer) -> bool {
+        let is_evacuated = self.node.evacuations.lock().is_evacuated(&server.entry.zone);
+        !is_evacuated && cold::take(&self.node, self.cold_start(), server)
+    }
+
     /// Returns how long a kept connection may have been unused for this request.
     fn max_idle(&self) -> Duration {
         let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
@@ -236,6 +243,9 @@
         if let Some(load) = head.load {
             node.loads.lock().told(server, load, node.now());
         }
+        if let Some(cold_for) = head.cold_for {
+            node.cold.lock().told(server, cold_for, node.now());
+        }
         if head.not_run || head.misdirected {
             let own_key = &choice.server.entry.key;
             let replaced =
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -82,7 +82,9 @@
         match lack {
             NoChoice::NoModel => Some(ModelRef { model: item.model.clone(), adapter: None }),
             NoChoice::NoAdapter => Some(item.clone()),
-            NoChoice::NoServer | NoChoice::AllTried => None,
+            NoChoice::NoServer | NoChoice::NotAllowed | NoChoice::Cold(_) | NoChoice::AllTried => {
+                None
+            }
         }
     }
 
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -31,16 +31,20 @@
 use trackfront_core::ids::{BackendId, RequestId, ServiceName};
 use trackfront_core::serving::affinity::{Prefix, prefixes};
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, choose};
+use trackfront_core::serving::cold::ColdStart;
 use trackfront_core::serving::config::{Route, ServingConfig};
 use trackfront_core::serving::fingerprint::Fingerprint;
+use trackfront_core::serving::places::{Evacuations, Places};
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 use trackfront_core::units::Moment;
 
+use super::cold::ColdView;
 use super::crashes;
 use super::follow;
 use super::node::ServingNode;
 use super::overlay::NodeView;
 use super::relay;
+use super::settings::ServingSettings;
 
 /// How long before the client's deadline the node answers by itself.
 const ANSWER_MARGIN: Duration = Duration::from_millis(40);
@@ -324,12 +328,14 @@
         let node = &self.node;
         follow::end_lapses(node);
         let settings = node.settings.load();
+        let evacuations = node.evacuations.lock();
         let query = Query {
             info: &self.info,
             prefixes: &self.prefixes,
             rank: self.rank,
             tried,
             zone: &settings.node.zone,
+            places: self.places(&evacuations, &settings),
             drain_grace: node.drain_grace(),
             drain_end: node.drain_end(),
             now: node.now(),
@@ -338,10 +344,29 @@
         let servers = directory.of_service(&self.service);
         let mut loads = node.loads.lock();
         let overlay = node.overlay.lock();
-        let view = NodeView { overlay: &overlay, pool: &node.pool, now: query.now };
+        let (start, terms) = (self.cold_start(), settings.promises.cold());
+        let book = node.cold.lock();
+        let cold = ColdView { start, terms, book: &book, evacuations: &evacuations };
+        let view = NodeView { overlay: &overlay, pool: &node.pool, cold, now: query.now };
         choose(&query, servers, &mut loads, &node.memory.lock(), &view)
     }
 
+    /// Returns where the request may be served.
+    fn places<'a>(
+        &'a self,
+        evacuations: &'a Evacuations,
+        settings: &'a ServingSettings,
+    ) -> Places<'a> {
+        let account = self.account.as_ref().and_then(|account| account.regions.as_ref());
+        let bounds = [self.route.regions.as_ref(), account];
+        Places { evacuations, regions: &settings.halls, bounds }
+    }
+
+    /// Returns what the servers of the service bear after a start, if that is less than later.
+    fn cold_start(&self) -> Option<ColdStart> {
+        self.config.services.get(&self.service)?.cold
+    }
+
     /// Takes one send more from the budget that all nodes share.
     pub fn take_repeat(&self) -> bool {
         let now = self.node.now();
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -131,7 +131,12 @@
         let mut book = self.book.lock();
         book.forget_old(now);
         let mut views = Vec::with_capacity(servers.len());
-        for server in servers.iter().filter(|server| server.is_ready()) {
+        let evacuations = self.node.evacuations.lock();
+        // Nothing is sent to servers of a hall that is emptied, so what they hold is missing.
+        let is_used = |server: &&Arc<KnownServer>| {
+            server.is_ready() && !evacuations.is_evacuated(&server.entry.zone)
+        };
+        for server in servers.iter().filter(is_used) {
             let mut loads = self.node.loads.lock();
             let load = loads.server(&server.entry.id);
             let silent = load.unreachable_since();
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -19,7 +19,7 @@
 use super::peer_socket::PeerSocket;
 use super::placement::Placement;
 use super::settings::ServingSettings;
-use super::{boxes, crashes, follow, lacks, listeners, newest, quota, suspension};
+use super::{boxes, cold, crashes, follow, lacks, listeners, newest, quota, suspension};
 
 /// How long a call to the platform's store may take beyond the time that it asks the store to wait.
 pub const STORE_CALL_TIME: Duration = Duration::from_millis(900);
@@ -74,6 +74,7 @@
     tasks.spawn(boxes::list_boxes(node.clone(), socket.clone()));
     tasks.spawn(lacks::tell_askers(node.clone(), socket.clone()));
     tasks.spawn(newest::keep_newest(node.clone(), socket.clone()));
+    tasks.spawn(cold::follow_boxes(node.clone()));
     tasks.spawn(quota::keep_quotas(node.clone(), socket.clone()));
     tasks.spawn(crashes::tell(node.clone(), socket.clone()));
     tasks.spawn(crashes::keep(node.clone()));
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a serving node: one TOML file.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 use trackfront_core::ids::{RegionName, ZoneName};
+use trackfront_core::serving::cold::ColdTerms;
 use trackfront_core::serving::freshness::KeyTerms;
 use trackfront_core::serving::orders::LoadTerms;
 use trackfront_core::serving::retry_budget::BudgetTerms;
@@ -47,6 +49,9 @@
     /// The promises that it keeps.
     #[serde(default)]
     pub promises: PromiseSettings,
+    /// The region of each hall that servers may stand in.
+    #[serde(default)]
+    pub halls: BTreeMap<ZoneName, RegionName>,
 }
 
 /// Who and where the node is.
@@ -131,6 +136,10 @@
     /// How long after it was taken away a key may still be used anywhere, in milliseconds; 0 for as long as a
     /// box does not hear of it.
     pub key_end_ms: f64,
+    /// How many times the rate that a cold server bears may be reached within one second.
+    pub cold_overage: f64,
+    /// Requests beside that which may reach it within one second.
+    pub cold_slack: f64,
 }
 
 impl Default for PromiseSettings {
@@ -146,6 +155,8 @@
             load_overage: 1.0,
             heartbeat_ms: 1_000.0,
             key_end_ms: 0.0,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
@@ -172,6 +183,11 @@
         (!end.is_zero()).then_some(KeyTerms { end })
     }
 
+    /// Returns how far what a cold server bears may be passed.
+    pub fn cold(&self) -> ColdTerms {
+        ColdTerms { overage: self.cold_overage, slack: self.cold_slack }
+    }
+
     /// Returns how often a server writes its row.
     pub fn heartbeat(&self) -> Duration {
         Duration::from_secs_f64(self.heartbeat_ms / 1_000.0)
@@ -205,6 +221,8 @@
             ("promises.load_overage", self.load_overage),
             ("promises.heartbeat_ms", self.heartbeat_ms),
             ("promises.key_end_ms", self.key_end_ms),
+            ("promises.cold_overage", self.cold_overage),
+            ("promises.cold_slack", self.cold_slack),
         ];
         let positive = [from_zero[1], from_zero[4]];
         let in_range = |value: f64| (0.0..1e9).contains(&value);
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 use trackfront_core::serving::directory::{Basis, ServerChange, ToldChanges};
+use trackfront_core::serving::places::HallWord;
 use trackfront_core::units::Moment;
 
 use super::follow;
@@ -49,6 +50,8 @@
         /// The version of the row.
         row: u64,
     },
+    /// The halls that the operator spoke of.
+    Halls(Vec<HallWord>),
     /// Changes of servers.
     Servers {
         /// The version after which they begin.
@@ -208,10 +211,15 @@
     HallMates { others, rank, reader }
 }
 
-/// Passes on the newest row of the configuration that came from the feed.
-pub async fn relay_config(node: &ServingNode, socket: &PeerSocket, row: u64) {
+/// Passes on what the operator wrote: the newest row of the configuration, and the halls, which may be news.
+pub async fn relay_operator(
+    node: &ServingNode,
+    socket: &PeerSocket,
+    row: u64,
+    halls_are_news: bool,
+) {
     let is_news = row > node.relayed.lock().config_row();
-    let Some(mates) = must_tell(node, FeedKind::Config, is_news) else {
+    let Some(mates) = must_tell(node, FeedKind::Config, is_news || halls_are_news) else {
         return;
     };
     if is_news {
@@ -219,6 +227,12 @@
         log::info!(row, boxes, is_reader; "hall told of configuration");
     }
     node.relayed.lock().note_config(row, None);
+    // Halls go first, as few know them anew where a configuration is fetched. They are told each time: what one
+    // datagram lost, the next brings.
+    let words = node.evacuations.lock().words();
+    if !words.is_empty() {
+        socket.send(&Message::Relay(Relay::Halls(words)), &mates.others).await;
+    }
     socket.send(&Message::Relay(Relay::Config { row }), &mates.others).await;
 }
 
@@ -276,6 +290,9 @@
             relayed.note(FeedKind::Config, now);
             relayed.note_config(row, Some(from_ip));
         }
+        Relay::Halls(words) => {
+            follow::note_halls(node, &words, follow::Source::OtherBox);
+        }
         Relay::Servers { from, to, changes, lapses_ms } => {
             let told = ToldChanges { basis: Basis::Feed, from, to, changes };
             take_servers(node, from_ip, told, Duration::from_millis(lapses_ms));
--- a/trackfrontd/tests/messages.rs
+++ b/trackfrontd/tests/messages.rs
@@ -40,6 +40,7 @@
             zone: "lima-surco".into(),
             slots: 64,
             state: ServerState::Ready,
+            cold_for: std::time::Duration::ZERO,
             models: (0..3)
                 .map(|model| (format!("daka{}", index * 7 + model).as_str().into(), held()))
                 .collect(),
--- a/trackfrontd/tests/order_book.rs
+++ b/trackfrontd/tests/order_book.rs
@@ -31,6 +31,7 @@
         zone: "a".into(),
         slots: 4,
         state: ServerState::Ready,
+        cold_for: Duration::ZERO,
         models: Residents::new(),
         sequence: 0,
         in_memory: BTreeSet::new(),
