--- a/trackfront_core/src/ports/table.rs
+++ b/trackfront_core/src/ports/table.rs
@@ -105,6 +105,9 @@
 /// The platform's table. Its rates are shared by the whole deployment: some hundred writes and a few
 /// thousand reads a second (docs/CAPACITY.md).
 ///
+/// Rows whose keys have three parts, as `box/HALL/NAME`, may be kept apart by the second: a table that bears only so
+/// many writes a second in one place bears more of them.
+///
 /// Reads see every transaction that was answered as applied before they were sent. A write
 /// whose reply was lost may take effect at any later time until a read or a conflicting write
 /// shows what became of it.
@@ -116,6 +119,24 @@
     /// Reads all rows whose key starts with `prefix`, in key order.
     async fn scan(&self, prefix: &str) -> Result<Vec<Row>, TableError>;
 
+    /// Reads all rows whose key starts with `family` and has two parts more, which may be kept apart by the first.
+    async fn scan_groups(&self, family: &str) -> Result<Vec<Row>, TableError> {
+        self.scan(family).await
+    }
+
+    /// Reads the first `limit` rows whose key starts with `prefix` and is no less than `from`, in key order.
+    async fn scan_from(
+        &self,
+        prefix: &str,
+        from: &RowKey,
+        limit: usize,
+    ) -> Result<Vec<Row>, TableError> {
+        let mut rows = self.scan(prefix).await?;
+        rows.retain(|row| row.key >= *from);
+        rows.truncate(limit);
+        Ok(rows)
+    }
+
     /// Applies `txn` if all its conditions hold.
     async fn commit(&self, txn: &Transaction) -> CommitOutcome;
 }
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Response, StatusCode};
 use parking_lot::Mutex;
@@ -29,6 +31,7 @@
 use trackfront_core::units::Moment;
 
 use super::crashes;
+use super::delegates::ListedBox;
 use super::follow;
 use super::newest::NewestRow;
 use super::node::ServingNode;
@@ -40,6 +43,9 @@
 /// The path of the list of servers; the version that the asker knows follows, 0 for the whole list.
 const SERVERS_PATH: &str = "/copy/2/servers/";
 
+/// The path of the list of boxes.
+const BOXES_PATH: &str = "/copy/1/boxes";
+
 /// The path of the requests that are held off.
 const CRASHES_PATH: &str = "/copy/1/crashes";
 
@@ -135,6 +141,10 @@
     if path == CRASHES_PATH {
         return Some(copy_response(crashes::copy(node).map(|reports| pack(&reports))));
     }
+    if path == BOXES_PATH {
+        let boxes = node.knows_nodes().then(|| node.peers.lock().listed());
+        return Some(copy_response(boxes.map(|boxes| pack(&boxes))));
+    }
     let known = |prefix| path.strip_prefix(prefix)?.parse::<u64>().ok();
     match (known(CONFIG_PATH), known(SERVERS_PATH)) {
         (Some(known), _) => Some(with_newest(node, copy_response(config_copy(node, known)))),
@@ -237,6 +247,18 @@
     Some(fetch_first(node, boxes, &format!("{SERVERS_PATH}{known}")).await?.copy)
 }
 
+/// Asks `boxes`, all at once, for the list of all boxes.
+pub async fn fetch_boxes(node: &ServingNode, boxes: &[Ipv4Addr]) -> Option<Vec<ListedBox>> {
+    let asked = boxes.iter().map(|ip| fetch_first(node, std::slice::from_ref(ip), BOXES_PATH));
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    while let Some(answer) = answers.next().await {
+        if let Some(Fetched { copy, .. }) = answer {
+            return Some(copy);
+        }
+    }
+    None
+}
+
 /// Asks `boxes` for the requests that are held off.
 pub async fn fetch_crashes(node: &ServingNode, boxes: &[Ipv4Addr]) -> Option<Vec<CrashReport>> {
     Some(fetch_first(node, boxes, CRASHES_PATH).await?.copy)
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -16,21 +16,14 @@
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
-use super::messages::{Digest, Message, ToldDemand, ToldRight, ToldShare};
+use super::messages::{Digest, Message, ToldDemand, ToldNote, ToldRight, ToldShare};
 use super::node::{ServingNode, short_item, short_server, short_zone};
 use super::overlay::NoteKind;
-use super::peer_book::ALIVE_FOR;
+use super::peer_book::{ALIVE_FOR, LEAST_GAP};
 use super::peer_socket::{MAX_DATAGRAM, PeerSocket};
 use super::spread as relay;
 use super::{boxes, crashes, lacks, newest, quota};
 
-/// The least time between two digests.
-const LEAST_GAP: Duration = Duration::from_millis(100);
-
-/// How much longer the time between digests is for each other node, so that what a node receives
-/// stays bounded.
-const GAP_FOR_EACH_PEER: Duration = Duration::from_millis(6);
-
 /// The least time between a digest and one that is sent early for something urgent.
 const URGENT_GAP: Duration = Duration::from_millis(20);
 
@@ -56,9 +49,15 @@
         node.loads.lock().forget_old(now);
         // What the giver did is urgent for all; what is lacking is so for the giver alone.
         let gives = gives_orders.get();
-        let told = match urgent && gives {
-            true => node.peers.lock().reachable(now),
-            false => node.peers.lock().told(zone, round, now),
+        let (told, gap) = {
+            let mut peers = node.peers.lock();
+            peers.elect(now);
+            let told = match urgent && gives {
+                true => peers.told_at_once(now),
+                false => peers.told(round, now),
+            };
+            let gap = peers.gap(told.len());
+            (told, gap)
         };
         // A node that lacks something all the time is no less alive: others go by its digests.
         let is_due = Instant::now() >= digest_due;
@@ -73,7 +72,6 @@
             let demand = Message::Demand(demand(&node, &lacks));
             socket.send(&demand, giver.as_slice()).await;
         }
-        let gap = LEAST_GAP.max(GAP_FOR_EACH_PEER * told.len() as u32);
         if is_due {
             round += 1;
             digest_due = Instant::now() + gap;
@@ -112,10 +110,7 @@
 
     /// Returns until when it may give orders, as other boxes are told.
     pub fn told_right(&self, now: Moment) -> Option<ToldRight> {
-        let HolderWord { version, ends } = (*self.1.lock())?;
-        let (left, over) = (ends.since(now).as_millis(), now.since(ends).as_millis());
-        let left_ms = i64::try_from(left).ok()? - i64::try_from(over).ok()?;
-        Some(ToldRight { version, left_ms })
+        ToldRight::of((*self.1.lock())?, now)
     }
 }
 
@@ -131,10 +126,26 @@
     };
     let config = node.config.load().as_ref().map_or(0, |config| config.version);
     let (stopping, store_lost) = (node.is_stopping(), node.is_store_lost());
-    Digest { zone, config, gives_orders, stopping, store_lost, right, shares, notes }
+    let strength = node.settings.load().resources.strength();
+    let giver = match gives_orders {
+        true => None,
+        false => node.peers.lock().told_giver(node.now()),
+    };
+    Digest {
+        zone,
+        strength,
+        config,
+        gives_orders,
+        stopping,
+        store_lost,
+        right,
+        giver,
+        shares,
+        notes,
+    }
 }
 
-fn notes(node: &ServingNode) -> Vec<(u32, u32, bool)> {
+fn notes(node: &ServingNode) -> Vec<ToldNote> {
     let overlay = node.overlay.lock();
     let note = |(server, item, kind): (&_, &_, NoteKind)| {
         (short_server(server), short_item(item), kind == NoteKind::Added)
@@ -169,12 +180,16 @@
         };
         let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
         match bincode::serde::decode_from_slice::<Message, _>(&buffer[..length], config) {
-            Ok((Message::Digest(digest), _)) => take_in(&node, ip, digest),
+            Ok((Message::Digest(digest), _)) => {
+                pass_on(&node, &socket, ip, &digest.notes).await;
+                take_in(&node, ip, digest);
+            }
+            Ok((Message::Notes(notes), _)) => take_notes(&node, &notes),
             Ok((Message::Demand(told), _)) => take_demand(&node, &socket, ip, &told),
             Ok((Message::Relay(relay), _)) => relay::take_in(&node, ip, relay),
             Ok((Message::PackedRelay(packed), _)) => relay::take_in_packed(&node, ip, &packed),
             Ok((Message::Coming(coming), _)) => lacks::take_in(&node, &coming),
-            Ok((Message::Boxes(all), _)) => boxes::take_in(&node, &all),
+            Ok((Message::Boxes(told), _)) => boxes::take_in(&node, &socket, told).await,
             Ok((Message::AskNewest(question), _)) => newest::answer(&node, &socket, ip, question),
             Ok((Message::Newest(told), _)) => newest::take_in(&node, ip, told),
             Ok((Message::AskQuota(ask), _)) => quota::answer(&node, &socket, ip, &ask),
@@ -221,14 +236,31 @@
         .iter()
         .filter_map(|told| Some((names.server(told.server)?.clone(), told.share())));
     node.loads.lock().peer_told(ip.to_bits(), shares.collect(), now);
+    drop(names);
+    take_notes(node, &digest.notes);
+}
+
+fn take_notes(node: &ServingNode, notes: &[ToldNote]) {
+    if notes.is_empty() {
+        return;
+    }
+    let now = node.now();
+    let names = node.names.lock();
     let mut overlay = node.overlay.lock();
-    for (server, item, added) in &digest.notes {
+    for (server, item, added) in notes {
         if let (Some(server), Some(item)) = (names.server(*server), names.item(*item)) {
             let kind = if *added { NoteKind::Added } else { NoteKind::Withdrawn };
             overlay.note(server, item, kind, now);
         }
     }
-    if !digest.notes.is_empty() {
-        node.servers_changed.notify_waiters();
+    node.servers_changed.notify_waiters();
+}
+
+/// Passes on to this hall what the giver of orders did, if it told only the boxes that speak for their halls.
+async fn pass_on(node: &ServingNode, socket: &PeerSocket, ip: Ipv4Addr, notes: &[ToldNote]) {
+    if notes.is_empty() || !node.peers.lock().passes_on(ip) {
+        return;
     }
+    let mates = node.peers.lock().mates(node.now());
+    socket.send(&Message::Notes(notes.to_vec()), &mates).await;
 }
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -42,7 +42,7 @@
 /// How long the holder tries to renew before it lets others take over. Its right has ended by then.
 const RENEW_FOR: Duration = Duration::from_millis(1_000);
 
-/// How long a node waits for each node before it in the order of addresses.
+/// How long a node waits for each node before it in the order of what they can bear.
 const RANK_STEP: Duration = Duration::from_millis(300);
 
 /// How many times a write whose answer was lost is sent.
@@ -121,7 +121,7 @@
             return false;
         }
         let vacant_since = *self.vacant_since.get_or_insert(now);
-        if now.since(vacant_since) < RANK_STEP * self.rank(now) {
+        if now.since(vacant_since) < RANK_STEP.saturating_mul(self.rank(now)) {
             return false;
         }
         if self.looked_at.is_some_and(|at| now.since(at) < LOOK_EVERY) {
@@ -177,9 +177,8 @@
     }
 
     fn rank(&self, now: Moment) -> u32 {
-        let ip = self.node.settings.load().node.ip;
-        let alive = self.node.peers.lock().alive(now);
-        alive.iter().filter(|other| **other < ip).count() as u32
+        let rank = self.node.peers.lock().rank(now);
+        u32::try_from(rank).unwrap_or(u32::MAX)
     }
 
     fn terms(&self) -> LeaseTerms {
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -10,6 +10,7 @@
 use trackfront_core::serving::load::{RankShare, Share};
 use trackfront_core::units::Moment;
 
+use super::delegates::{ListedBox, Strength};
 use super::lacks::ComingItem;
 use super::spread::Relay;
 
@@ -31,7 +32,7 @@
     /// Items that are on their way, for a box that lacks them.
     Coming(Vec<ComingItem>),
     /// All boxes that a list had.
-    Boxes(Vec<Ipv4Addr>),
+    Boxes(ToldBoxes),
     /// A question for the newest row of the configuration.
     AskNewest(AskNewest),
     /// The answer to it.
@@ -44,6 +45,33 @@
     Crashes(Vec<CrashReport>),
     /// Servers that have ended, by their short names.
     ServersEnded(Vec<u32>),
+    /// What the giver of orders did, passed on by the first box of a hall.
+    Notes(Vec<ToldNote>),
+}
+
+/// All boxes that a list had.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldBoxes {
+    /// The boxes.
+    pub boxes: Vec<ListedBox>,
+    /// Whether the box that gets this is to hand it on to its hall.
+    pub hand_on: bool,
+}
+
+/// Something that the giver of orders did: server, item, whether it was added (else withdrawn).
+pub type ToldNote = (u32, u32, bool);
+
+/// Who gives orders, as a box last heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldGiver {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Whether it gives orders, by its own word.
+    pub gives: bool,
+    /// How many milliseconds ago it said so.
+    pub age_ms: u32,
+    /// Until when it may.
+    pub right: Option<ToldRight>,
 }
 
 /// A question for the newest row of the configuration.
@@ -69,6 +97,8 @@
 pub struct Digest {
     /// The short name of the node's zone.
     pub zone: u32,
+    /// How much the node can bear.
+    pub strength: Strength,
     /// The version of the configuration in force.
     pub config: u64,
     /// Whether the node holds the lease on orders.
@@ -79,10 +109,12 @@
     pub store_lost: bool,
     /// Until when it may give orders, if it held the lease last.
     pub right: Option<ToldRight>,
+    /// Who gives orders, where that is another.
+    pub giver: Option<ToldGiver>,
     /// Requests under way.
     pub shares: Vec<ToldShare>,
-    /// Notes: server, item, whether it was added (else withdrawn).
-    pub notes: Vec<(u32, u32, bool)>,
+    /// What it did, if it gives orders.
+    pub notes: Vec<ToldNote>,
 }
 
 /// What a node is asked for.
@@ -106,6 +138,14 @@
 }
 
 impl ToldRight {
+    /// Returns what is told of a right at `now`; `None` for one that was over long before any box started.
+    pub fn of(word: HolderWord, now: Moment) -> Option<Self> {
+        let HolderWord { version, ends } = word;
+        let (left, over) = (ends.since(now).as_millis(), now.since(ends).as_millis());
+        let left_ms = i64::try_from(left).ok()? - i64::try_from(over).ok()?;
+        Some(Self { version, left_ms })
+    }
+
     /// Returns the word as of the moment at which it came. It was said before, so the right ends no
     /// later than that.
     pub fn word(self, now: Moment) -> HolderWord {
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -12,6 +12,7 @@
 pub mod boxes;
 mod cold;
 pub mod crashes;
+pub mod delegates;
 pub mod exchange;
 pub mod follow;
 pub mod gossip;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -133,7 +133,8 @@
     pub tell_peers: Notify,
     /// Told when something is asked for that no engine holds.
     pub lacking: Notify,
-    started: Moment,
+    /// Until when a box that knows no other does not act alone.
+    not_alone_until: Mutex<Moment>,
     knows_servers: AtomicBool,
     nodes_listed_at: Mutex<Option<Moment>>,
     first_list_over: watch::Sender<bool>,
@@ -151,6 +152,7 @@
         let budgets = RetryBudgets::new(settings.promises.budget());
         let directory = Directory::new(settings.promises.heartbeat());
         let started = ports.clock.now();
+        let peers = Mutex::new(PeerBook::new(settings.listed()));
         // Questions of an earlier process at this address had other numbers.
         let quotas = Quotas::new(box_id(settings.node.ip), rand::random());
         Arc::new(Self {
@@ -174,7 +176,7 @@
             overlay: Mutex::default(),
             quotas,
             crashes: Crashes::default(),
-            peers: Mutex::default(),
+            peers,
             relayed: Mutex::default(),
             relay_came: Notify::new(),
             wakings: Wakings::default(),
@@ -184,7 +186,7 @@
             servers_changed: Notify::new(),
             tell_peers: Notify::new(),
             lacking: Notify::new(),
-            started,
+            not_alone_until: Mutex::new(started + ALONE_FOR),
             knows_servers: AtomicBool::new(false),
             nodes_listed_at: Mutex::default(),
             first_list_over: watch::Sender::new(false),
@@ -282,7 +284,12 @@
         let now = self.now();
         let listed_at = *self.nodes_listed_at.lock();
         let is_listed = listed_at.is_some_and(|at| now.since(at) >= HEARD_AFTER);
-        now.since(self.started) < ALONE_FOR && !is_listed
+        now < *self.not_alone_until.lock() && !is_listed
+    }
+
+    /// Notes that it is not known yet whether there are others.
+    pub fn put_off_acting_alone(&self) {
+        *self.not_alone_until.lock() = self.now() + ALONE_FOR;
     }
 
     /// Notes whether the platform's store last failed this node.
--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -1,4 +1,4 @@
-//! The other nodes: which there are, which are alive, and what they last said of themselves.
+//! The other boxes: which there are, which are alive, and what they last said of themselves.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -7,118 +7,433 @@
 use trackfront_core::lease::HolderWord;
 use trackfront_core::units::Moment;
 
-use super::messages::Digest;
+use super::delegates::{Halls, ListedBox};
+use super::messages::{Digest, ToldGiver, ToldRight};
 
-/// Every how many rounds nodes of other zones are told at the least, where there are many: bytes
-/// between zones are dear.
-const OTHER_ZONES_EVERY: usize = 4;
+/// Every how many rounds boxes of other halls are told at the least, where there are many: bytes between halls are
+/// dear.
+const OTHER_HALLS_EVERY: usize = 4;
 
-/// For how many peers nodes of other zones are told one round less often.
+/// For how many peers boxes of other halls are told one round less often.
 const PEERS_FOR_EACH_ROUND: usize = 10;
 
-/// Every how many rounds a node that was not heard of for long is told.
+/// Every how many rounds a box that was not heard of for long is told.
 const LOST_EVERY: u64 = 16;
 
-/// How long a node counts as alive after it was heard.
+/// The least time between two digests.
+pub const LEAST_GAP: Duration = Duration::from_millis(100);
+
+/// How much longer the time between digests is for each box that is told, so that what a box receives stays bounded.
+const GAP_FOR_EACH_TOLD: Duration = Duration::from_millis(6);
+
+/// The time between digests of a box that speaks for a large hall.
+const SPEAKER_GAP: Duration = Duration::from_millis(400);
+
+/// How much longer the time between digests of the other boxes of a large hall is for each box there: a speaker hears
+/// 400 a second of them, however many there are.
+const GAP_FOR_EACH_MATE: Duration = Duration::from_micros(2_500);
+
+/// How long a box counts as alive after it was heard, where it speaks more often than that.
 pub const ALIVE_FOR: Duration = Duration::from_millis(1_500);
 
-/// How long a node that is not heard of counts among those that share budgets.
+/// How long the giver of orders counts as alive after it spoke, where word of that came by way of another box.
+const RELAYED_ALIVE_FOR: Duration = Duration::from_millis(2_500);
+
+/// How long a box that is not heard of counts among those that share budgets.
 const COUNTED_FOR: Duration = Duration::from_secs(120);
 
-/// How long a node that was never heard is still told of us.
+/// How long a box that was never heard is still told of us.
 const TRIED_FOR: Duration = Duration::from_secs(10);
 
-/// Another node.
-#[derive(Clone, Debug, Default)]
+/// Another box.
+#[derive(Clone, Debug)]
 struct Peer {
     listed: Moment,
     heard: Option<Moment>,
-    zone: u32,
-    gives_orders: bool,
+    place: ListedBox,
     store_lost: bool,
     word: Option<HolderWord>,
+    /// Since when it should speak to this box, as far as that was found out before it was heard.
+    expected: Option<Moment>,
+    /// Whether it should have spoken to this box and did not.
+    is_missing: bool,
+}
+
+impl Peer {
+    fn new(place: ListedBox, listed: Moment) -> Self {
+        Self {
+            listed,
+            heard: None,
+            place,
+            store_lost: false,
+            word: None,
+            expected: None,
+            is_missing: false,
+        }
+    }
+
+    fn last_sign(&self) -> Moment {
+        self.heard.unwrap_or(self.listed)
+    }
+
+    fn is_alive(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < ALIVE_FOR)
+    }
+}
+
+/// What was last heard of who gives orders.
+#[derive(Clone, Copy, Debug)]
+struct Giver {
+    ip: Ipv4Addr,
+    gives: bool,
+    /// When it said so, to this box or another.
+    at: Moment,
+    is_relayed: bool,
+}
+
+/// Which boxes speak to this one.
+#[derive(Clone, Copy)]
+struct Sight {
+    hears_all: bool,
+    hears_hall: bool,
+    hall: u32,
+}
+
+impl Sight {
+    fn is_reachable(self, peer: &Peer, now: Moment) -> bool {
+        match self.hears_all || (self.hears_hall && peer.place.hall == self.hall) {
+            true => now.since(peer.last_sign()) < TRIED_FOR,
+            false => !peer.is_missing,
+        }
+    }
+}
+
+/// The boxes of this box's hall.
+#[derive(Clone, Debug, Default)]
+pub struct HallMates {
+    /// The others that are told what this box reads for them.
+    pub others: Vec<Ipv4Addr>,
+    /// How many go before this box in reading for the hall.
+    pub rank: usize,
+    /// The box that reads, if it is not this one.
+    pub reader: Option<Ipv4Addr>,
 }
 
-/// The other nodes.
-#[derive(Debug, Default)]
+impl HallMates {
+    /// Returns whether this box reads for the hall.
+    pub fn is_reader(&self) -> bool {
+        self.rank == 0
+    }
+}
+
+/// The other boxes.
+#[derive(Debug)]
 pub struct PeerBook {
+    me: ListedBox,
     peers: BTreeMap<Ipv4Addr, Peer>,
+    halls: Halls,
+    /// When it was last looked who speaks for which hall.
+    elected_at: Moment,
+    giver: Option<Giver>,
+    /// What the holder of the lease on orders last said of its right, by way of others.
+    relayed_word: Option<HolderWord>,
 }
 
 impl PeerBook {
-    /// Learns of a box from a list, which may say in which hall it stands.
-    pub fn list(&mut self, ip: Ipv4Addr, hall: Option<u32>, now: Moment) {
-        let peer = self.peers.entry(ip).or_insert(Peer { listed: now, ..Peer::default() });
-        if peer.heard.is_none() {
-            peer.zone = hall.unwrap_or(peer.zone);
+    /// Makes the book of a box that knows no other.
+    pub fn new(me: ListedBox) -> Self {
+        let mut halls = Halls::default();
+        halls.put(me, None);
+        let (peers, elected_at) = (BTreeMap::new(), Moment::default());
+        Self { me, peers, halls, elected_at, giver: None, relayed_word: None }
+    }
+
+    /// Learns of a box from a list. What a box says of itself goes before that.
+    pub fn list(&mut self, place: ListedBox, now: Moment) {
+        let is_heard = self.peers.get(&place.ip).is_some_and(|peer| peer.heard.is_some());
+        if place.ip != self.me.ip && !is_heard {
+            self.put(place, now);
         }
     }
 
-    /// Returns the boxes that are alive or were listed just now: those of `hall` first, and of these the ones that
+    fn put(&mut self, place: ListedBox, now: Moment) -> &mut Peer {
+        let before = self.peers.get(&place.ip).map(|peer| peer.place);
+        self.halls.put(place, before);
+        let peer = self.peers.entry(place.ip).or_insert(Peer::new(place, now));
+        peer.place = place;
+        peer
+    }
+
+    /// Returns the boxes that are alive or were listed just now: those of this hall first, and of these the ones that
     /// were heard. Of many boxes that start again together the others may have nothing to hand out yet.
-    pub fn likely_up(&self, hall: u32, now: Moment) -> Vec<Ipv4Addr> {
+    pub fn likely_up(&self, now: Moment) -> Vec<Ipv4Addr> {
         let place = |ip: &Ipv4Addr| {
             let peer = self.peers.get(ip);
-            let (zone, heard) = peer.map_or((None, None), |peer| (Some(peer.zone), peer.heard));
-            (zone != Some(hall), heard.is_none())
+            let is_mate = peer.is_some_and(|peer| peer.place.hall == self.me.hall);
+            (!is_mate, peer.is_none_or(|peer| peer.heard.is_none()))
         };
         let mut boxes = self.reachable(now);
         boxes.sort_by_key(place);
         boxes
     }
 
-    /// Learns that a node is alive.
+    /// Learns that a box is alive.
     pub fn heard(&mut self, ip: Ipv4Addr, digest: &Digest, now: Moment) {
-        let peer = self.peers.entry(ip).or_insert(Peer { listed: now, ..Peer::default() });
+        let peer = self.put(ListedBox { ip, hall: digest.zone, strength: digest.strength }, now);
         peer.heard = Some(now);
-        peer.zone = digest.zone;
-        peer.gives_orders = digest.gives_orders;
+        peer.is_missing = false;
         peer.store_lost = digest.store_lost;
         peer.word = digest.right.map(|right| right.word(now)).or(peer.word);
+        if digest.gives_orders {
+            self.giver = Some(Giver { ip, gives: true, at: now, is_relayed: false });
+        } else if let Some(giver) = self.giver.as_mut().filter(|giver| giver.ip == ip) {
+            *giver = Giver { ip, gives: false, at: now, is_relayed: false };
+        }
+        if let Some(told) = &digest.giver {
+            self.note_told_giver(told, now);
+        }
     }
 
-    /// Returns the other nodes of a zone that are alive.
-    pub fn alive_in(&self, zone: u32, now: Moment) -> Vec<Ipv4Addr> {
-        let mut alive = self.alive(now);
-        alive.retain(|ip| self.peers.get(ip).is_some_and(|peer| peer.zone == zone));
-        alive
+    fn note_told_giver(&mut self, told: &ToldGiver, now: Moment) {
+        let word = told.right.map(|right| right.word(now));
+        let known = self.relayed_word.map_or(0, |word| word.version);
+        self.relayed_word = word.filter(|word| word.version > known).or(self.relayed_word);
+        let at = Moment(now.0.saturating_sub(Duration::from_millis(u64::from(told.age_ms))));
+        let is_newer = self.giver.is_none_or(|known| at > known.at);
+        if told.ip != self.me.ip && is_newer {
+            self.giver = Some(Giver { ip: told.ip, gives: told.gives, at, is_relayed: true });
+        }
     }
 
-    /// Returns whether the platform's store last failed a node, by its own word.
-    pub fn is_store_lost(&self, ip: Ipv4Addr) -> bool {
-        self.peers.get(&ip).is_some_and(|peer| peer.store_lost)
+    /// Returns what this box tells others of who gives orders.
+    pub fn told_giver(&self, now: Moment) -> Option<ToldGiver> {
+        let giver = self.giver.filter(|giver| now.since(giver.at) < RELAYED_ALIVE_FOR)?;
+        let words = self.peers.get(&giver.ip).and_then(|peer| peer.word);
+        let word = words.into_iter().chain(self.relayed_word).max_by_key(|word| word.version);
+        let age_ms = u32::try_from(now.since(giver.at).as_millis()).unwrap_or(u32::MAX);
+        let right = word.and_then(|word| ToldRight::of(word, now));
+        Some(ToldGiver { ip: giver.ip, gives: giver.gives, age_ms, right })
     }
 
-    /// Returns what the node that wrote a version of the lease's row last said of its right. Each
-    /// version was written by one node alone.
-    pub fn holders_word(&self, version: u64) -> Option<HolderWord> {
-        let words = self.peers.values().filter_map(|peer| peer.word);
-        words.into_iter().find(|word| word.version == version)
+    /// Looks anew who speaks for which hall. To be called once in a round, before the others are told.
+    pub fn elect(&mut self, now: Moment) {
+        let was_away = now.since(self.elected_at) >= ALIVE_FOR;
+        self.elected_at = now;
+        if was_away {
+            // This box stood still, so that it heard nobody says nothing of the others.
+            self.peers.values_mut().for_each(|peer| peer.expected = None);
+        }
+        for ip in self.expected() {
+            let Some(peer) = self.peers.get_mut(&ip) else {
+                continue;
+            };
+            let expected = *peer.expected.get_or_insert(now);
+            let since = peer.last_sign().max(expected);
+            peer.is_missing = now.since(since) >= ALIVE_FOR;
+        }
+    }
+
+    /// Returns the boxes that should speak to this one since they speak for their hall.
+    fn expected(&self) -> Vec<Ipv4Addr> {
+        let own = self.me.hall;
+        let mut expected = match self.halls.is_small(own) {
+            true => Vec::new(),
+            false => self.speakers(),
+        };
+        if !self.halls.is_small_fleet() && self.is_delegate() {
+            let others = self.halls.names().filter(|hall| *hall != own);
+            expected.extend(others.flat_map(|hall| self.delegates(hall)));
+        }
+        expected
+    }
+
+    fn is_missing(&self, ip: Ipv4Addr) -> bool {
+        self.peers.get(&ip).is_some_and(|peer| peer.is_missing)
+    }
+
+    /// Returns the boxes that speak to those of this hall.
+    fn speakers(&self) -> Vec<Ipv4Addr> {
+        self.halls.speakers(self.me.hall, |ip| self.is_missing(ip)).collect()
+    }
+
+    fn delegates(&self, hall: u32) -> Vec<Ipv4Addr> {
+        self.halls.delegates(hall, |ip| self.is_missing(ip)).collect()
     }
 
-    /// Returns the nodes that are told in a round: those of the own zone each time, others less
-    /// often, and those that were not heard of for long seldom.
-    pub fn told(&self, zone: u32, round: u64, now: Moment) -> Vec<Ipv4Addr> {
-        let others_every = (self.peers.len() / PEERS_FOR_EACH_ROUND).clamp(1, OTHER_ZONES_EVERY);
-        let every = |peer: &Peer| {
-            let last = peer.heard.unwrap_or(peer.listed);
-            match now.since(last) < TRIED_FOR {
-                true if peer.zone == zone || peer.heard.is_none() => 1,
-                true => others_every as u64,
-                false => LOST_EVERY,
-            }
+    /// Returns whether this box speaks to all of its hall.
+    pub fn is_speaker(&self) -> bool {
+        self.halls.is_small(self.me.hall) || self.speakers().contains(&self.me.ip)
+    }
+
+    /// Returns whether this box speaks for its hall to others.
+    fn is_delegate(&self) -> bool {
+        self.delegates(self.me.hall).contains(&self.me.ip)
+    }
+
+    /// Returns the boxes that are told in a round.
+    pub fn told(&self, round: u64, now: Moment) -> Vec<Ipv4Addr> {
+        if self.halls.is_small_fleet() {
+            return self.told_by_turns(round, now, |_| true);
+        }
+        let own = self.me.hall;
+        let mut told = match self.halls.is_small(own) {
+            true => self.told_by_turns(round, now, |peer| peer.place.hall == own),
+            false if self.is_speaker() => self.mates_and_some_lost(round, now),
+            false => self.speakers(),
         };
+        if self.is_delegate() {
+            let others = self.halls.names().filter(|hall| *hall != own);
+            told.extend(others.flat_map(|hall| self.delegates(hall)));
+        }
+        let retried = self.missing_in_turn(round).filter(|ip| !told.contains(ip));
+        told.extend(retried);
+        told.retain(|ip| *ip != self.me.ip);
+        told
+    }
+
+    /// Returns the other boxes of this hall, in each round some of those that were not heard of for long.
+    fn mates_and_some_lost(&self, round: u64, now: Moment) -> Vec<Ipv4Addr> {
+        let sight = self.sight();
         let is_due = |ip: &Ipv4Addr, peer: &Peer| {
-            (round + u64::from(ip.to_bits())).is_multiple_of(every(peer))
+            let turn = round + u64::from(ip.to_bits());
+            sight.is_reachable(peer, now) || turn.is_multiple_of(LOST_EVERY)
+        };
+        let mates = self.halls.of(self.me.hall).iter().map(|one| one.ip);
+        mates.filter(|ip| self.peers.get(ip).is_some_and(|peer| is_due(ip, peer))).collect()
+    }
+
+    /// Returns one of the boxes that should have spoken and did not, each in its turn: the two may have been cut off
+    /// from each other, and both wait to be told.
+    fn missing_in_turn(&self, round: u64) -> Option<Ipv4Addr> {
+        let missing = || self.peers.iter().filter(|(_, peer)| peer.is_missing).map(|(ip, _)| *ip);
+        let count = missing().count().max(1) as u64;
+        missing().nth((round % count) as usize)
+    }
+
+    /// Returns the boxes among `which` that are told in a round where each speaks to each: those of the own hall each
+    /// time, others less often, and those that were not heard of for long seldom.
+    fn told_by_turns(
+        &self,
+        round: u64,
+        now: Moment,
+        which: impl Fn(&Peer) -> bool,
+    ) -> Vec<Ipv4Addr> {
+        let others_every = (self.peers.len() / PEERS_FOR_EACH_ROUND).clamp(1, OTHER_HALLS_EVERY);
+        let every = |peer: &Peer| match now.since(peer.last_sign()) < TRIED_FOR {
+            true if peer.place.hall == self.me.hall || peer.heard.is_none() => 1,
+            true => others_every as u64,
+            false => LOST_EVERY,
+        };
+        let is_due = |ip: &Ipv4Addr, peer: &Peer| {
+            which(peer) && (round + u64::from(ip.to_bits())).is_multiple_of(every(peer))
         };
         let due = self.peers.iter().filter(|(ip, peer)| is_due(ip, peer));
         due.map(|(ip, _)| *ip).collect()
     }
 
-    /// Returns every node that is alive or was listed just now.
+    /// Returns the time until the next round, after one in which so many were told.
+    pub fn gap(&self, told: usize) -> Duration {
+        let own = self.halls.of(self.me.hall).len() as u32;
+        match (self.halls.is_small(self.me.hall), self.is_speaker()) {
+            (true, _) => LEAST_GAP.max(GAP_FOR_EACH_TOLD * told as u32),
+            (false, true) => SPEAKER_GAP,
+            (false, false) => SPEAKER_GAP.max(GAP_FOR_EACH_MATE * own),
+        }
+    }
+
+    /// Returns the boxes that the giver tells at once what it did: those that pass it on, where there are many.
+    pub fn told_at_once(&self, now: Moment) -> Vec<Ipv4Addr> {
+        if self.halls.is_small_fleet() {
+            return self.reachable(now);
+        }
+        let mut told = self.mates(now);
+        let others = self.halls.names().filter(|hall| *hall != self.me.hall);
+        told.extend(others.flat_map(|hall| self.delegates(hall)));
+        told
+    }
+
+    /// Returns whether this box passes on to its hall what it hears from `ip`, so that it need not be told to all: it
+    /// is the first that speaks for the hall.
+    pub fn passes_on(&self, ip: Ipv4Addr) -> bool {
+        let from = self.peers.get(&ip).map(|peer| peer.place.hall);
+        let is_first = self.delegates(self.me.hall).first() == Some(&self.me.ip);
+        !self.halls.is_small_fleet() && is_first && from != Some(self.me.hall)
+    }
+
+    /// Returns the other boxes of this hall, but for those that are lost for all that this box knows.
+    pub fn mates(&self, now: Moment) -> Vec<Ipv4Addr> {
+        let sight = self.sight();
+        let mates = self.halls.of(self.me.hall).iter().map(|one| one.ip);
+        let is_reachable =
+            |ip: &Ipv4Addr| self.peers.get(ip).is_some_and(|peer| sight.is_reachable(peer, now));
+        mates.filter(is_reachable).collect()
+    }
+
+    /// Returns the boxes of this hall as this one sees them. They read in the order of what they can bear, those that
+    /// the platform's store fails after the others; boxes that speak for a large hall go before the rest.
+    pub fn hall_mates(&self, is_store_lost: bool, now: Moment) -> HallMates {
+        let is_small = self.halls.is_small(self.me.hall);
+        let alive = |ip: &Ipv4Addr| self.peers.get(ip).is_some_and(|peer| peer.is_alive(now));
+        let others = if is_small {
+            self.mates(now).into_iter().filter(alive).collect()
+        } else {
+            self.mates(now)
+        };
+        let me = (is_store_lost, self.me.place());
+        let place = |one: &ListedBox| {
+            let store_lost = self.peers.get(&one.ip).is_some_and(|peer| peer.store_lost);
+            (store_lost, one.place())
+        };
+        let boxes = self.halls.of(self.me.hall).iter();
+        let mut alive: Vec<&ListedBox> = boxes.filter(|one| alive(&one.ip)).collect();
+        alive.sort_by_key(|one| place(one));
+        if self.is_speaker() {
+            let speakers = self.speakers();
+            alive.retain(|one| is_small || speakers.contains(&one.ip));
+            let rank = alive.iter().filter(|one| place(one) < me).count();
+            let reader = alive.first().filter(|_| rank > 0).map(|one| one.ip);
+            return HallMates { others, rank, reader };
+        }
+        // All that speak go first, alive or not yet found missing; of the rest each knows its place.
+        let speakers = self.speakers();
+        let reader = alive.iter().find(|one| speakers.contains(&one.ip)).map(|one| one.ip);
+        let before = self.halls.of(self.me.hall).iter().filter(|one| {
+            one.place() < self.me.place() && !speakers.contains(&one.ip) && !self.is_missing(one.ip)
+        });
+        let rank = speakers.len() + before.count();
+        HallMates { others, rank, reader }
+    }
+
+    /// Returns how many boxes go before this one in taking the lease on orders: those that are alive, of a large
+    /// fleet only those that speak for a hall.
+    pub fn rank(&self, now: Moment) -> usize {
+        let is_before = |peer: &&Peer| peer.is_alive(now) && peer.place.place() < self.me.place();
+        let alive = self.peers.values().filter(is_before).count();
+        match self.halls.is_small_fleet() || self.is_delegate() {
+            true => alive,
+            false => alive + self.hall_mates(false, now).rank,
+        }
+    }
+
+    /// Returns what the box that wrote a version of the lease's row last said of its right. Each version was written by
+    /// one box alone.
+    pub fn holders_word(&self, version: u64) -> Option<HolderWord> {
+        let words = self.peers.values().filter_map(|peer| peer.word).chain(self.relayed_word);
+        words.into_iter().find(|word| word.version == version)
+    }
+
+    /// Returns every box that is alive or was listed just now; of boxes that have no reason to speak to this one all
+    /// that are listed.
     pub fn reachable(&self, now: Moment) -> Vec<Ipv4Addr> {
-        let recent = |peer: &Peer| now.since(peer.heard.unwrap_or(peer.listed)) < TRIED_FOR;
-        self.peers.iter().filter(|(_, peer)| recent(peer)).map(|(ip, _)| *ip).collect()
+        let sight = self.sight();
+        let reachable = self.peers.iter().filter(|(_, peer)| sight.is_reachable(peer, now));
+        reachable.map(|(ip, _)| *ip).collect()
+    }
+
+    fn sight(&self) -> Sight {
+        let hears_all = self.halls.is_small_fleet();
+        let hears_hall = hears_all || self.is_speaker();
+        Sight { hears_all, hears_hall, hall: self.me.hall }
     }
 
     /// Returns every box that was ever listed or heard.
@@ -126,26 +441,53 @@
         self.peers.keys().copied().collect()
     }
 
-    /// Returns how many nodes share budgets, this one included.
+    /// Returns all boxes of which it is known where they stand, this one included.
+    pub fn listed(&self) -> Vec<ListedBox> {
+        self.halls.all().collect()
+    }
+
+    /// Returns the boxes of this hall that this box hands a list of all on to: with the others that speak for the hall
+    /// they are all.
+    pub fn own_part(&self, now: Moment) -> Vec<Ipv4Addr> {
+        let delegates = self.delegates(self.me.hall);
+        let Some(own) = delegates.iter().position(|ip| *ip == self.me.ip) else {
+            return Vec::new();
+        };
+        let mates = self.mates(now).into_iter().enumerate();
+        let is_own = |(index, _): &(usize, Ipv4Addr)| index % delegates.len() == own;
+        mates.filter(is_own).map(|(_, ip)| ip).collect()
+    }
+
+    /// Returns the boxes that hand a list of all boxes on to their halls.
+    pub fn first_of_halls(&self) -> Vec<Ipv4Addr> {
+        let first = self.halls.names().flat_map(|hall| self.delegates(hall));
+        first.filter(|ip| *ip != self.me.ip).collect()
+    }
+
+    /// Returns whether each box tells each.
+    pub fn is_small_fleet(&self) -> bool {
+        self.halls.is_small_fleet()
+    }
+
+    /// Returns how many boxes share budgets, this one included.
     pub fn sharing(&self, now: Moment) -> usize {
+        let is_small_fleet = self.halls.is_small_fleet();
         let counted = self
             .peers
             .values()
-            .filter(|peer| now.since(peer.heard.unwrap_or(peer.listed)) < COUNTED_FOR);
+            .filter(|peer| !is_small_fleet || now.since(peer.last_sign()) < COUNTED_FOR);
         counted.count() + 1
     }
 
-    /// Returns the other nodes that are alive.
+    /// Returns the other boxes that are alive, of those that speak to this one.
     pub fn alive(&self, now: Moment) -> Vec<Ipv4Addr> {
-        let alive = |peer: &Peer| peer.heard.is_some_and(|heard| now.since(heard) < ALIVE_FOR);
-        self.peers.iter().filter(|(_, peer)| alive(peer)).map(|(ip, _)| *ip).collect()
+        self.peers.iter().filter(|(_, peer)| peer.is_alive(now)).map(|(ip, _)| *ip).collect()
     }
 
-    /// Returns the node that says that it gives orders.
+    /// Returns the box that says that it gives orders.
     pub fn giver(&self, now: Moment) -> Option<Ipv4Addr> {
-        let gives = |peer: &Peer| {
-            peer.gives_orders && peer.heard.is_some_and(|heard| now.since(heard) < ALIVE_FOR)
-        };
-        self.peers.iter().find(|(_, peer)| gives(peer)).map(|(ip, _)| *ip)
+        let giver = self.giver.filter(|giver| giver.gives)?;
+        let lives_for = if giver.is_relayed { RELAYED_ALIVE_FOR } else { ALIVE_FOR };
+        (now.since(giver.at) < lives_for).then_some(giver.ip)
     }
 }
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -5,6 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use super::delegates::{ListedBox, Strength};
+use super::node::short_zone;
 use serde::Deserialize;
 use thiserror::Error;
 use trackfront_core::ids::{RegionName, ZoneName};
@@ -104,6 +106,29 @@
     /// What its link to the network carries, in megabits a second.
     #[serde(default = "common_link")]
     pub link_mbps: f64,
+    /// Its share of a core.
+    #[serde(default = "whole_core")]
+    pub cpu_share: f64,
+    /// The memory that it may use, in MB.
+    #[serde(default = "common_memory")]
+    pub memory_mb: f64,
+}
+
+impl ResourceSettings {
+    /// Returns how much the node can bear, which decides what it does for others.
+    pub fn strength(&self) -> Strength {
+        Strength::new(self.cpu_share, self.link_mbps, self.memory_mb)
+    }
+}
+
+/// The share of a core of a node that has one for itself.
+fn whole_core() -> f64 {
+    1.0
+}
+
+/// The memory of a common machine, in MB.
+fn common_memory() -> f64 {
+    1_024.0
 }
 
 /// The slowest link that is common in a hall, in megabits a second.
@@ -232,6 +257,12 @@
 }
 
 impl ServingSettings {
+    /// Returns the node as it is listed among the others.
+    pub fn listed(&self) -> ListedBox {
+        let hall = short_zone(&self.node.zone);
+        ListedBox { ip: self.node.ip, hall, strength: self.resources.strength() }
+    }
+
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, ServingSettingsError> {
         let text = std::fs::read_to_string(path)
@@ -254,9 +285,15 @@
         if self.resources.cores == 0 || self.resources.file_descriptors == 0 {
             return Err("a number under [resources] is 0; give it a positive one".into());
         }
-        let link_mbps = self.resources.link_mbps;
-        if !(link_mbps.is_finite() && link_mbps > 0.0) {
-            return Err(format!("resources.link_mbps is {link_mbps}; give it a positive number"));
+        let resources = &self.resources;
+        let positive = [
+            ("link_mbps", resources.link_mbps),
+            ("cpu_share", resources.cpu_share),
+            ("memory_mb", resources.memory_mb),
+        ];
+        let is_bad = |value: f64| !(value.is_finite() && value > 0.0);
+        if let Some((key, value)) = positive.into_iter().find(|(_, value)| is_bad(*value)) {
+            return Err(format!("resources.{key} is {value}; give it a positive number"));
         }
         if self.listen.clients == self.listen.readiness {
             return Err("listen.readiness equals listen.clients; give it another port".into());
--- a/trackfrontd/src/serving/spread.rs
+++ b/trackfrontd/src/serving/spread.rs
@@ -1,7 +1,7 @@
 //! What one box of each hall reads from the platform's feeds and relays to the others there.
 //!
 //! If every box followed the feeds itself, the calls would grow with boxes times changes. In each hall
-//! one box, the first in the order of addresses, reads the feeds and passes on what came, also when
+//! one box, the first in the order of what they can bear, reads the feeds and passes on what came, also when
 //! nothing came: after some silence the others read for themselves, one after the other, and the first
 //! that gets an answer relays it.
 
@@ -15,8 +15,9 @@
 
 use super::follow;
 use super::messages::Message;
-use super::node::{ServingNode, short_zone};
+use super::node::ServingNode;
 use super::packing::{pack, unpack};
+pub use super::peer_book::HallMates;
 use super::peer_socket::PeerSocket;
 
 /// How long after a reader's last word its hall counts as read, as a part of the time within which
@@ -177,38 +178,9 @@
     SUCCESSOR_STEP.saturating_mul(place.saturating_mul(place))
 }
 
-/// The boxes of this box's hall.
-#[derive(Clone, Debug, Default)]
-pub struct HallMates {
-    /// The others that are alive.
-    pub others: Vec<Ipv4Addr>,
-    /// How many go before this box in reading for the hall.
-    pub rank: usize,
-    /// The box that reads, if it is not this one.
-    pub reader: Option<Ipv4Addr>,
-}
-
-impl HallMates {
-    /// Returns whether this box reads for the hall.
-    pub fn is_reader(&self) -> bool {
-        self.rank == 0
-    }
-}
-
-/// Returns the boxes of this hall. They read in the order of their addresses, those that the platform's
-/// store fails after the others.
+/// Returns the boxes of this hall.
 pub fn hall_mates(node: &ServingNode) -> HallMates {
-    let settings = node.settings.load();
-    let hall = short_zone(&settings.node.zone);
-    let me = (node.is_store_lost(), settings.node.ip);
-    let peers = node.peers.lock();
-    let others = peers.alive_in(hall, node.now());
-    let place = |ip: &Ipv4Addr| (peers.is_store_lost(*ip), *ip);
-    let before = others.iter().filter(|ip| place(ip) < me);
-    let reader = before.clone().copied().min_by_key(|ip| place(ip));
-    let rank = before.count();
-    drop(peers);
-    HallMates { others, rank, reader }
+    node.peers.lock().hall_mates(node.is_store_lost(), node.now())
 }
 
 /// Passes on what the operator wrote: the newest row of the configuration, and the halls, which may be news.
--- a/trackfrontd/tests/fleet.rs
+++ b/trackfrontd/tests/fleet.rs
@@ -1,16 +1,35 @@
-//! Many boxes by one clock, each with its own book of the others: who reads for a hall, and who gives orders.
+//! Many boxes by one clock, each with its own book of the others: who reads for a hall, who gives orders, and what a
+//! box sends and hears for it.
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use trackfront_core::units::Moment;
-use trackfrontd::serving::messages::Digest;
+use trackfrontd::serving::delegates::{ListedBox, Strength};
+use trackfrontd::serving::messages::{Digest, Message};
 use trackfrontd::serving::peer_book::PeerBook;
 
 const HALLS: u32 = 5;
 const STEP_MS: u64 = 50;
 
+/// How often it is looked whether something has come.
+const LOOK_EVERY_MS: u64 = 250;
+
+/// Every how many boxes there is a strong one.
+const STRONG_EVERY: u32 = 20;
+
+/// What one box may send and hear a second for being one of many, in bytes.
+const CONTROL_BYTES_PER_S: u64 = 10_000;
+
+/// The same for a box that speaks for its hall.
+const SPEAKER_BYTES_PER_S: u64 = 100_000;
+
+/// What a datagram has beside the message, in bytes.
+const HEADERS: u64 = 28;
+
 fn at(ms: u64) -> Moment {
     Moment(Duration::from_millis(100_000 + ms))
 }
@@ -19,32 +38,56 @@
     Ipv4Addr::from_bits(0x0a00_0000 + index)
 }
 
-fn hall(index: u32) -> u32 {
-    index % HALLS
+/// Which boxes are strong.
+#[derive(Clone, Copy, PartialEq)]
+enum Kind {
+    AllAlike,
+    SomeStrong,
+}
+
+fn listed(index: u32, kind: Kind) -> ListedBox {
+    let is_strong = kind == Kind::SomeStrong && (index / HALLS).is_multiple_of(STRONG_EVERY);
+    let strength = match is_strong {
+        true => Strength::new(1.0, 1_000.0, 1_024.0),
+        false => Strength::new(0.12, 20.0, 160.0),
+    };
+    ListedBox { ip: ip(index), hall: index % HALLS, strength }
 }
 
 struct Fleet {
+    places: Vec<ListedBox>,
     books: Vec<PeerBook>,
     rounds: Vec<u64>,
     due_ms: Vec<u64>,
     down: Vec<bool>,
+    /// The box that holds the lease on orders.
+    giver: Option<usize>,
+    lost_percent: u32,
+    /// Bytes that each box sent and heard.
+    bytes: Vec<u64>,
+    rng: ChaCha8Rng,
     now_ms: u64,
 }
 
 impl Fleet {
-    fn new(boxes: u32) -> Self {
-        let book = |_| {
-            let mut book = PeerBook::default();
-            (0..boxes).for_each(|other| book.list(ip(other), Some(hall(other)), at(0)));
+    fn new(boxes: u32, kind: Kind) -> Self {
+        let places: Vec<ListedBox> = (0..boxes).map(|index| listed(index, kind)).collect();
+        let book = |me: &ListedBox| {
+            let mut book = PeerBook::new(*me);
+            places.iter().for_each(|other| book.list(*other, at(0)));
             book
         };
         let count = boxes as usize;
-        let due_ms = (0..boxes as u64).map(|index| index % 100).collect();
         Self {
-            books: (0..boxes).map(book).collect(),
+            books: places.iter().map(book).collect(),
+            places,
             rounds: vec![0; count],
-            due_ms,
+            due_ms: (0..u64::from(boxes)).map(|index| index % 400).collect(),
             down: vec![false; count],
+            giver: None,
+            lost_percent: 2,
+            bytes: vec![0; count],
+            rng: ChaCha8Rng::seed_from_u64(7),
             now_ms: 0,
         }
     }
@@ -60,47 +103,159 @@
     fn step(&mut self) {
         let now = at(self.now_ms);
         let index_of: HashMap<Ipv4Addr, usize> =
-            (0..self.books.len()).map(|index| (ip(index as u32), index)).collect();
+            self.places.iter().enumerate().map(|(index, place)| (place.ip, index)).collect();
         for index in 0..self.books.len() {
             if self.down[index] || self.due_ms[index] > self.now_ms {
                 continue;
             }
-            let told = self.books[index].told(hall(index as u32), self.rounds[index], now);
+            let (book, place) = (&mut self.books[index], self.places[index]);
+            book.elect(now);
+            let told = book.told(self.rounds[index], now);
             self.rounds[index] += 1;
-            self.due_ms[index] = self.now_ms + (6 * told.len() as u64).max(100);
-            let digest = Digest { zone: hall(index as u32), ..Digest::default() };
+            self.due_ms[index] = self.now_ms + book.gap(told.len()).as_millis() as u64;
+            let gives_orders = self.giver == Some(index);
+            let giver = if gives_orders { None } else { book.told_giver(now) };
+            let (zone, strength) = (place.hall, place.strength);
+            let digest = Digest { zone, strength, gives_orders, giver, ..Digest::default() };
+            let message = Message::Digest(digest.clone());
+            let config = bincode::config::standard();
+            let length = bincode::serde::encode_to_vec(&message, config).expect("encodes").len();
+            let length = length as u64 + HEADERS;
             for other in told {
                 let other = index_of[&other];
-                if other != index && !self.down[other] {
-                    self.books[other].heard(ip(index as u32), &digest, now);
+                self.bytes[index] += length;
+                let is_lost = self.rng.random_range(0..100) < self.lost_percent;
+                if !self.down[other] && !is_lost {
+                    self.bytes[other] += length;
+                    self.books[other].heard(place.ip, &digest, now);
                 }
             }
         }
     }
 
-    fn readers(&self) -> usize {
-        let now = at(self.now_ms);
-        (0..self.books.len())
-            .filter(|index| {
-                let own = ip(*index as u32);
-                let alive = self.books[*index].alive_in(hall(*index as u32), now);
-                !alive.iter().any(|other| *other < own)
-            })
-            .count()
+    fn up(&self) -> impl Iterator<Item = usize> {
+        (0..self.books.len()).filter(|index| !self.down[*index])
+    }
+
+    fn reads(&self, index: usize) -> bool {
+        self.books[index].hall_mates(false, at(self.now_ms)).is_reader()
+    }
+
+    /// The boxes that take themselves for the reader of their hall.
+    fn readers(&self) -> Vec<usize> {
+        self.up().filter(|index| self.reads(*index)).collect()
+    }
+
+    fn halls_with_reader(&self) -> usize {
+        let halls = self.readers().into_iter().map(|index| self.places[index].hall);
+        halls.collect::<std::collections::BTreeSet<u32>>().len()
+    }
+
+    /// Runs until something holds; returns how long that took.
+    fn until(&mut self, what: &str, holds: impl Fn(&Fleet) -> bool) -> u64 {
+        let began = self.now_ms;
+        while !holds(self) {
+            assert!(self.now_ms - began < 20_000, "not in time: {what}");
+            self.run(LOOK_EVERY_MS);
+        }
+        self.now_ms - began
     }
 }
 
 #[test]
 fn each_hall_of_a_large_fleet_has_one_reader() {
-    for boxes in [100, 300, 984] {
-        let mut fleet = Fleet::new(boxes);
-        fleet.run(5_000);
-        let mut most = 0;
-        for _ in 0..100 {
-            fleet.run(STEP_MS);
-            most = most.max(fleet.readers());
+    for (boxes, kind) in [
+        (100, Kind::AllAlike),
+        (300, Kind::AllAlike),
+        (984, Kind::AllAlike),
+        (984, Kind::SomeStrong),
+    ] {
+        let mut fleet = Fleet::new(boxes, kind);
+        fleet.run(3_000);
+        for _ in 0..6 {
+            fleet.run(500);
+            let readers = fleet.readers();
+            assert_eq!(readers.len(), HALLS as usize, "{boxes} boxes at {}", fleet.now_ms);
+            assert_eq!(fleet.halls_with_reader(), HALLS as usize);
+            let strong = |index: &usize| (*index as u32 / HALLS).is_multiple_of(STRONG_EVERY);
+            let are_strong = readers.iter().all(strong);
+            assert!(are_strong || kind == Kind::AllAlike, "strong boxes read: {readers:?}");
+        }
+    }
+}
+
+#[test]
+fn what_a_box_sends_and_hears_does_not_grow_with_the_fleet() {
+    for boxes in [984, 1_968] {
+        let mut fleet = Fleet::new(boxes, Kind::SomeStrong);
+        fleet.giver = Some(0);
+        fleet.run(2_000);
+        fleet.bytes.fill(0);
+        fleet.run(2_000);
+        let per_s = |bytes: &u64| bytes / 2;
+        let mut all: Vec<u64> = fleet.bytes.iter().map(per_s).collect();
+        all.sort_unstable();
+        let (middle, busiest) = (all[all.len() / 2], all[all.len() - 1]);
+        println!("{boxes} boxes: {middle} and {busiest} bytes a second");
+        assert!(middle < CONTROL_BYTES_PER_S, "{boxes} boxes: {middle} bytes a second");
+        assert!(busiest < SPEAKER_BYTES_PER_S, "{boxes} boxes: {busiest} bytes a second");
+    }
+}
+
+#[test]
+fn a_hall_whose_first_boxes_are_lost_has_a_reader_soon() {
+    let mut fleet = Fleet::new(984, Kind::SomeStrong);
+    fleet.run(3_000);
+    // Of each hall the reader and its successor, then three in five of all boxes.
+    for _ in 0..2 {
+        for reader in fleet.readers() {
+            fleet.down[reader] = true;
+        }
+        let took = fleet
+            .until("each hall has a reader", |fleet| fleet.halls_with_reader() == HALLS as usize);
+        assert!(took <= 2_000, "a successor after {took} ms");
+        fleet.run(3_000);
+        assert_eq!(fleet.readers().len(), HALLS as usize, "one each");
+    }
+    for index in 0..984 {
+        fleet.down[index] |= fleet.rng.random_range(0..5) < 3;
+    }
+    let took =
+        fleet.until("each hall has a reader", |fleet| fleet.halls_with_reader() == HALLS as usize);
+    assert!(took <= 6_000, "a reader after {took} ms");
+    // All come back.
+    fleet.down.fill(false);
+    fleet.run(4_000);
+    assert_eq!(fleet.readers().len(), HALLS as usize, "one each");
+}
+
+#[test]
+fn all_boxes_know_who_gives_orders_and_when_it_is_lost() {
+    for kind in [Kind::AllAlike, Kind::SomeStrong] {
+        let mut fleet = Fleet::new(984, kind);
+        fleet.run(2_000);
+        fleet.giver = Some(fleet.readers()[0]);
+        let giver = fleet.giver.expect("set");
+        let giver_ip = fleet.places[giver].ip;
+        let knows = |fleet: &Fleet, index: usize| {
+            fleet.books[index].giver(at(fleet.now_ms)) == Some(giver_ip)
+        };
+        let all_know = |fleet: &Fleet| fleet.up().all(|one| one == giver || knows(fleet, one));
+        let took = fleet.until("all know the giver", all_know);
+        assert!(took <= 2_500, "known after {took} ms");
+        for _ in 0..4 {
+            fleet.run(500);
+            let without = fleet.up().filter(|one| *one != giver && !knows(&fleet, *one)).count();
+            assert!(without <= 10, "{without} boxes do not know who gives orders");
         }
-        println!("{boxes} boxes: {most} readers at most");
-        assert_eq!(most, HALLS as usize, "{boxes} boxes");
+        fleet.down[giver] = true;
+        let nobody_knows = |fleet: &Fleet| fleet.up().all(|one| !knows(fleet, one));
+        let took = fleet.until("all know that it is lost", nobody_knows);
+        assert!(took <= 3_500, "known after {took} ms");
+        // One after the other takes the lease, not all at once.
+        let mut ranks: Vec<usize> =
+            fleet.up().map(|one| fleet.books[one].rank(at(fleet.now_ms))).collect();
+        ranks.sort_unstable();
+        assert!(ranks[0] == 0 && ranks[4] > 0, "{:?}", &ranks[..8]);
     }
 }
--- a/trackfrontd/tests/peer_book.rs
+++ b/trackfrontd/tests/peer_book.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use trackfront_core::units::Moment;
+use trackfrontd::serving::delegates::{ListedBox, Strength};
 use trackfrontd::serving::messages::Digest;
 use trackfrontd::serving::peer_book::PeerBook;
 
@@ -16,11 +17,12 @@
 fn boxes_that_were_heard_are_asked_first_and_those_of_the_own_hall_before_others() {
     let now = Moment(Duration::from_secs(100));
     let ip = |last| Ipv4Addr::new(10, 0, 0, last);
-    let mut book = PeerBook::default();
-    (1..=3).for_each(|last| book.list(ip(last), Some(OWN_HALL), now));
-    (4..=5).for_each(|last| book.list(ip(last), Some(OTHER_HALL), now));
+    let place = |last, hall| ListedBox { ip: ip(last), hall, strength: Strength::default() };
+    let mut book = PeerBook::new(place(9, OWN_HALL));
+    (1..=3).for_each(|last| book.list(place(last, OWN_HALL), now));
+    (4..=5).for_each(|last| book.list(place(last, OTHER_HALL), now));
     book.heard(ip(3), &Digest { zone: OWN_HALL, ..Digest::default() }, now);
     book.heard(ip(5), &Digest { zone: OTHER_HALL, ..Digest::default() }, now);
-    let order = book.likely_up(OWN_HALL, now);
+    let order = book.likely_up(now);
     assert_eq!(order, [ip(3), ip(1), ip(2), ip(5), ip(4)]);
 }
