Take the configuration and the servers from others also when all start, and leave time between plans

Change: a box of many (it starts with all, or reads 16 neighbours in its hall) waits up to 9 s for those that read for their halls, and asks them and another that speaks for it again each 0.25 s; strong boxes list first.

--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -56,6 +56,16 @@
 /// could hand it: several times what a call takes.
 const LIST_TIME: Duration = Duration::from_millis(250);
 
+/// How long a box of many waits at its start to learn of the others.
+const START_TIME: Duration = Duration::from_millis(5_000);
+
+/// How long it then waits for others to have what it lacks, and how often it asks.
+const COPY_TIME: Duration = Duration::from_millis(4_000);
+const COPY_AGAIN: Duration = Duration::from_millis(250);
+
+/// How often it looks whether it knows the others.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
 /// What the row of a box holds; its hall and its address stand in the key.
 #[derive(Serialize, Deserialize)]
 struct BoxRow {
@@ -80,7 +90,10 @@
 /// Writes this box's row and learns of the others, then lists them again but seldom.
 pub async fn list_boxes(node: Arc<ServingNode>, socket: Arc<PeerSocket>) {
     let start = match node.settings.load().node.first_start {
-        true => Start::New,
+        true => {
+            node.set_one_of_many();
+            Start::New
+        }
         false => join(&node).await,
     };
     node.end_first_list();
@@ -91,7 +104,13 @@
     match start {
         Start::Joined => {}
         Start::Returned { is_small: true } => sleep(SMALL_HALL_SPREAD.mul_f64(moment)).await,
-        _ => sleep(FIRST_LIST + FIRST_LIST_SPREAD.mul_f64(moment)).await,
+        _ => {
+            // The strongest list first, and tell the others.
+            let strength = node.settings.load().resources.strength();
+            let pause = FIRST_LIST + FIRST_LIST_SPREAD.mul_f64(moment) * strength.turn();
+            node.put_off_acting_alone(pause);
+            sleep(pause).await;
+        }
     }
     let mut is_known = start == Start::Joined;
     let mut pauses = Pauses::default();
@@ -110,7 +129,11 @@
             Err(error) => {
                 log::info!(error:% = error; "boxes not listed");
                 let is_busy = matches!(error, TableError::RateLimited);
-                sleep(if is_busy { pauses.next() } else { LIST_AGAIN }).await;
+                let pause = if is_busy { pauses.next() } else { LIST_AGAIN };
+                if is_busy {
+                    node.put_off_acting_alone(pause);
+                }
+                sleep(pause).await;
             }
         }
     }
@@ -138,8 +161,9 @@
             Written::There => return,
             Written::Busy => {
                 // Many start at once, so this box is not alone.
-                node.put_off_acting_alone();
-                sleep(pauses.next()).await;
+                let pause = pauses.next();
+                node.put_off_acting_alone(pause);
+                sleep(pause).await;
             }
             Written::Failed => sleep(LIST_AGAIN).await,
         }
@@ -159,6 +183,9 @@
     };
     let has_own_row = rows.iter().any(|row| row.key == own);
     let is_small = rows.len() < NEIGHBOURS;
+    if !is_small {
+        node.set_one_of_many();
+    }
     let boxes: Vec<ListedBox> = rows.iter().filter_map(listed).collect();
     {
         let mut peers = node.peers.lock();
@@ -198,12 +225,28 @@
 
 /// Waits for the list of boxes as long as it is worth it.
 pub async fn wait_for_list(node: &ServingNode) {
-    if node.settings.load().node.first_start {
-        return;
+    if !node.settings.load().node.first_start {
+        let ended = node.first_list_ended();
+        // Without the list the box reads from the platform itself.
+        let _ = timeout(LIST_TIME, ended).await;
     }
-    let ended = node.first_list_ended();
-    // Without the list the box reads from the platform itself.
-    let _ = timeout(LIST_TIME, ended).await;
+    let start = node.now();
+    while node.is_one_of_many() && !node.knows_nodes() && node.now().since(start) < START_TIME {
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Returns whether a box that lacks something at its start, and was given no copy, waits for others to have one: those
+/// that read for their halls get it from the platform. It does not wait for ever.
+pub async fn waits_for_copy(node: &ServingNode) -> bool {
+    let age = node.age();
+    let is_reader = node.peers.lock().hall_mates(node.is_store_lost(), node.now()).is_reader();
+    let must_read = is_reader && !node.is_alone_for_now();
+    if !node.is_one_of_many() || must_read || age >= START_TIME + COPY_TIME {
+        return false;
+    }
+    sleep(COPY_AGAIN).await;
+    true
 }
 
 /// Returns boxes that are likely up, those of this hall first, for a box that has heard of none.
--- a/trackfrontd/src/serving/delegates.rs
+++ b/trackfrontd/src/serving/delegates.rs
@@ -28,6 +28,9 @@
 const UNIT_LINK_MBPS: f64 = 10.0;
 const UNIT_MEMORY_MB: f64 = 100.0;
 
+/// A box that goes first in what one box does for all.
+const STRONG: Strength = Strength(2);
+
 /// How much a box can bear, by the scarcest of what it has. Each step is twice the one before, so that boxes which
 /// differ little keep the order of their addresses.
 #[derive(
@@ -42,6 +45,11 @@
         let scarcest = parts.into_iter().fold(f64::INFINITY, f64::min).max(1.0);
         Self(scarcest.log2() as u8)
     }
+
+    /// Returns how many times longer than a strong box one like this waits with what one box does for all.
+    pub fn turn(self) -> u32 {
+        if self >= STRONG { 1 } else { 2 }
+    }
 }
 
 /// A box as it is listed.
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -33,6 +33,7 @@
         let known = node.config_row();
         let read = match take_copy(&node, &link).await {
             true => Read { version: node.config_row(), halls_are_news: false },
+            false if node.config.load().is_none() && boxes::waits_for_copy(&node).await => continue,
             false => match read(&node, &mut link).await {
                 Some(read) => read,
                 None => continue,
--- a/trackfrontd/src/serving/follow/link.rs
+++ b/trackfrontd/src/serving/follow/link.rs
@@ -116,11 +116,17 @@
         hall_mates(&self.node).is_reader()
     }
 
-    /// Returns the boxes that may have what this box lacks: the one that told of it, then the reader.
+    /// Returns the boxes that may have what this box lacks: the one that told of it, then the reader and another that
+    /// speaks for the hall.
     pub fn sources(&self, told_by: Option<Ipv4Addr>) -> Vec<Ipv4Addr> {
         let mut sources: Vec<Ipv4Addr> = told_by.into_iter().collect();
         let reader = hall_mates(&self.node).reader;
-        sources.extend(reader.filter(|ip| Some(*ip) != told_by));
+        let speaker = self.node.peers.lock().some_speaker(&mut rand::rng());
+        for ip in reader.into_iter().chain(speaker) {
+            if !sources.contains(&ip) {
+                sources.push(ip);
+            }
+        }
         sources
     }
 
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -22,8 +22,14 @@
 pub async fn follow_servers(node: Arc<ServingNode>, socket: Arc<PeerSocket>) {
     let mut link = Link::new(node.clone(), FeedKind::Servers);
     boxes::wait_for_list(&node).await;
-    if take_copy(&node, &link).await {
-        follow_from(&node, &socket, &mut link).await;
+    loop {
+        if take_copy(&node, &link).await {
+            follow_from(&node, &socket, &mut link).await;
+            break;
+        }
+        if !boxes::waits_for_copy(&node).await {
+            break;
+        }
     }
     loop {
         link.count("list_servers");
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -133,12 +133,14 @@
     pub tell_peers: Notify,
     /// Told when something is asked for that no engine holds.
     pub lacking: Notify,
+    started: Moment,
     /// Until when a box that knows no other does not act alone.
     not_alone_until: Mutex<Moment>,
     knows_servers: AtomicBool,
     nodes_listed_at: Mutex<Option<Moment>>,
     first_list_over: watch::Sender<bool>,
     told_of_boxes: AtomicBool,
+    is_one_of_many: AtomicBool,
     config_row: AtomicU64,
     config_row_in_force: AtomicU64,
     store_lost: AtomicBool,
@@ -186,11 +188,13 @@
             servers_changed: Notify::new(),
             tell_peers: Notify::new(),
             lacking: Notify::new(),
+            started,
             not_alone_until: Mutex::new(started + ALONE_FOR),
             knows_servers: AtomicBool::new(false),
             nodes_listed_at: Mutex::default(),
             first_list_over: watch::Sender::new(false),
             told_of_boxes: AtomicBool::new(false),
+            is_one_of_many: AtomicBool::new(false),
             config_row: AtomicU64::new(0),
             config_row_in_force: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
@@ -199,6 +203,11 @@
         })
     }
 
+    /// Returns how long ago the node started.
+    pub fn age(&self) -> Duration {
+        self.now().since(self.started)
+    }
+
     /// Returns the present moment.
     pub fn now(&self) -> Moment {
         self.ports.clock.now()
@@ -252,6 +261,16 @@
         self.told_of_boxes.load(Ordering::Relaxed)
     }
 
+    /// Notes that others start with this box, or are so many that it takes from them what it lacks.
+    pub fn set_one_of_many(&self) {
+        self.is_one_of_many.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this box should have what it lacks from others, though they may not have it yet.
+    pub fn is_one_of_many(&self) -> bool {
+        self.is_one_of_many.load(Ordering::Relaxed)
+    }
+
     /// Returns the newest row of the configuration that was looked at, put in force or refused.
     pub fn config_row(&self) -> u64 {
         self.config_row.load(Ordering::Relaxed)
@@ -287,9 +306,9 @@
         now < *self.not_alone_until.lock() && !is_listed
     }
 
-    /// Notes that it is not known yet whether there are others.
-    pub fn put_off_acting_alone(&self) {
-        *self.not_alone_until.lock() = self.now() + ALONE_FOR;
+    /// Notes that for so long it will not be known whether there are others.
+    pub fn put_off_acting_alone(&self, span: Duration) {
+        *self.not_alone_until.lock() = self.now() + span + ALONE_FOR;
     }
 
     /// Notes whether the platform's store last failed this node.
--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -4,6 +4,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use trackfront_core::lease::HolderWord;
 use trackfront_core::units::Moment;
 
@@ -265,6 +267,14 @@
         self.halls.is_small(self.me.hall) || self.speakers().contains(&self.me.ip)
     }
 
+    /// Returns one of the boxes that speak for a large hall, to spread what all of it asks them; none of a small one.
+    pub fn some_speaker(&self, rng: &mut impl Rng) -> Option<Ipv4Addr> {
+        let is_small = self.halls.is_small(self.me.hall);
+        let mut speakers = if is_small { Vec::new() } else { self.speakers() };
+        speakers.retain(|ip| *ip != self.me.ip);
+        speakers.choose(rng).copied()
+    }
+
     /// Returns whether this box speaks for its hall to others.
     fn is_delegate(&self) -> bool {
         self.delegates(self.me.hall).contains(&self.me.ip)
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -31,6 +31,13 @@
 /// The least time between two plans.
 const LEAST_ROUND: Duration = Duration::from_millis(15);
 
+/// How many times as long as a plan took nothing is planned after it: a box that plans for thousands of engines still
+/// answers requests, and hears others.
+const PAUSE_FOR_EACH_PLAN: u32 = 4;
+
+/// The longest such pause: the machine may have been suspended while it planned.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
+
 /// How often the inputs of a plan are logged.
 const SUMMARY_EVERY: Duration = Duration::from_secs(1);
 
@@ -52,6 +59,8 @@
     book: Arc<Mutex<OrderBook>>,
     tasks: JoinSet<()>,
     summed_up_at: Moment,
+    /// How long the last plan of all services took.
+    planned_for: Duration,
 }
 
 impl Placement {
@@ -62,7 +71,8 @@
         let terms = node.settings.load().promises.loads();
         let book = OrderBook::new(LoadPacer::new(terms, node.now()));
         let (book, tasks) = (Arc::new(Mutex::new(book)), JoinSet::new());
-        Self { node, lease, right, book, tasks, summed_up_at: Moment::default() }
+        let (summed_up_at, planned_for) = (Moment::default(), Duration::ZERO);
+        Self { node, lease, right, book, tasks, summed_up_at, planned_for }
     }
 
     /// Plans and gives orders until the node stops, then gives the lease up.
@@ -70,7 +80,9 @@
         while !self.node.is_stopping() {
             let lacking = self.node.lacking.notified();
             let _ = timeout(ROUND, lacking).await;
-            sleep(LEAST_ROUND).await;
+            let pause = (self.planned_for * PAUSE_FOR_EACH_PLAN).min(LONGEST_PAUSE);
+            sleep(LEAST_ROUND.max(pause)).await;
+            self.planned_for = Duration::ZERO;
             while self.tasks.try_join_next().is_some() {}
             self.round().await;
         }
@@ -108,7 +120,9 @@
         }
         self.node.overlay.lock().forget_old(now);
         for (service, spec) in placed {
+            let began = self.node.now();
             let proposals = self.propose(&service, &spec, now);
+            self.planned_for += self.node.now().since(began);
             if !proposals.is_empty() && self.lease.renew().await {
                 for (engine, proposals) in by_engine(proposals) {
                     self.begin(&engine, proposals, &spec);
