List servers by each change alone, also by the models that they hold

Change: what is at an address is listed anew, and nothing else. The same listing has the servers by model, for the choice.

--- a/trackfront_core/src/serving/directory/mod.rs
+++ b/trackfront_core/src/serving/directory/mod.rs
@@ -10,6 +10,7 @@
 
 mod change;
 mod entry;
+mod listing;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -18,7 +19,9 @@
 pub use change::{Basis, DirectoryEvent, ServerChange, ToldChanges, Update};
 pub use entry::{KnownServer, ResidentModel, Residents, ServerEntry, ServerState};
 
-use crate::ids::{BackendId, ServerKey, ServiceName};
+use listing::ServerListing;
+
+use crate::ids::{BackendId, ModelName, ServerKey, ServiceName};
 use crate::units::Moment;
 
 /// How long a server that has left is remembered, so that a late row cannot bring it back.
@@ -47,10 +50,8 @@
     servers: HashMap<BackendId, Arc<KnownServer>>,
     /// The run under each key.
     runs: HashMap<ServerKey, BackendId>,
-    /// The servers that may be chosen, in the order of their identifiers.
-    by_service: HashMap<ServiceName, Vec<Arc<KnownServer>>>,
-    /// Whether servers came, went or moved since they were last listed by service.
-    must_list: bool,
+    /// The servers that may be chosen.
+    listing: ServerListing,
     /// Servers that left.
     gone: HashMap<ServerKey, GoneServer>,
     /// The newest version that any answer named.
@@ -87,8 +88,7 @@
             heartbeat,
             servers: HashMap::new(),
             runs: HashMap::new(),
-            by_service: HashMap::new(),
-            must_list: false,
+            listing: ServerListing::default(),
             gone: HashMap::new(),
             newest: 0,
             complete_after: 0,
@@ -116,7 +116,12 @@
 
     /// Returns the servers of a service, in the order of their identifiers.
     pub fn of_service(&self, service: &ServiceName) -> &[Arc<KnownServer>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.listing.of_service(service)
+    }
+
+    /// Returns the servers whose rows say that they hold a model, in the order of their identifiers.
+    pub fn holding(&self, model: &ModelName) -> &[Arc<KnownServer>] {
+        self.listing.holding(model)
     }
 
     /// Returns all servers.
@@ -165,7 +170,6 @@
         let ended = lapsed.into_iter();
         let events: Vec<_> =
             ended.filter_map(|(key, version)| self.remove(version, key, now)).collect();
-        self.list();
         events
     }
 
@@ -257,7 +261,6 @@
             changes.into_iter().flat_map(|change| self.apply_one(change, now)).collect();
         self.newest = self.newest.max(version);
         self.forget_gone(now);
-        self.list();
         events
     }
 
@@ -356,7 +359,7 @@
             _ => DirectoryEvent::Joined(id.clone()),
         };
         let known = Arc::new(known);
-        self.replace_listed(before.as_deref(), &known);
+        self.listing.replace(before.as_ref(), Some(&known));
         self.servers.insert(id.clone(), known);
         let ended = self.runs.insert(key, id.clone()).filter(|run| *run != id);
         let ended = ended.inspect(|run| _ = self.servers.remove(run)).map(DirectoryEvent::Left);
@@ -441,9 +444,9 @@
             return None;
         }
         self.lapsed.remove(&key);
-        self.must_list = true;
         let run = self.runs.remove(&key);
         let known = run.as_ref().and_then(|run| self.servers.remove(run));
+        self.listing.replace(known.as_ref(), None);
         let before = self.gone.get(&key);
         let gone = GoneServer {
             version: before.map_or(version, |before| before.version.max(version)),
@@ -456,50 +459,4 @@
         self.gone.insert(key, gone);
         known.and(run).map(DirectoryEvent::Left)
     }
-
-    /// Puts what a server says now in the place of what it said before. Most changes move no server, and listing all
-    /// anew for each message took a tenth and more of a box's processor time with 3,000 servers: 1,388 us a message
-    /// there and 465 us with 1,300, against 1 us (`trackfront_bench serving-list`, p50).
-    fn replace_listed(&mut self, before: Option<&KnownServer>, known: &Arc<KnownServer>) {
-        let (id, service) = (&known.entry.id, &known.entry.service);
-        let stays = before.is_some_and(|before| {
-            let before = &before.entry;
-            before.id == *id && before.service == *service && before.address == known.entry.address
-        });
-        if !stays {
-            self.must_list = true;
-            return;
-        }
-        let Some(listed) = self.by_service.get_mut(service) else {
-            return;
-        };
-        // One that a later server at its address hides is in no list, and stays so.
-        if let Ok(place) = listed.binary_search_by(|other| other.entry.id.cmp(id)) {
-            listed[place] = known.clone();
-        }
-    }
-
-    /// Lists the servers by service if any came, went or moved, but for those whose address a later one has: an
-    /// address has one server at a time, and the row of one that crashed stays for a while. Versions do not tell, as
-    /// what a server wrote may arrive after its end.
-    fn list(&mut self) {
-        if !std::mem::take(&mut self.must_list) {
-            return;
-        }
-        self.by_service.clear();
-        let mut newest: HashMap<&str, Moment> = HashMap::new();
-        for known in self.servers.values() {
-            let learned = newest.entry(known.entry.address.as_str()).or_default();
-            *learned = (*learned).max(known.first_learned);
-        }
-        let is_last = |known: &&Arc<KnownServer>| {
-            newest.get(known.entry.address.as_str()).is_none_or(|at| known.first_learned >= *at)
-        };
-        for known in self.servers.values().filter(is_last) {
-            self.by_service.entry(known.entry.service.clone()).or_default().push(known.clone());
-        }
-        for servers in self.by_service.values_mut() {
-            servers.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
-        }
-    }
 }
--- a/trackfront_core/tests/serving/directory_listed.rs
+++ b/trackfront_core/tests/serving/directory_listed.rs
@@ -7,18 +7,19 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use trackfront_core::ids::ServiceName;
+use trackfront_core::ids::{ModelName, ServiceName};
 use trackfront_core::serving::directory::{
     Directory, KnownServer, ServerChange, ServerEntry, ServerState,
 };
 use trackfront_core::units::Moment;
 
-use super::support::{HEARTBEAT, at, entry};
+use super::support::{HEARTBEAT, at, entry, residents};
 
 const STEPS: u64 = 30_000;
 const SERVERS: u32 = 12;
 const ADDRESSES: u32 = 6;
 const SERVICES: [&str; 2] = ["text", "plain"];
+const MODELS: [&str; 3] = ["m", "n", "o"];
 
 /// How many changes one answer brings at most.
 const CHANGES_AT_ONCE: usize = 4;
@@ -54,6 +55,9 @@
     };
     let mut entry = same.unwrap_or_else(new);
     entry.sequence = version;
+    if rng.random_bool(0.3) {
+        entry.models = residents(&MODELS[..rng.random_range(0..=MODELS.len())]);
+    }
     entry.state = if rng.random_bool(0.1) {
         ServerState::Draining { remaining: None }
     } else {
@@ -89,6 +93,16 @@
                 "step {step}: {listed:#?}\n{expected:#?}"
             );
         }
+        for model in MODELS.map(ModelName::from) {
+            let services = SERVICES.map(ServiceName::from);
+            let all = services.iter().flat_map(|service| listed_from_nothing(&directory, service));
+            let mut expected: Vec<_> =
+                all.filter(|known| known.entry.models.contains_key(&model)).collect();
+            expected.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
+            let holding = directory.holding(&model);
+            let same = holding.iter().zip(&expected).all(|(a, b)| Arc::ptr_eq(a, b));
+            assert!(same && holding.len() == expected.len(), "step {step}: {model}");
+        }
         let addresses: BTreeSet<&str> =
             directory.all().map(|known| known.entry.address.as_str()).collect();
         shared += usize::from(addresses.len() < directory.all().count());
