--- a/trackfront_bench/src/serving_list.rs
+++ b/trackfront_bench/src/serving_list.rs
@@ -9,8 +9,9 @@
 
 use crate::figures::{Quantiles, Times, print};
 
-/// Servers: the sizes of today's deployments, the size that decides, and ten servers a box at 300 boxes.
-const SIZES: [usize; 4] = [60, 240, 1_300, 3_000];
+/// Servers: the sizes of today's deployments, the size that decides, ten servers a box at 300 and 1,000 boxes, and twice
+/// that.
+const SIZES: [usize; 6] = [60, 240, 1_300, 3_000, 10_000, 20_000];
 
 /// How many messages are timed at each size.
 const ROUNDS: usize = 500;
@@ -22,30 +23,41 @@
 struct Figures {
     question: &'static str,
     servers: usize,
+    /// What the message says of one server: that it `changed`, or that one `went` and another came.
+    change: &'static str,
     times: Quantiles,
 }
 
 /// Times messages with one change at growing sizes.
 pub fn run() -> anyhow::Result<()> {
     for servers in SIZES {
-        print(&measure(servers));
+        print(&measure(servers, "changed"));
+        print(&measure(servers, "went"));
     }
     Ok(())
 }
 
-fn measure(servers: usize) -> Figures {
+fn measure(servers: usize, kind: &'static str) -> Figures {
     let mut directory = Directory::new(HEARTBEAT);
     let all = (0..servers).map(|number| change(number, number as u64 + 1)).collect();
     directory.apply(all, servers as u64, Moment::default());
     let mut times = Times::default();
     for round in 0..ROUNDS {
         let version = (servers + round) as u64 + 1;
-        let changes = vec![change(round * 7 % servers, version)];
+        let number = round * 7 % servers;
+        let changes = match kind {
+            "changed" => vec![change(number, version)],
+            _ => vec![gone(number, version), change(servers + round, version)],
+        };
         let start = Instant::now();
         directory.apply(changes, version, Moment::default());
         times.add(start.elapsed());
     }
-    Figures { question: "serving-list", servers, times: times.quantiles() }
+    Figures { question: "serving-list", servers, change: kind, times: times.quantiles() }
+}
+
+fn gone(number: usize, version: u64) -> ServerChange {
+    ServerChange::Gone { version, key: format!("server-{number:05}").as_str().into() }
 }
 
 fn change(number: usize, version: u64) -> ServerChange {
