Choose among the engines that hold the model, and learn short names one by one

Change: the choice takes the engines whose rows, or the notes of who gives orders, name the model; the others are looked at only to say why there is none. Names come and go with their servers. Not measured by itself; the random test of the listing by model and the tests of choices stand.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -130,9 +130,9 @@
 }
 
 /// Chooses the server with the shortest estimated time among `servers`.
-pub fn choose(
+pub fn choose<'a>(
     query: &Query<'_>,
-    servers: &[Arc<KnownServer>],
+    servers: impl IntoIterator<Item = &'a Arc<KnownServer>>,
     loads: &mut LoadBook,
     memory: &PromptMemory,
     view: &dyn ServerView,
@@ -141,7 +141,7 @@
     let mut reason = NoChoice::NoServer;
     for server in servers {
         let id = &server.entry.id;
-        if loads.server(id).is_replaced() || !takes_requests(server, query) {
+        if loads.is_replaced(id) || !takes_requests(server, query) {
             continue;
         }
         if !query.places.allow(&server.entry.zone) {
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -248,6 +248,11 @@
             0 => FIRST_TOKEN_COST_MS,
             models => self.token_cost_ms.values().sum::<f64>() / models as f64,
         }
+    /// Returns whether another run of a server has taken its place.
+    pub fn is_replaced(&self, id: &BackendId) -> bool {
+        self.servers.get(id).is_some_and(ServerLoad::is_replaced)
+    }
+
     }
 
     /// Returns the time to make an answer of `tokens` tokens, in milliseconds.
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -159,6 +159,19 @@
     events
 }
 
+/// Learns the short names of servers that came, and forgets those of servers that went.
+fn note_names(node: &ServingNode, events: &[DirectoryEvent]) {
+    let mut names = node.names.lock();
+    for event in events {
+        match event {
+            // One that drained when it was first heard of came with that word.
+            DirectoryEvent::Joined(id) | DirectoryEvent::Draining(id) => names.add_server(id),
+            DirectoryEvent::Left(id) => names.remove_server(id),
+            DirectoryEvent::Changed(_) => {}
+        }
+    }
+}
+
 /// Takes servers away whose rows lapsed and did not come back in time.
 pub fn end_lapses(node: &ServingNode) {
     let events = node.directory.lock().end_lapses(node.now());
@@ -227,12 +240,8 @@
     if summed_up > 0 {
         log::info!(servers = summed_up, version; "servers changed");
     }
-    // Most changes bring no server and take none; hashing the names of 3,000 servers for each would cost as much as
-    // listing them does.
-    if events.iter().any(|event| !matches!(event, DirectoryEvent::Changed(_))) {
-        node.names.lock().set_servers(directory.all().map(|known| &known.entry.id));
-    }
     drop(directory);
+    note_names(node, &events);
     let mut loads = node.loads.lock();
     for event in &events {
         if let DirectoryEvent::Left(id) = event {
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -372,9 +372,17 @@
 }
 
 impl ShortNames {
-    /// Learns the servers.
-    pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = &'a BackendId>) {
-        self.servers = servers.map(|id| (short_server(id), id.clone())).collect();
+    /// Learns a server.
+    pub fn add_server(&mut self, id: &BackendId) {
+        self.servers.insert(short_server(id), id.clone());
+    }
+
+    /// Forgets a server that left.
+    pub fn remove_server(&mut self, id: &BackendId) {
+        let short = short_server(id);
+        if self.servers.get(&short) == Some(id) {
+            self.servers.remove(&short);
+        }
     }
 
     /// Learns the items of a configuration.
--- a/trackfrontd/src/serving/overlay.rs
+++ b/trackfrontd/src/serving/overlay.rs
@@ -75,6 +75,15 @@
         all.filter(|(_, _, kind)| !matches!(kind, NoteKind::Coming(_)))
     }
 
+    /// Returns the engines to which the model of an item was added, or should have been, before their rows say so.
+    pub fn added_to<'a>(&'a self, item: &'a ModelRef) -> impl Iterator<Item = &'a BackendId> {
+        let is_added = |(of, note): (&ModelRef, &Note)| {
+            of.model == item.model && note.kind != NoteKind::Withdrawn
+        };
+        let engines = self.notes.iter();
+        engines.filter(move |(_, notes)| notes.iter().any(is_added)).map(|(server, _)| server)
+    }
+
     /// Returns when an item should be there, on the engine that has it first.
     pub fn comes_at(&self, item: &ModelRef) -> Option<Moment> {
         let notes = self.notes.values().filter_map(|notes| notes.get(item));
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -33,6 +33,7 @@
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, choose};
 use trackfront_core::serving::cold::ColdStart;
 use trackfront_core::serving::config::{Route, ServingConfig};
+use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::places::{Evacuations, Places};
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
@@ -341,14 +342,32 @@
             now: node.now(),
         };
         let directory = node.directory.lock();
-        let servers = directory.of_service(&self.service);
         let mut loads = node.loads.lock();
         let overlay = node.overlay.lock();
         let (start, terms) = (self.cold_start(), settings.promises.cold());
         let book = node.cold.lock();
         let cold = ColdView { start, terms, book: &book, evacuations: &evacuations };
         let view = NodeView { overlay: &overlay, pool: &node.pool, cold, now: query.now };
-        choose(&query, servers, &mut loads, &node.memory.lock(), &view)
+        let memory = node.memory.lock();
+        let all = directory.of_service(&self.service);
+        let Some(item) = &self.info.model else {
+            return choose(&query, all, &mut loads, &memory, &view);
+        };
+        // Of thousands of engines few hold the model. The others only tell why there is no choice.
+        let is_candidate = |known: &&Arc<KnownServer>| known.entry.service == self.service;
+        let holders = directory.holding(&item.model).iter().filter(is_candidate);
+        let holds = |known: &&Arc<KnownServer>| known.entry.models.contains_key(&item.model);
+        let listed = |id: &BackendId| {
+            let place = all.binary_search_by(|known| known.entry.id.cmp(id)).ok()?;
+            Some(&all[place])
+        };
+        let added = overlay.added_to(item).filter_map(listed).filter(|known| !holds(known));
+        match choose(&query, holders.chain(added), &mut loads, &memory, &view) {
+            Err(NoChoice::NoServer | NoChoice::NotAllowed | NoChoice::NoModel) => {
+                choose(&query, all, &mut loads, &memory, &view)
+            }
+            found => found,
+        }
     }
 
     /// Returns where the request may be served.
