Let what a server says of its machine's pace enter the estimate

The fourth figure of a server's load says how long work takes there now, as its machine is shared with others. It was not read. It counts for 0.4 s, since it changes many times a second, in the estimates of both kinds of service, and for plain servers in the choice as well.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -241,6 +241,7 @@
     let load = loads.server(id);
     let total = load.total(now);
     let waiting = load.waiting(now);
+    let pace = load.pace(now);
     let slots = server.entry.slots.max(1);
     let requests = total.requests();
     let slot_wait_ms = total.slot_wait_ms(query.rank, slots);
@@ -248,21 +249,25 @@
         Some(cost) => {
             let unread = f64::from(query.info.work(cached_tokens, query.rank).prompt_tokens);
             total.reading_before(query.rank)
-                + unread * cost
+                + unread * cost * pace
                 + f64::from(requests) * BATCH_MATE_MS
                 + slot_wait_ms
         }
-        None => load.call_ms() * f64::from(requests) / f64::from(slots) / 4.0,
+        None => load.call_ms() * pace * f64::from(requests) / f64::from(slots) / 4.0,
     };
     if token_cost.is_none() && requests >= slots {
         let over = f64::from(requests - slots + 1) / f64::from(slots);
-        estimate += load.call_ms() * over + WAITING_MS;
+        estimate += load.call_ms() * pace * over + WAITING_MS;
     }
     estimate += f64::from(waiting) * WAITING_MS;
     // What others wait because it takes a slot before them counts like its own wait. The time of a plain
     // call itself is expected, but is no reason to go elsewhere: it differs by chance.
-    let own_call_ms = if token_cost.is_none() { load.call_ms() } else { 0.0 };
+    let own_call_ms = if token_cost.is_none() { load.call_ms() * pace } else { 0.0 };
     let mut cost = estimate + total.slot_wait_ms(LEAST_URGENT, slots) - slot_wait_ms;
+    if token_cost.is_none() {
+        // What the server itself says of its machine is no chance.
+        cost += load.call_ms() * (pace - 1.0);
+    }
     if server.entry.zone != *query.zone {
         cost += OTHER_ZONE_MS;
     }
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -20,6 +20,13 @@
 /// How long what a server told of its load counts.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
 
+/// How long what a server told of its pace counts: it shares its machine with others, and this changes many times a
+/// second.
+const PACE_FOR: Duration = Duration::from_millis(400);
+
+/// The bounds of a pace, as a factor on the usual time.
+const PACE_BOUNDS: (f64, f64) = (0.2, 10.0);
+
 /// The time to read one token of a prompt before any was measured at any model: ten in a
 /// millisecond, a round figure that the first measurements replace.
 const FIRST_TOKEN_COST_MS: f64 = 0.1;
@@ -65,6 +72,8 @@
     pub waiting: u32,
     /// How many it works on at once.
     pub slots: u32,
+    /// How long work takes there at this moment, in hundredths of the usual; `None` if it does not say.
+    pub pace: Option<u32>,
 }
 
 /// How a request ended at a server.
@@ -128,6 +137,17 @@
         }
     }
 
+    /// Returns by how much work takes longer there than usual by its last word, if that is recent.
+    pub fn pace(&self, now: Moment) -> f64 {
+        let (low, high) = PACE_BOUNDS;
+        match self.told {
+            Some((ToldLoad { pace: Some(pace), .. }, at, _)) if now.since(at) < PACE_FOR => {
+                (f64::from(pace) / 100.0).clamp(low, high)
+            }
+            _ => 1.0,
+        }
+    }
+
     /// Returns whether the server is spared after failures.
     pub fn is_paused(&self, now: Moment) -> bool {
         self.paused_until.is_some_and(|until| now < until)
@@ -228,6 +248,11 @@
 }
 
 impl LoadBook {
+    /// Returns whether another run of a server has taken its place.
+    pub fn is_replaced(&self, id: &BackendId) -> bool {
+        self.servers.get(id).is_some_and(ServerLoad::is_replaced)
+    }
+
     /// Returns the load of a server; an idle one if nothing is known.
     pub fn server(&mut self, id: &BackendId) -> &mut ServerLoad {
         if !self.servers.contains_key(id) {
@@ -248,11 +273,6 @@
             0 => FIRST_TOKEN_COST_MS,
             models => self.token_cost_ms.values().sum::<f64>() / models as f64,
         }
-    /// Returns whether another run of a server has taken its place.
-    pub fn is_replaced(&self, id: &BackendId) -> bool {
-        self.servers.get(id).is_some_and(ServerLoad::is_replaced)
-    }
-
     }
 
     /// Returns the time to make an answer of `tokens` tokens, in milliseconds.
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -7,7 +7,7 @@
 use trackfront_core::serving::choose::{Choice, NoChoice, Query, ServerView, choose};
 use trackfront_core::serving::cold::Coldness;
 use trackfront_core::serving::directory::{KnownServer, ServerEntry, ServerState};
-use trackfront_core::serving::load::{Ending, LoadBook, Work};
+use trackfront_core::serving::load::{Ending, LoadBook, ToldLoad, Work};
 use trackfront_core::serving::places::{Evacuations, HallWord, Places};
 use trackfront_core::serving::request::{ModelRef, PromptPart, RequestInfo};
 
@@ -308,3 +308,22 @@
     case.notes.cold.insert("y".into(), Coldness::Shut(at(700)));
     assert_eq!(case.choose().unwrap_err(), NoChoice::Cold(at(700)), "the first that is warm");
 }
+
+/// A machine that is shared with others is slow for a moment, which its servers say on each answer.
+#[test]
+fn a_server_that_says_that_it_is_slow_now_is_passed_over_while_that_is_news() {
+    let servers = vec![entry("x", &[]), entry("y", &[])];
+    let mut case = case(servers, info(None, 0));
+    for id in ["x", "y"] {
+        let counted = case.loads.begin(&id.into(), 4, None, Work::default(), at(0));
+        case.loads.end(counted, Ending::Answered, at(30));
+    }
+    case.now = 100;
+    assert_eq!(case.chosen(), "x", "nothing tells them apart");
+    let told = |pace| ToldLoad { running: 0, waiting: 0, slots: 4, pace: Some(pace) };
+    case.loads.told(&"x".into(), told(250), at(100));
+    case.loads.told(&"y".into(), told(100), at(100));
+    assert_eq!(case.chosen(), "y");
+    case.now = 1_000;
+    assert_eq!(case.chosen(), "x", "the word is old");
+}
--- a/trackfront_core/tests/serving/load.rs
+++ b/trackfront_core/tests/serving/load.rs
@@ -54,7 +54,7 @@
 #[test]
 fn a_servers_own_word_is_corrected_by_what_was_sent_since() {
     let (mut book, id) = (LoadBook::default(), BackendId::from("x"));
-    book.told(&id, ToldLoad { running: 5, waiting: 2, slots: 8 }, at(0));
+    book.told(&id, ToldLoad { running: 5, waiting: 2, slots: 8, pace: None }, at(0));
     let _held = book.begin(&id, SLOTS, None, work(0, 0), at(1));
     assert_eq!(book.server(&id).total(at(2)).requests(), 8);
     assert_eq!(book.server(&id).waiting(at(2)), 2);
