--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -1,7 +1,8 @@
 //! A serving node: the request pipeline and placement behind a deployment's own interfaces.
 //!
 //! [`node`] holds what the box knows; [`follow`] keeps it up to date from the platform,
-//! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`newest`] tells
+//! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`delegates`] says who
+//! speaks for a hall and [`peer_book`] who is alive; [`cold`] keeps what is sent to cold servers bounded; [`newest`] tells
 //! how new the configuration is; [`quota`] keeps the limits of client accounts with other boxes, and
 //! [`crashes`] holds off requests that crash servers; [`pipeline`] and [`relay`] answer requests,
 //! [`listeners`] takes them; [`lease`], [`placement`] and [`order_task`] give orders to engines;
@@ -15,6 +16,7 @@
 pub mod delegates;
 pub mod exchange;
 pub mod follow;
+mod giver;
 pub mod gossip;
 pub mod lacks;
 pub mod lease;
--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -10,7 +10,8 @@
 use trackfront_core::units::Moment;
 
 use super::delegates::{Halls, ListedBox};
-use super::messages::{Digest, ToldGiver, ToldRight};
+use super::giver::LastGiver;
+use super::messages::{Digest, ToldGiver};
 
 /// Every how many rounds boxes of other halls are told at the least, where there are many: bytes between halls are
 /// dear.
@@ -38,9 +39,6 @@
 /// How long a box counts as alive after it was heard, where it speaks more often than that.
 pub const ALIVE_FOR: Duration = Duration::from_millis(1_500);
 
-/// How long the giver of orders counts as alive after it spoke, where word of that came by way of another box.
-const RELAYED_ALIVE_FOR: Duration = Duration::from_millis(2_500);
-
 /// How long a box that is not heard of counts among those that share budgets.
 const COUNTED_FOR: Duration = Duration::from_secs(120);
 
@@ -83,16 +81,6 @@
     }
 }
 
-/// What was last heard of who gives orders.
-#[derive(Clone, Copy, Debug)]
-struct Giver {
-    ip: Ipv4Addr,
-    gives: bool,
-    /// When it said so, to this box or another.
-    at: Moment,
-    is_relayed: bool,
-}
-
 /// Which boxes speak to this one.
 #[derive(Clone, Copy)]
 struct Sight {
@@ -136,9 +124,7 @@
     halls: Halls,
     /// When it was last looked who speaks for which hall.
     elected_at: Moment,
-    giver: Option<Giver>,
-    /// What the holder of the lease on orders last said of its right, by way of others.
-    relayed_word: Option<HolderWord>,
+    giver: LastGiver,
 }
 
 impl PeerBook {
@@ -147,7 +133,7 @@
         let mut halls = Halls::default();
         halls.put(me, None);
         let (peers, elected_at) = (BTreeMap::new(), Moment::default());
-        Self { me, peers, halls, elected_at, giver: None, relayed_word: None }
+        Self { me, peers, halls, elected_at, giver: LastGiver::default() }
     }
 
     /// Learns of a box from a list. What a box says of itself goes before that.
@@ -186,35 +172,15 @@
         peer.is_missing = false;
         peer.store_lost = digest.store_lost;
         peer.word = digest.right.map(|right| right.word(now)).or(peer.word);
-        if digest.gives_orders {
-            self.giver = Some(Giver { ip, gives: true, at: now, is_relayed: false });
-        } else if let Some(giver) = self.giver.as_mut().filter(|giver| giver.ip == ip) {
-            *giver = Giver { ip, gives: false, at: now, is_relayed: false };
-        }
+        self.giver.heard(ip, digest.gives_orders, now);
         if let Some(told) = &digest.giver {
-            self.note_told_giver(told, now);
-        }
-    }
-
-    fn note_told_giver(&mut self, told: &ToldGiver, now: Moment) {
-        let word = told.right.map(|right| right.word(now));
-        let known = self.relayed_word.map_or(0, |word| word.version);
-        self.relayed_word = word.filter(|word| word.version > known).or(self.relayed_word);
-        let at = Moment(now.0.saturating_sub(Duration::from_millis(u64::from(told.age_ms))));
-        let is_newer = self.giver.is_none_or(|known| at > known.at);
-        if told.ip != self.me.ip && is_newer {
-            self.giver = Some(Giver { ip: told.ip, gives: told.gives, at, is_relayed: true });
+            self.giver.told(told, self.me.ip, now);
         }
     }
 
     /// Returns what this box tells others of who gives orders.
     pub fn told_giver(&self, now: Moment) -> Option<ToldGiver> {
-        let giver = self.giver.filter(|giver| now.since(giver.at) < RELAYED_ALIVE_FOR)?;
-        let words = self.peers.get(&giver.ip).and_then(|peer| peer.word);
-        let word = words.into_iter().chain(self.relayed_word).max_by_key(|word| word.version);
-        let age_ms = u32::try_from(now.since(giver.at).as_millis()).unwrap_or(u32::MAX);
-        let right = word.and_then(|word| ToldRight::of(word, now));
-        Some(ToldGiver { ip: giver.ip, gives: giver.gives, age_ms, right })
+        self.giver.to_tell(|ip| self.peers.get(&ip)?.word, now)
     }
 
     /// Looks anew who speaks for which hall. To be called once in a round, before the others are told.
@@ -428,7 +394,8 @@
     /// Returns what the box that wrote a version of the lease's row last said of its right. Each version was written by
     /// one box alone.
     pub fn holders_word(&self, version: u64) -> Option<HolderWord> {
-        let words = self.peers.values().filter_map(|peer| peer.word).chain(self.relayed_word);
+        let words = self.peers.values().filter_map(|peer| peer.word);
+        let words = words.chain(self.giver.relayed_right());
         words.into_iter().find(|word| word.version == version)
     }
 
@@ -496,8 +463,6 @@
 
     /// Returns the box that says that it gives orders.
     pub fn giver(&self, now: Moment) -> Option<Ipv4Addr> {
-        let giver = self.giver.filter(|giver| giver.gives)?;
-        let lives_for = if giver.is_relayed { RELAYED_ALIVE_FOR } else { ALIVE_FOR };
-        (now.since(giver.at) < lives_for).then_some(giver.ip)
+        self.giver.alive(now)
     }
 }
