A box that joins many asks its neighbours at once

It had waited for the list of all boxes, up to 5 s, before it asked those that it knew already for the configuration and the servers. Only where all start for the first time is nobody known.

--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -56,10 +56,10 @@
 /// could hand it: several times what a call takes.
 const LIST_TIME: Duration = Duration::from_millis(250);
 
-/// How long a box of many waits at its start to learn of the others.
+/// How long a box waits to learn of the others where all start for the first time.
 const START_TIME: Duration = Duration::from_millis(5_000);
 
-/// How long it then waits for others to have what it lacks, and how often it asks.
+/// How much longer a box of many waits for others to have what it lacks, and how often it asks.
 const COPY_TIME: Duration = Duration::from_millis(4_000);
 const COPY_AGAIN: Duration = Duration::from_millis(250);
 
@@ -229,9 +229,9 @@
         let ended = node.first_list_ended();
         // Without the list the box reads from the platform itself.
         let _ = timeout(LIST_TIME, ended).await;
+        return;
     }
-    let start = node.now();
-    while node.is_one_of_many() && !node.knows_nodes() && node.now().since(start) < START_TIME {
+    while !node.knows_nodes() && node.age() < START_TIME {
         sleep(LOOK_EVERY).await;
     }
 }
