Compare two servers at random where a box does not know what others send

Read, not traced: boxes no longer hear what all others have under way, each takes the engine that looks least loaded, and it is the same for all. 182 of 205 plain servers got nothing on either code.

Change: in a fleet of more than 128 boxes a choice compares two servers at random among those that are usable, of the own hall if there are any, and all of them only where neither can answer. The test, 2,000 requests of boxes that know nothing before 40 servers, keeps each below twice its even part.

--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -253,6 +253,11 @@
         self.servers.get(id).is_some_and(ServerLoad::is_replaced)
     }
 
+    /// Returns whether a server is spared after failures.
+    pub fn is_paused(&self, id: &BackendId, now: Moment) -> bool {
+        self.servers.get(id).is_some_and(|load| load.is_paused(now))
+    }
+
     /// Returns the load of a server; an idle one if nothing is known.
     pub fn server(&mut self, id: &BackendId) -> &mut ServerLoad {
         if !self.servers.contains_key(id) {
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -25,3 +25,4 @@
 pub mod retry_budget;
 pub mod returns;
 pub mod share;
+pub mod spread;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -26,4 +26,5 @@
     mod planner;
     mod planner_random;
     mod returns;
+    mod spread;
 }
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -40,7 +40,7 @@
     }
 }
 
-struct Case {
+pub struct Case {
     servers: Vec<ServerEntry>,
     info: RequestInfo,
     loads: LoadBook,
@@ -53,7 +53,7 @@
     now: u64,
 }
 
-fn case(servers: Vec<ServerEntry>, info: RequestInfo) -> Case {
+pub fn case(servers: Vec<ServerEntry>, info: RequestInfo) -> Case {
     Case {
         servers,
         info,
@@ -73,7 +73,7 @@
         self.choose_among(&known(self.servers.clone()))
     }
 
-    fn choose_among(&mut self, servers: &[Arc<KnownServer>]) -> Result<Choice, NoChoice> {
+    pub fn choose_among(&mut self, servers: &[Arc<KnownServer>]) -> Result<Choice, NoChoice> {
         let found = self.info.model.as_ref().map(|model| prefixes(model, &self.info.prompt));
         let query = Query {
             info: &self.info,
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -37,6 +37,7 @@
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::places::{Evacuations, Places};
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
+use trackfront_core::serving::spread::some_of;
 use trackfront_core::units::Moment;
 
 use super::cold::ColdView;
@@ -350,11 +351,29 @@
         let view = NodeView { overlay: &overlay, pool: &node.pool, cold, now: query.now };
         let memory = node.memory.lock();
         let all = directory.of_service(&self.service);
+        let is_candidate = |known: &&Arc<KnownServer>| known.entry.service == self.service;
+        let knows_loads = node.peers.lock().is_small_fleet();
+        let mut choose_among = |servers: &mut dyn Iterator<Item = &Arc<KnownServer>>| {
+            if knows_loads {
+                return choose(&query, servers, &mut loads, &memory, &view);
+            }
+            let servers: Vec<&Arc<KnownServer>> = servers.collect();
+            let usable = |known: &KnownServer| {
+                let id = &known.entry.id;
+                known.is_ready()
+                    && query.places.allow(&known.entry.zone)
+                    && !tried.contains(id)
+                    && !loads.is_paused(id, query.now)
+            };
+            let some = servers.iter().copied();
+            let some = some_of(some, query.zone, usable, &mut rand::rng());
+            let found = choose(&query, some, &mut loads, &memory, &view);
+            found.or_else(|_| choose(&query, servers, &mut loads, &memory, &view))
+        };
         let Some(item) = &self.info.model else {
-            return choose(&query, all, &mut loads, &memory, &view);
+            return choose_among(&mut all.iter());
         };
         // Of thousands of engines few hold the model. The others only tell why there is no choice.
-        let is_candidate = |known: &&Arc<KnownServer>| known.entry.service == self.service;
         let holders = directory.holding(&item.model).iter().filter(is_candidate);
         let holds = |known: &&Arc<KnownServer>| known.entry.models.contains_key(&item.model);
         let listed = |id: &BackendId| {
@@ -362,7 +381,7 @@
             Some(&all[place])
         };
         let added = overlay.added_to(item).filter_map(listed).filter(|known| !holds(known));
-        match choose(&query, holders.chain(added), &mut loads, &memory, &view) {
+        match choose_among(&mut holders.chain(added)) {
             Err(NoChoice::NoServer | NoChoice::NotAllowed | NoChoice::NoModel) => {
                 choose(&query, all, &mut loads, &memory, &view)
             }
