Judge by one reading of the clock whether a cold server may be sent a request

Cause: what a box may send to cold servers was looked at last before a send, by a reading of the clock of its own, after the time that the server is given had been worked out by another. A suspension between the two handed on 1,455 ms with 900 left.

Change: the reading that judges the rest judges this as well.

--- a/trackfrontd/src/serving/cold.rs
+++ b/trackfrontd/src/serving/cold.rs
@@ -63,8 +63,12 @@
 }
 
 /// Takes the right to send a request to a server, if it is cold. Returns whether the request may be sent.
-pub fn take(node: &ServingNode, start: Option<ColdStart>, server: &KnownServer) -> bool {
-    let now = node.now();
+pub fn take(
+    node: &ServingNode,
+    start: Option<ColdStart>,
+    server: &KnownServer,
+    now: Moment,
+) -> bool {
     let terms = node.settings.load().promises.cold();
     let evacuations = node.evacuations.lock();
     let mut book = node.cold.lock();
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -181,7 +181,7 @@
         let present = self.present_at(now);
         let stands = now.since(choice.at) <= CHOICE_TIME;
         let may_send = stands && self.key_is_good(now) && self.is_let_through();
-        if !may_send || present >= self.end || !self.may_reach(&choice.server) {
+        if !may_send || present >= self.end || !self.may_reach(&choice.server, now) {
             return None;
         }
         let attempt = Attempt {
@@ -196,9 +196,9 @@
 
     /// Returns whether the server may still be sent this request: its hall may have been emptied, and it may have
     /// become cold, since it was chosen.
-    fn may_reach(&self, server: &KnownServer) -> bool {
+    fn may_reach(&self, server: &KnownServer, now: Moment) -> bool {
         let is_evacuated = self.node.evacuations.lock().is_evacuated(&server.entry.zone);
-        !is_evacuated && cold::take(&self.node, self.cold_start(), server)
+        !is_evacuated && cold::take(&self.node, self.cold_start(), server, now)
     }
 
     /// Returns how long a kept connection may have been unused for this request.
