Hear and log what servers say of themselves in their answers

No line and no metric had it, so what a box did could not be set against what it had been told: whether boxes do not hear the word, or hear it and each keep to it alone. It is read in both spellings that such names have; a value that cannot be read is logged and says neither none nor zero. A word is about one run of a server, and that a limit is over follows only from an answer to a request that was sent after the limit was last named. No decision depends on it yet. Lines: server says that it leaves, server limit named, server limit over, server asks to back off; counters server_notices and noticed_servers by kind.

--- a/trackfront_adapters/src/interface.rs
+++ b/trackfront_adapters/src/interface.rs
@@ -11,6 +11,7 @@
 use trackfront_core::ids::{AccountName, RequestId, ServerKey};
 use trackfront_core::serving::directory::ServerEntry;
 use trackfront_core::serving::load::ToldLoad;
+use trackfront_core::serving::notices::Notice;
 use trackfront_core::serving::orders::{EngineOrder, EngineReport, OrderAnswer};
 use trackfront_core::serving::request::{Refusal, RequestInfo};
 
@@ -52,7 +53,7 @@
 }
 
 /// What the head of a server's answer says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServerHead {
     /// The request that it answers, by the server's word.
     pub request: Option<RequestId>,
@@ -68,6 +69,8 @@
     pub load: Option<ToldLoad>,
     /// How much longer it is cold, if it says so.
     pub cold_for: Option<Duration>,
+    /// What it says of itself beside.
+    pub notice: Notice,
 }
 
 /// The interface to servers.
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -70,6 +70,10 @@
     pub held: Family<KindLabel, Histogram>,
     /// What was learned of requests that crash servers: struck, held off, let go.
     pub crashes: Family<KindLabel, Counter>,
+    /// What servers said of themselves in answers, where that was new: leaves, limited, unlimited, backs off.
+    pub notices: Family<KindLabel, Counter>,
+    /// Servers whose notices are in force, by the same kinds.
+    pub noticed_servers: Family<KindLabel, Gauge>,
     /// How often nothing ran: the machine was suspended, or the process stood still.
     pub standstills: Family<KindLabel, Counter>,
     /// Requests in progress.
@@ -112,6 +116,8 @@
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             held: Family::new_with_constructor(latency),
             crashes: Family::default(),
+            notices: Family::default(),
+            noticed_servers: Family::default(),
             standstills: Family::default(),
             in_flight: Gauge::default(),
             store_calls: Family::default(),
@@ -156,6 +162,10 @@
         registry.register_with_unit("held", held, Unit::Seconds, self.held.clone());
         let crashes = self.crashes.clone();
         registry.register("crashes", "Requests under which servers crashed", crashes);
+        let notices = self.notices.clone();
+        registry.register("server_notices", "News in answers of servers by kind", notices);
+        let noticed = self.noticed_servers.clone();
+        registry.register("noticed_servers", "Servers with a notice in force by kind", noticed);
         let standstills = self.standstills.clone();
         registry.register("standstills", "How often nothing ran, and why", standstills);
         registry.register("in_flight", "Requests in progress", self.in_flight.clone());
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -18,6 +18,7 @@
 pub mod freshness;
 pub mod load;
 pub mod making;
+pub mod notices;
 pub mod orders;
 pub mod places;
 pub mod planner;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -20,6 +20,7 @@
     mod forecast;
     mod freshness;
     mod load;
+    mod notices;
     mod orders;
     mod orders_random;
     mod places;
--- /dev/null
+++ b/trackfront_core/tests/serving/notices.rs
@@ -0,0 +1,93 @@
+//! What one box makes of what servers say in their answers.
+
+use std::time::Duration;
+
+use trackfront_core::ids::BackendId;
+use trackfront_core::serving::notices::{Learned, NamedLimit, Notice, NoticeBook, Source};
+
+use super::support::at;
+
+fn server() -> BackendId {
+    "s@1".into()
+}
+
+/// A whole answer to a request that was sent at `ms`.
+fn answer(ms: u64) -> Source {
+    Source { sent: at(ms), is_answer: true }
+}
+
+fn names(limit: NamedLimit) -> Notice {
+    Notice { limit, ..Notice::default() }
+}
+
+#[test]
+fn a_limit_ends_with_an_answer_to_a_request_that_was_sent_after_it_was_named() {
+    let mut book = NoticeBook::default();
+    let limited = names(NamedLimit::PerSecond(2.0));
+    assert_eq!(book.heard(&server(), &limited, answer(0), at(100)), [Learned::Limited(2.0)]);
+    assert_eq!(book.heard(&server(), &limited, answer(50), at(110)), [], "the same is no news");
+    let without = names(NamedLimit::Absent);
+    assert_eq!(book.heard(&server(), &without, answer(60), at(120)), [], "it may be the older one");
+    let refusal = Source { sent: at(130), is_answer: false };
+    assert_eq!(book.heard(&server(), &without, refusal, at(140)), [], "refusals may name nothing");
+    assert_eq!(book.per_s(&server()), Some(2.0));
+    assert_eq!(book.heard(&server(), &without, answer(130), at(150)), [Learned::Unlimited]);
+    assert_eq!(book.per_s(&server()), None);
+    assert_eq!(book.heard(&server(), &without, answer(160), at(170)), [], "told once");
+}
+
+#[test]
+fn a_limit_that_cannot_be_read_changes_nothing() {
+    let mut book = NoticeBook::default();
+    let unreadable = names(NamedLimit::Unreadable);
+    assert_eq!(book.heard(&server(), &unreadable, answer(0), at(10)), []);
+    assert_eq!(book.per_s(&server()), None);
+    book.heard(&server(), &names(NamedLimit::PerSecond(1.0)), answer(0), at(20));
+    assert_eq!(book.heard(&server(), &unreadable, answer(30), at(40)), []);
+    assert_eq!(book.per_s(&server()), Some(1.0));
+}
+
+#[test]
+fn of_two_words_on_a_limit_the_later_holds_in_whatever_order_they_come() {
+    let words = [(Some(4.0), 100), (Some(1.0), 200), (None, 300)];
+    for order in [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
+        let mut book = NoticeBook::default();
+        for (per_s, ms) in order.map(|index: usize| words[index]) {
+            book.limit(&server(), per_s, at(ms));
+        }
+        assert_eq!(book.per_s(&server()), None, "{order:?}");
+        book.limit(&server(), Some(1.0), at(250));
+        assert_eq!(book.per_s(&server()), None, "{order:?}: what is over is not brought back");
+    }
+}
+
+#[test]
+fn a_server_that_leaves_does_so_for_good() {
+    let mut book = NoticeBook::default();
+    let leaves = Notice { leaves: true, ..Notice::default() };
+    assert_eq!(book.heard(&server(), &leaves, answer(0), at(100)), [Learned::Leaves]);
+    assert_eq!(book.heard(&server(), &leaves, answer(0), at(200)), []);
+    assert_eq!(book.heard(&server(), &Notice::default(), answer(300), at(310)), []);
+    assert_eq!(book.leaving_since(&server()), Some(at(100)));
+    assert_eq!(book.leaving_since(&"s@2".into()), None, "its next run does not");
+    book.forget_old(|_| false, at(60_000));
+    assert_eq!(book.leaving_since(&server()), Some(at(100)), "its row may have lapsed");
+    book.forget_old(|_| false, at(200_000));
+    assert_eq!(book.leaving_since(&server()), None);
+}
+
+#[test]
+fn the_longest_time_that_a_server_asked_for_holds() {
+    let mut book = NoticeBook::default();
+    let wants = |ms| Notice { back_off: Some(Duration::from_millis(ms)), ..Notice::default() };
+    let learned = book.heard(&server(), &wants(3_000), answer(0), at(1_000));
+    assert_eq!(learned, [Learned::BacksOff(Duration::from_millis(3_000))]);
+    assert_eq!(book.heard(&server(), &wants(500), answer(0), at(1_100)), []);
+    assert_eq!(book.backs_off_until(&server(), at(3_999)), Some(at(4_000)));
+    assert_eq!(book.backs_off_until(&server(), at(4_000)), None);
+    // However long a server asks for, the sum stays in the range of moments.
+    let forever = Notice { back_off: Some(Duration::MAX), ..Notice::default() };
+    book.heard(&server(), &forever, answer(0), at(5_000));
+    let until = book.backs_off_until(&server(), at(5_000)).expect("it does");
+    assert_eq!(until, at(5_000) + Duration::from_secs(3_600));
+}
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`node`] holds what the box knows; [`follow`] keeps it up to date from the platform,
 //! [`gossip`], [`spread`] and [`exchange`] from other boxes, which [`boxes`] lists; [`delegates`] says who
-//! speaks for a hall and [`peer_book`] who is alive; [`cold`] keeps what is sent to cold servers bounded; [`newest`] tells
+//! speaks for a hall and [`peer_book`] who is alive; [`cold`] keeps what is sent to cold servers bounded, [`notices`] hears
+//! what servers say of themselves; [`newest`] tells
 //! how new the configuration is; [`quota`] keeps the limits of client accounts with other boxes, and
 //! [`crashes`] holds off requests that crash servers; [`pipeline`] and [`relay`] answer requests,
 //! [`listeners`] takes them; [`lease`], [`placement`] and [`order_task`] give orders to engines;
@@ -25,6 +26,7 @@
 pub mod messages;
 pub mod newest;
 pub mod node;
+pub mod notices;
 pub mod order_book;
 pub mod order_task;
 pub mod overlay;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -21,6 +21,7 @@
 use trackfront_core::serving::demand::DemandMeter;
 use trackfront_core::serving::directory::Directory;
 use trackfront_core::serving::load::LoadBook;
+use trackfront_core::serving::notices::NoticeBook;
 use trackfront_core::serving::places::Evacuations;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::serving::retry_budget::RetryBudgets;
@@ -93,6 +94,8 @@
     pub loads: Mutex<LoadBook>,
     /// The servers that are cold.
     pub cold: Mutex<ColdBook>,
+    /// What servers said of themselves in their answers.
+    pub notices: Mutex<NoticeBook>,
     /// Prompts that engines keep.
     pub memory: Mutex<PromptMemory>,
     /// The budget of retries.
@@ -168,6 +171,7 @@
             evacuations: Mutex::default(),
             loads: Mutex::default(),
             cold: Mutex::default(),
+            notices: Mutex::default(),
             memory: Mutex::default(),
             budgets: Mutex::new(budgets),
             crowding: Mutex::default(),
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -16,6 +16,7 @@
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::load::{Counted, Ending};
+use trackfront_core::serving::notices::Source;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
@@ -23,7 +24,7 @@
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::NoteKind;
 use crate::serving::spread::FeedKind;
-use crate::serving::{cold, crashes};
+use crate::serving::{cold, crashes, notices};
 
 /// How long a connection to a server may take to open: many times the way within a region.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
@@ -234,6 +235,8 @@
             Some(id) => *id == self.info.id,
             None => answer.is_first,
         };
+        let source = Source { sent: choice.at, is_answer: is_ours && head.signed };
+        notices::hear(node, &choice.server, &head, source, self.info.id.as_str());
         if !is_ours {
             held.end(Ending::Failed);
             let other = head.request.as_ref().map_or("", RequestId::as_str);
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -19,7 +19,7 @@
 use super::peer_socket::PeerSocket;
 use super::placement::Placement;
 use super::settings::ServingSettings;
-use super::{boxes, cold, crashes, follow, lacks, listeners, newest, quota, suspension};
+use super::{boxes, cold, crashes, follow, lacks, listeners, newest, notices, quota, suspension};
 
 /// How long a call to the platform's store may take beyond the time that it asks the store to wait.
 pub const STORE_CALL_TIME: Duration = Duration::from_millis(900);
@@ -158,6 +158,7 @@
         follow::end_lapses(&node);
         node.loads.lock().forget_old(now);
         node.overlay.lock().forget_old(now);
+        notices::sweep(&node, now);
     }
 }
 
