Leave engines alone that take few requests, and count a copy only where its part is taken

An engine that names a limit got questions for reports each 200 ms and orders as before, which come out of what it takes for clients, and the planner counted its copies whole: an adapter of a model that only such an engine held had not come to the other engine after 40 s. Now such an engine gets no calls that are not for a client; its row tells what it holds. A copy counts if its engine takes its part of what is asked for, so the model is brought in elsewhere.

--- a/trackfront_core/src/serving/planner/mod.rs
+++ b/trackfront_core/src/serving/planner/mod.rs
@@ -11,6 +11,7 @@
 
 mod adapters;
 mod inventory;
+pub mod limited;
 mod models;
 
 use std::collections::{BTreeSet, HashMap};
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -19,6 +19,7 @@
     mod directory_random;
     mod forecast;
     mod freshness;
+    mod limited;
     mod load;
     mod notices;
     mod orders;
--- /dev/null
+++ b/trackfront_core/tests/serving/limited.rs
@@ -0,0 +1,33 @@
+//! What a plan makes of engines that named a limit.
+
+use std::collections::HashMap;
+
+use trackfront_core::serving::demand::Rate;
+use trackfront_core::serving::planner::limited::{Limited, takes_part};
+use trackfront_core::serving::request::ModelRef;
+
+use super::support::{item, residents};
+
+/// Guards against a plan that counts a copy whole whose engine hardly takes a request, so that its model lacks room.
+#[test]
+fn a_copy_counts_if_its_engine_takes_its_part_of_what_is_asked_for() {
+    let (busy, quiet) = (residents(&["m", "n"]), residents(&["n", "o"]));
+    let rate = |requests| Rate { requests, work_ms: 0.0 };
+    let demand: HashMap<ModelRef, Rate> = HashMap::from([
+        (item("m", None), rate(6.0)),
+        (item("n", None), rate(2.0)),
+        (item("m", Some("a1")), rate(99.0)),
+    ]);
+    let with = |first, second| {
+        let engines =
+            [Limited { models: &busy, per_s: first }, Limited { models: &quiet, per_s: second }];
+        takes_part(&engines, &demand)
+    };
+    assert_eq!(with(None, None), [true, true]);
+    assert_eq!(with(Some(6.9), Some(1.0)), [false, true], "6 of m, and half of 2 of n");
+    assert_eq!(with(Some(7.0), Some(0.9)), [true, false]);
+    assert_eq!(
+        takes_part(&[Limited { models: &quiet, per_s: Some(0.0) }], &HashMap::new()),
+        [true]
+    );
+}
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -242,7 +242,7 @@
         let server = &self.server.entry;
         // A new connection each time: nothing that was written earlier can arrive behind it.
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: Duration::ZERO };
-        let has_right = || self.right.usable(self.node.now()) == Some(fence);
+        let has_right = || self.right.usable(self.node.now()) == Some(fence) && self.takes_calls();
         let make = || has_right().then(|| self.node.ports.servers.order_request(server, &order));
         let sending = self.node.pool.send(&server.address, options, make);
         match timeout(ORDER_TIMEOUT, sending).await {
@@ -354,8 +354,17 @@
         (known.version > self.server.version).then(|| known.entry.models.clone())
     }
 
-    /// Reads the engine's report and keeps it for the next plan.
+    /// Returns whether the engine takes what is not for a client: one that asked for few requests is spared that.
+    fn takes_calls(&self) -> bool {
+        self.node.notices.lock().takes_calls(self.id(), self.node.now())
+    }
+
+    /// Reads the engine's report and keeps it for the next plan. What an engine that takes few requests holds its row
+    /// tells, later.
     async fn report(&self) -> Option<EngineReport> {
+        if !self.takes_calls() {
+            return None;
+        }
         let server = &self.server.entry;
         let make = || Some(self.node.ports.servers.report_request(server));
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: Duration::from_secs(2) };
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -3,7 +3,7 @@
 //! Each round plans from what the engines hold and what all nodes are asked for. Each engine gets
 //! its orders from a task of its own.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,8 +12,10 @@
 use tokio::time::{sleep, timeout};
 use trackfront_core::ids::{BackendId, ServiceName};
 use trackfront_core::serving::config::EngineSpec;
+use trackfront_core::serving::demand::Rate;
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::orders::{LoadPacer, Operation};
+use trackfront_core::serving::planner::limited::{Limited, takes_part};
 use trackfront_core::serving::planner::{EngineView, Planned, Proposal, plan};
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
@@ -150,7 +152,9 @@
         let is_used = |server: &&Arc<KnownServer>| {
             server.is_ready() && !evacuations.is_evacuated(&server.entry.zone)
         };
-        for server in servers.iter().filter(is_used) {
+        let used: Vec<&Arc<KnownServer>> = servers.iter().filter(is_used).collect();
+        let demand = self.node.demand.lock().total(now);
+        for (server, takes_calls) in self.that_take_part(used, &demand, now) {
             let mut loads = self.node.loads.lock();
             let load = loads.server(&server.entry.id);
             let silent = load.unreachable_since();
@@ -158,7 +162,8 @@
             if !lost && !load.is_replaced() {
                 let engine_orders = book.engines.entry(server.entry.id.clone()).or_default();
                 let seen = view(server, engine_orders, now);
-                let busy = seen.busy || book.may_get_earlier_orders(&server.entry, now);
+                let busy =
+                    seen.busy || book.may_get_earlier_orders(&server.entry, now) || !takes_calls;
                 let in_use = in_use.remove(&server.entry.id).unwrap_or_default();
                 views.push(EngineView { in_use, busy, ..seen });
             }
@@ -168,7 +173,6 @@
         let available = book.pacer.available(spec.loads_per_s, now);
         let store_loads = available.saturating_sub(awaited);
         drop(book);
-        let demand = self.node.demand.lock().total(now);
         let planned = plan(spec, &views, &demand, store_loads);
         if now.since(self.summed_up_at) >= SUMMARY_EVERY {
             self.summed_up_at = now;
@@ -178,6 +182,24 @@
         planned.proposals
     }
 
+    /// Returns the engines that take their part of what is asked for, and whether each takes what is not for a client.
+    fn that_take_part<'a>(
+        &self,
+        engines: Vec<&'a Arc<KnownServer>>,
+        demand: &HashMap<ModelRef, Rate>,
+        now: Moment,
+    ) -> Vec<(&'a Arc<KnownServer>, bool)> {
+        let notices = self.node.notices.lock();
+        let limited = engines.iter().map(|server| Limited {
+            models: &server.entry.models,
+            per_s: notices.per_s(&server.entry.id),
+        });
+        let takes_part = takes_part(&limited.collect::<Vec<_>>(), demand);
+        let takes_calls = |server: &KnownServer| notices.takes_calls(&server.entry.id, now);
+        let all = engines.into_iter().zip(takes_part).filter(|(_, takes_part)| *takes_part);
+        all.map(|(server, _)| (server, takes_calls(server))).collect()
+    }
+
     /// Starts the task that carries the proposals for one engine out.
     fn begin(&mut self, engine: &BackendId, proposals: Vec<Proposal>, spec: &EngineSpec) {
         let Some(server) = self.node.directory.lock().get(engine).cloned() else {
