A server that says in an answer that it leaves gets what is left to no other, and soon nothing

Its row told the same only when the store was back, 12 s later. Cause: only rows tell that a server drains. Ruled out: that a row undid the word (no decision depended on it), and that requests were left to no other server (another that held the model answered in the same second). Now the word counts like that of the row, whichever comes first: such a server is the last resort for a quarter of the promised time and gets nothing after it, no row of the same run undoes that, it gets no orders, and what it holds counts as missing. All boxes are told, also those that start: they are not bound by the answer, but their callers are better served by a server that stays. Red before, green after.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -156,6 +156,9 @@
     /// Returns whether `server` is cold, and whether this box may send to it all the same.
     fn coldness(&self, server: &KnownServer) -> Coldness;
 
+    /// Returns since when it has been known that `server` leaves by its own word in an answer.
+    fn leaving_since(&self, server: &BackendId) -> Option<Moment>;
+
     /// Returns until when `server` may get nothing by its own word.
     fn shut(&self, server: &BackendId) -> Option<Shut>;
 }
@@ -172,7 +175,8 @@
     let mut reason = NoChoice::NoServer;
     for server in servers {
         let id = &server.entry.id;
-        if loads.is_replaced(id) || !takes_requests(server, query) {
+        let leaving = view.leaving_since(id);
+        if loads.is_replaced(id) || !takes_requests(server, leaving, query) {
             continue;
         }
         if !query.places.allow(&server.entry.zone) {
@@ -197,6 +201,9 @@
         if coldness == Coldness::Open {
             cost += COLD_MS;
         }
+        if leaving.is_some() || !server.is_ready() {
+            cost += DRAINING_MS;
+        }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
         }
@@ -204,16 +211,16 @@
     best.map(|(_, choice)| choice).ok_or(reason)
 }
 
-fn takes_requests(server: &KnownServer, query: &Query<'_>) -> bool {
-    match server.draining_since {
-        None => true,
-        Some(since) => {
-            let may = server.may_drain_since.unwrap_or(since);
-            server.was_ready
-                && query.now.since(since) < query.drain_grace
-                && query.now.since(may) < query.drain_end
-        }
-    }
+/// Returns whether a server is sent requests, by its row and by its own word that it leaves, whichever came first.
+fn takes_requests(server: &KnownServer, leaving: Option<Moment>, query: &Query<'_>) -> bool {
+    let Some(since) = server.draining_since.into_iter().chain(leaving).min() else {
+        return true;
+    };
+    let was_ready = server.was_ready || server.draining_since.is_none();
+    let may = server.may_drain_since.unwrap_or(since).min(since);
+    was_ready
+        && query.now.since(since) < query.drain_grace
+        && query.now.since(may) < query.drain_end
 }
 
 /// The lack that is nearest to an answer explains why there is none.
@@ -307,9 +314,6 @@
         cost += NEW_CONNECTION_MS;
     }
     cost += load.fault_share(now) * FAULT_MS;
-    if !server.is_ready() {
-        cost += DRAINING_MS;
-    }
     if load.is_paused(now) {
         cost += PAUSED_MS;
     }
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -12,6 +12,7 @@
 use trackfront_core::serving::load::{Ending, LoadBook, ToldLoad, Work};
 use trackfront_core::serving::places::{Evacuations, HallWord, Places};
 use trackfront_core::serving::request::{ModelRef, PromptPart, RequestInfo};
+use trackfront_core::units::Moment;
 
 use super::support::{at, entry, info, item, known, with_adapter};
 
@@ -23,6 +24,7 @@
     connected: HashSet<String>,
     cold: HashMap<String, Coldness>,
     shut: HashMap<String, Shut>,
+    leaving: HashMap<String, Moment>,
 }
 
 impl ServerView for Notes {
@@ -42,6 +44,10 @@
         self.cold.get(server.entry.id.as_str()).copied().unwrap_or(Coldness::Warm)
     }
 
+    fn leaving_since(&self, server: &BackendId) -> Option<Moment> {
+        self.leaving.get(server.as_str()).copied()
+    }
+
     fn shut(&self, server: &BackendId) -> Option<Shut> {
         self.shut.get(server.as_str()).copied()
     }
@@ -330,6 +336,23 @@
     assert_eq!(case.choose().unwrap_err(), first, "whichever is the first to take one");
 }
 
+/// Guards against a row that still says ready, or says later that it drains, and undoes what the server itself said.
+#[test]
+fn a_server_that_says_that_it_leaves_is_the_last_resort_and_only_for_a_while() {
+    let servers = vec![entry("x", &["m"]), entry("y", &["m"])];
+    let mut case = case(servers, info(Some(item("m", None)), 100));
+    case.notes.leaving.insert("x".into(), at(0));
+    case.now = 100;
+    case.busy("y", 9_000);
+    assert_eq!(case.chosen(), "y", "however busy");
+    case.tried.push("y".into());
+    assert_eq!(case.chosen(), "x", "no other can answer");
+    case.now = 800;
+    assert_eq!(case.choose().unwrap_err(), NoChoice::AllTried, "its time is over");
+    case.servers[0].state = ServerState::Draining { remaining: None };
+    assert_eq!(case.choose().unwrap_err(), NoChoice::AllTried, "the row comes later");
+}
+
 /// A machine that is shared with others is slow for a moment, which its servers say on each answer.
 #[test]
 fn a_server_that_says_that_it_is_slow_now_is_passed_over_while_that_is_news() {
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -120,8 +120,8 @@
 ) {
     let id = &server.entry.id;
     // A server that leaves breaks off what it does not finish.
-    let leaves = node.directory.lock().get(id).is_some_and(|known| !known.is_ready());
-    if leaves {
+    let known = node.directory.lock().get(id).cloned();
+    if known.is_some_and(|known| !node.takes_new(&known)) {
         return;
     }
     let now = node.now();
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -78,6 +78,8 @@
 /// What a server said of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SaidNotice {
+    /// It leaves.
+    Leaves,
     /// It takes so many requests a second from all boxes together.
     Limit(f64),
     /// It names no limit any more.
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -19,7 +19,7 @@
 use trackfront_core::serving::config::ServingConfig;
 use trackfront_core::serving::crowding::Crowding;
 use trackfront_core::serving::demand::DemandMeter;
-use trackfront_core::serving::directory::Directory;
+use trackfront_core::serving::directory::{Directory, KnownServer};
 use trackfront_core::serving::load::LoadBook;
 use trackfront_core::serving::notices::NoticeBook;
 use trackfront_core::serving::places::Evacuations;
@@ -360,6 +360,11 @@
         self.servers_changed.notify_waiters();
     }
 
+    /// Returns whether a server takes new requests, by its row and by its own word.
+    pub fn takes_new(&self, server: &KnownServer) -> bool {
+        server.is_ready() && self.notices.lock().leaving_since(&server.entry.id).is_none()
+    }
+
     /// Returns how long after this box learned that it drains a server may still be sent what no other answers.
     pub fn drain_grace(&self) -> Duration {
         self.settings.load().promises.drain().mul_f64(DRAIN_PART)
--- a/trackfrontd/src/serving/notices.rs
+++ b/trackfrontd/src/serving/notices.rs
@@ -1,6 +1,6 @@
 //! Hears what servers say of themselves in their answers, and tells the other boxes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -113,7 +113,7 @@
 
 /// Returns whether other boxes have to know. For how long a server wants nothing it says to each box by itself.
 fn is_for_all(learned: Learned) -> bool {
-    matches!(learned, Learned::Limited(_) | Learned::Unlimited)
+    !matches!(learned, Learned::BacksOff(_))
 }
 
 /// Logs and counts what was learned of a server.
@@ -151,6 +151,7 @@
         let age = Duration::from_millis(u64::from(notice.age_ms));
         let at = Moment(now.0.saturating_sub(age));
         let learned = match notice.said {
+            SaidNotice::Leaves => node.notices.lock().leaves(&server, at),
             SaidNotice::Limit(per_s) if !per_s.is_finite() || per_s < 0.0 => continue,
             SaidNotice::Limit(per_s) => node.notices.lock().limit(&server, Some(per_s), at),
             SaidNotice::LimitOver => node.notices.lock().limit(&server, None, at),
@@ -193,7 +194,8 @@
         Some(per_s) => told(SaidNotice::Limit(per_s), at),
         None => told(SaidNotice::LimitOver, at),
     });
-    limit.into_iter().collect()
+    let leaves = book.leaving_since(server).map(|since| told(SaidNotice::Leaves, since));
+    limit.into_iter().chain(leaves).collect()
 }
 
 fn age_ms(at: Moment, now: Moment) -> u32 {
@@ -206,8 +208,9 @@
         return None;
     }
     let (book, now) = (node.notices.lock(), node.now());
-    let limited = book.limits().map(|(server, _)| server);
-    Some(limited.flat_map(|server| words_on(&book, server, now)).collect())
+    let noticed: BTreeSet<&BackendId> =
+        book.limits().map(|(server, _)| server).chain(book.leaving()).collect();
+    Some(noticed.into_iter().flat_map(|server| words_on(&book, server, now)).collect())
 }
 
 /// Asks the others for what they know. Of what none of them knows the servers' next answers tell.
--- a/trackfrontd/src/serving/overlay.rs
+++ b/trackfrontd/src/serving/overlay.rs
@@ -150,6 +150,10 @@
         self.cold.judge(server, self.now)
     }
 
+    fn leaving_since(&self, server: &BackendId) -> Option<Moment> {
+        self.notices.leaving_since(server)
+    }
+
     fn shut(&self, server: &BackendId) -> Option<Shut> {
         self.notices.per_s(server)?;
         let until = self.gates?.shut_until(server, self.now)?;
--- a/trackfrontd/src/serving/pipeline/come_back.rs
+++ b/trackfrontd/src/serving/pipeline/come_back.rs
@@ -59,7 +59,8 @@
         let engine = self.config.services.get(&self.service)?.engine.as_ref()?;
         let model = engine.models.get(&self.info.model.as_ref()?.model)?;
         let directory = self.node.directory.lock();
-        let ready = directory.of_service(&self.service).iter().filter(|server| server.is_ready());
+        let all = directory.of_service(&self.service).iter();
+        let ready = all.filter(|server| self.node.takes_new(server));
         let from = ready.map(|server| {
             let entry = &server.entry;
             model.load_time_with(&entry.in_memory, &entry.on_disk)
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -394,6 +394,7 @@
             let usable = |known: &KnownServer| {
                 let id = &known.entry.id;
                 known.is_ready()
+                    && notices.leaving_since(id).is_none()
                     && query.places.allow(&known.entry.zone)
                     && !tried.contains(id)
                     && !loads.is_paused(id, query.now)
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -150,7 +150,7 @@
         let evacuations = self.node.evacuations.lock();
         // Nothing is sent to servers of a hall that is emptied, so what they hold is missing.
         let is_used = |server: &&Arc<KnownServer>| {
-            server.is_ready() && !evacuations.is_evacuated(&server.entry.zone)
+            self.node.takes_new(server) && !evacuations.is_evacuated(&server.entry.zone)
         };
         let used: Vec<&Arc<KnownServer>> = servers.iter().filter(is_used).collect();
         let demand = self.node.demand.lock().total(now);
