Stay away from a server for as long as it asked this box to

Cause: a refusal ended a send and left nothing behind for the next choice. Now the server gets nothing from this box until its time is over, the longest that it asked for, judged once more last before the send; boxes come back spread over a tenth of that time. Where all that could answer want nothing, a request waits if they are back in time for it, and else is refused at once with the time at which the first of them is back, which is also what the client of a request is told that all of them turned away. It is a matter between a server and one box, so others are not told.

--- a/trackfront_core/src/serving/choose.rs
+++ b/trackfront_core/src/serving/choose.rs
@@ -107,6 +107,8 @@
     Cold,
     /// It named a limit, which others use.
     Limited,
+    /// It asked this box to stay away for a while.
+    BacksOff,
 }
 
 impl ShutCause {
@@ -115,6 +117,7 @@
         match self {
             ShutCause::Cold => "the servers that offer it are cold",
             ShutCause::Limited => "the servers that offer it take no more a second",
+            ShutCause::BacksOff => "the servers that offer it asked this box to stay away",
         }
     }
 }
--- a/trackfront_core/src/serving/notices.rs
+++ b/trackfront_core/src/serving/notices.rs
@@ -59,7 +59,7 @@
     Limited(f64),
     /// Its limit is over.
     Unlimited,
-    /// It wants no requests from this box for so long.
+    /// It wants no requests from this box for so long, and wanted some before.
     BacksOff(Duration),
 }
 
@@ -110,11 +110,11 @@
         if let Some(wait) = notice.back_off {
             let wait = wait.min(LONGEST_BACK_OFF);
             let until = self.back_off.entry(server.clone()).or_default();
-            // Each answer asks for its own time; a later, shorter one takes nothing back.
-            if now + wait > *until {
-                *until = now + wait;
+            if *until <= now {
                 learned.push(Learned::BacksOff(wait));
             }
+            // Each answer asks for its own time; a later, shorter one takes nothing back.
+            *until = (*until).max(now + wait);
         }
         learned
     }
--- a/trackfrontd/src/serving/notices.rs
+++ b/trackfrontd/src/serving/notices.rs
@@ -38,6 +38,10 @@
 /// How many words one message has.
 const TOLD_AT_ONCE: usize = 128;
 
+/// How much longer than a server asked for some boxes stay away, as a part of that time: all that it turned away together
+/// would come back together.
+const SPREAD: f64 = 0.1;
+
 /// How often a box that starts asks for what the others know, and after which pause.
 const ROUNDS: usize = 3;
 const ASK_AGAIN: Duration = Duration::from_millis(300);
@@ -102,7 +106,9 @@
         return;
     }
     let (id, now) = (&server.entry.id, node.now());
-    let learned = node.notices.lock().heard(id, &head.notice, source, now);
+    let mut notice = head.notice;
+    notice.back_off = notice.back_off.map(|wait| wait.mul_f64(1.0 + SPREAD * turn_of(node, id)));
+    let learned = node.notices.lock().heard(id, &notice, source, now);
     for learned in learned {
         note(node, id, learned, by);
         if is_for_all(learned) {
@@ -111,6 +117,13 @@
     }
 }
 
+/// Returns when in the time after a server's back-off this box comes back, from 0 to 1: another time than other boxes.
+fn turn_of(node: &ServingNode, server: &BackendId) -> f64 {
+    let me = node.settings.load().node.ip;
+    let hash = blake3::hash(format!("{me} {server}").as_bytes());
+    f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX)
+}
+
 /// Returns whether other boxes have to know. For how long a server wants nothing it says to each box by itself.
 fn is_for_all(learned: Learned) -> bool {
     !matches!(learned, Learned::BacksOff(_))
@@ -129,6 +142,8 @@
         }
         Learned::Unlimited => {
             log::info!(server:%, by; "server limit over");
+            // Requests that are held for a turn need none now.
+            node.servers_changed.notify_waiters();
             UNLIMITED
         }
         Learned::BacksOff(wait) => {
@@ -137,8 +152,6 @@
         }
     };
     node.metrics.notices.get_or_create(&KindLabel { kind }).inc();
-    // Requests that are held may have a server now.
-    node.servers_changed.notify_waiters();
 }
 
 /// Takes in what another box was told by servers.
--- a/trackfrontd/src/serving/overlay.rs
+++ b/trackfrontd/src/serving/overlay.rs
@@ -155,6 +155,9 @@
     }
 
     fn shut(&self, server: &BackendId) -> Option<Shut> {
+        if let Some(until) = self.notices.backs_off_until(server, self.now) {
+            return Some(Shut { until, cause: ShutCause::BacksOff });
+        }
         self.notices.per_s(server)?;
         let until = self.gates?.shut_until(server, self.now)?;
         Some(Shut { until, cause: ShutCause::Limited })
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -207,12 +207,18 @@
     }
 
     /// Returns whether the server may still be sent this request: since it was chosen its hall may have been emptied, it
-    /// may have named a limit, and it may have become cold.
+    /// may have named a limit or asked this box to stay away, and it may have become cold.
     fn may_reach(&self, server: &KnownServer, turn: Option<TakenTurn>, now: Moment) -> bool {
         let is_evacuated = self.node.evacuations.lock().is_evacuated(&server.entry.zone);
-        let is_limited = self.node.notices.lock().per_s(&server.entry.id).is_some();
+        let (is_limited, backs_off) = {
+            let (notices, id) = (self.node.notices.lock(), &server.entry.id);
+            (notices.per_s(id).is_some(), notices.backs_off_until(id, now).is_some())
+        };
         let has_turn = !is_limited || turn.is_some_and(|turn| turn.is_usable(now));
-        !is_evacuated && has_turn && cold::take(&self.node, self.cold_start(), server, now)
+        !is_evacuated
+            && !backs_off
+            && has_turn
+            && cold::take(&self.node, self.cold_start(), server, now)
     }
 
     /// Returns how long a kept connection may have been unused for this request.
--- a/trackfrontd/src/serving/pipeline/come_back.rs
+++ b/trackfrontd/src/serving/pipeline/come_back.rs
@@ -26,7 +26,7 @@
     /// Returns when to come back for what no server offers.
     pub fn come_back_for(&self, lack: NoChoice) -> Duration {
         let wait = match lack {
-            NoChoice::AllTried => return self.come_back_after(Duration::ZERO),
+            NoChoice::AllTried => return self.come_back_after(self.shut_for()),
             NoChoice::NoServer | NoChoice::NotAllowed => NO_SERVER_RETRY,
             NoChoice::Shut(shut) => shut.until.since(self.node.now()).max(LEAST_RETRY),
             NoChoice::NoModel => self.model_comes_in().unwrap_or_else(|| self.load_from_now()),
@@ -35,6 +35,14 @@
         self.spread(wait)
     }
 
+    /// Returns for how long no server may get the request, as far as servers said so; zero if one may.
+    pub(super) fn shut_for(&self) -> Duration {
+        match self.choose(&[]) {
+            Err(NoChoice::Shut(shut)) => shut.until.since(self.node.now()),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns in what time the model would be there if its load were ordered now.
     fn load_from_now(&self) -> Duration {
         self.load_time().unwrap_or_default() + LOAD_OVERHEAD
@@ -69,7 +77,7 @@
     }
 
     /// Lengthens a wait by up to half, by the request's identifier.
-    fn spread(&self, wait: Duration) -> Duration {
+    pub(super) fn spread(&self, wait: Duration) -> Duration {
         let part = (short_hash(self.info.id.as_str()) % 1_000) as f64 / 1_000.0;
         wait.mul_f64(1.0 + part / 2.0)
     }
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -9,8 +9,9 @@
 
 use tokio::time::{Instant, timeout_at};
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_core::serving::choose::NoChoice;
+use trackfront_core::serving::choose::{NoChoice, Shut, ShutCause};
 use trackfront_core::serving::request::{ModelRef, Refusal};
+use trackfront_core::units::Moment;
 
 use super::turn::Chosen;
 use super::{Job, Tries};
@@ -95,6 +96,9 @@
 
     /// Returns how long the request can wait for what is lacking.
     fn wait_for(&self, lack: NoChoice) -> Wait {
+        if let NoChoice::Shut(Shut { until, cause: ShutCause::BacksOff }) = lack {
+            return self.wait_until(until);
+        }
         let Some(item) = self.lacking(lack) else {
             return Wait::Nothing;
         };
@@ -124,6 +128,17 @@
         }
     }
 
+    /// Returns the wait for servers that take nothing from this box until then, if that is in time. Requests that are held
+    /// for the same one are let go one after the other.
+    fn wait_until(&self, until: Moment) -> Wait {
+        let there = self.present() + self.spread(until.since(self.node.now()));
+        let latest = (self.arrived + self.route.target).min(self.end);
+        match there + self.own_time() <= latest {
+            true => Wait::For { there, until: there },
+            false => Wait::Nothing,
+        }
+    }
+
     /// Logs and counts the end of a wait, and learns how long adapters take.
     fn end_hold(&self, held_for: Option<NoChoice>, began: Instant, came: bool) {
         let Some(lack) = held_for else {
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -503,7 +503,10 @@
         match tries.may_have_run {
             Some(_) if self.present() >= self.end => Refusal::TimedOut,
             Some(cause) => Refusal::Failed(cause),
-            None => Refusal::NoServer { cause, retry_after: self.come_back_after(Duration::ZERO) },
+            None => {
+                let retry_after = self.come_back_after(self.shut_for());
+                Refusal::NoServer { cause, retry_after }
+            }
         }
     }
 }
