Tell all boxes what one is told in an answer of a server that has become cold

The same class as with limits: a server's word in an answer stayed with the box that heard it, and its row says the same later, or after an outage of the store. The belief has a line in the log (server cold).

--- a/trackfront_core/src/serving/cold.rs
+++ b/trackfront_core/src/serving/cold.rs
@@ -19,6 +19,9 @@
 /// The part of the room above the rate that senders use; the rest is for boxes with another list.
 const ROOM_PART: f64 = 0.5;
 
+/// How far apart two words may be on the moment at which a server is no longer cold.
+const SAME_MOMENT: Duration = Duration::from_millis(500);
+
 /// What the servers of a service bear after a start.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ColdStart {
@@ -94,9 +97,15 @@
         self.ring.dedup();
     }
 
-    /// Notes until when a server is cold, by its own word in an answer. A later word goes before an earlier one.
-    pub fn told(&mut self, server: &BackendId, remaining: Duration, now: Moment) {
-        self.told.insert(server.clone(), now + remaining);
+    /// Notes until when a server is cold, by its own word in an answer. A later word goes before an earlier one. Returns
+    /// whether that is news.
+    pub fn told(&mut self, server: &BackendId, remaining: Duration, now: Moment) -> bool {
+        let until = now + remaining;
+        let before = self.told.insert(server.clone(), until).unwrap_or_default();
+        // Each answer says what is left; the moment is the same but for the way.
+        let is_same = until.since(before).max(before.since(until)) < SAME_MOMENT;
+        let is_over = until <= now && before <= now;
+        !is_same && !is_over
     }
 
     /// Returns until when a server is cold by its word in answers.
@@ -104,6 +113,12 @@
         self.told.get(server).copied()
     }
 
+    /// Returns the servers that are cold by their word in answers.
+    pub fn told_cold(&self, now: Moment) -> impl Iterator<Item = &BackendId> {
+        let cold = self.told.iter().filter(move |(_, until)| now < **until);
+        cold.map(|(server, _)| server)
+    }
+
     /// Returns what may be done with a server that is cold until `until`.
     pub fn judge(
         &self,
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -84,6 +84,8 @@
     Limit(f64),
     /// It names no limit any more.
     LimitOver,
+    /// It is cold for so many milliseconds more.
+    Cold(u32),
 }
 
 /// A question for a turn at a server that named a limit.
--- a/trackfrontd/src/serving/notices.rs
+++ b/trackfrontd/src/serving/notices.rs
@@ -10,6 +10,7 @@
 use trackfront_adapters::interface::ServerHead;
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::BackendId;
+use trackfront_core::serving::cold::ColdBook;
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::notices::{Learned, LimitWord, NoticeBook, Source};
 use trackfront_core::units::Moment;
@@ -24,6 +25,7 @@
 const LIMITED: &str = "limited";
 const UNLIMITED: &str = "unlimited";
 const BACKS_OFF: &str = "backs_off";
+const COLD: &str = "cold";
 
 /// How many times other boxes are told what is new of a server, and how long after another: some datagrams are lost.
 const TIMES: u32 = 4;
@@ -115,6 +117,21 @@
             node.notices_to_tell.add(id, now);
         }
     }
+    if let Some(cold_for) = head.cold_for
+        && note_cold(node, id, cold_for, by)
+    {
+        node.notices_to_tell.add(id, now);
+    }
+}
+
+/// Takes in how much longer a server is cold. Returns whether that is news.
+fn note_cold(node: &ServingNode, server: &BackendId, cold_for: Duration, by: &str) -> bool {
+    let is_news = node.cold.lock().told(server, cold_for, node.now());
+    if is_news {
+        log::info!(server:%, ms = cold_for.as_millis() as u64, by; "server cold");
+        node.metrics.notices.get_or_create(&KindLabel { kind: COLD }).inc();
+    }
+    is_news
 }
 
 /// Returns when in the time after a server's back-off this box comes back, from 0 to 1: another time than other boxes.
@@ -164,6 +181,10 @@
         let age = Duration::from_millis(u64::from(notice.age_ms));
         let at = Moment(now.0.saturating_sub(age));
         let learned = match notice.said {
+            SaidNotice::Cold(ms) => {
+                note_cold(node, &server, Duration::from_millis(u64::from(ms)), by);
+                None
+            }
             SaidNotice::Leaves => node.notices.lock().leaves(&server, at),
             SaidNotice::Limit(per_s) if !per_s.is_finite() || per_s < 0.0 => continue,
             SaidNotice::Limit(per_s) => node.notices.lock().limit(&server, Some(per_s), at),
@@ -189,8 +210,8 @@
             continue;
         }
         let told: Vec<ToldNotice> = {
-            let book = node.notices.lock();
-            due.iter().flat_map(|server| words_on(&book, server, now)).collect()
+            let (cold, book) = (node.cold.lock(), node.notices.lock());
+            due.iter().flat_map(|server| words_on(&book, &cold, server, now)).collect()
         };
         let boxes = node.peers.lock().reachable(now);
         for some in told.chunks(TOLD_AT_ONCE) {
@@ -200,7 +221,12 @@
 }
 
 /// Returns what other boxes are told of a server.
-fn words_on(book: &NoticeBook, server: &BackendId, now: Moment) -> Vec<ToldNotice> {
+fn words_on(
+    book: &NoticeBook,
+    cold: &ColdBook,
+    server: &BackendId,
+    now: Moment,
+) -> Vec<ToldNotice> {
     let told =
         |said, at| ToldNotice { server: short_server(server), said, age_ms: age_ms(at, now) };
     let limit = book.limit_of(server).map(|LimitWord { per_s, at, .. }| match per_s {
@@ -208,7 +234,11 @@
         None => told(SaidNotice::LimitOver, at),
     });
     let leaves = book.leaving_since(server).map(|since| told(SaidNotice::Leaves, since));
-    limit.into_iter().chain(leaves).collect()
+    let cold = cold.told_until(server).map(|until| {
+        let ms = u32::try_from(until.since(now).as_millis()).unwrap_or(u32::MAX);
+        told(SaidNotice::Cold(ms), now)
+    });
+    limit.into_iter().chain(leaves).chain(cold).collect()
 }
 
 fn age_ms(at: Moment, now: Moment) -> u32 {
@@ -220,10 +250,12 @@
     if !node.knows_servers() {
         return None;
     }
-    let (book, now) = (node.notices.lock(), node.now());
+    let (cold, book, now) = (node.cold.lock(), node.notices.lock(), node.now());
+    let limited = book.limits().map(|(server, _)| server);
     let noticed: BTreeSet<&BackendId> =
-        book.limits().map(|(server, _)| server).chain(book.leaving()).collect();
-    Some(noticed.into_iter().flat_map(|server| words_on(&book, server, now)).collect())
+        limited.chain(book.leaving()).chain(cold.told_cold(now)).collect();
+    let words = noticed.into_iter().flat_map(|server| words_on(&book, &cold, server, now));
+    Some(words.collect())
 }
 
 /// Asks the others for what they know. Of what none of them knows the servers' next answers tell.
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -265,9 +265,6 @@
         if let Some(load) = head.load {
             node.loads.lock().told(server, load, node.now());
         }
-        if let Some(cold_for) = head.cold_for {
-            node.cold.lock().told(server, cold_for, node.now());
-        }
         if head.not_run || head.misdirected {
             let own_key = &choice.server.entry.key;
             let replaced =
