--- a/trackfront_adapters/src/engine.rs
+++ b/trackfront_adapters/src/engine.rs
@@ -17,6 +17,7 @@
     GenerateRequest, KvBlob, LoadReport, OrderReply, StartFrom,
 };
 
+use crate::back_off::back_off;
 use crate::http_client::{Answer, HttpClient, HttpError, read_answer, request, with_body};
 use crate::wire::engine::{
     ADAPTER_HEADER, CACHE_EVENTS_PATH, CANCEL_PATH, CONTINUE_HEADER, DONE, FINAL_HEADER, KV_PATH,
@@ -246,11 +247,12 @@
 async fn refusal(response: http::Response<hyper::body::Incoming>) -> GenerateError {
     let status = response.status().as_u16();
     let final_refusal = response.headers().contains_key(FINAL_HEADER);
+    let back_off = back_off(response.status(), response.headers());
     let detail = match read_answer(response).await {
         Ok(answer) => String::from_utf8_lossy(&answer.body).chars().take(DETAIL_CHARS).collect(),
         Err(error) => error.to_string(),
     };
-    GenerateError::Refused { status, detail, final_refusal }
+    GenerateError::Refused { status, detail, final_refusal, back_off }
 }
 
 fn generate_error(error: HttpError) -> GenerateError {
--- a/trackfront_adapters/src/lib.rs
+++ b/trackfront_adapters/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(clippy::all)]
 
 pub mod audit;
+pub mod back_off;
 pub mod clock;
 pub mod engine;
 pub mod http_client;
--- a/trackfront_bench/src/route.rs
+++ b/trackfront_bench/src/route.rs
@@ -168,6 +168,7 @@
 
 fn ended() -> Ended {
     Ended {
+        back_off: None,
         failed: false,
         first: Some(Duration::from_millis(80)),
         gap: Some(Duration::from_millis(20)),
--- a/trackfront_core/src/engine_load.rs
+++ b/trackfront_core/src/engine_load.rs
@@ -50,6 +50,8 @@
 pub struct Ended {
     /// Whether the engine failed: it could not be reached, or broke off.
     pub failed: bool,
+    /// For how long it wants no further requests from this box, if it refused and said so.
+    pub back_off: Option<Duration>,
     /// How long the first token took; `None` if none came.
     pub first: Option<Duration>,
     /// The mean time between tokens; `None` if there were fewer than two.
@@ -91,6 +93,8 @@
     probing: bool,
     returned_at: Option<Moment>,
     leaving_since: Option<Moment>,
+    /// Until when it wants no requests from this box.
+    backs_off_until: Option<Moment>,
 }
 
 impl EngineLoad {
@@ -140,6 +144,11 @@
         self.leaving_since.is_some_and(|since| now.since(since) >= LEAVING_GRACE)
     }
 
+    /// Returns until when the engine wants no requests from this box, if that is not over at `now`.
+    pub fn backs_off_until(&self, now: Moment) -> Option<Moment> {
+        self.backs_off_until.filter(|until| now < *until)
+    }
+
     /// Returns how old the figures are at `now`; `None` if there are none.
     pub fn age(&self, now: Moment) -> Option<Duration> {
         self.taken_at.map(|taken| now.since(taken))
@@ -234,6 +243,9 @@
         assert!(*own > 0, "a request ends once");
         *own -= 1;
         self.measure(sent, ended, in_batch);
+        if let Some(wait) = ended.back_off {
+            self.backs_off_until = self.backs_off_until.max(Some(now + wait));
+        }
         if ended.failed {
             self.failed(now);
         } else if ended.first.is_some() {
--- a/trackfront_core/src/engine_load/tests.rs
+++ b/trackfront_core/src/engine_load/tests.rs
@@ -37,6 +37,7 @@
     let mut load = EngineLoad::default();
     let gap = Duration::from_millis(10);
     let ended = Ended {
+        back_off: None,
         failed: false,
         first: Some(gap * 2),
         gap: Some(gap),
--- a/trackfront_core/src/fleet.rs
+++ b/trackfront_core/src/fleet.rs
@@ -96,6 +96,11 @@
         self.load.lock().has_left(now)
     }
 
+    /// Returns until when the engine wants no requests from this box, if that is not over.
+    pub fn backs_off_until(&self, now: Moment) -> Option<Moment> {
+        self.load.lock().backs_off_until(now)
+    }
+
     /// Returns whether new requests may go here at `now`: the breaker is closed, or one probe
     /// may pass.
     pub fn takes_new_work(&self, now: Moment) -> bool {
--- a/trackfront_core/src/ports/engine.rs
+++ b/trackfront_core/src/ports/engine.rs
@@ -1,5 +1,7 @@
 //! A model engine.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::stream::BoxStream;
@@ -114,6 +116,8 @@
         detail: String,
         /// Whether the request itself is at fault, so that no other engine will take it.
         final_refusal: bool,
+        /// For how long it wants no requests from this box, if it says so.
+        back_off: Option<Duration>,
     },
     /// The request was sent and the answer broke off.
     #[error("the engine broke off: {0}; the request may have run")]
--- a/trackfront_core/src/routing.rs
+++ b/trackfront_core/src/routing.rs
@@ -168,16 +168,22 @@
             false => None,
         };
         let mut best: Option<Best> = None;
+        let mut back_at: Option<Moment> = None;
         self.fleet.for_each_ready(query.item, |entry| {
             if query.tried.contains(&entry.id) || entry.has_left(query.now) {
                 return;
             }
+            if let Some(until) = entry.backs_off_until(query.now) {
+                back_at = Some(back_at.map_or(until, |first| first.min(until)));
+                return;
+            }
             let judged = self.judge(entry, query, &cached);
             if best.as_ref().is_none_or(|best| judged.score < best.score) {
                 best = Some(judged);
             }
         });
-        let best = best.ok_or(Refusal::NoEngine { retry_after: NO_ENGINE_RETRY })?;
+        let retry_after = back_at.map_or(NO_ENGINE_RETRY, |back_at| back_at.since(query.now));
+        let best = best.ok_or(Refusal::NoEngine { retry_after })?;
         self.admit(query, best.pick)
     }
 
--- a/trackfront_core/src/routing/tests.rs
+++ b/trackfront_core/src/routing/tests.rs
@@ -69,3 +69,24 @@
     let patient = RouteQuery { time_left: Duration::from_secs(1), ..query };
     assert!(router.choose(&patient).is_ok());
 }
+
+/// Guards against requests to an engine that has just asked this box to stay away.
+#[test]
+fn an_engine_that_asked_to_stay_away_gets_nothing_until_then() {
+    let item = ItemKey { model: "m".into(), adapter: None, version: "1".into() };
+    let router = router(&item);
+    let query = query(&item, Duration::from_secs(1));
+    let back_off = |seconds| {
+        let pick = router.choose(&query).expect("an engine");
+        pick.entry.begin(&pick.sent, query.now);
+        let back_off = Some(Duration::from_secs(seconds));
+        pick.entry.end(&pick.sent, &Ended { back_off, ..Ended::default() }, query.now);
+        pick.entry.id.clone()
+    };
+    assert_eq!(back_off(3).as_str(), "a");
+    assert_eq!(back_off(2).as_str(), "b");
+    let refused = router.choose(&query).map(|pick| pick.entry.id.clone());
+    assert_eq!(refused, Err(Refusal::NoEngine { retry_after: Duration::from_secs(2) }));
+    let later = RouteQuery { now: query.now + Duration::from_secs(2), ..query };
+    assert_eq!(router.choose(&later).expect("an engine").entry.id.as_str(), "b");
+}
--- a/trackfront_core/src/serving/notices.rs
+++ b/trackfront_core/src/serving/notices.rs
@@ -12,9 +12,6 @@
 use crate::ids::BackendId;
 use crate::units::Moment;
 
-/// The longest back-off that is believed: whoever wants a longer one can say so again.
-const LONGEST_BACK_OFF: Duration = Duration::from_secs(3_600);
-
 /// How long notices of a server are kept that is not listed: its row may lapse and come back.
 const KEPT_FOR: Duration = Duration::from_secs(120);
 
@@ -108,7 +105,6 @@
             NamedLimit::Absent | NamedLimit::Unreadable => {}
         }
         if let Some(wait) = notice.back_off {
-            let wait = wait.min(LONGEST_BACK_OFF);
             let until = self.back_off.entry(server.clone()).or_default();
             if *until <= now {
                 learned.push(Learned::BacksOff(wait));
--- a/trackfront_core/tests/serving/notices.rs
+++ b/trackfront_core/tests/serving/notices.rs
@@ -85,9 +85,4 @@
     assert_eq!(book.heard(&server(), &wants(500), answer(0), at(1_100)), []);
     assert_eq!(book.backs_off_until(&server(), at(3_999)), Some(at(4_000)));
     assert_eq!(book.backs_off_until(&server(), at(4_000)), None);
-    // However long a server asks for, the sum stays in the range of moments.
-    let forever = Notice { back_off: Some(Duration::MAX), ..Notice::default() };
-    book.heard(&server(), &forever, answer(0), at(5_000));
-    let until = book.backs_off_until(&server(), at(5_000)).expect("it does");
-    assert_eq!(until, at(5_000) + Duration::from_secs(3_600));
 }
--- a/trackfront_standin/src/engine/port.rs
+++ b/trackfront_standin/src/engine/port.rs
@@ -63,10 +63,11 @@
         };
         let (generation, offset) = self.begin(start).map_err(|error| match error {
             StartError::Bad(detail) => {
-                GenerateError::Refused { status: 400, detail, final_refusal: true }
+                GenerateError::Refused { status: 400, detail, final_refusal: true, back_off: None }
             }
             StartError::NotHere { status, detail } => {
-                GenerateError::Refused { status: status.as_u16(), detail, final_refusal: false }
+                let status = status.as_u16();
+                GenerateError::Refused { status, detail, final_refusal: false, back_off: None }
             }
         })?;
         let guard = CancelGuard { engine: self.clone(), request: Some(wanted.id) };
--- a/trackfrontd/src/gateway/answer.rs
+++ b/trackfrontd/src/gateway/answer.rs
@@ -343,10 +343,13 @@
     started.map_err(|error| {
         let outcome = error.outcome();
         match error {
-            GenerateError::Refused { status, detail, final_refusal } => Failed {
-                error: RequestError::BackendRefused { status, detail },
-                is_final: final_refusal,
-            },
+            GenerateError::Refused { status, detail, final_refusal, back_off } => {
+                at.ended.back_off = back_off;
+                Failed {
+                    error: RequestError::BackendRefused { status, detail },
+                    is_final: final_refusal,
+                }
+            }
             error => {
                 at.ended.failed = true;
                 let detail = error.to_string();
