A word for all boxes goes by a few boxes of each hall in large fleets

What servers say went from the box that heard it to each other one: 983 datagrams four times in the whole fleet, most of them between halls. Up to 128 boxes each still tells each.

--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -197,7 +197,7 @@
             Ok((Message::Crashes(reports), _)) => crashes::take_in(&node, ip, &reports),
             Ok((Message::ServersEnded(servers), _)) => crashes::take_in_ended(&node, &servers),
             Ok((Message::ServerNotices(told), _)) => {
-                notices::take_in(&node, &told, &ip.to_string())
+                notices::hear_told(&node, &socket, ip, told).await
             }
             Ok((Message::AskTurn(ask), _)) => turns::answer(&node, &socket, ip, &ask),
             Ok((Message::Turn(told), _)) => turns::take_in(&node, told),
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -48,7 +48,7 @@
     /// What the giver of orders did, passed on by the first box of a hall.
     Notes(Vec<ToldNote>),
     /// What servers said of themselves.
-    ServerNotices(Vec<ToldNotice>),
+    ServerNotices(ToldNotices),
     /// A question to the keeper of a server's turns.
     AskTurn(AskTurn),
     /// The answer to it.
@@ -64,6 +64,15 @@
     pub hand_on: bool,
 }
 
+/// What servers said of themselves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ToldNotices {
+    /// What each said.
+    pub notices: Vec<ToldNotice>,
+    /// Whether the box that gets this is to hand it on to its hall.
+    pub hand_on: bool,
+}
+
 /// What a server said of itself, and how many milliseconds ago.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ToldNotice {
--- a/trackfrontd/src/serving/notices.rs
+++ b/trackfrontd/src/serving/notices.rs
@@ -1,6 +1,7 @@
 //! Hears what servers say of themselves in their answers, and tells the other boxes.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use trackfront_core::serving::notices::{Learned, LimitWord, NoticeBook, Source};
 use trackfront_core::units::Moment;
 
-use super::messages::{Message, SaidNotice, ToldNotice};
+use super::messages::{Message, SaidNotice, ToldNotice, ToldNotices};
 use super::node::{ServingNode, short_server};
 use super::peer_socket::PeerSocket;
 use super::{boxes, exchange};
@@ -213,13 +214,28 @@
             let (cold, book) = (node.cold.lock(), node.notices.lock());
             due.iter().flat_map(|server| words_on(&book, &cold, server, now)).collect()
         };
-        let boxes = node.peers.lock().reachable(now);
+        let all = node.peers.lock().to_tell_all(now);
         for some in told.chunks(TOLD_AT_ONCE) {
-            socket.send(&Message::ServerNotices(some.to_vec()), &boxes).await;
+            send(&socket, some, false, &all.directly).await;
+            send(&socket, some, true, &all.to_hand_on).await;
         }
     }
 }
 
+async fn send(socket: &PeerSocket, notices: &[ToldNotice], hand_on: bool, boxes: &[Ipv4Addr]) {
+    let told = ToldNotices { notices: notices.to_vec(), hand_on };
+    socket.send(&Message::ServerNotices(told), boxes).await;
+}
+
+/// Takes in what another box tells, and hands it on to this one's part of its hall if it is to.
+pub async fn hear_told(node: &ServingNode, socket: &PeerSocket, from: Ipv4Addr, told: ToldNotices) {
+    take_in(node, &told.notices, &from.to_string());
+    if told.hand_on {
+        let part = node.peers.lock().own_part(node.now());
+        send(socket, &told.notices, false, &part).await;
+    }
+}
+
 /// Returns what other boxes are told of a server.
 fn words_on(
     book: &NoticeBook,
--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -116,6 +116,15 @@
     }
 }
 
+/// Whom a box tells what all boxes are to know.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TellAll {
+    /// Boxes that are told themselves.
+    pub directly: Vec<Ipv4Addr>,
+    /// Boxes that hand it on to their part of their hall.
+    pub to_hand_on: Vec<Ipv4Addr>,
+}
+
 /// The other boxes.
 #[derive(Debug)]
 pub struct PeerBook {
@@ -441,6 +450,15 @@
         first.filter(|ip| *ip != self.me.ip).collect()
     }
 
+    /// Returns whom this box tells what all boxes are to know: in a large fleet the boxes that hand it on to their halls,
+    /// and its own part of its hall if it is one of these.
+    pub fn to_tell_all(&self, now: Moment) -> TellAll {
+        if self.halls.is_small_fleet() {
+            return TellAll { directly: self.reachable(now), to_hand_on: Vec::new() };
+        }
+        TellAll { directly: self.own_part(now), to_hand_on: self.first_of_halls() }
+    }
+
     /// Returns whether each box tells each.
     pub fn is_small_fleet(&self) -> bool {
         self.halls.is_small_fleet()
--- a/trackfrontd/tests/fleet.rs
+++ b/trackfrontd/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Many boxes by one clock, each with its own book of the others: who reads for a hall, who gives orders, and what a
 //! box sends and hears for it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -148,7 +148,7 @@
 
     fn halls_with_reader(&self) -> usize {
         let halls = self.readers().into_iter().map(|index| self.places[index].hall);
-        halls.collect::<std::collections::BTreeSet<u32>>().len()
+        halls.collect::<BTreeSet<u32>>().len()
     }
 
     /// Runs until something holds; returns how long that took.
@@ -275,3 +275,36 @@
     });
     assert!(took <= 5_000, "known after {took} ms");
 }
+
+/// Guards against a word for all boxes that costs a small box, or the links between halls, as many datagrams as there
+/// are boxes, and against boxes that nobody hands it on to.
+#[test]
+fn a_word_for_all_reaches_every_box_by_a_few_of_each_hall() {
+    for (boxes, kind) in [(90, Kind::AllAlike), (300, Kind::AllAlike), (984, Kind::SomeStrong)] {
+        let mut fleet = Fleet::new(boxes, kind);
+        fleet.run(3_000);
+        let now = at(fleet.now_ms);
+        let index_of: HashMap<Ipv4Addr, usize> =
+            fleet.places.iter().enumerate().map(|(index, place)| (place.ip, index)).collect();
+        for teller in [0, 7, 13, boxes as usize / 2, boxes as usize - 1] {
+            let all = fleet.books[teller].to_tell_all(now);
+            let handed =
+                all.to_hand_on.iter().flat_map(|ip| fleet.books[index_of[ip]].own_part(now));
+            let told: BTreeSet<Ipv4Addr> =
+                all.directly.iter().chain(&all.to_hand_on).copied().chain(handed).collect();
+            let missed = fleet.places.iter().filter(|place| !told.contains(&place.ip));
+            let missed: Vec<Ipv4Addr> = missed.map(|place| place.ip).collect();
+            let own = fleet.places[teller].ip;
+            assert!(
+                missed.iter().all(|ip| *ip == own),
+                "{boxes} boxes, told by {teller}: {missed:?}"
+            );
+            let sent = all.directly.len() + all.to_hand_on.len();
+            println!(
+                "{boxes} boxes: {sent} datagrams by {teller}, {} between halls",
+                all.to_hand_on.len()
+            );
+            assert!(sent <= 128, "{boxes} boxes: {sent} datagrams by {teller}");
+        }
+    }
+}
