Choose a server in a module of its own, and tell other boxes of notices in one

What boxes tell each other of servers' words is apart from hearing them. No change of behaviour; the tests of notices, of the soak, of requests and of the daemon pass.

--- /dev/null
+++ b/trackfrontd/src/serving/notices/mod.rs
@@ -0,0 +1,122 @@
+//! Hears what servers say of themselves in their answers; [`tell`](mod@tell) has the other boxes know.
+
+mod tell;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+pub use tell::{NoticesToTell, copy, hear_told, load, tell};
+use trackfront_adapters::interface::ServerHead;
+use trackfront_adapters::serving_metrics::KindLabel;
+use trackfront_core::ids::BackendId;
+use trackfront_core::serving::directory::KnownServer;
+use trackfront_core::serving::notices::{Learned, Source};
+use trackfront_core::units::Moment;
+
+use super::node::ServingNode;
+
+/// The kinds of notices in metrics.
+const LEAVES: &str = "leaves";
+const LIMITED: &str = "limited";
+const UNLIMITED: &str = "unlimited";
+const BACKS_OFF: &str = "backs_off";
+const COLD: &str = "cold";
+
+/// How much longer than a server asked for some boxes stay away, as a part of that time: all that it turned away together
+/// would come back together.
+const SPREAD: f64 = 0.1;
+
+/// Takes in what the head of an answer from a server's address says, unless another run of the server wrote it. `by` is
+/// the request that it came to.
+pub fn hear(
+    node: &ServingNode,
+    server: &Arc<KnownServer>,
+    head: &ServerHead,
+    source: Source,
+    by: &str,
+) {
+    let is_of_other_run = match &head.instance {
+        Some(key) => *key != server.entry.key,
+        None => head.misdirected,
+    };
+    if is_of_other_run {
+        return;
+    }
+    let (id, now) = (&server.entry.id, node.now());
+    let mut notice = head.notice;
+    notice.back_off = notice.back_off.map(|wait| wait.mul_f64(1.0 + SPREAD * spread_of(node, id)));
+    let learned = node.notices.lock().heard(id, &notice, source, now);
+    for learned in learned {
+        note(node, id, learned, by);
+        if is_for_all(learned) {
+            node.notices_to_tell.add(id, now);
+        }
+    }
+    if let Some(cold_for) = head.cold_for
+        && note_cold(node, id, cold_for, by)
+    {
+        node.notices_to_tell.add(id, now);
+    }
+}
+
+/// Takes in how much longer a server is cold. Returns whether that is news.
+fn note_cold(node: &ServingNode, server: &BackendId, cold_for: Duration, by: &str) -> bool {
+    let is_news = node.cold.lock().told(server, cold_for, node.now());
+    if is_news {
+        log::info!(server:%, ms = cold_for.as_millis() as u64, by; "server cold");
+        node.metrics.notices.get_or_create(&KindLabel { kind: COLD }).inc();
+    }
+    is_news
+}
+
+/// Returns when in the time after a server's back-off this box comes back, from 0 to 1: another time than other boxes.
+fn spread_of(node: &ServingNode, server: &BackendId) -> f64 {
+    let me = node.settings.load().node.ip;
+    let hash = blake3::hash(format!("{me} {server}").as_bytes());
+    f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX)
+}
+
+/// Returns whether other boxes have to know. For how long a server wants nothing it says to each box by itself.
+fn is_for_all(learned: Learned) -> bool {
+    !matches!(learned, Learned::BacksOff(_))
+}
+
+/// Logs and counts what was learned of a server.
+fn note(node: &ServingNode, server: &BackendId, learned: Learned, by: &str) {
+    let kind = match learned {
+        Learned::Leaves => {
+            log::info!(server:%, by; "server says that it leaves");
+            LEAVES
+        }
+        Learned::Limited(per_s) => {
+            log::info!(server:%, per_s, by; "server limit named");
+            LIMITED
+        }
+        Learned::Unlimited => {
+            log::info!(server:%, by; "server limit over");
+            // Requests that are held for a turn need none now.
+            node.servers_changed.notify_waiters();
+            UNLIMITED
+        }
+        Learned::BacksOff(wait) => {
+            log::info!(server:%, ms = wait.as_millis() as u64, by; "server asks to back off");
+            BACKS_OFF
+        }
+    };
+    node.metrics.notices.get_or_create(&KindLabel { kind }).inc();
+}
+
+/// Drops what is over, and counts what is in force.
+pub fn sweep(node: &ServingNode, now: Moment) {
+    let directory = node.directory.lock();
+    let mut book = node.notices.lock();
+    book.forget_old(|server| directory.get(server).is_some(), now);
+    let counts = [
+        (LEAVES, book.leaving().count()),
+        (LIMITED, book.limits().count()),
+        (BACKS_OFF, book.backing_off(now)),
+    ];
+    for (kind, count) in counts {
+        node.metrics.noticed_servers.get_or_create(&KindLabel { kind }).set(count as i64);
+    }
+}
--- /dev/null
+++ b/trackfrontd/src/serving/pipeline/choice.rs
@@ -0,0 +1,116 @@
+//! Which server gets a request, by all that this box knows.
+
+use std::sync::Arc;
+
+use trackfront_core::ids::BackendId;
+use trackfront_core::serving::choose::{Choice, NoChoice, Query, choose};
+use trackfront_core::serving::cold::ColdStart;
+use trackfront_core::serving::directory::KnownServer;
+use trackfront_core::serving::places::{Evacuations, Places};
+use trackfront_core::serving::spread::some_of;
+
+use super::Job;
+use crate::serving::cold::ColdView;
+use crate::serving::follow;
+use crate::serving::overlay::NodeView;
+use crate::serving::settings::ServingSettings;
+
+impl Job {
+    /// Chooses a server that is not in `tried`.
+    pub fn choose(&self, tried: &[BackendId]) -> Result<Choice, NoChoice> {
+        self.choose_by(tried, true)
+    }
+
+    /// The same; without `by_gates` also among servers with a limit whose next turn is not now.
+    pub(super) fn choose_by(
+        &self,
+        tried: &[BackendId],
+        by_gates: bool,
+    ) -> Result<Choice, NoChoice> {
+        let node = &self.node;
+        follow::end_lapses(node);
+        let settings = node.settings.load();
+        let evacuations = node.evacuations.lock();
+        let query = Query {
+            info: &self.info,
+            prefixes: &self.prefixes,
+            rank: self.rank,
+            tried,
+            zone: &settings.node.zone,
+            places: self.places(&evacuations, &settings),
+            drain_grace: node.drain_grace(),
+            drain_end: node.drain_end(),
+            now: node.now(),
+        };
+        let directory = node.directory.lock();
+        let mut loads = node.loads.lock();
+        let overlay = node.overlay.lock();
+        let (start, terms) = (self.cold_start(), settings.promises.cold());
+        let book = node.cold.lock();
+        let cold = ColdView { start, terms, book: &book, evacuations: &evacuations };
+        let (notices, gates) = (node.notices.lock(), node.turns.gates.lock());
+        let view = NodeView {
+            overlay: &overlay,
+            pool: &node.pool,
+            cold,
+            notices: &notices,
+            gates: by_gates.then_some(&*gates),
+            now: query.now,
+        };
+        let memory = node.memory.lock();
+        let all = directory.of_service(&self.service);
+        let is_candidate = |known: &&Arc<KnownServer>| known.entry.service == self.service;
+        let knows_loads = node.peers.lock().is_small_fleet();
+        let mut choose_among = |servers: &mut dyn Iterator<Item = &Arc<KnownServer>>| {
+            if knows_loads {
+                return choose(&query, servers, &mut loads, &memory, &view);
+            }
+            let servers: Vec<&Arc<KnownServer>> = servers.collect();
+            let usable = |known: &KnownServer| {
+                let id = &known.entry.id;
+                known.is_ready()
+                    && notices.leaving_since(id).is_none()
+                    && query.places.allow(&known.entry.zone)
+                    && !tried.contains(id)
+                    && !loads.is_paused(id, query.now)
+            };
+            let some = servers.iter().copied();
+            let some = some_of(some, query.zone, usable, &mut rand::rng());
+            let found = choose(&query, some, &mut loads, &memory, &view);
+            found.or_else(|_| choose(&query, servers, &mut loads, &memory, &view))
+        };
+        let Some(item) = &self.info.model else {
+            return choose_among(&mut all.iter());
+        };
+        // Of thousands of engines few hold the model. The others only tell why there is no choice.
+        let holders = directory.holding(&item.model).iter().filter(is_candidate);
+        let holds = |known: &&Arc<KnownServer>| known.entry.models.contains_key(&item.model);
+        let listed = |id: &BackendId| {
+            let place = all.binary_search_by(|known| known.entry.id.cmp(id)).ok()?;
+            Some(&all[place])
+        };
+        let added = overlay.added_to(item).filter_map(listed).filter(|known| !holds(known));
+        match choose_among(&mut holders.chain(added)) {
+            Err(NoChoice::NoServer | NoChoice::NotAllowed | NoChoice::NoModel) => {
+                choose(&query, all, &mut loads, &memory, &view)
+            }
+            found => found,
+        }
+    }
+
+    /// Returns where the request may be served.
+    fn places<'a>(
+        &'a self,
+        evacuations: &'a Evacuations,
+        settings: &'a ServingSettings,
+    ) -> Places<'a> {
+        let account = self.account.as_ref().and_then(|account| account.regions.as_ref());
+        let bounds = [self.route.regions.as_ref(), account];
+        Places { evacuations, regions: &settings.halls, bounds }
+    }
+
+    /// Returns what the servers of the service bear after a start, if that is less than later.
+    pub(super) fn cold_start(&self) -> Option<ColdStart> {
+        self.config.services.get(&self.service)?.cold
+    }
+}
