Ask a keeper that did not answer again after three seconds, and resume only where a server is

Each time that a lost keeper is asked anew, what wants a turn then waits 120 ms: nearly the whole target of plain calls. It is asked again as seldom as a keeper of accounts' limits now. A stream that no server can continue takes nothing off the budget of retries, as before turns were taken last.

--- a/trackfront_core/src/serving/turns.rs
+++ b/trackfront_core/src/serving/turns.rs
@@ -29,7 +29,7 @@
 pub const TURN_FOR: Duration = Duration::from_millis(300);
 
 /// How long a keeper that did not answer is not asked again.
-const SILENT_FOR: Duration = Duration::from_millis(1_000);
+const SILENT_FOR: Duration = Duration::from_millis(3_000);
 
 /// How long nothing is sent to a server while no keeper answers.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(400);
--- a/trackfrontd/src/serving/relay.rs
+++ b/trackfrontd/src/serving/relay.rs
@@ -277,7 +277,7 @@
         self.partial.clear();
         // A stream that fell silent may still run; it must not beside the one that continues it.
         self.body.close();
-        if !job.take_repeat() {
+        if job.choose(&self.tried).is_err() || !job.take_repeat() {
             return false;
         }
         let Ok(units) = job.units().await else {
