Orders and reports take turns at engines with a limit, and hear what engines say

What engines say in answers to orders and reports was not heard, so a limit was learned from the first client's answer. And engines with a limit got no orders at all: where all engines of a service name one, a model that none holds would have come nowhere until it was over. Now a question for a report, and an order, each take a turn out of the limit; whether an order is done is read from the engine's row. A server that wants nothing from this box still gets none.

--- a/trackfront_core/src/serving/notices.rs
+++ b/trackfront_core/src/serving/notices.rs
@@ -155,11 +155,6 @@
         self.back_off.get(server).copied().filter(|until| now < *until)
     }
 
-    /// Returns whether a server may be sent what is not for a client: one that takes few requests is spared that.
-    pub fn takes_calls(&self, server: &BackendId, now: Moment) -> bool {
-        self.per_s(server).is_none() && self.backs_off_until(server, now).is_none()
-    }
-
     /// Returns the servers that leave.
     pub fn leaving(&self) -> impl Iterator<Item = &BackendId> {
         self.leaving.keys()
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -7,22 +7,26 @@
 use parking_lot::Mutex;
 use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_adapters::upstream::{SendOptions, UpstreamError};
+use trackfront_adapters::upstream::{SendOptions, UpstreamAnswer, UpstreamError};
 use trackfront_core::ids::{AdapterName, BackendId};
 use trackfront_core::serving::config::EngineSpec;
 use trackfront_core::serving::directory::{KnownServer, Residents};
+use trackfront_core::serving::notices::Source;
 use trackfront_core::serving::orders::{
     EngineOrder, EngineReport, ORDER_TIMEOUT, Operation, OrderAnswer, check,
 };
 use trackfront_core::serving::planner::Proposal;
 use trackfront_core::serving::request::ModelRef;
+use trackfront_core::units::Moment;
 
 use super::crashes;
 use super::lacks;
 use super::lease::OrderRight;
 use super::node::ServingNode;
+use super::notices;
 use super::order_book::OrderBook;
 use super::overlay::NoteKind;
+use super::turns;
 
 /// How long nodes are given to hear that a model will leave.
 const WITHDRAW_TIME: Duration = Duration::from_millis(150);
@@ -56,6 +60,9 @@
 /// How long a report may take.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long a turn at an engine with a limit is waited for.
+const TURN_PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// How long a connection to an engine may take to open.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
@@ -229,6 +236,9 @@
     }
 
     async fn send(&self, proposal: &Proposal, report: &EngineReport) -> OrderAnswer {
+        if !self.may_call().await {
+            return OrderAnswer::NotSent;
+        }
         let Some(fence) = self.right.usable(self.node.now()) else {
             return OrderAnswer::NotSent;
         };
@@ -242,11 +252,15 @@
         let server = &self.server.entry;
         // A new connection each time: nothing that was written earlier can arrive behind it.
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: Duration::ZERO };
-        let has_right = || self.right.usable(self.node.now()) == Some(fence) && self.takes_calls();
+        let has_right = || self.right.usable(self.node.now()) == Some(fence);
         let make = || has_right().then(|| self.node.ports.servers.order_request(server, &order));
         let sending = self.node.pool.send(&server.address, options, make);
+        let sent_at = self.node.now();
         match timeout(ORDER_TIMEOUT, sending).await {
-            Ok(Ok(answer)) => self.node.ports.servers.read_order_answer(answer.head.status),
+            Ok(Ok(answer)) => {
+                self.hear(&answer, sent_at);
+                self.node.ports.servers.read_order_answer(answer.head.status)
+            }
             Ok(Err(
                 UpstreamError::NotSent(_)
                 | UpstreamError::ConnectionRefused(_)
@@ -282,7 +296,8 @@
             if open.is_empty() {
                 return true;
             }
-            let report = self.report().await;
+            // What an engine with a limit holds its row tells, later: each question would take the place of a request.
+            let report = if self.limit().is_none() { self.report().await } else { None };
             if let Some(other) = report.as_ref().filter(|it| it.is_of_other_run(&self.server.entry))
             {
                 for proposal in &open {
@@ -354,15 +369,39 @@
         (known.version > self.server.version).then(|| known.entry.models.clone())
     }
 
-    /// Returns whether the engine takes what is not for a client: one that asked for few requests is spared that.
-    fn takes_calls(&self) -> bool {
-        self.node.notices.lock().takes_calls(self.id(), self.node.now())
+    /// Returns the limit that the engine named, in requests a second.
+    fn limit(&self) -> Option<f64> {
+        self.node.notices.lock().per_s(self.id())
+    }
+
+    /// Waits until the engine may be sent what is for no client, which comes out of what it takes for clients. Returns
+    /// whether it may.
+    async fn may_call(&self) -> bool {
+        let now = self.node.now();
+        if self.node.notices.lock().backs_off_until(self.id(), now).is_some() {
+            return false;
+        }
+        let Some(per_s) = self.limit() else {
+            return true;
+        };
+        let turn = turns::take(&self.node, self.id(), per_s, TURN_PATIENCE).await;
+        let Some(from) = turn else {
+            return false;
+        };
+        sleep(from.since(self.node.now())).await;
+        true
+    }
+
+    /// Hears what the engine says of itself in an answer that is for no client. That it names no limit there says nothing.
+    fn hear(&self, answer: &UpstreamAnswer, sent: Moment) {
+        let head = self.node.ports.servers.read_head(&answer.head);
+        let source = Source { sent, is_answer: false };
+        notices::hear(&self.node, &self.server, &head, source, "an order or report");
     }
 
-    /// Reads the engine's report and keeps it for the next plan. What an engine that takes few requests holds its row
-    /// tells, later.
+    /// Reads the engine's report and keeps it for the next plan.
     async fn report(&self) -> Option<EngineReport> {
-        if !self.takes_calls() {
+        if !self.may_call().await {
             return None;
         }
         let server = &self.server.entry;
@@ -371,6 +410,7 @@
         let asked_at = self.node.now();
         let reading = async {
             let answer = self.node.pool.send(&server.address, options, make).await?;
+            self.hear(&answer, asked_at);
             answer.body.read(MAX_REPORT).await
         };
         let body = match timeout(REPORT_TIMEOUT, reading).await {
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -154,7 +154,7 @@
         };
         let used: Vec<&Arc<KnownServer>> = servers.iter().filter(is_used).collect();
         let demand = self.node.demand.lock().total(now);
-        for (server, takes_calls) in self.that_take_part(used, &demand, now) {
+        for (server, backs_off) in self.that_take_part(used, &demand, now) {
             let mut loads = self.node.loads.lock();
             let load = loads.server(&server.entry.id);
             let silent = load.unreachable_since();
@@ -163,7 +163,7 @@
                 let engine_orders = book.engines.entry(server.entry.id.clone()).or_default();
                 let seen = view(server, engine_orders, now);
                 let busy =
-                    seen.busy || book.may_get_earlier_orders(&server.entry, now) || !takes_calls;
+                    seen.busy || book.may_get_earlier_orders(&server.entry, now) || backs_off;
                 let in_use = in_use.remove(&server.entry.id).unwrap_or_default();
                 views.push(EngineView { in_use, busy, ..seen });
             }
@@ -182,7 +182,7 @@
         planned.proposals
     }
 
-    /// Returns the engines that take their part of what is asked for, and whether each takes what is not for a client.
+    /// Returns the engines that take their part of what is asked for, and whether each wants nothing from this box now.
     fn that_take_part<'a>(
         &self,
         engines: Vec<&'a Arc<KnownServer>>,
@@ -195,9 +195,10 @@
             per_s: notices.per_s(&server.entry.id),
         });
         let takes_part = takes_part(&limited.collect::<Vec<_>>(), demand);
-        let takes_calls = |server: &KnownServer| notices.takes_calls(&server.entry.id, now);
+        let backs_off =
+            |server: &KnownServer| notices.backs_off_until(&server.entry.id, now).is_some();
         let all = engines.into_iter().zip(takes_part).filter(|(_, takes_part)| *takes_part);
-        all.map(|(server, _)| (server, takes_calls(server))).collect()
+        all.map(|(server, _)| (server, backs_off(server))).collect()
     }
 
     /// Starts the task that carries the proposals for one engine out.
