Boxes that are alone keep a server's limit together, and forget what they were told then

A keeper gave one turn in five seconds however few boxes it reached, so 984 boxes that are all cut apart from each other would send a server that wants nothing 657 requests in 4 s (simulated; 5 are allowed). The least rate is that of all boxes together now. A keeper that had been alone then gave nothing for 3,936 s at a limit of 0.5 a second once the boxes were together: what is left of a wait is counted in turns, at whatever rate they come. And a box that is told of so long a wait asks again after 5 s. Three tests, red before.

--- a/trackfront_core/src/serving/turns.rs
+++ b/trackfront_core/src/serving/turns.rs
@@ -22,6 +22,9 @@
 /// named none at all is asked now and then.
 const LEAST_PER_S: f64 = 0.2;
 
+/// How far apart turns are at the most: that much is a box alone out of a thousand given at the least limit.
+const LONGEST_APART: Duration = Duration::from_secs(5_000);
+
 /// How long turns that nobody took may be made up for.
 const MADE_UP_FOR: Duration = Duration::from_millis(100);
 
@@ -37,6 +40,10 @@
 /// The least time that a gate is shut: a request that was refused a turn chooses another server meanwhile.
 const LEAST_SHUT: Duration = Duration::from_millis(20);
 
+/// The longest time, which is how far apart turns of the least limit are: what a box is told that was cut off holds for
+/// no longer.
+const LONGEST_SHUT: Duration = Duration::from_secs(5);
+
 /// How long the count for a server is kept after its last turn.
 const KEPT_FOR: Duration = Duration::from_secs(60);
 
@@ -52,36 +59,54 @@
 /// The turns that one box gives as a keeper.
 #[derive(Debug, Default)]
 pub struct Turns {
-    /// When the next turn at each server is, by its place in the order of keepers.
-    next: HashMap<u32, Moment>,
+    /// The next turn at each server, by its place in the order of keepers.
+    next: HashMap<u32, Next>,
+}
+
+/// The next turn at a server.
+#[derive(Clone, Copy, Debug)]
+struct Next {
+    at: Moment,
+    /// How far apart turns were when that was set.
+    apart: Duration,
+}
+
+impl Next {
+    /// Returns when it is where turns are `apart`: what is left of the wait is as many turns.
+    fn at(self, apart: Duration, now: Moment) -> Moment {
+        if self.apart == apart || self.at <= now {
+            return self.at;
+        }
+        let turns = self.at.since(now).as_secs_f64() / self.apart.as_secs_f64();
+        now + apart.mul_f64(turns)
+    }
 }
 
 impl Turns {
     /// Gives a turn at the server at `place` that takes `per_s` requests a second from the boxes that ask here, if it
     /// comes within `patience`. Before the first one a turn's time passes: what boxes have under way came without any.
     pub fn ask(&mut self, place: u32, per_s: f64, patience: Duration, now: Moment) -> Turn {
-        let apart = Duration::from_secs_f64(1.0 / per_s.max(LEAST_PER_S));
-        let next = self.next.entry(place).or_insert(now + apart);
+        let apart = Duration::from_secs_f64((1.0 / per_s).min(LONGEST_APART.as_secs_f64()));
+        let next = self.next.entry(place).or_insert(Next { at: now + apart, apart });
         let made_up = Moment(now.0.saturating_sub(MADE_UP_FOR));
-        let turn = (*next).max(made_up);
+        let turn = next.at(apart, now).max(made_up);
         let wait = turn.since(now);
-        if wait > patience {
-            return Turn::NotBefore(wait);
-        }
-        *next = turn + apart;
-        Turn::In(wait)
+        let is_given = wait <= patience;
+        *next = Next { at: if is_given { turn + apart } else { turn }, apart };
+        if is_given { Turn::In(wait) } else { Turn::NotBefore(wait) }
     }
 
     /// Forgets servers that nobody has asked for in a while.
     pub fn forget_old(&mut self, now: Moment) {
-        self.next.retain(|_, next| now.since(*next) < KEPT_FOR);
+        self.next.retain(|_, next| now.since(next.at) < KEPT_FOR);
     }
 }
 
-/// Which part of a limit a keeper gives that reaches `reached` boxes of `all`, itself included in both.
-pub fn keeper_part(reached: usize, all: usize, is_stand_in: bool) -> f64 {
+/// Returns how much of a limit a keeper gives a second that reaches `reached` boxes of `all`, itself included in both.
+pub fn kept_rate(limit: f64, reached: usize, all: usize, is_stand_in: bool) -> f64 {
     let part = reached as f64 / all.max(reached).max(1) as f64;
-    if is_stand_in { part * STAND_IN_PART } else { part }
+    let stand_in_part = if is_stand_in { STAND_IN_PART } else { 1.0 };
+    limit.max(LEAST_PER_S) * part * stand_in_part
 }
 
 /// The box to ask for a turn.
@@ -125,7 +150,7 @@
 
     /// Notes that the next turn at a server comes in so long.
     pub fn refused(&mut self, server: &BackendId, wait: Duration, now: Moment) {
-        self.shut.insert(server.clone(), now + wait.max(LEAST_SHUT));
+        self.shut.insert(server.clone(), now + wait.clamp(LEAST_SHUT, LONGEST_SHUT));
     }
 
     /// Notes that a keeper did not answer.
--- a/trackfront_core/tests/serving/turns.rs
+++ b/trackfront_core/tests/serving/turns.rs
@@ -9,7 +9,7 @@
 use trackfront_core::ids::BackendId;
 use trackfront_core::quota::BoxId;
 use trackfront_core::serving::cold::{ColdBook, ColdStart, ColdTerms, Coldness};
-use trackfront_core::serving::turns::{Gates, Turn, Turns, keeper_part};
+use trackfront_core::serving::turns::{Gates, Turn, Turns, kept_rate};
 use trackfront_core::units::Moment;
 
 use super::support::at;
@@ -164,7 +164,7 @@
 
     fn turn(&mut self, keeper: usize, is_stand_in: bool, now: Moment) -> Turn {
         let (reached, all) = (self.known_up(keeper).len(), self.gates.len());
-        let per_s = self.limit * keeper_part(reached, all, is_stand_in);
+        let per_s = kept_rate(self.limit, reached, all, is_stand_in);
         self.turns[keeper].ask(PLACE, per_s, self.patience, now)
     }
 }
@@ -277,6 +277,19 @@
     }
 }
 
+/// Guards against a least rate that each box alone takes for its own.
+#[test]
+fn boxes_that_are_all_alone_keep_the_limit_together() {
+    for limit in [0.0, 0.5, 20.0] {
+        let mut way = Keepers::new(984, limit);
+        way.knows_groups = true;
+        way.group = (0..984).collect();
+        let demand = Demand { one_in: 1, per_s: limit * 3.0 + 500.0 };
+        let seen = play(&mut way, 984, limit.max(0.5), demand, 5);
+        assert!(seen.worst as f64 <= bound(limit), "{limit}: {seen:?}");
+    }
+}
+
 #[test]
 fn a_keeper_that_is_lost_leaves_a_part_of_its_turns_to_the_next() {
     for limit in LIMITS {
@@ -311,15 +324,50 @@
     );
 }
 
+/// Guards against a keeper that was alone for a while, or had a low limit, and gives nothing for long after that is over.
+#[test]
+fn what_is_left_of_a_wait_is_as_many_turns_at_another_rate() {
+    let mut turns = Turns::default();
+    let alone = kept_rate(0.5, 1, 984, false);
+    assert!(matches!(turns.ask(PLACE, alone, Duration::MAX, at(0)), Turn::In(_)));
+    // One turn is given and one passed: two turns are left, at two seconds each once the boxes are together.
+    let together = turns.ask(PLACE, 0.5, Duration::ZERO, at(0));
+    assert_eq!(together, Turn::NotBefore(Duration::from_secs(4)));
+    assert_eq!(
+        turns.ask(PLACE, 4.0, Duration::ZERO, at(2_000)),
+        Turn::NotBefore(Duration::from_millis(250))
+    );
+    assert_eq!(
+        turns.ask(PLACE, 1.0, Duration::ZERO, at(2_000)),
+        Turn::NotBefore(Duration::from_secs(1))
+    );
+}
+
 #[test]
 fn a_server_that_wants_nothing_is_still_asked_now_and_then() {
     let mut turns = Turns::default();
-    let given = (0..60_000)
-        .step_by(100)
-        .filter(|ms| matches!(turns.ask(PLACE, 0.0, Duration::ZERO, at(*ms)), Turn::In(_)));
+    let given = (0..60_000).step_by(100).filter(|ms| {
+        let per_s = kept_rate(0.0, 6, 6, false);
+        matches!(turns.ask(PLACE, per_s, Duration::ZERO, at(*ms)), Turn::In(_))
+    });
     assert_eq!(given.count(), 11, "one each five seconds, in a minute");
 }
 
+/// Guards against a box that was cut off and stays away from a server for as long as it was told then.
+#[test]
+fn a_gate_is_shut_for_no_longer_than_the_slowest_turns_of_all_boxes_are_apart() {
+    let mut gates = Gates::default();
+    gates.refused(&server(), Duration::from_secs(1_968), at(0));
+    assert_eq!(gates.shut_until(&server(), at(100)), Some(at(5_000)));
+    assert_eq!(gates.shut_until(&server(), at(5_000)), None);
+    gates.refused(&server(), Duration::ZERO, at(6_000));
+    assert_eq!(
+        gates.shut_until(&server(), at(6_001)),
+        Some(at(6_020)),
+        "others are chosen meanwhile"
+    );
+}
+
 #[test]
 fn keepers_are_the_first_two_that_answer() {
     let mut gates = Gates::default();
--- a/trackfrontd/src/serving/turns.rs
+++ b/trackfrontd/src/serving/turns.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 use trackfront_core::ids::BackendId;
 use trackfront_core::quota::BoxId;
-use trackfront_core::serving::turns::{Gates, Keeper, Turn, Turns, keeper_part};
+use trackfront_core::serving::turns::{Gates, Keeper, Turn, Turns, kept_rate};
 use trackfront_core::units::Moment;
 
 use super::messages::{AskTurn, Message, ToldTurn};
@@ -156,7 +156,7 @@
         let peers = node.peers.lock();
         (peers.reachable(now).len() + 1, peers.sharing(now))
     };
-    let per_s = known.unwrap_or(ask.per_s) * keeper_part(reached, all, ask.is_stand_in);
+    let per_s = kept_rate(known.unwrap_or(ask.per_s), reached, all, ask.is_stand_in);
     let patience = Duration::from_millis(u64::from(ask.patience_ms));
     node.turns.given.lock().ask(ask.server, per_s, patience, now)
 }
