Orders and reports look at their turn last before they are sent

Seen by reading: orders and questions for reports judged whether they may call an engine before the connection opened (up to 0.3 s) and, of an engine with a limit, before they waited for their turn (up to 1 s). An engine that asked the box for rest meanwhile, or named a limit, still got the call; a turn could lapse on the way.

Cause: two judges of one question. Requests looked last before the send, with their own function, orders before all else, with another. Now there is one, NoticeBook::lets_in, which both ask in the closure that makes the request; TakenTurn moves to the core beside the turns.

--- a/trackfront_core/src/serving/notices.rs
+++ b/trackfront_core/src/serving/notices.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::ids::BackendId;
+use crate::serving::turns::TakenTurn;
 use crate::units::Moment;
 
 /// How long notices of a server are kept that is not listed: its row may lapse and come back.
@@ -155,6 +156,14 @@
         self.back_off.get(server).copied().filter(|until| now < *until)
     }
 
+    /// Returns whether a server may be sent something now, with a turn there if one was taken: to be looked at last
+    /// before a send, since a connection may have been opened or a turn waited for meanwhile.
+    pub fn lets_in(&self, server: &BackendId, turn: Option<TakenTurn>, now: Moment) -> bool {
+        let has_turn = || turn.is_some_and(|turn| turn.is_usable(now));
+        let backs_off = self.backs_off_until(server, now).is_some();
+        !backs_off && (self.per_s(server).is_none() || has_turn())
+    }
+
     /// Returns the servers that leave.
     pub fn leaving(&self) -> impl Iterator<Item = &BackendId> {
         self.leaving.keys()
--- a/trackfront_core/src/serving/turns.rs
+++ b/trackfront_core/src/serving/turns.rs
@@ -29,7 +29,7 @@
 const MADE_UP_FOR: Duration = Duration::from_millis(100);
 
 /// How long a turn may be used once it has come: what passes in a window was given in one longer by this.
-pub const TURN_FOR: Duration = Duration::from_millis(300);
+const TURN_FOR: Duration = Duration::from_millis(300);
 
 /// How long a keeper that did not answer is not asked again.
 const SILENT_FOR: Duration = Duration::from_millis(3_000);
@@ -56,6 +56,20 @@
     NotBefore(Duration),
 }
 
+/// A turn that a box took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TakenTurn {
+    /// From when on it may be used.
+    pub from: Moment,
+}
+
+impl TakenTurn {
+    /// Returns whether it may be used at `now`.
+    pub fn is_usable(self, now: Moment) -> bool {
+        now >= self.from && now.since(self.from) <= TURN_FOR
+    }
+}
+
 /// The turns that one box gives as a keeper.
 #[derive(Debug, Default)]
 pub struct Turns {
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -17,6 +17,7 @@
 };
 use trackfront_core::serving::planner::Proposal;
 use trackfront_core::serving::request::ModelRef;
+use trackfront_core::serving::turns::TakenTurn;
 use trackfront_core::units::Moment;
 
 use super::crashes;
@@ -72,6 +73,12 @@
 /// How large an engine's report may be, in bytes.
 const MAX_REPORT: usize = 256 * 1024;
 
+/// The right to call an engine, with a turn there if it has named a limit.
+#[derive(Clone, Copy)]
+struct CallRight {
+    turn: Option<TakenTurn>,
+}
+
 /// Orders that an engine took.
 struct Given<'a> {
     proposals: Vec<&'a Proposal>,
@@ -236,9 +243,9 @@
     }
 
     async fn send(&self, proposal: &Proposal, report: &EngineReport) -> OrderAnswer {
-        if !self.may_call().await {
+        let Some(right) = self.wait_for_right().await else {
             return OrderAnswer::NotSent;
-        }
+        };
         let Some(fence) = self.right.usable(self.node.now()) else {
             return OrderAnswer::NotSent;
         };
@@ -252,8 +259,9 @@
         let server = &self.server.entry;
         // A new connection each time: nothing that was written earlier can arrive behind it.
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: Duration::ZERO };
-        let has_right = || self.right.usable(self.node.now()) == Some(fence);
-        let make = || has_right().then(|| self.node.ports.servers.order_request(server, &order));
+        let may_order =
+            || self.right.usable(self.node.now()) == Some(fence) && self.may_call(right);
+        let make = || may_order().then(|| self.node.ports.servers.order_request(server, &order));
         let sending = self.node.pool.send(&server.address, options, make);
         let sent_at = self.node.now();
         match timeout(ORDER_TIMEOUT, sending).await {
@@ -374,22 +382,23 @@
         self.node.notices.lock().per_s(self.id())
     }
 
-    /// Waits until the engine may be sent what is for no client, which comes out of what it takes for clients. Returns
-    /// whether it may.
-    async fn may_call(&self) -> bool {
+    /// Waits until the engine may be sent what is for no client, which comes out of what it takes for clients; `None` if
+    /// it may not be sent that for now.
+    async fn wait_for_right(&self) -> Option<CallRight> {
         let now = self.node.now();
         if self.node.notices.lock().backs_off_until(self.id(), now).is_some() {
-            return false;
+            return None;
         }
-        let Some(per_s) = self.limit() else {
-            return true;
-        };
-        let turn = turns::take(&self.node, self.id(), per_s, TURN_PATIENCE).await;
-        let Some(from) = turn else {
-            return false;
-        };
-        sleep(from.since(self.node.now())).await;
-        true
+        let turn = turns::take(&self.node, self.id(), TURN_PATIENCE).await.ok()?;
+        if let Some(turn) = turn {
+            turns::comes(&self.node, turn).await;
+        }
+        Some(CallRight { turn })
+    }
+
+    /// Returns whether a right still stands.
+    fn may_call(&self, right: CallRight) -> bool {
+        self.node.notices.lock().lets_in(self.id(), right.turn, self.node.now())
     }
 
     /// Hears what the engine says of itself in an answer that is for no client. That it names no limit there says nothing.
@@ -401,11 +410,9 @@
 
     /// Reads the engine's report and keeps it for the next plan.
     async fn report(&self) -> Option<EngineReport> {
-        if !self.may_call().await {
-            return None;
-        }
+        let right = self.wait_for_right().await?;
         let server = &self.server.entry;
-        let make = || Some(self.node.ports.servers.report_request(server));
+        let make = || self.may_call(right).then(|| self.node.ports.servers.report_request(server));
         let options = SendOptions { connect_time: CONNECT_TIME, max_idle: Duration::from_secs(2) };
         let asked_at = self.node.now();
         let reading = async {
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -18,10 +18,10 @@
 use trackfront_core::serving::load::{Counted, Ending};
 use trackfront_core::serving::notices::Source;
 use trackfront_core::serving::request::ModelRef;
+use trackfront_core::serving::turns::TakenTurn;
 use trackfront_core::units::Moment;
 
 use super::Job;
-use super::turn::TakenTurn;
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::NoteKind;
 use crate::serving::spread::FeedKind;
@@ -210,14 +210,8 @@
     /// may have named a limit or asked this box to stay away, and it may have become cold.
     fn may_reach(&self, server: &KnownServer, turn: Option<TakenTurn>, now: Moment) -> bool {
         let is_evacuated = self.node.evacuations.lock().is_evacuated(&server.entry.zone);
-        let (is_limited, backs_off) = {
-            let (notices, id) = (self.node.notices.lock(), &server.entry.id);
-            (notices.per_s(id).is_some(), notices.backs_off_until(id, now).is_some())
-        };
-        let has_turn = !is_limited || turn.is_some_and(|turn| turn.is_usable(now));
         !is_evacuated
-            && !backs_off
-            && has_turn
+            && self.node.notices.lock().lets_in(&server.entry.id, turn, now)
             && cold::take(&self.node, self.cold_start(), server, now)
     }
 
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -37,7 +37,7 @@
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 use trackfront_core::units::Moment;
-pub use turn::{Chosen, TakenTurn};
+pub use turn::Chosen;
 use turn::{MAX_TURNS_REFUSED, log_no_turn};
 
 use super::crashes;
--- a/trackfrontd/src/serving/pipeline/turn.rs
+++ b/trackfrontd/src/serving/pipeline/turn.rs
@@ -2,14 +2,12 @@
 
 use std::time::Duration;
 
-use tokio::time::sleep;
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::choose::{Choice, NoChoice, Shut, ShutCause};
-use trackfront_core::serving::turns::TURN_FOR;
-use trackfront_core::units::Moment;
+use trackfront_core::serving::turns::TakenTurn;
 
 use super::{Job, Tries};
-use crate::serving::turns;
+use crate::serving::turns::{self, NoTurn};
 
 /// How many servers are asked in vain for a turn until a request is refused.
 pub(super) const MAX_TURNS_REFUSED: u32 = 4;
@@ -17,20 +15,6 @@
 /// How many times what an answer is expected to take has to be left after the wait for a turn.
 const ESTIMATES_LEFT: u32 = 2;
 
-/// A turn that was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TakenTurn {
-    /// From when on it may be used.
-    from: Moment,
-}
-
-impl TakenTurn {
-    /// Returns whether it may be used at `now`.
-    pub fn is_usable(self, now: Moment) -> bool {
-        now >= self.from && now.since(self.from) <= TURN_FOR
-    }
-}
-
 /// A server that was chosen, and a turn there if one had to be waited for.
 pub struct Chosen {
     /// The server.
@@ -39,12 +23,6 @@
     pub turn: Option<TakenTurn>,
 }
 
-/// A server had no turn for a request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct NoTurn {
-    per_s: f64,
-}
-
 /// Logs that the server that was chosen had no turn.
 pub(super) fn log_no_turn(job: &Job, choice: &Choice, no_turn: NoTurn) {
     let (request, server, per_s) = (&job.info.id, &choice.server.entry.id, no_turn.per_s);
@@ -58,12 +36,7 @@
         choice: &Choice,
         patience: Duration,
     ) -> Result<Option<TakenTurn>, NoTurn> {
-        let server = &choice.server.entry.id;
-        let Some(per_s) = self.node.notices.lock().per_s(server) else {
-            return Ok(None);
-        };
-        let from = turns::take(&self.node, server, per_s, patience).await;
-        from.map(|from| Some(TakenTurn { from })).ok_or(NoTurn { per_s })
+        turns::take(&self.node, &choice.server.entry.id, patience).await
     }
 
     /// Chooses a server that is not in `tried`, with a turn there if one is needed; `None` if there is none now.
@@ -95,7 +68,7 @@
         }
         let turn = self.take_turn(&choice, patience).await.ok()?;
         if let Some(turn) = turn {
-            sleep(turn.from.since(self.node.now())).await;
+            turns::comes(&self.node, turn).await;
         }
         // It is as good as chosen now, if it is still there.
         let server = self.node.directory.lock().get(&choice.server.entry.id).cloned()?;
--- a/trackfrontd/src/serving/turns.rs
+++ b/trackfrontd/src/serving/turns.rs
@@ -8,10 +8,10 @@
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use trackfront_core::ids::BackendId;
 use trackfront_core::quota::BoxId;
-use trackfront_core::serving::turns::{Gates, Keeper, Turn, Turns, kept_rate};
+use trackfront_core::serving::turns::{Gates, Keeper, TakenTurn, Turn, Turns, kept_rate};
 use trackfront_core::units::Moment;
 
 use super::messages::{AskTurn, Message, ToldTurn};
@@ -48,6 +48,13 @@
     }
 }
 
+/// A server had no turn in time.
+#[derive(Clone, Copy, Debug)]
+pub struct NoTurn {
+    /// The limit that it named, in requests a second.
+    pub per_s: f64,
+}
+
 /// A question that is open until this is dropped.
 struct Open<'a> {
     turns: &'a ServerTurns,
@@ -60,9 +67,27 @@
     }
 }
 
-/// Asks for a turn at a server that takes `per_s` requests a second. Returns when it comes; `None` if there is none
-/// within `patience`, so that nothing is sent there for a while.
+/// Takes a turn at a server if that has named a limit; fails if none comes within `patience`, so that nothing is sent
+/// there for a while.
 pub async fn take(
+    node: &ServingNode,
+    server: &BackendId,
+    patience: Duration,
+) -> Result<Option<TakenTurn>, NoTurn> {
+    let Some(per_s) = node.notices.lock().per_s(server) else {
+        return Ok(None);
+    };
+    let from = ask(node, server, per_s, patience).await;
+    from.map(|from| Some(TakenTurn { from })).ok_or(NoTurn { per_s })
+}
+
+/// Waits until a turn may be used.
+pub async fn comes(node: &ServingNode, turn: TakenTurn) {
+    sleep(turn.from.since(node.now())).await;
+}
+
+/// Asks for a turn at a server that takes `per_s` requests a second. Returns when it comes.
+async fn ask(
     node: &ServingNode,
     server: &BackendId,
     per_s: f64,
