Boxes that cannot learn that others live take them for missing no longer

Seen by a test of 984 boxes by one clock, red before: the first boxes of each hall are gone for 5 s; 10 s after all are back, most boxes still take some for missing, for good. Such a box asks them nothing any more: it finds other keepers of turns and of accounts' limits than the rest of the fleet, so a limit that a server named is given out twice.

Cause: a box that should speak for its hall and does not is passed over until it is heard. Whoever was to speak to this box only while that box, or this one, spoke for a hall, does not do so afterwards, and both wait. Now a box is taken for missing only while it would speak if it lived: up to the last delegate of the own hall, and of the others as long as this box is a delegate itself. Ruled out: that digests were lost (2 in 100 are, 10 s are 25 rounds).

--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -1,6 +1,6 @@
 //! The other boxes: which there are, which are alive, and what they last said of themselves.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -200,6 +200,7 @@
             // This box stood still, so that it heard nobody says nothing of the others.
             self.peers.values_mut().for_each(|peer| peer.expected = None);
         }
+        self.forgive();
         for ip in self.expected() {
             let Some(peer) = self.peers.get_mut(&ip) else {
                 continue;
@@ -210,18 +211,36 @@
         }
     }
 
+    /// Takes boxes no longer for missing that would not speak to this one if they lived, so that it could never learn that
+    /// they do.
+    fn forgive(&mut self) {
+        let would_speak: BTreeSet<Ipv4Addr> =
+            self.halls_that_speak().flat_map(|hall| self.would_speak(hall)).copied().collect();
+        for (ip, peer) in &mut self.peers {
+            if !would_speak.contains(ip) {
+                (peer.expected, peer.is_missing) = (None, false);
+            }
+        }
+    }
+
     /// Returns the boxes that should speak to this one since they speak for their hall.
     fn expected(&self) -> Vec<Ipv4Addr> {
-        if self.halls.is_small_fleet() {
-            return Vec::new();
-        }
-        let own = self.me.hall;
-        let mut expected = self.delegates(own);
-        if expected.contains(&self.me.ip) {
-            let others = self.halls.names().filter(|hall| *hall != own);
-            expected.extend(others.flat_map(|hall| self.delegates(hall)));
-        }
-        expected
+        self.halls_that_speak().flat_map(|hall| self.delegates(hall)).collect()
+    }
+
+    /// Returns the halls whose delegates speak to this box: its own, and the others if it is one of them.
+    fn halls_that_speak(&self) -> impl Iterator<Item = u32> {
+        let (own, speaks) = (self.me.hall, self.is_delegate());
+        let is_large = !self.halls.is_small_fleet();
+        self.halls.names().filter(move |hall| is_large && (speaks || *hall == own))
+    }
+
+    /// Returns the delegates of a hall and those that would be in their place if they lived.
+    fn would_speak(&self, hall: u32) -> impl Iterator<Item = &Ipv4Addr> {
+        let boxes = self.halls.of(hall);
+        let last = self.delegates(hall).last().copied();
+        let count = boxes.iter().position(|one| Some(one.ip) == last).map_or(0, |last| last + 1);
+        boxes[..count].iter().map(|one| &one.ip)
     }
 
     fn is_missing(&self, ip: Ipv4Addr) -> bool {
--- a/trackfrontd/tests/fleet.rs
+++ b/trackfrontd/tests/fleet.rs
@@ -276,6 +276,27 @@
     assert!(took <= 5_000, "known after {took} ms");
 }
 
+/// Guards against boxes that spoke for their hall for a while and then take boxes of other halls for missing for good: they
+/// would ask them nothing any more, neither turns nor limits nor the newest configuration.
+#[test]
+fn boxes_that_spoke_for_their_hall_for_a_while_know_afterwards_that_others_live() {
+    for (boxes, kind) in [(300, Kind::AllAlike), (984, Kind::SomeStrong)] {
+        let mut fleet = Fleet::new(boxes, kind);
+        fleet.run(3_000);
+        // The first boxes of each hall are gone for a while; the next ones speak in their place.
+        let first = |fleet: &Fleet, one: usize| fleet.books[one].rank(at(fleet.now_ms)) < 15;
+        let gone: Vec<usize> = fleet.up().filter(|one| first(&fleet, *one)).collect();
+        gone.iter().for_each(|one| fleet.down[*one] = true);
+        fleet.run(5_000);
+        fleet.down.fill(false);
+        fleet.run(10_000);
+        let now = at(fleet.now_ms);
+        let misses = |one: &usize| fleet.books[*one].reachable(now).len() + 1 < boxes as usize;
+        let who_miss: Vec<usize> = fleet.up().filter(misses).collect();
+        assert!(who_miss.is_empty(), "{boxes} boxes: some are missing for {who_miss:?}");
+    }
+}
+
 /// Guards against a word for all boxes that costs a small box, or the links between halls, as many datagrams as there
 /// are boxes, and against boxes that nobody hands it on to.
 #[test]
