The list of boxes goes to the teller's own part of its hall as well

Read in the code: a box that listed all boxes told the others that hand the list on, not those of its own hall that it is to tell itself as one of them; these asked another box later. Cause: a second way beside to_tell_all, which words for all boxes take and whose reach a test covers at 90, 300 and 984 boxes. Now there is one. Nothing changes where each box tells each.

--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -323,14 +323,13 @@
 
 /// Tells all boxes of the list which there are.
 async fn tell(node: &ServingNode, socket: &PeerSocket) {
-    let (boxes, others, hand_on) = {
+    let (boxes, all) = {
         let peers = node.peers.lock();
-        match peers.is_small_fleet() {
-            true => (peers.listed(), peers.reachable(node.now()), false),
-            false => (peers.listed(), peers.first_of_halls(), true),
-        }
+        (peers.listed(), peers.to_tell_all(node.now()))
     };
-    socket.send(&Message::Boxes(ToldBoxes { boxes, hand_on }), &others).await;
+    let told = |hand_on| Message::Boxes(ToldBoxes { boxes: boxes.clone(), hand_on });
+    socket.send(&told(true), &all.to_hand_on).await;
+    socket.send(&told(false), &all.directly).await;
 }
 
 fn hall_prefix(node: &ServingNode) -> String {
