A hall that is gone as a whole stays missing until it is back

Of such a hall the first box that comes back would speak, so all stay missing until one is heard. The test has 300 boxes, one hall of which is gone for 70 s and then back within 5.

--- a/trackfrontd/src/serving/peer_book.rs
+++ b/trackfrontd/src/serving/peer_book.rs
@@ -239,7 +239,9 @@
     fn would_speak(&self, hall: u32) -> impl Iterator<Item = &Ipv4Addr> {
         let boxes = self.halls.of(hall);
         let last = self.delegates(hall).last().copied();
-        let count = boxes.iter().position(|one| Some(one.ip) == last).map_or(0, |last| last + 1);
+        let place = boxes.iter().position(|one| Some(one.ip) == last);
+        // Of a hall that is missing as a whole the first box that comes back would.
+        let count = place.map_or(boxes.len(), |last| last + 1);
         boxes[..count].iter().map(|one| &one.ip)
     }
 
--- a/trackfrontd/tests/fleet.rs
+++ b/trackfrontd/tests/fleet.rs
@@ -297,6 +297,29 @@
     }
 }
 
+/// Guards against boxes of a hall that is gone as a whole which are taken for present again and again, and asked in vain.
+#[test]
+fn a_hall_that_is_gone_stays_missing_until_it_is_back() {
+    let mut fleet = Fleet::new(300, Kind::AllAlike);
+    fleet.run(3_000);
+    let is_gone = |one: usize| (one as u32).is_multiple_of(HALLS);
+    (0..300).filter(|one| is_gone(*one)).for_each(|one| fleet.down[one] = true);
+    // Three boxes after the other are expected in vain, for 1.5 s each.
+    fleet.run(60_000);
+    let delegate = 1;
+    for _ in 0..10 {
+        fleet.run(1_000);
+        let reachable = fleet.books[delegate].reachable(at(fleet.now_ms));
+        let present: Vec<&Ipv4Addr> =
+            reachable.iter().filter(|ip| is_gone((ip.to_bits() & 0xffff) as usize)).collect();
+        assert!(present.is_empty(), "{present:?} are gone");
+    }
+    fleet.down.fill(false);
+    fleet.run(5_000);
+    let reachable = fleet.books[delegate].reachable(at(fleet.now_ms));
+    assert_eq!(reachable.len(), 299, "all are back");
+}
+
 /// Guards against a word for all boxes that costs a small box, or the links between halls, as many datagrams as there
 /// are boxes, and against boxes that nobody hands it on to.
 #[test]
