--- a/trackfrontd/src/logging.rs
+++ b/trackfrontd/src/logging.rs
@@ -32,10 +32,12 @@
 }
 
 /// Ends the process when an assertion fails, after a line in the log: a box that would break a
-/// guarantee is replaced, as one that was lost.
-pub fn abort_on_panic() {
-    std::panic::set_hook(Box::new(|info| {
+/// guarantee is replaced, as one that was lost. `flush` waits until the line is written, if another
+/// thread writes the log.
+pub fn abort_on_panic(flush: impl Fn() + Send + Sync + 'static) {
+    std::panic::set_hook(Box::new(move |info| {
         log::error!("the box ends itself: {info}");
+        flush();
         std::process::abort();
     }));
 }
--- a/trackfrontd/src/main.rs
+++ b/trackfrontd/src/main.rs
@@ -17,7 +17,7 @@
         return Ok(());
     }
     logging::start(&settings.log)?;
-    logging::abort_on_panic();
+    logging::abort_on_panic(|| {});
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.workers)
         .enable_all()
