--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -86,6 +86,8 @@
     pub dependencies: Family<KindLabel, Gauge>,
     /// The version of the configuration in force.
     pub config_version: Gauge,
+    /// The era of the platform's store; 0 if it has none.
+    pub store_era: Gauge,
     /// Halls whose servers get nothing, as the operator said.
     pub evacuated_halls: Gauge,
     /// Nodes heard of lately, this one included.
@@ -124,6 +126,7 @@
             orders: Family::default(),
             dependencies: Family::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
             evacuated_halls: Gauge::default(),
             nodes: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -175,6 +178,8 @@
         registry.register("dependency_up", "Whether a dependency is there", dependencies);
         let version = self.config_version.clone();
         registry.register("config_version", "The configuration in force", version);
+        let era = self.store_era.clone();
+        registry.register("store_era", "The era of the platform's store", era);
         let evacuated = self.evacuated_halls.clone();
         registry.register("evacuated_halls", "Halls whose servers get nothing", evacuated);
         registry.register("nodes", "Nodes heard of lately", self.nodes.clone());
--- a/trackfront_adapters/src/wire/platform.rs
+++ b/trackfront_adapters/src/wire/platform.rs
@@ -33,7 +33,7 @@
     fn from(body: RowBody) -> Row {
         Row {
             key: body.key,
-            version: body.version,
+            version: body.version.into(),
             written_by: body.written_by,
             value: Bytes::from(body.value),
         }
@@ -97,7 +97,7 @@
             key: write.key.clone(),
             expect: match write.expect {
                 Expect::Absent => None,
-                Expect::Version(version) => Some(version),
+                Expect::Version(version) => Some(version.number()),
             },
             // All values of ours are JSON text.
             value: write.value.as_ref().map(|value| String::from_utf8_lossy(value).into_owned()),
--- a/trackfront_bench/src/serving_list.rs
+++ b/trackfront_bench/src/serving_list.rs
@@ -40,7 +40,7 @@
 fn measure(servers: usize, kind: &'static str) -> Figures {
     let mut directory = Directory::new(HEARTBEAT);
     let all = (0..servers).map(|number| change(number, number as u64 + 1)).collect();
-    directory.apply(all, servers as u64, Moment::default());
+    directory.apply(all, (servers as u64).into(), Moment::default());
     let mut times = Times::default();
     for round in 0..ROUNDS {
         let version = (servers + round) as u64 + 1;
@@ -50,14 +50,17 @@
             _ => vec![gone(number, version), change(servers + round, version)],
         };
         let start = Instant::now();
-        directory.apply(changes, version, Moment::default());
+        directory.apply(changes, version.into(), Moment::default());
         times.add(start.elapsed());
     }
     Figures { question: "serving-list", servers, change: kind, times: times.quantiles() }
 }
 
 fn gone(number: usize, version: u64) -> ServerChange {
-    ServerChange::Removed { version, key: format!("server-{number:05}").as_str().into() }
+    ServerChange::Removed {
+        version: version.into(),
+        key: format!("server-{number:05}").as_str().into(),
+    }
 }
 
 fn change(number: usize, version: u64) -> ServerChange {
@@ -76,5 +79,5 @@
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
     };
-    ServerChange::Set { version, entry }
+    ServerChange::Set { version: version.into(), entry }
 }
--- a/trackfront_core/src/lease.rs
+++ b/trackfront_core/src/lease.rs
@@ -13,6 +13,7 @@
 use statig::prelude::*;
 
 use crate::ids::{Fence, NodeId};
+use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
 /// The divisor of a lease's duration for the margin that covers clocks running at different rates.
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ObservedLease {
     /// The row's version in the table.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The row's value.
     pub row: LeaseRow,
     /// When this box first observed this version.
@@ -179,7 +180,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseAnnouncement {
     /// The version of the row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// When the lease ends at the latest.
     pub ends_at: Moment,
 }
--- a/trackfront_core/src/lease/tests.rs
+++ b/trackfront_core/src/lease/tests.rs
@@ -8,7 +8,7 @@
 
 fn observed(holder: Option<&str>, since: u64) -> ObservedLease {
     let row = LeaseRow { holder: holder.map(NodeId::from), fence: Fence(4), ttl_ms: 10_000 };
-    ObservedLease { version: 1, row, since: at(since) }
+    ObservedLease { version: 1.into(), row, since: at(since) }
 }
 
 #[test]
--- a/trackfront_core/src/lib.rs
+++ b/trackfront_core/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod retry;
 pub mod routing;
 pub mod serving;
+pub mod store_version;
 pub mod tree;
 pub mod units;
--- a/trackfront_core/src/ports/knowledge.rs
+++ b/trackfront_core/src/ports/knowledge.rs
@@ -10,14 +10,15 @@
 use crate::serving::config::ServingConfig;
 use crate::serving::directory::ServerChange;
 use crate::serving::halls::HallStatus;
+use crate::store_version::StoreVersion;
 
 /// A consistent snapshot of all rows.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing<T> {
     /// The rows, each with its version.
-    pub rows: Vec<(u64, T)>,
+    pub rows: Vec<(StoreVersion, T)>,
     /// The version of the platform's table at the time of the snapshot.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// The result of waiting for changes.
@@ -28,10 +29,10 @@
         /// The changes.
         changes: Vec<T>,
         /// The version up to which the changes are complete.
-        version: u64,
+        version: StoreVersion,
     },
-    /// The changes after the requested version are no longer retained: all rows have to be read
-    /// again.
+    /// The changes after the requested version are no longer retained, or the store was restored
+    /// since: all rows have to be read again.
     HistoryGone,
 }
 
@@ -39,7 +40,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoredConfig {
     /// The version of the row.
-    pub row_version: u64,
+    pub row_version: StoreVersion,
     /// The configuration, or the reason why it cannot be used.
     pub config: Result<ServingConfig, String>,
 }
@@ -62,14 +63,14 @@
     /// Waits at most `wait` for operator changes after `version`.
     async fn follow_operator(
         &self,
-        version: u64,
+        version: StoreVersion,
         wait: Duration,
     ) -> Result<Feed<OperatorUpdate>, TableError>;
 
     /// Returns whether the configuration's row still has version `row` at some moment after the
-    /// call. A feed may deliver nothing while changes are made, so the lack of changes in it is
+    /// call; `false` if the store is in a later era. A feed may deliver nothing while changes are made, so the lack of changes in it is
     /// no proof.
-    async fn is_newest_config(&self, row: u64) -> Result<bool, TableError>;
+    async fn is_newest_config(&self, row: StoreVersion) -> Result<bool, TableError>;
 
     /// Reads the rows of all servers; none of them is a removal.
     async fn list_servers(&self) -> Result<Listing<ServerChange>, TableError>;
@@ -77,10 +78,15 @@
     /// Waits at most `wait` for server changes after `version`.
     async fn follow_servers(
         &self,
-        version: u64,
+        version: StoreVersion,
         wait: Duration,
     ) -> Result<Feed<ServerChange>, TableError>;
 
+    /// Returns the latest era of the store that any answer showed; 0 if it has no eras.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Drops the pooled connections, so that the next calls open new ones. Called after the
     /// machine was suspended, when the platform may have closed them.
     fn forget_connections(&self);
--- a/trackfront_core/src/ports/table.rs
+++ b/trackfront_core/src/ports/table.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::ids::TxnId;
+use crate::store_version::StoreVersion;
 
 /// The key of a row, as `/`-separated text.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -26,8 +27,8 @@
     /// The row's key.
     pub key: RowKey,
     /// The version: 1 for the row's first value, incremented by every change. It continues when a
-    /// deleted row is written again.
-    pub version: u64,
+    /// deleted row is written again. A restoration of the table makes it go back, in a later era.
+    pub version: StoreVersion,
     /// The transaction that wrote this version.
     pub written_by: TxnId,
     /// The value.
@@ -40,7 +41,7 @@
     /// The row does not exist.
     Absent,
     /// The row is at this version.
-    Version(u64),
+    Version(StoreVersion),
 }
 
 impl Expect {
@@ -141,7 +142,14 @@
         Ok(rows)
     }
 
-    /// Applies `txn` if all of its conditions hold.
+    /// Returns the latest era of the table that any answer showed; 0 if it has no eras. A
+    /// restoration from a copy, which loses confirmed transactions, starts the next era.
+    fn era(&self) -> u64 {
+        0
+    }
+
+    /// Applies `txn` if all of its conditions hold. A condition on a version of an earlier era
+    /// never holds.
     async fn commit(&self, txn: &Transaction) -> CommitOutcome;
 }
 
@@ -185,7 +193,7 @@
 /// Returns whether `row` is the version that `txn` would have written.
 fn is_next_version(txn: &Transaction, row: &Row) -> bool {
     txn.writes.iter().any(|write| match write.expect {
-        Expect::Version(version) => write.key == row.key && row.version == version + 1,
-        Expect::Absent => write.key == row.key && row.version == 1,
+        Expect::Version(version) => write.key == row.key && row.version == version.next(),
+        Expect::Absent => write.key == row.key && row.version.number() == 1,
     })
 }
--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -305,6 +305,12 @@
         }
     }
 
+    /// Records that the rows of all quarantined requests may be lost. Returns their number.
+    pub fn forget_stored(&mut self) -> usize {
+        let stored = self.suspects.values_mut().filter(|suspect| suspect.report.stored);
+        stored.map(|suspect| suspect.report.stored = false).count()
+    }
+
     /// Returns the quarantined requests, and since when they are.
     pub fn quarantined(&self) -> impl Iterator<Item = (&CrashReport, Moment)> {
         self.suspects
--- a/trackfront_core/src/serving/directory/change.rs
+++ b/trackfront_core/src/serving/directory/change.rs
@@ -4,6 +4,7 @@
 
 use super::entry::ServerEntry;
 use crate::ids::{BackendId, ServerKey};
+use crate::store_version::StoreVersion;
 
 /// A change of one row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,21 +12,21 @@
     /// The row was added or updated.
     Set {
         /// The version of the row.
-        version: u64,
+        version: StoreVersion,
         /// The server's new entry.
         entry: ServerEntry,
     },
     /// The row was removed.
     Removed {
         /// The version of the removal.
-        version: u64,
+        version: StoreVersion,
         /// The key of the row.
         key: ServerKey,
     },
     /// The row names no usable server, because another writer than that server wrote it.
     Unusable {
         /// The version of the row.
-        version: u64,
+        version: StoreVersion,
         /// The key of the row.
         key: ServerKey,
         /// The fault, on the box that read the row; it isn't sent to others.
@@ -44,7 +45,7 @@
     }
 
     /// Returns the version of the change.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         match self {
             ServerChange::Set { version, .. }
             | ServerChange::Removed { version, .. }
@@ -60,7 +61,7 @@
     Changes(Vec<ServerChange>),
     /// All servers with the versions of their rows, sent if the changes since that version are not
     /// all known.
-    Full(Vec<(u64, ServerEntry)>),
+    Full(Vec<(StoreVersion, ServerEntry)>),
 }
 
 /// The effect of a change on the directory.
@@ -104,9 +105,9 @@
     /// How the sender learned of them.
     pub origin: ChangeOrigin,
     /// The version after which the changes begin.
-    pub from: u64,
+    pub from: StoreVersion,
     /// The version up to which the changes reach.
-    pub to: u64,
+    pub to: StoreVersion,
     /// The changes.
     pub changes: Vec<ServerChange>,
 }
@@ -114,7 +115,7 @@
 impl ReceivedChanges {
     /// Returns a message without changes, which says that `version` is the newest. A receiver at an
     /// earlier version learns from it that it lacks changes.
-    pub fn empty(version: u64) -> Self {
+    pub fn empty(version: StoreVersion) -> Self {
         Self { origin: ChangeOrigin::Feed, from: version, to: version, changes: Vec::new() }
     }
 
@@ -122,12 +123,12 @@
     /// of fewer than `max_changes`, otherwise only the new version. A box whose first listing this
     /// is (`from` is 0) doesn't know the changes.
     pub fn from_listing(
-        from: u64,
-        to: u64,
+        from: StoreVersion,
+        to: StoreVersion,
         changes: Vec<ServerChange>,
         max_changes: usize,
     ) -> Self {
-        match from > 0 && changes.len() < max_changes {
+        match from > StoreVersion::ZERO && changes.len() < max_changes {
             true => Self { origin: ChangeOrigin::Listing, from, to, changes },
             false => Self::empty(to),
         }
--- a/trackfront_core/src/serving/directory/entry.rs
+++ b/trackfront_core/src/serving/directory/entry.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{AdapterName, BackendId, HallName, ModelName, ServerKey, ServiceName};
+use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
 /// Whether a server accepts new requests, as it reports.
@@ -70,7 +71,7 @@
     /// The server's last entry.
     pub entry: ServerEntry,
     /// The version of its row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// When this box learned of this version.
     pub learned_at: Moment,
     /// When this box first learned of the server; the zero moment for one that left and returned.
--- a/trackfront_core/src/serving/directory/mod.rs
+++ b/trackfront_core/src/serving/directory/mod.rs
@@ -1,7 +1,8 @@
 //! The servers that the box knows, from the platform's table.
 //!
-//! Answers of the table can be late, so every change carries a version, and a version never
-//! decreases. A listing older than what is already known is ignored.
+//! Answers of the table can be late, so every change carries a version, and the known version never
+//! decreases. A listing older than what is already known is ignored. A restoration of the table
+//! starts an era, whose versions are newer than all before ([`restoration`]).
 //!
 //! A directory at a version has exactly the servers that the table had at that version. It moves to
 //! a later version only by all changes in between or by a full listing, and it answers with changes
@@ -12,6 +13,7 @@
 mod change;
 mod entry;
 mod index;
+mod restoration;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -23,6 +25,7 @@
 use index::ServerIndex;
 
 use crate::ids::{BackendId, ModelName, ServerKey, ServiceName};
+use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
 /// How long a removed server is remembered, so that a late row cannot bring it back.
@@ -55,9 +58,9 @@
     index: ServerIndex,
     removed: HashMap<ServerKey, RemovedServer>,
     /// The newest version that any answer carried.
-    newest_version: u64,
+    newest_version: StoreVersion,
     /// The version after which all changes are known.
-    complete_after: u64,
+    complete_after: StoreVersion,
     /// When the list was last known to be current.
     confirmed_at: Moment,
     /// When a server was last found that held models before the box knew of it.
@@ -66,14 +69,18 @@
     expiry_grace_until: Moment,
     /// Ready servers whose rows were removed within the grace period, with the versions of the
     /// removals.
-    expired: HashMap<ServerKey, u64>,
+    expired: HashMap<ServerKey, StoreVersion>,
+    /// Until when rows may be older than what the box knows, since the table was restored.
+    restored_until: Moment,
+    /// When the servers have to be listed again after a restoration.
+    relist_at: Option<Moment>,
 }
 
 /// A server whose row was removed.
 #[derive(Clone, Debug)]
 struct RemovedServer {
     /// The version of the removal.
-    version: u64,
+    version: StoreVersion,
     /// When this box learned of the removal.
     learned_at: Moment,
     /// The last incarnation, if one was known.
@@ -91,17 +98,19 @@
             incarnations: HashMap::new(),
             index: ServerIndex::default(),
             removed: HashMap::new(),
-            newest_version: 0,
-            complete_after: 0,
+            newest_version: StoreVersion::ZERO,
+            complete_after: StoreVersion::ZERO,
             confirmed_at: Moment::default(),
             loaded_server_found_at: None,
             expiry_grace_until: Moment::default(),
             expired: HashMap::new(),
+            restored_until: Moment::default(),
+            relist_at: None,
         }
     }
 
     /// Returns the newest version that any answer carried.
-    pub fn newest_version(&self) -> u64 {
+    pub fn newest_version(&self) -> StoreVersion {
         self.newest_version
     }
 
@@ -183,9 +192,10 @@
     pub fn apply(
         &mut self,
         mut changes: Vec<ServerChange>,
-        version: u64,
+        version: StoreVersion,
         now: Moment,
     ) -> Vec<DirectoryEvent> {
+        self.enter_era(version, now);
         // A server that is unknown and not newer was removed before this directory began.
         changes.retain(|change| change.version() > self.newest_version);
         self.apply_all(changes, version, now)
@@ -204,7 +214,7 @@
         }
         let follows_on = match origin {
             // A box of an earlier release sends its first listing as all changes since version 0.
-            ChangeOrigin::Feed => from > 0 && from <= self.newest_version,
+            ChangeOrigin::Feed => from > StoreVersion::ZERO && from <= self.newest_version,
             ChangeOrigin::Listing => from == self.newest_version,
         };
         if !follows_on {
@@ -221,7 +231,7 @@
     pub fn apply_update(
         &mut self,
         update: DirectoryUpdate,
-        version: u64,
+        version: StoreVersion,
         now: Moment,
     ) -> Vec<DirectoryEvent> {
         match update {
@@ -234,8 +244,8 @@
     /// if the listing is older than what is known.
     pub fn replace(
         &mut self,
-        servers: Vec<(u64, ServerEntry)>,
-        version: u64,
+        servers: Vec<(StoreVersion, ServerEntry)>,
+        version: StoreVersion,
         now: Moment,
     ) -> Option<Vec<DirectoryEvent>> {
         let rows = servers.into_iter().map(|(version, entry)| ServerChange::Set { version, entry });
@@ -246,12 +256,13 @@
     pub fn replace_with_rows(
         &mut self,
         rows: Vec<ServerChange>,
-        version: u64,
+        version: StoreVersion,
         now: Moment,
     ) -> Option<Vec<DirectoryEvent>> {
         if version < self.newest_version {
             return None;
         }
+        self.enter_era(version, now);
         // The listing lacks rows that were both added and removed since the last known version.
         self.complete_after = version;
         let listed: BTreeSet<&ServerKey> = rows.iter().map(ServerChange::key).collect();
@@ -268,7 +279,7 @@
     fn apply_all(
         &mut self,
         changes: Vec<ServerChange>,
-        version: u64,
+        version: StoreVersion,
         now: Moment,
     ) -> Vec<DirectoryEvent> {
         let events: Vec<_> =
@@ -292,7 +303,11 @@
 
     /// Returns the changes behind `events` as of `version`, and the expired rows, for boxes that
     /// did not see the listing that led to these events.
-    pub fn changes_for(&self, events: &[DirectoryEvent], version: u64) -> Vec<ServerChange> {
+    pub fn changes_for(
+        &self,
+        events: &[DirectoryEvent],
+        version: StoreVersion,
+    ) -> Vec<ServerChange> {
         let change = |event: &DirectoryEvent| {
             let id = event.server();
             match self.servers.get(id) {
@@ -309,7 +324,7 @@
                 }
             }
         };
-        let gone = |(key, version): (&ServerKey, &u64)| ServerChange::Removed {
+        let gone = |(key, version): (&ServerKey, &StoreVersion)| ServerChange::Removed {
             version: *version,
             key: key.clone(),
         };
@@ -319,7 +334,7 @@
     /// Returns what a box that knows the servers up to version `after` lacks: the changes since
     /// then, or all servers if the history does not reach back that far. Expired rows count as
     /// removed.
-    pub fn update_since(&self, after: u64) -> DirectoryUpdate {
+    pub fn update_since(&self, after: StoreVersion) -> DirectoryUpdate {
         if after < self.complete_after {
             let listed =
                 self.servers.values().filter(|known| !self.expired.contains_key(&known.entry.key));
@@ -346,14 +361,30 @@
         event.into_iter().collect()
     }
 
-    fn set(&mut self, version: u64, entry: ServerEntry, now: Moment) -> Vec<DirectoryEvent> {
-        if self.is_stale(version, &entry) {
+    fn set(
+        &mut self,
+        version: StoreVersion,
+        entry: ServerEntry,
+        now: Moment,
+    ) -> Vec<DirectoryEvent> {
+        if self.is_stale(version, &entry) || self.may_have_left(version, &entry, now) {
             return Vec::new();
         }
         self.expired.remove(&entry.key);
         let removed = self.removed.remove(&entry.key);
         let before = self.incarnations.get(&entry.key).and_then(|id| self.servers.get(id)).cloned();
         let (id, key) = (entry.id.clone(), entry.key.clone());
+        let same = before.as_ref().filter(|before| before.entry.id == id);
+        let entry = match same {
+            Some(same) => restoration::newer_entry(same, version, entry),
+            None => entry,
+        };
+        if let Some(same) = same.filter(|same| same.version.era() < version.era())
+            && same.entry == entry
+        {
+            // Only the era has changed; an event for each server of a fleet would say nothing.
+            return Vec::new();
+        }
         let known = match &before {
             Some(same) if same.entry.id == id => self.updated(same, version, entry, now),
             _ => {
@@ -387,13 +418,13 @@
     /// Returns whether an entry is not newer than what is known. A removed server returns only by a
     /// row newer than its removal, as the platform may have lost the row for a while. A row of an
     /// earlier incarnation may arrive last.
-    fn is_stale(&self, version: u64, entry: &ServerEntry) -> bool {
+    fn is_stale(&self, version: StoreVersion, entry: &ServerEntry) -> bool {
         let known = self.incarnations.get(&entry.key).and_then(|id| self.servers.get(id));
         let removed = self.removed.get(&entry.key);
-        let expired_at = self.expired.get(&entry.key).copied().unwrap_or(0);
+        let expired_at = self.expired.get(&entry.key).copied().unwrap_or_default();
         known.is_some_and(|known| known.version >= version)
             || removed.is_some_and(|removed| removed.version >= version)
-            || expired_at >= version.max(1)
+            || expired_at >= version.max(StoreVersion::from(1))
             || known.is_some_and(|known| entry.is_from_earlier_incarnation(known.entry.started))
             || removed.is_some_and(|removed| entry.is_from_earlier_incarnation(removed.started))
     }
@@ -401,7 +432,7 @@
     /// Returns the record of an incarnation that the box did not know.
     fn discovered(
         &mut self,
-        version: u64,
+        version: StoreVersion,
         entry: ServerEntry,
         now: Moment,
         first_learned_at: Moment,
@@ -428,7 +459,7 @@
     fn updated(
         &self,
         before: &KnownServer,
-        version: u64,
+        version: StoreVersion,
         entry: ServerEntry,
         now: Moment,
     ) -> KnownServer {
@@ -446,7 +477,12 @@
     }
 
     /// Removes a server, or marks its row as expired if the grace period lasts.
-    fn remove(&mut self, version: u64, key: ServerKey, now: Moment) -> Option<DirectoryEvent> {
+    fn remove(
+        &mut self,
+        version: StoreVersion,
+        key: ServerKey,
+        now: Moment,
+    ) -> Option<DirectoryEvent> {
         let known = self.incarnations.get(&key).and_then(|id| self.servers.get(id));
         if known.is_some_and(|known| known.version > version) {
             return None;
@@ -458,7 +494,12 @@
         self.remove_now(version, key, now)
     }
 
-    fn remove_now(&mut self, version: u64, key: ServerKey, now: Moment) -> Option<DirectoryEvent> {
+    fn remove_now(
+        &mut self,
+        version: StoreVersion,
+        key: ServerKey,
+        now: Moment,
+    ) -> Option<DirectoryEvent> {
         let known = self.incarnations.get(&key).and_then(|id| self.servers.get(id));
         if known.is_some_and(|known| known.version > version) {
             return None;
--- a/trackfront_core/src/serving/halls.rs
+++ b/trackfront_core/src/serving/halls.rs
@@ -2,22 +2,29 @@
 //! accounts are restricted to regions.
 //!
 //! The status of a hall carries the version of its row, and the newer version wins. So statuses may
-//! arrive repeatedly, late and over any path, from boxes with newer and with older knowledge.
+//! arrive repeatedly, late and over any path, from boxes with newer and with older knowledge. A
+//! store that was restored from a copy may lack an evacuation until the operators write it again,
+//! so a hall stays evacuated for a while although its row is missing.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{HallName, RegionName};
+use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
+/// The time after a restoration of the store within which operators write again what the copy lacks.
+const REWRITE_TIME: Duration = Duration::from_secs(10);
+
 /// Whether an operator has evacuated a hall, as of one version of its row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HallStatus {
     /// The hall concerned.
     pub hall: HallName,
     /// The version of the row or of its removal.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Whether the hall's servers get no requests.
     pub is_evacuated: bool,
 }
@@ -26,11 +33,15 @@
 #[derive(Debug, Default)]
 pub struct Evacuations {
     halls: BTreeMap<HallName, KnownHall>,
+    /// The version of the last listing.
+    listed: StoreVersion,
+    /// Until when a listing may lack the row of an evacuated hall, since the store was restored.
+    restored_until: Option<Moment>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct KnownHall {
-    version: u64,
+    version: StoreVersion,
     is_evacuated: bool,
     /// When this box learned of the current state.
     learned_at: Moment,
@@ -52,15 +63,26 @@
     }
 
     /// Returns the statuses that follow from a listing of all rows at `version`: the rows
-    /// themselves, and a reopening for each evacuated hall without a row.
+    /// themselves, and a reopening for each evacuated hall without a row. After a restoration, a
+    /// hall whose row may be lost is reopened only by a listing after [`REWRITE_TIME`].
     pub fn statuses_from_listing(
-        &self,
+        &mut self,
         mut rows: Vec<HallStatus>,
-        version: u64,
+        version: StoreVersion,
+        now: Moment,
     ) -> Vec<HallStatus> {
+        if self.listed != StoreVersion::ZERO && version.era() > self.listed.era() {
+            self.restored_until = Some(now + REWRITE_TIME);
+        }
+        self.listed = self.listed.max(version);
+        let is_restored = self.restored_until.is_some_and(|until| now < until);
         let listed: BTreeSet<HallName> = rows.iter().map(|status| status.hall.clone()).collect();
         let reopened = self.halls.iter().filter(|(hall, known)| {
-            known.is_evacuated && known.version <= version && !listed.contains(*hall)
+            let may_be_lost = is_restored && version.era() > known.version.era();
+            known.is_evacuated
+                && known.version <= version
+                && !listed.contains(*hall)
+                && !may_be_lost
         });
         let status =
             |hall: &HallName| HallStatus { hall: hall.clone(), version, is_evacuated: false };
@@ -68,6 +90,12 @@
         rows
     }
 
+    /// Returns whether the rows have to be listed again, since a restored listing may have lacked
+    /// some. Returns `true` once for each restoration.
+    pub fn take_relisting(&mut self, now: Moment) -> bool {
+        self.restored_until.take_if(|until| now >= *until).is_some()
+    }
+
     /// Returns whether a hall is evacuated, so that its servers get no requests.
     pub fn is_evacuated(&self, hall: &HallName) -> bool {
         self.halls.get(hall).is_some_and(|known| known.is_evacuated)
--- a/trackfront_core/src/serving/key_freshness.rs
+++ b/trackfront_core/src/serving/key_freshness.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
 /// The fraction of the bound reserved for the path from the last check to the wire, where a process
@@ -83,14 +84,14 @@
 /// A row that was the newest at some moment or later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ConfirmedRow {
-    row: u64,
+    row: StoreVersion,
     as_of: AsOf,
 }
 
 /// The age of the configuration in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KeyFreshness {
-    in_force: u64,
+    in_force: StoreVersion,
     as_of: Option<AsOf>,
     /// A newer row that isn't in force here yet.
     pending: Option<ConfirmedRow>,
@@ -98,7 +99,7 @@
 
 impl KeyFreshness {
     /// Records that the configuration of `row` is in force.
-    pub fn set_in_force(&mut self, row: u64) {
+    pub fn set_in_force(&mut self, row: StoreVersion) {
         self.in_force = self.in_force.max(row);
         if let Some(pending) = self.pending.take_if(|pending| pending.row <= self.in_force) {
             self.confirm(pending.as_of);
@@ -107,11 +108,11 @@
 
     /// Records that `row` was the newest at `as_of` or later. If a newer row is in force here, it
     /// was written after that moment, so it has been the newest since an even later one.
-    pub fn confirm_newest(&mut self, row: u64, as_of: Moment) {
+    pub fn confirm_newest(&mut self, row: StoreVersion, as_of: Moment) {
         self.apply_peer_answer(row, Duration::ZERO, as_of);
     }
 
-    fn record(&mut self, row: u64, as_of: AsOf) {
+    fn record(&mut self, row: StoreVersion, as_of: AsOf) {
         if row <= self.in_force {
             self.confirm(as_of);
             return;
@@ -126,12 +127,12 @@
     /// Applies the answer of another box to a query sent at `asked_at`: `row` was the newest `age`
     /// before the answer. The arrival time of the answer is ignored, as the answer may have waited
     /// here while the process was paused.
-    pub fn apply_peer_answer(&mut self, row: u64, age: Duration, asked_at: Moment) {
+    pub fn apply_peer_answer(&mut self, row: StoreVersion, age: Duration, asked_at: Moment) {
         self.record(row, AsOf::before(asked_at, age));
     }
 
     /// Returns the version of the row in force.
-    pub fn row_in_force(&self) -> u64 {
+    pub fn row_in_force(&self) -> StoreVersion {
         self.in_force
     }
 
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -287,7 +287,11 @@
     let mut case = case(servers, info(Some(item("m", None)), 1_000));
     case.add_load("y", 9_000);
     assert_eq!(case.chosen(), "x");
-    let status = |version, is_evacuated| HallStatus { hall: "a".into(), version, is_evacuated };
+    let status = |version: u64, is_evacuated| HallStatus {
+        hall: "a".into(),
+        version: version.into(),
+        is_evacuated,
+    };
     case.evacuations.apply(&status(5, true), at(0));
     assert_eq!(case.chosen(), "y");
     case.evacuations.apply(&status(4, false), at(0));
--- a/trackfront_core/tests/serving/directory_listed.rs
+++ b/trackfront_core/tests/serving/directory_listed.rs
@@ -42,7 +42,7 @@
 fn random_change(directory: &Directory, version: u64, rng: &mut ChaCha8Rng) -> ServerChange {
     let key = format!("s{}", rng.random_range(0..SERVERS));
     if rng.random_bool(0.1) {
-        return ServerChange::Removed { version, key: key.as_str().into() };
+        return ServerChange::Removed { version: version.into(), key: key.as_str().into() };
     }
     let known = directory.all().find(|known| known.entry.key == key.as_str().into());
     // Most rows don't change the server's address.
@@ -64,7 +64,7 @@
     } else {
         ServerState::Ready
     };
-    ServerChange::Set { version, entry }
+    ServerChange::Set { version: version.into(), entry }
 }
 
 #[test]
@@ -83,7 +83,7 @@
         if rng.random_bool(0.01) {
             directory.platform_recovered(HEARTBEAT * 3, now);
         }
-        directory.apply(changes, version, now);
+        directory.apply(changes, version.into(), now);
         directory.drop_expired_rows(now);
         for service in SERVICES.map(ServiceName::from) {
             let expected = rebuilt_listing(&directory, &service);
--- a/trackfront_core/tests/serving/directory_random.rs
+++ b/trackfront_core/tests/serving/directory_random.rs
@@ -12,6 +12,7 @@
 use trackfront_core::serving::directory::{
     ChangeOrigin, Directory, ReceivedChanges, ServerChange, ServerEntry,
 };
+use trackfront_core::store_version::StoreVersion;
 
 use super::support::{HEARTBEAT, at, entry};
 
@@ -67,7 +68,7 @@
         match known {
             Some(id) if !joins && rng.random_bool(0.7) => {
                 rows.remove(&id);
-                self.write(ServerChange::Removed { version, key: id }, rows);
+                self.write(ServerChange::Removed { version: version.into(), key: id }, rows);
             }
             Some(id) if !joins && rng.random_bool(0.4) => {
                 // The server restarts under its key, or a row of its first incarnation arrives
@@ -84,19 +85,19 @@
                     ..rows[&id].1.clone()
                 };
                 rows.insert(id, (version, entry.clone()));
-                self.write(ServerChange::Set { version, entry }, rows);
+                self.write(ServerChange::Set { version: version.into(), entry }, rows);
             }
             Some(id) if !joins => {
                 let entry = ServerEntry { sequence: version, ..rows[&id].1.clone() };
                 rows.insert(id, (version, entry.clone()));
-                self.write(ServerChange::Set { version, entry }, rows);
+                self.write(ServerChange::Set { version: version.into(), entry }, rows);
             }
             _ => {
                 self.last_server += 1;
                 let mut entry = entry(&format!("s{}", self.last_server), &[]);
                 (entry.id, entry.started) = (format!("{}@0", entry.key).into(), Some(0));
                 rows.insert(entry.key.clone(), (version, entry.clone()));
-                self.write(ServerChange::Set { version, entry }, rows);
+                self.write(ServerChange::Set { version: version.into(), entry }, rows);
             }
         }
     }
@@ -104,7 +105,7 @@
     /// Returns the last change of each row after a version, in order.
     fn feed(&self, after: u64) -> Vec<ServerChange> {
         let mut seen = BTreeSet::new();
-        let newer = self.changes.iter().rev().take_while(|change| change.version() > after);
+        let newer = self.changes.iter().rev().take_while(|change| change.version() > after.into());
         let mut last: Vec<_> =
             newer.filter(|change| seen.insert(change.key().clone())).cloned().collect();
         last.reverse();
@@ -141,25 +142,28 @@
     fn list(&mut self, index: usize, rng: &mut ChaCha8Rng) {
         // The platform's replicas may lag behind.
         let version = self.table.version() - rng.random_range(0..=2.min(self.table.version() - 1));
-        let rows: Vec<_> = self.table.rows(version).values().cloned().collect();
+        let rows = self.table.rows(version).values();
+        let rows = rows.map(|(version, entry)| ((*version).into(), entry.clone())).collect();
         let from = self.boxes[index].newest_version();
-        let Some(events) = self.boxes[index].replace(rows, version, at(self.now)) else {
+        let Some(events) = self.boxes[index].replace(rows, version.into(), at(self.now)) else {
             return;
         };
-        let changes = self.boxes[index].changes_for(&events, version);
-        let batch = ReceivedChanges::from_listing(from, version, changes, MAX_CHANGES);
+        let changes = self.boxes[index].changes_for(&events, version.into());
+        let batch = ReceivedChanges::from_listing(from, version.into(), changes, MAX_CHANGES);
         self.broadcast(index, batch, rng);
     }
 
     /// Requests the changes from the feed; the answer arrives later.
     fn follow(&mut self, index: usize, rng: &mut ChaCha8Rng) {
         let (from, to) = (self.boxes[index].newest_version(), self.table.version());
-        if from == 0 {
+        if from == StoreVersion::ZERO {
             return self.list(index, rng);
         }
-        let changes = self.table.feed(from);
-        self.answers
-            .push((index, ReceivedChanges { origin: ChangeOrigin::Feed, from, to, changes }));
+        let changes = self.table.feed(from.number());
+        self.answers.push((
+            index,
+            ReceivedChanges { origin: ChangeOrigin::Feed, from, to: to.into(), changes },
+        ));
     }
 
     fn deliver_answer(&mut self, rng: &mut ChaCha8Rng) {
@@ -203,7 +207,7 @@
                 let message = rng.random_range(0..self.in_transit.len());
                 let (to, batch) = self.in_transit.swap_remove(message);
                 // A box that has not listed the servers yet applies no messages.
-                if self.boxes[to].newest_version() > 0 {
+                if self.boxes[to].newest_version() > StoreVersion::ZERO {
                     self.boxes[to].apply_received(batch, at(self.now));
                 }
             }
@@ -230,7 +234,7 @@
 
     fn check_servers(&self, index: usize) {
         let known = &self.boxes[index];
-        let version = known.newest_version();
+        let version = known.newest_version().number();
         if version == 0 {
             assert_eq!(known.all().count(), 0, "box {index} has listed nothing");
             return;
@@ -240,7 +244,7 @@
         let later = self.table.feed(version);
         let later: BTreeSet<&ServerKey> = later.iter().map(ServerChange::key).collect();
         let rows = self.table.rows(version);
-        let actual = known.all().map(|server| (server.entry.key.clone(), server.version));
+        let actual = known.all().map(|server| (server.entry.key.clone(), server.version.number()));
         let actual: BTreeMap<_, _> = actual.filter(|(key, _)| !later.contains(key)).collect();
         let is_subset = actual.keys().all(|key| rows.contains_key(key));
         assert!(is_subset, "box {index} at version {version} has more than {rows:?}: {actual:?}");
--- a/trackfront_core/tests/serving/halls.rs
+++ b/trackfront_core/tests/serving/halls.rs
@@ -3,7 +3,7 @@
 use super::support::at;
 
 fn status(hall: &str, version: u64, is_evacuated: bool) -> HallStatus {
-    HallStatus { hall: hall.into(), version, is_evacuated }
+    HallStatus { hall: hall.into(), version: version.into(), is_evacuated }
 }
 
 /// Applies the statuses of three halls twice and in different orders: the result must be the same.
@@ -39,7 +39,7 @@
     let mut evacuations = Evacuations::default();
     evacuations.apply(&status("a", 3, true), at(0));
     evacuations.apply(&status("b", 9, true), at(0));
-    let statuses = evacuations.statuses_from_listing(vec![status("c", 5, true)], 7);
+    let statuses = evacuations.statuses_from_listing(vec![status("c", 5, true)], 7.into(), at(50));
     let changes = statuses.iter().filter(|status| evacuations.apply(status, at(50))).count();
     assert_eq!(changes, 2, "a is reopened, c is evacuated");
     assert!(!evacuations.is_evacuated(&"a".into()));
--- a/trackfront_core/tests/serving/orders_random.rs
+++ b/trackfront_core/tests/serving/orders_random.rs
@@ -169,9 +169,9 @@
         self.machine.handle(&LeaseEvent::Tick(at(now)));
         let version = row.version;
         self.seen = row.row.clone().map(|value| {
-            let same = self.seen.as_ref().filter(|seen| seen.version == version);
+            let same = self.seen.as_ref().filter(|seen| seen.version == version.into());
             let since = same.map_or(at(now), |seen| seen.since);
-            ObservedLease { version, row: value, since }
+            ObservedLease { version: version.into(), row: value, since }
         });
         let wanted = match (self.usable(now), self.seen.as_ref()) {
             (Some(_), Some(seen)) if seen.row.holder.as_ref() == Some(&self.name) => {
@@ -203,11 +203,14 @@
             _ => {
                 if row.write(expected, wanted.clone()) {
                     let sent_at = at(now);
-                    self.seen =
-                        Some(ObservedLease { version: row.version, row: wanted, since: sent_at });
+                    self.seen = Some(ObservedLease {
+                        version: row.version.into(),
+                        row: wanted,
+                        since: sent_at,
+                    });
                     self.machine.handle(&LeaseEvent::Written { fence, sent_at });
                     self.announcement = Some(LeaseAnnouncement {
-                        version: row.version,
+                        version: row.version.into(),
                         ends_at: sent_at + TERMS.ttl,
                     });
                     if !self.holds {
@@ -313,7 +316,7 @@
 #[test]
 fn new_process_observes_row_from_its_start() {
     let lease = LeaseRow { holder: Some(NodeId::from("other")), fence: Fence(3), ttl_ms: 1_250 };
-    let seen = ObservedLease { version: 1, row: lease, since: Moment::default() };
+    let seen = ObservedLease { version: 1.into(), row: lease, since: Moment::default() };
     assert_eq!(
         takeover_with_quiet_period(Some(&seen), &NodeId::from("me"), TERMS, at(4_800)),
         None
@@ -326,13 +329,14 @@
 #[test]
 fn announcement_counts_only_for_its_version() {
     let lease = LeaseRow { holder: Some(NodeId::from("other")), fence: Fence(3), ttl_ms: 1_250 };
-    let seen = ObservedLease { version: 7, row: lease, since: at(10_000) };
+    let seen = ObservedLease { version: 7.into(), row: lease, since: at(10_000) };
     let me = NodeId::from("me");
     let take = |announcement, now| {
         takeover_on_announcement(Some(&seen), announcement, &me, TERMS, at(now))
     };
     let quiet = TERMS.quiet_period.as_millis() as u64;
-    let announced = |version| Some(LeaseAnnouncement { version, ends_at: at(9_000) });
+    let announced =
+        |version: u64| Some(LeaseAnnouncement { version: version.into(), ends_at: at(9_000) });
     assert_eq!(take(announced(7), 9_000 + quiet - 1), None);
     assert_eq!(take(announced(7), 9_000 + quiet).map(|row| row.fence), Some(Fence(4)));
     // The holder wrote the row again, or no announcement arrived: the row has to be observed.
@@ -345,6 +349,6 @@
         |now| takeover_on_announcement(Some(&released), announced(7), &me, TERMS, at(now));
     assert_eq!(take_released(9_000 + quiet - 1), None);
     assert_eq!(take_released(9_000 + quiet).map(|row| row.fence), Some(Fence(4)));
-    let still_valid = Some(LeaseAnnouncement { version: 7, ends_at: at(20_000) });
+    let still_valid = Some(LeaseAnnouncement { version: 7.into(), ends_at: at(20_000) });
     assert_eq!(take(still_valid, 12_000), None);
 }
--- a/trackfront_core/tests/serving/support.rs
+++ b/trackfront_core/tests/serving/support.rs
@@ -61,9 +61,9 @@
     let mut directory = Directory::new(HEARTBEAT);
     let service = entries[0].service.clone();
     let changes = entries.into_iter().enumerate();
-    let changes =
-        changes.map(|(index, entry)| ServerChange::Set { version: index as u64 + 1, entry });
-    directory.apply(changes.collect(), 100, at(0));
+    let changes = changes
+        .map(|(index, entry)| ServerChange::Set { version: (index as u64 + 1).into(), entry });
+    directory.apply(changes.collect(), 100.into(), at(0));
     directory.of_service(&service).to_vec()
 }
 
--- a/trackfront_standin/tests/contracts.rs
+++ b/trackfront_standin/tests/contracts.rs
@@ -36,7 +36,7 @@
 }
 
 async fn version(table: &dyn Table, key: &str) -> Option<u64> {
-    table.read(&RowKey(key.into())).await.expect("it answers").map(|row| row.version)
+    table.read(&RowKey(key.into())).await.expect("it answers").map(|row| row.version.number())
 }
 
 /// What every table has to do. `standin` sets the faults.
@@ -46,7 +46,7 @@
     assert!(matches!(table.commit(&write).await, CommitOutcome::Conflict { .. }));
     assert_eq!(version(table, "a/1").await, Some(1));
     // A deleted row is absent, and its version goes on growing.
-    let delete = txn("t2", "a/1", Expect::Version(1), None);
+    let delete = txn("t2", "a/1", Expect::Version(1.into()), None);
     assert_eq!(table.commit(&delete).await, CommitOutcome::Applied);
     assert_eq!(version(table, "a/1").await, None);
     let again = txn("t3", "a/1", Expect::Absent, Some("2"));
@@ -54,7 +54,7 @@
     assert_eq!(version(table, "a/1").await, Some(3));
     // All writes of a transaction apply, or none.
     let mut both = txn("t4", "a/2", Expect::Absent, Some("x"));
-    both.writes.extend(txn("t4", "a/1", Expect::Version(1), Some("x")).writes);
+    both.writes.extend(txn("t4", "a/1", Expect::Version(1.into()), Some("x")).writes);
     assert!(matches!(table.commit(&both).await, CommitOutcome::Conflict { .. }));
     assert_eq!(version(table, "a/2").await, None);
     assert_eq!(table.scan("a/").await.expect("it answers").len(), 1);
--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -99,6 +99,7 @@
     let start = match node.settings.load().node.first_start {
         true => {
             node.set_prefers_snapshots();
+            node.set_new_to_store();
             Start::New
         }
         false => join(&node).await,
@@ -164,7 +165,8 @@
     }
 }
 
-async fn write_row_until_stored(node: &ServingNode) {
+/// Writes this box's row, repeatedly until it is stored.
+pub async fn write_row_until_stored(node: &ServingNode) {
     let mut backoff = Backoff::default();
     loop {
         match write_row(node).await {
@@ -192,6 +194,9 @@
         }
     };
     let has_own_row = rows.iter().any(|row| row.key == own);
+    if !has_own_row {
+        node.set_new_to_store();
+    }
     let is_small = rows.len() < NEIGHBOURS;
     if !is_small {
         node.set_prefers_snapshots();
@@ -382,7 +387,10 @@
     let value = Some(Bytes::from(value));
     let transaction = Transaction { id, writes: vec![Write { key, expect, value }] };
     match node.ports.table.commit(&transaction).await {
-        CommitOutcome::Applied | CommitOutcome::Conflict { .. } => WriteOutcome::Stored,
+        CommitOutcome::Applied | CommitOutcome::Conflict { .. } => {
+            *node.box_row_written_at.lock() = Some(node.now());
+            WriteOutcome::Stored
+        }
         CommitOutcome::NotApplied(TableError::RateLimited) => WriteOutcome::Busy,
         CommitOutcome::NotApplied(_) | CommitOutcome::Unknown(_) => WriteOutcome::Failed,
     }
--- a/trackfrontd/src/serving/config_freshness.rs
+++ b/trackfrontd/src/serving/config_freshness.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::serving::key_freshness::{KeyFreshness, RevocationTerms};
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::feed_relay::{HallPeers, hall_peers};
@@ -42,7 +43,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RowConfirmation {
     /// The row in force.
-    pub row: u64,
+    pub row: StoreVersion,
     /// The time since the row was last confirmed to be the newest, in milliseconds.
     pub age_ms: u32,
 }
@@ -81,12 +82,12 @@
 
 impl ConfigFreshness {
     /// Records the row whose configuration is in force.
-    pub fn set_in_force(&self, row: u64) {
+    pub fn set_in_force(&self, row: StoreVersion) {
         self.freshness.lock().set_in_force(row);
     }
 
     /// Records that `row` was the newest at `as_of` or later.
-    pub fn confirm(&self, row: u64, as_of: Moment) {
+    pub fn confirm(&self, row: StoreVersion, as_of: Moment) {
         self.freshness.lock().confirm_newest(row, as_of);
     }
 
@@ -235,7 +236,11 @@
                     true => node.config_freshness.confirm(row, requested_at),
                     // A newer row has a larger version, which makes the follower read it without
                     // the feed.
-                    false => node.feed_state.lock().record_config_row(row + 1, None),
+                    false => {
+                        let era = StoreVersion::start_of(node.ports.knowledge.era());
+                        let newer = row.next().max(era);
+                        node.feed_state.lock().record_config_row(newer, None);
+                    }
                 }
             }
             Err(error) => {
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -76,6 +76,14 @@
         self.tracker.lock().is_suspect(fingerprint, now)
     }
 
+    /// Records that the rows of all quarantined requests may be lost, so that they are written
+    /// again. Returns the number of rows.
+    pub fn forget_stored_rows(&self) -> usize {
+        let rows = self.tracker.lock().forget_stored();
+        self.quarantine_changed.notify_one();
+        rows
+    }
+
     /// Returns the quarantined requests, and since when each is.
     pub fn all_quarantined(&self) -> Vec<(CrashReport, Moment)> {
         let tracker = self.tracker.lock();
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -15,6 +15,7 @@
 use trackfront_core::ports::{CommitOutcome, Expect, RowKey, TableError, Transaction, Write};
 use trackfront_core::serving::crashes::CrashReport;
 use trackfront_core::serving::fingerprint::Fingerprint;
+use trackfront_core::store_version::StoreVersion;
 
 use super::coordinators_of;
 use crate::serving::node::ServingNode;
@@ -32,6 +33,9 @@
 /// The maximum interval between checks for rows to write or remove.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// The version of a row that was written once, without the era.
+const FIRST_COUNT: u64 = 1;
+
 /// The additional delay before each further box that counts a request's crashes writes the row.
 const WRITER_DELAY: Duration = Duration::from_millis(2_000);
 
@@ -146,7 +150,8 @@
 /// Removes the row of a request that is no longer quarantined. If it stayed, starting boxes would
 /// load it.
 async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) {
-    let removed = commit(node, fingerprint, Expect::Version(1), None).await;
+    let version = StoreVersion::new(node.ports.table.era(), FIRST_COUNT);
+    let removed = commit(node, fingerprint, Expect::Version(version), None).await;
     if !removed {
         log::warn!(fingerprint:%; "quarantine row not removed");
     }
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -30,6 +30,7 @@
 use trackfront_core::serving::crashes::CrashReport;
 use trackfront_core::serving::directory::DirectoryUpdate;
 use trackfront_core::serving::halls::HallStatus;
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::config_freshness::RowConfirmation;
@@ -41,11 +42,11 @@
 use super::notices;
 use super::packing::{UnpackError, pack, unpack};
 
-/// The path of the configuration, followed by the row version that the client has.
+/// The path of the configuration, followed by the bits of the row version that the client has.
 const CONFIG_PATH: &str = "/copy/3/config/";
 
-/// The path of the server list, followed by the version that the client knows, 0 for the whole
-/// list.
+/// The path of the server list, followed by the bits of the version that the client knows, 0 for
+/// the whole list.
 const SERVERS_PATH: &str = "/copy/2/servers/";
 
 /// The path of the list of boxes.
@@ -96,7 +97,7 @@
 
 #[derive(Serialize, Deserialize)]
 struct ConfigSnapshot {
-    row: u64,
+    row: StoreVersion,
     config: ServingConfig,
     /// The operator's statuses of halls when the snapshot was packed.
     halls: Vec<HallStatus>,
@@ -106,7 +107,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct ServersSnapshot {
     /// The version of the other box's list.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The changes that lead to this version.
     pub update: DirectoryUpdate,
 }
@@ -115,9 +116,9 @@
 struct PackedSnapshot {
     /// For the servers, the version that the client knew; for the configuration, the version of the
     /// halls.
-    base: u64,
+    base: StoreVersion,
     /// The version of the snapshot.
-    version: u64,
+    version: StoreVersion,
     bytes: Bytes,
 }
 
@@ -158,7 +159,8 @@
     if path == NOTICES_PATH {
         return Some(snapshot_response(notices::snapshot(node).map(|notices| pack(&notices))));
     }
-    let known = |prefix| path.strip_prefix(prefix)?.parse::<u64>().ok();
+    let known =
+        |prefix| path.strip_prefix(prefix)?.parse::<u64>().ok().map(StoreVersion::from_bits);
     match (known(CONFIG_PATH), known(SERVERS_PATH)) {
         (Some(known), _) => {
             Some(with_confirmed_row(node, snapshot_response(config_snapshot(node, known))))
@@ -171,7 +173,7 @@
 /// Adds the header that says when the row in force was last confirmed to be the newest.
 fn with_confirmed_row(node: &ServingNode, mut response: Response<Body>) -> Response<Body> {
     if let Some(RowConfirmation { row, age_ms }) = node.config_freshness.confirmed_row(node.now()) {
-        let value = format!("{row} {age_ms}");
+        let value = format!("{} {age_ms}", row.to_bits());
         let value = HeaderValue::from_str(&value).expect("digits are valid in a header");
         response.headers_mut().insert(NEWEST_ROW, value);
     }
@@ -181,7 +183,8 @@
 /// Parses the header of [`with_confirmed_row`]. Boxes of the previous version do not send it.
 fn parse_confirmed_row(headers: &HeaderMap) -> Option<RowConfirmation> {
     let (row, age_ms) = headers.get(NEWEST_ROW)?.to_str().ok()?.split_once(' ')?;
-    Some(RowConfirmation { row: row.parse().ok()?, age_ms: age_ms.parse().ok()? })
+    let row = StoreVersion::from_bits(row.parse().ok()?);
+    Some(RowConfirmation { row, age_ms: age_ms.parse().ok()? })
 }
 
 fn snapshot_response(packed: Option<Bytes>) -> Response<Body> {
@@ -191,7 +194,7 @@
     }
 }
 
-fn config_snapshot(node: &ServingNode, known: u64) -> Option<Bytes> {
+fn config_snapshot(node: &ServingNode, known: StoreVersion) -> Option<Bytes> {
     // The row is read first, so that the configuration may be newer than the row but never older.
     let row = node.config_row_in_force();
     let config = node.config.load_full()?;
@@ -199,14 +202,14 @@
         return None;
     }
     let halls = node.evacuations.lock().statuses();
-    let halls_version = halls.iter().map(|status| status.version).max().unwrap_or(0);
+    let halls_version = halls.iter().map(|status| status.version).max().unwrap_or_default();
     let snapshot = || ConfigSnapshot { row, config: ServingConfig::clone(&config), halls };
     // The snapshot holds the whole configuration, so it depends on the halls but not on the
     // client's version.
     Some(cached(&node.exchange.config, halls_version, row, snapshot))
 }
 
-fn servers_snapshot(node: &ServingNode, known: u64) -> Option<Bytes> {
+fn servers_snapshot(node: &ServingNode, known: StoreVersion) -> Option<Bytes> {
     if !node.knows_servers() {
         return None;
     }
@@ -225,8 +228,8 @@
 /// snapshots that timed out on a day of 295 boxes from 370 to 96.
 fn cached<T: Serialize>(
     cache: &SnapshotCache,
-    base: u64,
-    version: u64,
+    base: StoreVersion,
+    version: StoreVersion,
     snapshot: impl FnOnce() -> T,
 ) -> Bytes {
     let mut last = cache.lock();
@@ -243,9 +246,9 @@
 pub async fn fetch_config(
     node: &ServingNode,
     boxes: &[Ipv4Addr],
-    known: u64,
+    known: StoreVersion,
 ) -> Option<StoredConfig> {
-    let path = format!("{CONFIG_PATH}{known}");
+    let path = format!("{CONFIG_PATH}{}", known.to_bits());
     let requested_at = node.now();
     let Fetched { snapshot, confirmed_row } =
         fetch_first::<ConfigSnapshot>(node, boxes, &path).await?;
@@ -260,9 +263,9 @@
 pub async fn fetch_servers(
     node: &ServingNode,
     boxes: &[Ipv4Addr],
-    known: u64,
+    known: StoreVersion,
 ) -> Option<ServersSnapshot> {
-    Some(fetch_first(node, boxes, &format!("{SERVERS_PATH}{known}")).await?.snapshot)
+    Some(fetch_first(node, boxes, &format!("{SERVERS_PATH}{}", known.to_bits())).await?.snapshot)
 }
 
 /// Fetches the list of all boxes from `boxes`, asking all of them at once.
--- a/trackfrontd/src/serving/feed_relay.rs
+++ b/trackfrontd/src/serving/feed_relay.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use trackfront_core::serving::directory::{ChangeOrigin, ReceivedChanges, ServerChange};
 use trackfront_core::serving::halls::HallStatus;
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::follow;
@@ -19,6 +20,7 @@
 use super::packing::{pack, unpack};
 use super::peer_socket::PeerSocket;
 pub use super::peer_tracker::HallPeers;
+use super::restoration;
 
 /// The silence after which a feed reader counts as lost, as a fraction of the drain time, within
 /// which all boxes have to know that a server drains.
@@ -52,16 +54,16 @@
     /// The newest row of the configuration that the reader has seen.
     Config {
         /// The version of the row.
-        row: u64,
+        row: StoreVersion,
     },
     /// The halls that the operator has evacuated or returned to use.
     Halls(Vec<HallStatus>),
     /// Server changes from the feed.
     Servers {
         /// The version that the changes apply to.
-        from: u64,
+        from: StoreVersion,
         /// The version that they lead to.
-        to: u64,
+        to: StoreVersion,
         /// The changes, in order.
         changes: Vec<ServerChange>,
         /// The remaining time in milliseconds during which a removed row may have expired only
@@ -72,9 +74,9 @@
     /// in that state.
     Listing {
         /// The version of the reader's previous state.
-        from: u64,
+        from: StoreVersion,
         /// The version of the listing.
-        to: u64,
+        to: StoreVersion,
         /// The differences.
         changes: Vec<ServerChange>,
         /// As in [`FeedUpdate::Servers`].
@@ -83,6 +85,15 @@
 }
 
 impl FeedUpdate {
+    /// Returns the newest version of the store that the update mentions.
+    fn version(&self) -> Option<StoreVersion> {
+        match self {
+            FeedUpdate::Config { row } => Some(*row),
+            FeedUpdate::Halls(statuses) => statuses.iter().map(|status| status.version).max(),
+            FeedUpdate::Servers { to, .. } | FeedUpdate::Listing { to, .. } => Some(*to),
+        }
+    }
+
     /// Creates the update that relays server changes.
     pub fn from_changes(received: ReceivedChanges, expiry_grace: Duration) -> Self {
         let ReceivedChanges { origin, from, to, changes } = received;
@@ -107,7 +118,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FeedState {
     config_at: Option<Moment>,
-    config_row: u64,
+    config_row: StoreVersion,
     config_source: Option<Ipv4Addr>,
     servers_at: Option<Moment>,
     servers_gap: Option<Gap>,
@@ -140,7 +151,7 @@
 
     /// Records a configuration row that the hall was notified of by another box, `source`, or by
     /// this one.
-    pub fn record_config_row(&mut self, row: u64, source: Option<Ipv4Addr>) {
+    pub fn record_config_row(&mut self, row: StoreVersion, source: Option<Ipv4Addr>) {
         if row >= self.config_row {
             self.config_row = row;
             self.config_source = source.or(self.config_source);
@@ -148,7 +159,7 @@
     }
 
     /// Returns the newest configuration row that the hall was notified of.
-    pub fn config_row(&self) -> u64 {
+    pub fn config_row(&self) -> StoreVersion {
         self.config_row
     }
 
@@ -195,7 +206,7 @@
 pub async fn relay_operator_rows(
     node: &ServingNode,
     socket: &PeerSocket,
-    row: u64,
+    row: StoreVersion,
     has_hall_changes: bool,
 ) {
     let is_new_row = row > node.feed_state.lock().config_row();
@@ -271,6 +282,9 @@
 /// Applies an update from a feed reader.
 pub fn apply_update(node: &ServingNode, from_ip: Ipv4Addr, update: FeedUpdate) {
     let now = node.now();
+    if let Some(version) = update.version() {
+        restoration::observe_era(node, version.era(), &from_ip.to_string());
+    }
     match update {
         FeedUpdate::Config { row } => {
             let mut feed_state = node.feed_state.lock();
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -7,13 +7,14 @@
 use tokio::time::sleep;
 use trackfront_core::ports::{Feed, Listing, OperatorUpdate, StoredConfig};
 use trackfront_core::serving::halls::HallStatus;
+use trackfront_core::store_version::StoreVersion;
 
 use super::Source;
 use super::feed_client::{FIRST_RETRY_DELAY, FeedClient};
 use crate::serving::boxes;
 use crate::serving::exchange;
 use crate::serving::feed_relay::{FeedKind, hall_peers, relay_operator_rows};
-use crate::serving::node::ServingNode;
+use crate::serving::node::{ConfigOutcome, ServingNode};
 use crate::serving::peer_socket::PeerSocket;
 use crate::serving::quota;
 
@@ -41,7 +42,8 @@
                 None => continue,
             },
         };
-        relay_operator_rows(&node, &socket, node.config_row(), position.has_hall_changes).await;
+        relay_operator_rows(&node, &socket, node.config_row_to_relay(), position.has_hall_changes)
+            .await;
         if node.feed_state.lock().config_row() > node.config_row() && node.config_row() == known {
             // The platform's answer is older than what the hall's feed reader has seen.
             sleep(GATHER_DELAY).await;
@@ -55,13 +57,13 @@
     let known = node.config_row();
     let notifier = node.feed_state.lock().config_source();
     let mut sources = client.sources(notifier);
-    if sources.is_empty() && known == 0 {
+    if sources.is_empty() && known == StoreVersion::ZERO {
         sources = boxes::likely_up(node);
     }
     if sources.is_empty() {
         return false;
     }
-    if known > 0 {
+    if known > StoreVersion::ZERO {
         sleep(REQUEST_STAGGER * hall_peers(node).rank as u32).await;
     }
     let Some(stored) = exchange::fetch_config(node, &sources, known).await else {
@@ -76,7 +78,7 @@
 /// The result of reading the operator's rows or of fetching a snapshot.
 struct Position {
     /// The version from which to follow the feed.
-    version: u64,
+    version: StoreVersion,
     /// Whether a hall was evacuated or returned to use.
     has_hall_changes: bool,
 }
@@ -99,7 +101,8 @@
                     }
                 }
             }
-            let statuses = node.evacuations.lock().statuses_from_listing(halls, version);
+            let statuses =
+                node.evacuations.lock().statuses_from_listing(halls, version, node.now());
             let has_hall_changes = apply_hall_statuses(node, &statuses, Source::Platform);
             Some(Position { version, has_hall_changes })
         }
@@ -115,13 +118,14 @@
     node: &Arc<ServingNode>,
     socket: &PeerSocket,
     client: &mut FeedClient,
-    mut version: u64,
+    mut version: StoreVersion,
 ) {
     while !client.must_reread() {
         let known = node.config_row();
         let is_behind = || node.feed_state.lock().config_row() > known;
         client.wait_for_reader(is_behind).await;
-        if is_behind() || client.take_suspension() {
+        let must_relist = client.is_reader() && node.evacuations.lock().take_relisting(node.now());
+        if is_behind() || must_relist || client.take_suspension() {
             // Read the row itself, since this box's position in the feed is old and may be gone
             // from its history.
             return;
@@ -146,7 +150,8 @@
                     }
                 }
                 version = version.max(reached);
-                relay_operator_rows(node, socket, node.config_row(), has_hall_changes).await;
+                relay_operator_rows(node, socket, node.config_row_to_relay(), has_hall_changes)
+                    .await;
                 if has_changes && !client.is_reader() {
                     sleep(GATHER_DELAY).await;
                 }
@@ -196,15 +201,16 @@
         return;
     }
     let row = stored.row_version;
-    let mut in_force = false;
     let before = node.config.load().as_ref().map_or(0, |config| config.version);
-    match stored.config {
+    let outcome = match stored.config {
         Err(error) => {
             log::error!(row, in_force = before, error; "configuration refused");
+            ConfigOutcome::Refused
         }
         Ok(config) if config.version < before => {
             let offered = config.version;
-            log::warn!(offered, in_force = before; "configuration older than the one in force");
+            log::warn!(row, offered, in_force = before; "configuration older than the one in force");
+            ConfigOutcome::Outdated
         }
         Ok(config) => {
             let (version, routes) = (config.version, config.routes().count());
@@ -216,8 +222,8 @@
             node.metrics.config_version.set(version as i64);
             node.servers_changed.notify_waiters();
             log::info!(version, before, row, routes; "configuration in force");
-            in_force = true;
+            ConfigOutcome::InForce
         }
-    }
-    node.record_config_row(row, in_force);
+    };
+    node.record_config_row(row, outcome);
 }
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -7,6 +7,7 @@
 use trackfront_core::serving::directory::{
     ChangeOrigin, DirectoryEvent, ReceivedChanges, ServerChange,
 };
+use trackfront_core::store_version::StoreVersion;
 
 use super::feed_client::{FIRST_RETRY_DELAY, FeedClient};
 use crate::serving::boxes;
@@ -69,7 +70,7 @@
     let known = node.directory.lock().newest_version();
     let notifier = node.feed_state.lock().take_gap();
     let mut sources = client.sources(notifier);
-    if sources.is_empty() && known == 0 {
+    if sources.is_empty() && known == StoreVersion::ZERO {
         sources = boxes::likely_up(node);
     }
     let Some(snapshot) = exchange::fetch_servers(node, &sources, known).await else {
@@ -96,7 +97,10 @@
 
 /// Applies a listing of the servers. Returns the newest version before it, and its changes unless
 /// it is older than the known list.
-fn apply_listing(node: &ServingNode, listing: Listing<ServerChange>) -> (u64, Option<Found>) {
+fn apply_listing(
+    node: &ServingNode,
+    listing: Listing<ServerChange>,
+) -> (StoreVersion, Option<Found>) {
     let rows: Vec<ServerChange> = listing.rows.into_iter().map(|(_, row)| row).collect();
     node.unusable_rows.record(&rows, &node.metrics);
     let mut directory = node.directory.lock();
@@ -117,7 +121,8 @@
 async fn follow_feed(node: &Arc<ServingNode>, socket: &PeerSocket, client: &mut FeedClient) {
     while !client.must_reread() {
         client.wait_for_reader(|| node.feed_state.lock().has_gap()).await;
-        if client.take_suspension() {
+        let must_relist = node.directory.lock().take_relisting(node.now()) && client.is_reader();
+        if must_relist || client.take_suspension() {
             return;
         }
         if node.feed_state.lock().has_gap() && fetch_snapshot(node, client).await {
@@ -158,7 +163,11 @@
     client.reset_failures();
 }
 
-fn apply_changes(node: &ServingNode, changes: Vec<ServerChange>, to: u64) -> Vec<DirectoryEvent> {
+fn apply_changes(
+    node: &ServingNode,
+    changes: Vec<ServerChange>,
+    to: StoreVersion,
+) -> Vec<DirectoryEvent> {
     node.unusable_rows.record(&changes, &node.metrics);
     let now = node.now();
     let mut directory = node.directory.lock();
@@ -215,7 +224,7 @@
 pub fn handle_events(
     node: &ServingNode,
     events: Vec<DirectoryEvent>,
-    version: u64,
+    version: StoreVersion,
     source: Source,
 ) {
     if events.is_empty() {
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -19,6 +19,7 @@
 };
 use trackfront_core::ports::table::commit_settled;
 use trackfront_core::ports::{CommitOutcome, Expect, RowKey, TableError, Transaction, Write};
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::gossip::HoldsOrderLease;
@@ -173,7 +174,7 @@
             return;
         };
         let row = LeaseRow { holder: None, ..observed.row.clone() };
-        let version = observed.version + 1;
+        let version = observed.version.next();
         let applied = self.commit(&row).await == CommitOutcome::Applied;
         if applied {
             // No order was sent after the fencing token was dropped, so the quiet period began
@@ -266,7 +267,10 @@
                 return false;
             }
         }
-        let version = self.observed.as_ref().map_or(1, |observed| observed.version + 1);
+        let version = self
+            .observed
+            .as_ref()
+            .map_or(StoreVersion::from(1), |observed| observed.version.next());
         self.observed = Some(ObservedLease { version, row, since: sent_at });
         self.machine.handle(&LeaseEvent::Written { fence, sent_at });
         let until = sent_at + (LEASE_TTL - LEASE_TTL / 5);
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -10,6 +10,7 @@
 use trackfront_core::quota::{QuotaReply, QuotaRequest};
 use trackfront_core::serving::crashes::CrashReport;
 use trackfront_core::serving::load::{InFlight, RankInFlight};
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::delegates::{CapacityClass, ListedBox};
@@ -156,7 +157,7 @@
     /// The number of the request.
     pub number: u32,
     /// The row in force at the replying box.
-    pub row: u64,
+    pub row: StoreVersion,
     /// The time since that row was last confirmed to be the newest, in milliseconds.
     pub age_ms: u32,
 }
@@ -201,7 +202,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseReport {
     /// The version of the lease's row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The remaining milliseconds, negative once the lease has ended.
     pub remaining_ms: i64,
 }
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -44,6 +44,7 @@
 pub mod placement;
 pub mod quota;
 pub mod response_relay;
+pub mod restoration;
 pub mod run;
 pub mod settings;
 pub mod suspension;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -26,6 +26,7 @@
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::serving::retry_budget::RetryBudgets;
 use trackfront_core::serving::saturation::Saturation;
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use crate::quotas::Quotas;
@@ -40,6 +41,7 @@
 use super::peer_tracker::PeerTracker;
 use super::permits::ServerPermits;
 use super::quota::box_id;
+use super::restoration::StoreEra;
 use super::settings::ServingSettings;
 use super::suspension::Suspensions;
 use super::unusable_rows::UnusableRows;
@@ -77,6 +79,28 @@
     pub clock: Arc<dyn Clock>,
 }
 
+/// What became of an examined configuration row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigOutcome {
+    /// The configuration is in force.
+    InForce,
+    /// The configuration is invalid.
+    Refused,
+    /// The configuration is older than the one in force: the store was restored from a copy, and the
+    /// operator has not written it again yet.
+    Outdated,
+}
+
+/// The newest configuration rows that were examined.
+#[derive(Clone, Copy, Debug, Default)]
+struct ConfigRows {
+    examined: StoreVersion,
+    in_force: StoreVersion,
+    /// The newest one that is not outdated. If outdated rows were relayed, every box of a fleet
+    /// would read one for nothing.
+    to_relay: StoreVersion,
+}
+
 /// The shared state of a serving node. Each part has its own lock, and no lock is held across an
 /// await.
 pub struct ServingNode {
@@ -153,9 +177,13 @@
     boxes_listed_at: Mutex<Option<Moment>>,
     first_listing_over: watch::Sender<bool>,
     box_list_received: AtomicBool,
+    new_to_store: AtomicBool,
     prefers_snapshots: AtomicBool,
-    config_row: AtomicU64,
-    config_row_in_force: AtomicU64,
+    config_rows: Mutex<ConfigRows>,
+    /// The era of the platform's store.
+    pub store_era: StoreEra,
+    /// When this box last wrote its row.
+    pub box_row_written_at: Mutex<Option<Moment>>,
     store_lost: AtomicBool,
     store_failed_at: Mutex<Option<Moment>>,
     stopping: AtomicBool,
@@ -211,9 +239,11 @@
             boxes_listed_at: Mutex::default(),
             first_listing_over: watch::Sender::new(false),
             box_list_received: AtomicBool::new(false),
+            new_to_store: AtomicBool::new(false),
             prefers_snapshots: AtomicBool::new(false),
-            config_row: AtomicU64::new(0),
-            config_row_in_force: AtomicU64::new(0),
+            config_rows: Mutex::default(),
+            store_era: StoreEra::default(),
+            box_row_written_at: Mutex::default(),
             store_lost: AtomicBool::new(false),
             store_failed_at: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -278,6 +308,16 @@
         self.box_list_received.load(Ordering::Relaxed)
     }
 
+    /// Records that the platform's store had no row of this box when it started.
+    pub fn set_new_to_store(&self) {
+        self.new_to_store.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the platform's store had no row of this box when it started.
+    pub fn is_new_to_store(&self) -> bool {
+        self.new_to_store.load(Ordering::Relaxed)
+    }
+
     /// Makes this box wait for snapshots from its peers, because they start together with it or are
     /// many.
     pub fn set_prefers_snapshots(&self) {
@@ -289,23 +329,32 @@
         self.prefers_snapshots.load(Ordering::Relaxed)
     }
 
-    /// Returns the newest configuration row that was examined, whether it was put in force or
-    /// refused.
-    pub fn config_row(&self) -> u64 {
-        self.config_row.load(Ordering::Relaxed)
+    /// Returns the newest configuration row that was examined, whether it was put in force or not.
+    pub fn config_row(&self) -> StoreVersion {
+        self.config_rows.lock().examined
     }
 
     /// Returns the row of the configuration in force. The configuration itself may be newer, but
     /// never older.
-    pub fn config_row_in_force(&self) -> u64 {
-        self.config_row_in_force.load(Ordering::Relaxed)
+    pub fn config_row_in_force(&self) -> StoreVersion {
+        self.config_rows.lock().in_force
     }
 
-    /// Records an examined configuration row and whether it was put in force.
-    pub fn record_config_row(&self, row: u64, in_force: bool) {
-        self.config_row.fetch_max(row, Ordering::Relaxed);
-        if in_force {
-            self.config_row_in_force.fetch_max(row, Ordering::Relaxed);
+    /// Returns the newest examined row that other boxes have to examine as well.
+    pub fn config_row_to_relay(&self) -> StoreVersion {
+        self.config_rows.lock().to_relay
+    }
+
+    /// Records an examined configuration row and what became of it.
+    pub fn record_config_row(&self, row: StoreVersion, outcome: ConfigOutcome) {
+        let mut rows = self.config_rows.lock();
+        rows.examined = rows.examined.max(row);
+        if outcome != ConfigOutcome::Outdated {
+            rows.to_relay = rows.to_relay.max(row);
+        }
+        if outcome == ConfigOutcome::InForce {
+            rows.in_force = rows.in_force.max(row);
+            drop(rows);
             self.config_freshness.set_in_force(row);
         }
     }
--- a/trackfrontd/src/serving/order_holder.rs
+++ b/trackfrontd/src/serving/order_holder.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use trackfront_core::lease::LeaseAnnouncement;
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::messages::{HolderReport, LeaseReport};
@@ -42,7 +43,9 @@
     /// Applies the report of another box on the holder. `me` is the address of this box.
     pub fn apply_report(&mut self, report: &HolderReport, me: Ipv4Addr, now: Moment) {
         let announcement = report.lease.map(|lease| lease.announcement(now));
-        let known = self.relayed_announcement.map_or(0, |announcement| announcement.version);
+        let known = self
+            .relayed_announcement
+            .map_or(StoreVersion::ZERO, |announcement| announcement.version);
         self.relayed_announcement = announcement
             .filter(|announcement| announcement.version > known)
             .or(self.relayed_announcement);
--- a/trackfrontd/src/serving/peer_tracker.rs
+++ b/trackfrontd/src/serving/peer_tracker.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use trackfront_core::lease::LeaseAnnouncement;
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::delegates::{Halls, ListedBox};
@@ -435,7 +436,7 @@
 
     /// Returns the last announcement for a version of the lease's row. Each version is written by
     /// one box only.
-    pub fn announcement(&self, version: u64) -> Option<LeaseAnnouncement> {
+    pub fn announcement(&self, version: StoreVersion) -> Option<LeaseAnnouncement> {
         let own = self.peers.values().filter_map(|peer| peer.announcement);
         let all = own.chain(self.holder.relayed_announcement());
         all.into_iter().find(|announcement| announcement.version == version)
--- /dev/null
+++ b/trackfrontd/src/serving/restoration.rs
@@ -0,0 +1,91 @@
+//! The era of the platform's store, and what this box writes again after a restoration.
+//!
+//! The store may be restored from a copy some seconds old, which starts the next era. The operator
+//! and the servers write their rows again; the rows of this system's boxes are lost if the copy
+//! lacks them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::RngExt;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use trackfront_core::units::Moment;
+
+use super::boxes;
+use super::node::ServingNode;
+
+/// The greatest age of a copy from which the store is restored. Older rows are not lost.
+const MAX_COPY_AGE: Duration = Duration::from_secs(60);
+
+/// The time over which the boxes of a fleet spread their writes: at 1,968 boxes, 200 a second.
+const WRITE_SPREAD: Duration = Duration::from_secs(10);
+
+/// The latest era that this box knows.
+#[derive(Debug, Default)]
+pub struct StoreEra {
+    known: Mutex<Option<KnownEra>>,
+    restored: Notify,
+}
+
+/// An era as this box knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownEra {
+    era: u64,
+    /// When this box learned of it.
+    pub learned_at: Moment,
+    /// Whether it is the first era that this box learned of, so that it may have begun long ago.
+    pub is_first: bool,
+}
+
+impl StoreEra {
+    /// Records an era that an answer or a message carried. Returns the one before if this is later.
+    fn advance(&self, era: u64, now: Moment) -> Option<u64> {
+        let mut known = self.known.lock();
+        let before = known.map_or(0, |known| known.era);
+        if era <= before {
+            return None;
+        }
+        *known = Some(KnownEra { era, learned_at: now, is_first: before == 0 });
+        Some(before)
+    }
+
+    /// Returns the latest era that this box knows; `None` if the store has no eras.
+    pub fn latest(&self) -> Option<KnownEra> {
+        *self.known.lock()
+    }
+}
+
+/// Records an era of the store, which an answer of the store or a message of the box `by` carried.
+pub fn observe_era(node: &ServingNode, era: u64, by: &str) {
+    let Some(before) = node.store_era.advance(era, node.now()) else {
+        return;
+    };
+    node.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    if before == 0 {
+        log::info!(era, by; "store era learned");
+        return;
+    }
+    let config_row = node.config_row();
+    let list = node.directory.lock().newest_version();
+    log::warn!(era, before, by, config_row, list; "store restored from a copy");
+    node.store_era.restored.notify_one();
+}
+
+/// Writes rows of this box again after each restoration of the store, for as long as the node runs.
+pub async fn rewrite_lost_rows(node: Arc<ServingNode>) {
+    loop {
+        node.store_era.restored.notified().await;
+        let restored_at = node.now();
+        let quarantined = node.crashes.forget_stored_rows();
+        let written_at = *node.box_row_written_at.lock();
+        let box_row = written_at.is_some_and(|at| restored_at.since(at) < MAX_COPY_AGE);
+        log::info!(quarantined, box_row; "writing again what the store may have lost");
+        if box_row {
+            let delay = WRITE_SPREAD.mul_f64(rand::rng().random());
+            sleep(delay).await;
+            boxes::write_row_until_stored(&node).await;
+        }
+    }
+}
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -21,7 +21,7 @@
 use super::settings::ServingSettings;
 use super::{
     boxes, cold, config_freshness, crashes, follow, listeners, missing_items, notices, permits,
-    quota, suspension,
+    quota, restoration, suspension,
 };
 
 /// The timeout of a call to the platform's store, in addition to the time that the call asks the
@@ -85,6 +85,7 @@
     tasks.spawn(quota::maintain_quotas(node.clone(), socket.clone()));
     tasks.spawn(crashes::broadcast(node.clone(), socket.clone()));
     tasks.spawn(crashes::maintain_rows(node.clone()));
+    tasks.spawn(restoration::rewrite_lost_rows(node.clone()));
     tasks.spawn(notices::fetch_from_peers(node.clone()));
     tasks.spawn(notices::broadcast(node.clone(), socket.clone()));
     tasks.spawn(permits::send_requests(node.clone(), socket.clone()));
--- a/trackfrontd/src/serving/unusable_rows.rs
+++ b/trackfrontd/src/serving/unusable_rows.rs
@@ -7,6 +7,7 @@
 use trackfront_adapters::serving_metrics::ServingMetrics;
 use trackfront_core::ids::ServerKey;
 use trackfront_core::serving::directory::ServerChange;
+use trackfront_core::store_version::StoreVersion;
 
 /// The number of such rows in one answer that are logged one by one; the rest are logged as a
 /// count, so that a flood of rows causes no flood of log lines.
@@ -18,7 +19,7 @@
 /// The rows that were logged.
 #[derive(Debug, Default)]
 pub struct UnusableRows {
-    logged: Mutex<HashMap<ServerKey, u64>>,
+    logged: Mutex<HashMap<ServerKey, StoreVersion>>,
 }
 
 impl UnusableRows {
@@ -46,7 +47,7 @@
         }
     }
 
-    fn is_new(&self, key: &ServerKey, version: u64) -> bool {
+    fn is_new(&self, key: &ServerKey, version: StoreVersion) -> bool {
         let mut logged = self.logged.lock();
         if logged.len() >= MAX_REMEMBERED_ROWS {
             logged.clear();
--- a/trackfrontd/src/shards/claims.rs
+++ b/trackfrontd/src/shards/claims.rs
@@ -19,12 +19,16 @@
 use trackfront_core::ids::{Fence, ShardId};
 use trackfront_core::ports::peers::ClaimsKept;
 use trackfront_core::ports::{Expect, ObjectError, Row, RowKey, TableError, Write};
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::UnixMillis;
 
 use super::goes_on;
 use super::lease::{LeaseKeeper, write};
 use crate::shared::Shared;
 
+/// The version of a row's first value.
+const FIRST_VERSION: StoreVersion = StoreVersion::new(0, 1);
+
 /// The least time between two commits of a shard: 20 writes a second at the most.
 const COMMIT_GAP: Duration = Duration::from_millis(50);
 
@@ -208,7 +212,7 @@
 #[derive(Clone, Debug)]
 struct LogRow {
     key: RowKey,
-    version: u64,
+    version: StoreVersion,
     entries: Vec<ClaimEntry>,
 }
 
@@ -360,7 +364,7 @@
             self.stop_keeping();
             return;
         }
-        self.log.push(LogRow { key, version: 1, entries });
+        self.log.push(LogRow { key, version: FIRST_VERSION, entries });
         self.desk.state.lock().book.committed();
         self.desk.notify();
     }
@@ -423,9 +427,9 @@
         self.log.clear();
         self.manifest = manifest;
         self.manifest_expect = match self.manifest_expect {
-            Expect::Version(version) => Expect::Version(version + 1),
+            Expect::Version(version) => Expect::Version(version.next()),
             // The manifest is never deleted, so its first version is 1.
-            Expect::Absent => Expect::Version(1),
+            Expect::Absent => Expect::Version(FIRST_VERSION),
         };
     }
 
--- a/trackfrontd/src/shards/lease.rs
+++ b/trackfrontd/src/shards/lease.rs
@@ -201,7 +201,7 @@
     async fn note_written(&mut self, row: LeaseRow, sent_at: Moment) -> bool {
         match &self.seen {
             Some(seen) => {
-                let version = seen.version + 1;
+                let version = seen.version.next();
                 self.seen = Some(ObservedLease { version, row, since: sent_at });
                 true
             }
--- a/trackfrontd/src/shards/placement.rs
+++ b/trackfrontd/src/shards/placement.rs
@@ -202,7 +202,7 @@
     /// Notes that the table has `row` as its orders row.
     async fn note_written(&mut self, row: OrdersRow) -> bool {
         let expect = match self.owned.as_ref().map(|owned| owned.expect) {
-            Some(Expect::Version(version)) => Expect::Version(version + 1),
+            Some(Expect::Version(version)) => Expect::Version(version.next()),
             _ => match self.shared.outside.table.read(&self.orders_key()).await {
                 Ok(read) => Expect::unchanged(read.as_ref()),
                 Err(error) => {
--- a/trackfrontd/tests/messages.rs
+++ b/trackfrontd/tests/messages.rs
@@ -31,7 +31,7 @@
     let names: Vec<String> =
         (0..24).map(|number| format!("i-{:08x}", number * 0x9E37_79B9u64)).collect();
     let change = |(index, name): (usize, &String)| ServerChange::Set {
-        version: 1_000 + index as u64,
+        version: (1_000 + index as u64).into(),
         entry: ServerEntry {
             id: format!("{name}@{}", 1_700_000_000_000 + index * 37).into(),
             key: name.as_str().into(),
@@ -53,7 +53,8 @@
         },
     };
     let changes: Vec<ServerChange> = names.iter().enumerate().map(change).collect();
-    let update = FeedUpdate::Servers { from: 999, to: 1_023, changes, expiry_grace_ms: 0 };
+    let update =
+        FeedUpdate::Servers { from: 999.into(), to: 1_023.into(), changes, expiry_grace_ms: 0 };
     let bytes = pack(&update).len() / names.len();
     println!("{bytes} bytes a change");
     assert!(bytes <= 60, "{bytes}");
--- a/trackfrontd/tests/order_tracker.rs
+++ b/trackfrontd/tests/order_tracker.rs
@@ -39,7 +39,7 @@
     };
     let mut directory = Directory::new(Duration::from_secs(1));
     let id = entry.id.clone();
-    directory.apply(vec![ServerChange::Set { version: 1, entry }], 1, at(1_000));
+    directory.apply(vec![ServerChange::Set { version: 1.into(), entry }], 1.into(), at(1_000));
     directory.get(&id).expect("known").as_ref().clone()
 }
 
--- a/trackfrontd/tests/peer_socket.rs
+++ b/trackfrontd/tests/peer_socket.rs
@@ -117,7 +117,7 @@
         busy.send(&large_message(), &boxes).await;
     });
     sleep(Duration::from_millis(50)).await;
-    socket.send_now(&Message::FeedUpdate(FeedUpdate::Config { row: 1 }), ip(111));
+    socket.send_now(&Message::FeedUpdate(FeedUpdate::Config { row: 1.into() }), ip(111));
     let mut buffer = [0; 64];
     let received = timeout(Duration::from_millis(900), recipient.recv_from(&mut buffer)).await;
     assert!(received.is_ok(), "it came at once");
