Take an order lease after a restoration only when no earlier holder acts

Cause: the restored table has an older lease row, or none. The box took the lease under that row's token plus one, which it had had before, and the lease asserts that tokens grow. Another box would have used the token without notice, and would not have waited for the holder of the lost row.

The token is now above all that the box has had, and above the era and the count of the row's writes, which no holder of an earlier era had. A box takes no lease until every lease of the era before must have ended and the quiet period has passed, unless the row is known to be of this era, or the box is new to the store and finds no row. The holder writes its row again while its token is valid, so orders go on. The own interface's leases keep their tokens growing in the same way.

Evidence: only_one_box_gives_orders_whenever_the_table_is_restored and order_holder_runs_on_after_its_lease_row_was_lost, both red before.

--- a/trackfront_core/src/lease.rs
+++ b/trackfront_core/src/lease.rs
@@ -3,6 +3,9 @@
 //! Clocks of different boxes are never compared. A holder counts the lease from before it sent the
 //! write that renewed it; another box takes over only after it has itself observed the row
 //! unchanged for longer than the lease lasts.
+//!
+//! A table that is restored from a copy forgets takeovers and renewals. So a box takes no lease
+//! until every lease of the era before has ended, and its fencing tokens grow with the era.
 
 // The state machine macro generates items that cannot carry doc comments.
 #![allow(missing_docs)]
@@ -20,6 +23,10 @@
 /// The holder stops this much early, and a watcher waits this much longer.
 const MARGIN_DIVISOR: u32 = 5;
 
+/// The number of low bits of a fencing token that hold the count of the row's writes, in a table
+/// with eras; the era precedes them. At one write a second they last 136 years.
+const FENCE_COUNT_BITS: u32 = 32;
+
 /// The stored value of a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -114,6 +121,11 @@
         Self { ttl, largest_fence: Fence(0) }
     }
 
+    /// Returns the largest fencing token under which this box has held the lease.
+    pub fn largest_fence(&self) -> Fence {
+        self.largest_fence
+    }
+
     /// Returns until when the lease may be used if the write was sent at `sent_at`.
     fn valid_until(&self, sent_at: Moment) -> Moment {
         sent_at + (self.ttl - self.ttl / MARGIN_DIVISOR)
@@ -147,6 +159,23 @@
     takeover_with_quiet_period(seen, me, LeaseTerms { ttl, quiet_period: Duration::ZERO }, now)
 }
 
+impl LeaseRow {
+    /// Returns the row with a fencing token larger than `floor`.
+    pub fn with_fence_above(self, floor: Fence) -> Self {
+        Self { fence: self.fence.max(Fence(floor.0 + 1)), ..self }
+    }
+}
+
+/// Returns a fencing token that is at least as large as those taken so far, up to the `version` of
+/// the row, even if a restoration of the table has lost some of them. A table without eras is
+/// never restored, and the tokens in its row suffice.
+pub fn fence_floor(version: StoreVersion) -> Fence {
+    match version.era() {
+        0 => Fence(0),
+        era => Fence((era << FENCE_COUNT_BITS) + version.number()),
+    }
+}
+
 /// The duration of a lease, and the pause between the actions of two holders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTerms {
@@ -158,6 +187,14 @@
     pub quiet_period: Duration,
 }
 
+impl LeaseTerms {
+    /// Returns the time after a box has learned of a restoration of the table during which it takes
+    /// no lease. The restored row may be one that its holder has renewed since, or lack a holder.
+    pub fn restoration_delay(self) -> Duration {
+        expiry_time(self.ttl) + self.quiet_period
+    }
+}
+
 /// Like [`takeover`], with a quiet period between holders.
 pub fn takeover_with_quiet_period(
     seen: Option<&ObservedLease>,
@@ -215,13 +252,15 @@
     match &lease.row.holder {
         Some(holder) if holder == me => Duration::ZERO,
         None => quiet_period,
-        Some(_) => {
-            let ttl = Duration::from_millis(lease.row.ttl_ms);
-            // The margin on this side covers a watcher whose clock runs fast.
-            ttl + ttl / MARGIN_DIVISOR + quiet_period
-        }
+        Some(_) => expiry_time(Duration::from_millis(lease.row.ttl_ms)) + quiet_period,
     }
 }
 
+/// Returns the time after which a lease that lasts `ttl` has ended for a watcher. The margin covers
+/// a watcher whose clock runs fast.
+fn expiry_time(ttl: Duration) -> Duration {
+    ttl + ttl / MARGIN_DIVISOR
+}
+
 #[cfg(test)]
 mod tests;
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -4,6 +4,10 @@
 //! steady demand costs no calls. Other boxes learn from digests that the holder is alive, and read
 //! the row only if they hear nothing from it. Some engines don't check fencing tokens, so a quiet
 //! period separates the last order of one holder from the first order of the next.
+//!
+//! After a restoration of the platform's table the row may be gone, or an older one. The holder
+//! writes it again while its token is valid; no other box takes the lease until that token must
+//! have ended.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +18,7 @@
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::{Fence, NodeId, TxnId, draw_id};
 use trackfront_core::lease::{
-    LeaseAnnouncement, LeaseEvent, LeaseMachine, LeaseRow, LeaseTerms, ObservedLease,
+    LeaseAnnouncement, LeaseEvent, LeaseMachine, LeaseRow, LeaseTerms, ObservedLease, fence_floor,
     takeover_on_announcement,
 };
 use trackfront_core::ports::table::commit_settled;
@@ -24,6 +28,7 @@
 
 use super::gossip::HoldsOrderLease;
 use super::node::ServingNode;
+use super::restoration::observe_era;
 
 /// The key of the lease's row.
 const LEASE_ROW_KEY: &str = "lease/orders";
@@ -82,6 +87,9 @@
     key: RowKey,
     machine: StateMachine<LeaseMachine>,
     observed: Option<ObservedLease>,
+    /// The era of the table in which the row is known to have been written, so that it names the
+    /// last holder.
+    written_in_era: Option<u64>,
     last_read_at: Option<Moment>,
     vacant_since: Option<Moment>,
     failing_since: Option<Moment>,
@@ -104,6 +112,7 @@
             key: RowKey(LEASE_ROW_KEY.into()),
             machine: LeaseMachine::new(LEASE_TTL).state_machine(),
             observed: None,
+            written_in_era: None,
             last_read_at: None,
             vacant_since: None,
             failing_since: None,
@@ -148,7 +157,7 @@
             return false;
         }
         let renewed = match self.order_fence.usable(now) {
-            Some(fence) => self.write(self.own_row(fence)).await,
+            Some(fence) => self.extend(fence).await,
             None => self.take_over().await,
         };
         if renewed {
@@ -195,13 +204,49 @@
         LeaseTerms { ttl: LEASE_TTL, quiet_period: promised + ORDER_TRAVEL_TIME }
     }
 
+    /// Writes the row again under a token that is still valid. After a restoration of the table the
+    /// row is read first, whatever it says: no other box can have taken the lease since.
+    async fn extend(&mut self, fence: Fence) -> bool {
+        if self.is_before_restoration() && !self.read_row_logged().await {
+            return false;
+        }
+        self.write(self.own_row(fence)).await
+    }
+
+    /// Returns whether the table was restored after the row was observed.
+    fn is_before_restoration(&self) -> bool {
+        let era = self.node.ports.table.era();
+        self.observed.as_ref().is_some_and(|observed| observed.version.era() < era)
+    }
+
+    /// Returns whether a holder of the era before may still give orders at `now`. A box that is new
+    /// to the table and finds no lease in it has no holder before it.
+    fn may_have_earlier_holder(&self, now: Moment) -> bool {
+        let Some(era) = self.node.store_era.latest() else {
+            return false;
+        };
+        if self.written_in_era == Some(self.node.ports.table.era()) {
+            return false;
+        }
+        let is_vacant = era.is_first && self.node.is_new_to_store() && self.observed.is_none();
+        !is_vacant && now.since(era.learned_at) < self.terms().restoration_delay()
+    }
+
+    /// Reads the row. Returns whether that succeeded.
+    async fn read_row_logged(&mut self) -> bool {
+        let read = self.read_row().await;
+        read.inspect_err(|error| log::info!(error:% = error; "order lease not read")).is_ok()
+    }
+
     async fn take_over(&mut self) -> bool {
         self.machine.handle(&LeaseEvent::Tick(self.node.now()));
-        if let Err(error) = self.read_row().await {
-            log::info!(error:% = error; "order lease not read");
+        if !self.read_row_logged().await {
             return false;
         }
         let now = self.node.now();
+        if self.may_have_earlier_holder(now) {
+            return false;
+        }
         let (observed, announcement) = (self.observed.as_ref(), self.holder_announcement());
         let Some(row) =
             takeover_on_announcement(observed, announcement, &self.me, self.terms(), now)
@@ -213,6 +258,7 @@
             }
             return false;
         };
+        let row = row.with_fence_above(self.fence_floor());
         let fence = row.fence;
         let before = self.observed.as_ref().and_then(|observed| observed.row.holder.clone());
         let before = before.map_or_else(String::new, |holder| holder.to_string());
@@ -226,6 +272,13 @@
         true
     }
 
+    /// Returns the largest fencing token that this box knows or that another box may have taken.
+    fn fence_floor(&self) -> Fence {
+        let absent = StoreVersion::start_of(self.node.ports.table.era());
+        let version = self.observed.as_ref().map_or(absent, |observed| observed.version);
+        fence_floor(version).max(self.machine.largest_fence())
+    }
+
     /// Returns the last announcement of the box that wrote the row as last read.
     fn holder_announcement(&self) -> Option<LeaseAnnouncement> {
         let version = self.observed.as_ref()?.version;
@@ -236,6 +289,7 @@
         self.last_read_at = Some(self.node.now());
         self.count("read_lease");
         let row = self.node.ports.table.read(&self.key).await?;
+        observe_era(&self.node, self.node.ports.table.era(), "the store");
         let now = self.node.now();
         let Some(row) = row else {
             self.observed = None;
@@ -245,6 +299,11 @@
             .map_err(|error| TableError::BadAnswer(error.to_string()))?;
         let same = self.observed.as_ref().filter(|observed| observed.version == row.version);
         let since = same.map_or(now, |observed| observed.since);
+        let era = row.version.era();
+        let before = self.observed.as_ref().filter(|observed| observed.version.era() == era);
+        if before.is_some_and(|observed| observed.version != row.version) {
+            self.written_in_era = Some(era);
+        }
         self.observed = Some(ObservedLease { version: row.version, row: value, since });
         Ok(())
     }
@@ -254,6 +313,10 @@
         let fence = row.fence;
         match self.commit(&row).await {
             CommitOutcome::Applied => {}
+            CommitOutcome::Conflict { .. } if self.is_before_restoration() => {
+                log::info!(fence = fence.0; "order lease not written, since its table was restored");
+                return false;
+            }
             CommitOutcome::Conflict { .. } => {
                 self.observed = None;
                 self.drop_lease("another node has it");
@@ -267,11 +330,10 @@
                 return false;
             }
         }
-        let version = self
-            .observed
-            .as_ref()
-            .map_or(StoreVersion::from(1), |observed| observed.version.next());
+        let first = StoreVersion::start_of(self.node.ports.table.era()).next();
+        let version = self.observed.as_ref().map_or(first, |observed| observed.version.next());
         self.observed = Some(ObservedLease { version, row, since: sent_at });
+        self.written_in_era = Some(version.era());
         self.machine.handle(&LeaseEvent::Written { fence, sent_at });
         let until = sent_at + (LEASE_TTL - LEASE_TTL / 5);
         self.order_fence.set(Some(ValidFence { fence, until }));
--- a/trackfrontd/src/shards/lease.rs
+++ b/trackfrontd/src/shards/lease.rs
@@ -139,6 +139,8 @@
             self.vacant_since = None;
             return None;
         };
+        // A table restored from a backup may have an older row than this box has written.
+        let row = row.with_fence_above(self.machine.largest_fence());
         let vacant_since = *self.vacant_since.get_or_insert(now);
         if now.since(vacant_since) < WATCHER_STEP * place as u32 {
             return None;
