Remove a server at once whose row goes after a restoration

Cause: the time for which a restored list leaves servers without a row was the one that follows an outage, in which any removed row counts as expired. A row that the restored table has and then removes has not expired.

The time now applies only to rows that the restored listing lacks. Further tests of the directory, the halls and the versions across eras.

--- a/trackfront_core/src/serving/directory/mod.rs
+++ b/trackfront_core/src/serving/directory/mod.rs
@@ -67,15 +67,31 @@
     loaded_server_found_at: Option<Moment>,
     /// Until when a removed row may merely have expired during an outage of the platform.
     expiry_grace_until: Moment,
-    /// Ready servers whose rows were removed within the grace period, with the versions of the
-    /// removals.
-    expired: HashMap<ServerKey, StoreVersion>,
+    /// Ready servers that are kept for a while although they have no row.
+    expired: HashMap<ServerKey, ExpiredRow>,
     /// Until when rows may be older than what the box knows, since the table was restored.
     restored_until: Moment,
     /// When the servers have to be listed again after a restoration.
     relist_at: Option<Moment>,
 }
 
+/// The row of a ready server that the table does not have, but may have again soon.
+#[derive(Clone, Copy, Debug)]
+struct ExpiredRow {
+    /// The version of the removal, or of the listing that lacks the row.
+    version: StoreVersion,
+    cause: ExpiryCause,
+}
+
+/// Why the table lacks the row of a server that may be alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ExpiryCause {
+    /// The platform was unavailable, and the server could not renew its row.
+    Outage,
+    /// The table was restored from a copy without the row.
+    Restoration,
+}
+
 /// A server whose row was removed.
 #[derive(Clone, Debug)]
 struct RemovedServer {
@@ -177,14 +193,16 @@
 
     /// Removes the servers whose rows expired and were not rewritten within the grace period.
     pub fn drop_expired_rows(&mut self, now: Moment) -> Vec<DirectoryEvent> {
-        if self.expired.is_empty() || now < self.expiry_grace_until {
-            return Vec::new();
-        }
-        let expired = std::mem::take(&mut self.expired);
-        let expired = expired.into_iter();
-        let events: Vec<_> =
-            expired.filter_map(|(key, version)| self.remove(version, key, now)).collect();
-        events
+        let is_over = |cause| match cause {
+            ExpiryCause::Outage => now >= self.expiry_grace_until,
+            ExpiryCause::Restoration => now >= self.restored_until,
+        };
+        let expired = self.expired.iter().filter(|(_, row)| is_over(row.cause));
+        let expired: Vec<_> = expired.map(|(key, row)| (key.clone(), row.version)).collect();
+        expired
+            .into_iter()
+            .filter_map(|(key, version)| self.remove_now(version, key, now))
+            .collect()
     }
 
     /// Applies all changes of rows from a known version up to `version`. Changes that are not newer
@@ -222,6 +240,7 @@
         }
         if origin == ChangeOrigin::Listing {
             self.complete_after = to;
+            return Some(self.apply_listed(changes, to, now));
         }
         Some(self.apply(changes, to, now))
     }
@@ -262,7 +281,6 @@
         if version < self.newest_version {
             return None;
         }
-        self.enter_era(version, now);
         // The listing lacks rows that were both added and removed since the last known version.
         self.complete_after = version;
         let listed: BTreeSet<&ServerKey> = rows.iter().map(ServerChange::key).collect();
@@ -273,7 +291,22 @@
             .map(|known| ServerChange::Removed { version, key: known.entry.key.clone() })
             .collect();
         changes.extend(rows);
-        Some(self.apply_all(changes, version, now))
+        Some(self.apply_listed(changes, version, now))
+    }
+
+    /// Applies the differences to a listing at `version`. After a restoration, the copy may lack
+    /// the rows of live servers.
+    fn apply_listed(
+        &mut self,
+        mut changes: Vec<ServerChange>,
+        version: StoreVersion,
+        now: Moment,
+    ) -> Vec<DirectoryEvent> {
+        if version.era() > self.newest_version.era() {
+            self.enter_era(version, now);
+            changes.retain(|change| !self.keeps_without_row(change, now));
+        }
+        self.apply_all(changes, version, now)
     }
 
     fn apply_all(
@@ -324,8 +357,8 @@
                 }
             }
         };
-        let gone = |(key, version): (&ServerKey, &StoreVersion)| ServerChange::Removed {
-            version: *version,
+        let gone = |(key, row): (&ServerKey, &ExpiredRow)| ServerChange::Removed {
+            version: row.version,
             key: key.clone(),
         };
         events.iter().filter_map(change).chain(self.expired.iter().map(gone)).collect()
@@ -346,7 +379,7 @@
         let set = newer
             .map(|known| ServerChange::Set { version: known.version, entry: known.entry.clone() });
         let removed = self.removed.iter().map(|(key, removed)| (key, removed.version));
-        let expired = self.expired.iter().map(|(key, version)| (key, *version));
+        let expired = self.expired.iter().map(|(key, row)| (key, row.version));
         let gone = removed.chain(expired).filter(|(_, version)| *version > after);
         let gone = gone.map(|(key, version)| ServerChange::Removed { version, key: key.clone() });
         DirectoryUpdate::Changes(set.chain(gone).collect())
@@ -421,7 +454,7 @@
     fn is_stale(&self, version: StoreVersion, entry: &ServerEntry) -> bool {
         let known = self.incarnations.get(&entry.key).and_then(|id| self.servers.get(id));
         let removed = self.removed.get(&entry.key);
-        let expired_at = self.expired.get(&entry.key).copied().unwrap_or_default();
+        let expired_at = self.expired.get(&entry.key).map(|row| row.version).unwrap_or_default();
         known.is_some_and(|known| known.version >= version)
             || removed.is_some_and(|removed| removed.version >= version)
             || expired_at >= version.max(StoreVersion::from(1))
@@ -488,7 +521,7 @@
             return None;
         }
         if now < self.expiry_grace_until && known.is_some_and(|known| known.is_ready()) {
-            self.expired.insert(key, version);
+            self.expired.insert(key, ExpiredRow { version, cause: ExpiryCause::Outage });
             return None;
         }
         self.remove_now(version, key, now)
--- a/trackfront_core/src/serving/directory/restoration.rs
+++ b/trackfront_core/src/serving/directory/restoration.rs
@@ -7,7 +7,10 @@
 
 use std::time::Duration;
 
-use super::{Directory, EXPIRY_GRACE, KnownServer, ServerEntry, ServerState};
+use super::{
+    Directory, EXPIRY_GRACE, ExpiredRow, ExpiryCause, KnownServer, ServerChange, ServerEntry,
+    ServerState,
+};
 use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
@@ -28,10 +31,24 @@
         }
         let grace = (self.heartbeat * REWRITE_HEARTBEATS).max(EXPIRY_GRACE);
         self.restored_until = now + grace;
-        self.expiry_grace_until = self.expiry_grace_until.max(self.restored_until);
         self.relist_at = Some(self.restored_until + RELIST_DELAY);
     }
 
+    /// Returns whether a ready server stays for the grace period although a listing lacks its row.
+    /// A later removal of the row, which the table has then, takes effect at once.
+    pub(super) fn keeps_without_row(&mut self, change: &ServerChange, now: Moment) -> bool {
+        let ServerChange::Removed { version, key } = change else {
+            return false;
+        };
+        let known = self.incarnations.get(key).and_then(|id| self.servers.get(id));
+        let keeps = now < self.restored_until && known.is_some_and(|known| known.is_ready());
+        if keeps {
+            let row = ExpiredRow { version: *version, cause: ExpiryCause::Restoration };
+            self.expired.insert(key.clone(), row);
+        }
+        keeps
+    }
+
     /// Returns whether the servers have to be listed again, since rows were ignored in the grace
     /// period. Returns `true` once for each restoration.
     pub fn take_relisting(&mut self, now: Moment) -> bool {
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -15,6 +15,7 @@
     mod directory;
     mod directory_listed;
     mod directory_random;
+    mod directory_restored;
     mod forecast;
     mod halls;
     mod key_freshness;
@@ -30,4 +31,5 @@
     mod retry_budget;
     mod sampling;
     mod saturation;
+    mod store_version;
 }
--- a/trackfront_core/tests/serving/halls.rs
+++ b/trackfront_core/tests/serving/halls.rs
@@ -1,4 +1,5 @@
 use trackfront_core::serving::halls::{Evacuations, HallStatus};
+use trackfront_core::store_version::StoreVersion;
 
 use super::support::at;
 
@@ -48,3 +49,21 @@
     assert_eq!(evacuations.reopened_at(&"a".into()), Some(at(50)));
     assert_eq!(evacuations.reopened_at(&"b".into()), None);
 }
+
+/// Guards against requests to an evacuated hall whose row the restored store lacks until the operator writes it again,
+/// and against a hall that stays evacuated for ever.
+#[test]
+fn evacuated_hall_that_the_copy_lacks_is_reopened_only_after_a_while() {
+    let mut evacuations = Evacuations::default();
+    let version = |era, number| StoreVersion::new(era, number);
+    evacuations.statuses_from_listing(Vec::new(), version(1, 20), at(0));
+    let evacuated = HallStatus { version: version(1, 30), ..status("a", 0, true) };
+    evacuations.apply(&evacuated, at(500));
+    let restored = evacuations.statuses_from_listing(Vec::new(), version(2, 22), at(1_000));
+    assert_eq!(restored, []);
+    assert!(!evacuations.take_relisting(at(10_900)));
+    assert!(evacuations.take_relisting(at(11_000)));
+    let statuses = evacuations.statuses_from_listing(Vec::new(), version(2, 40), at(11_000));
+    statuses.iter().for_each(|status| assert!(evacuations.apply(status, at(11_000))));
+    assert!(!evacuations.is_evacuated(&"a".into()));
+}
