--- a/trackfront_core/tests/serving/directory_restored.rs
+++ b/trackfront_core/tests/serving/directory_restored.rs
@@ -1,7 +1,8 @@
 //! A directory whose table is restored from a copy.
 
 use trackfront_core::serving::directory::{
-    Directory, DirectoryEvent, DirectoryUpdate, ServerChange, ServerEntry, ServerState,
+    ChangeOrigin, Directory, DirectoryEvent, DirectoryUpdate, ReceivedChanges, ServerChange,
+    ServerEntry, ServerState,
 };
 use trackfront_core::store_version::StoreVersion;
 
@@ -133,3 +134,35 @@
     directory.apply(vec![set(v(2, 26), written_again)], v(2, 26), at(1_500));
     assert!(directory.get(&"x".into()).expect("known").is_ready());
 }
+
+/// Guards against a snapshot of all servers for each box of a hall after a restoration: what it changed fits into one
+/// message, however many servers there are.
+#[test]
+fn restoration_is_relayed_as_the_few_changes_that_it_made() {
+    const SERVERS: u64 = 1_300;
+    const BOXES: usize = 40;
+    const MAX_CHANGES: usize = 24;
+    let name = |number: u64| format!("server-{number:04}");
+    let rows = |era| {
+        let row = |number| (v(era, 1 + number), entry(&name(number), &["m"]));
+        (0..SERVERS).map(row).collect::<Vec<_>>()
+    };
+    let mut boxes: Vec<Directory> = (0..BOXES).map(|_| Directory::new(HEARTBEAT)).collect();
+    for known in &mut boxes {
+        known.replace(rows(1), v(1, 2_000), at(0)).expect("the first listing");
+        known.apply(vec![set(v(1, 2_001), entry("joined", &[]))], v(1, 2_001), at(100));
+    }
+    let [reader, others @ ..] = boxes.as_mut_slice() else { unreachable!("there are boxes") };
+    let mut listing = rows(2);
+    listing[7].1.state = ServerState::Draining { remaining: None };
+    let events = reader.replace(listing, v(2, 1_800), at(1_000)).expect("newer");
+    let changes = reader.changes_for(&events, v(2, 1_800));
+    let received = ReceivedChanges::from_listing(v(1, 2_001), v(2, 1_800), changes, MAX_CHANGES);
+    assert_eq!((received.origin, received.changes.len()), (ChangeOrigin::Listing, 2));
+    for known in others {
+        known.apply_received(received.clone(), at(1_050)).expect("it was at the same version");
+        assert_eq!(ids(known), ids(reader));
+        assert!(!known.get(&name(7).as_str().into()).expect("known").is_ready());
+        assert_eq!(known.drop_expired_rows(at(1_050 + GRACE_MS)).len(), 1, "it never came back");
+    }
+}
