Tell a store without eras from one that counts them from zero

Read in the code: the first restoration of a store whose era begins at 0 looked like the first contact with a store of era 1, so that boxes wrote nothing again, and a box new to the store might have taken the order lease while its holder still gave orders. The ports now say None where no answer has shown an era. A box that hears of an era from another first records what its own calls have shown.

--- a/trackfront_core/src/ports/knowledge.rs
+++ b/trackfront_core/src/ports/knowledge.rs
@@ -82,9 +82,9 @@
         wait: Duration,
     ) -> Result<Feed<ServerChange>, TableError>;
 
-    /// Returns the latest era of the store that any answer showed; 0 if it has no eras.
-    fn era(&self) -> u64 {
-        0
+    /// Returns the latest era of the store that any answer showed; `None` if it has no eras.
+    fn era(&self) -> Option<u64> {
+        None
     }
 
     /// Drops the pooled connections, so that the next calls open new ones. Called after the
--- a/trackfront_core/src/ports/table.rs
+++ b/trackfront_core/src/ports/table.rs
@@ -142,10 +142,10 @@
         Ok(rows)
     }
 
-    /// Returns the latest era of the table that any answer showed; 0 if it has no eras. A
+    /// Returns the latest era of the table that any answer showed; `None` if it has no eras. A
     /// restoration from a copy, which loses confirmed transactions, starts the next era.
-    fn era(&self) -> u64 {
-        0
+    fn era(&self) -> Option<u64> {
+        None
     }
 
     /// Applies `txn` if all of its conditions hold. A condition on a version of an earlier era
--- a/trackfrontd/src/serving/config_freshness.rs
+++ b/trackfrontd/src/serving/config_freshness.rs
@@ -237,7 +237,7 @@
                     // A newer row has a larger version, which makes the follower read it without
                     // the feed.
                     false => {
-                        let era = StoreVersion::start_of(node.ports.knowledge.era());
+                        let era = StoreVersion::start_of(node.ports.knowledge.era().unwrap_or(0));
                         let newer = row.next().max(era);
                         node.feed_state.lock().record_config_row(newer, None);
                     }
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -150,7 +150,7 @@
 /// Removes the row of a request that is no longer quarantined. If it stayed, starting boxes would
 /// load it.
 async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) {
-    let version = StoreVersion::new(node.ports.table.era(), FIRST_COUNT);
+    let version = StoreVersion::new(node.ports.table.era().unwrap_or(0), FIRST_COUNT);
     let removed = commit(node, fingerprint, Expect::Version(version), None).await;
     if !removed {
         log::warn!(fingerprint:%; "quarantine row not removed");
--- a/trackfrontd/src/serving/follow/feed_client.rs
+++ b/trackfrontd/src/serving/follow/feed_client.rs
@@ -81,14 +81,9 @@
         self.node.metrics.store_calls.get_or_create(&KindLabel { kind: call }).inc();
     }
 
-    /// Records the era of the store that any answer to this box has shown.
-    fn observe_era(&self) {
-        restoration::observe_era(&self.node, self.node.ports.knowledge.era(), "the store");
-    }
-
     /// Records a successful call.
     pub fn record_success(&mut self) {
-        self.observe_era();
+        restoration::observe_own_era(&self.node);
         if self.failures > 0 {
             log::info!(dependency = self.name(), failures = self.failures; "dependency regained");
         }
@@ -103,7 +98,7 @@
 
     /// Records a failed call and waits until the next one may be made.
     pub async fn back_off(&mut self, error: &TableError) {
-        self.observe_era();
+        restoration::observe_own_era(&self.node);
         if self.failures == 0 {
             log::warn!(dependency = self.name(), error:% = error; "dependency lost");
         }
--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -28,7 +28,7 @@
 
 use super::gossip::HoldsOrderLease;
 use super::node::ServingNode;
-use super::restoration::observe_era;
+use super::restoration::observe_own_era;
 
 /// The key of the lease's row.
 const LEASE_ROW_KEY: &str = "lease/orders";
@@ -213,9 +213,14 @@
         self.write(self.own_row(fence)).await
     }
 
+    /// Returns the latest era of the table, for versions.
+    fn table_era(&self) -> u64 {
+        self.node.ports.table.era().unwrap_or(0)
+    }
+
     /// Returns whether the table was restored after the row was observed.
     fn is_before_restoration(&self) -> bool {
-        let era = self.node.ports.table.era();
+        let era = self.table_era();
         self.observed.as_ref().is_some_and(|observed| observed.version.era() < era)
     }
 
@@ -225,7 +230,7 @@
         let Some(era) = self.node.store_era.latest() else {
             return false;
         };
-        if self.written_in_era == Some(self.node.ports.table.era()) {
+        if self.written_in_era == Some(self.table_era()) {
             return false;
         }
         let is_vacant = era.is_first && self.node.is_new_to_store() && self.observed.is_none();
@@ -274,7 +279,7 @@
 
     /// Returns the largest fencing token that this box knows or that another box may have taken.
     fn fence_floor(&self) -> Fence {
-        let absent = StoreVersion::start_of(self.node.ports.table.era());
+        let absent = StoreVersion::start_of(self.table_era());
         let version = self.observed.as_ref().map_or(absent, |observed| observed.version);
         fence_floor(version).max(self.machine.largest_fence())
     }
@@ -289,7 +294,7 @@
         self.last_read_at = Some(self.node.now());
         self.count("read_lease");
         let row = self.node.ports.table.read(&self.key).await?;
-        observe_era(&self.node, self.node.ports.table.era(), "the store");
+        observe_own_era(&self.node);
         let now = self.node.now();
         let Some(row) = row else {
             self.observed = None;
@@ -330,7 +335,7 @@
                 return false;
             }
         }
-        let first = StoreVersion::start_of(self.node.ports.table.era()).next();
+        let first = StoreVersion::start_of(self.table_era()).next();
         let version = self.observed.as_ref().map_or(first, |observed| observed.version.next());
         self.observed = Some(ObservedLease { version, row, since: sent_at });
         self.written_in_era = Some(version.era());
--- a/trackfrontd/src/serving/restoration.rs
+++ b/trackfrontd/src/serving/restoration.rs
@@ -29,6 +29,12 @@
     restored: Notify,
 }
 
+/// A step to a later era.
+struct Advance {
+    /// The era known before; `None` if this is the first one.
+    before: Option<u64>,
+}
+
 /// An era as this box knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct KnownEra {
@@ -40,15 +46,15 @@
 }
 
 impl StoreEra {
-    /// Records an era that an answer or a message carried. Returns the one before if this is later.
-    fn advance(&self, era: u64, now: Moment) -> Option<u64> {
+    /// Records an era. Returns `None` if it is not later than the known one.
+    fn advance(&self, era: u64, now: Moment) -> Option<Advance> {
         let mut known = self.known.lock();
-        let before = known.map_or(0, |known| known.era);
-        if era <= before {
+        let before = known.map(|known| known.era);
+        if before.is_some_and(|before| era <= before) {
             return None;
         }
-        *known = Some(KnownEra { era, learned_at: now, is_first: before == 0 });
-        Some(before)
+        *known = Some(KnownEra { era, learned_at: now, is_first: before.is_none() });
+        Some(Advance { before })
     }
 
     /// Returns the latest era that this box knows; `None` if the store has no eras.
@@ -57,16 +63,31 @@
     }
 }
 
-/// Records an era of the store, which an answer of the store or a message of the box `by` carried.
+/// Records the latest era that the store's answers to this box carried.
+pub fn observe_own_era(node: &ServingNode) {
+    let eras = [node.ports.knowledge.era(), node.ports.table.era()];
+    if let Some(era) = eras.into_iter().flatten().max() {
+        record_era(node, era, "the store");
+    }
+}
+
+/// Records the era of a version that the box `by` sent. Versions of a store without eras have era 0.
 pub fn observe_era(node: &ServingNode, era: u64, by: &str) {
-    let Some(before) = node.store_era.advance(era, node.now()) else {
+    observe_own_era(node);
+    if era > 0 {
+        record_era(node, era, by);
+    }
+}
+
+fn record_era(node: &ServingNode, era: u64, by: &str) {
+    let Some(Advance { before }) = node.store_era.advance(era, node.now()) else {
         return;
     };
     node.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
-    if before == 0 {
+    let Some(before) = before else {
         log::info!(era, by; "store era learned");
         return;
-    }
+    };
     let config_row = node.config_row();
     let list = node.directory.lock().newest_version();
     log::warn!(era, before, by, config_row, list; "store restored from a copy");
