Keep a server that a restored list lacks only if its row is newer

Cause: a box that learned of the removal only by the restored listing took it for a row that the copy lacks, and kept the server for the time in which lost rows are written again.

A row with a version no larger than that of the listing was in the copy or written since, so its absence means that it was removed. Only rows with larger versions are lost. A server that joined in the lost seconds may now be unknown until it writes its row again, a heartbeat at most.

--- a/trackfront_core/src/serving/directory/restoration.rs
+++ b/trackfront_core/src/serving/directory/restoration.rs
@@ -5,6 +5,7 @@
 //! or has executed more orders. Requests and orders by such a row would break promises that the box
 //! has kept so far, so the box keeps its own knowledge for a bounded time.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{
@@ -34,14 +35,19 @@
         self.relist_at = Some(self.restored_until + RELIST_DELAY);
     }
 
-    /// Returns whether a ready server stays for the grace period although a listing lacks its row.
-    /// A later removal of the row, which the table has then, takes effect at once.
+    /// Returns whether a ready server stays for the grace period although a listing lacks its row:
+    /// its row is newer than the copy, if it is newer than the listing. Otherwise, the row was removed
+    /// before the copy, or the server writes it again soon.
     pub(super) fn keeps_without_row(&mut self, change: &ServerChange, now: Moment) -> bool {
         let ServerChange::Removed { version, key } = change else {
             return false;
         };
         let known = self.incarnations.get(key).and_then(|id| self.servers.get(id));
-        let keeps = now < self.restored_until && known.is_some_and(|known| known.is_ready());
+        let is_newer_than_copy = |known: &&Arc<KnownServer>| {
+            known.is_ready() && known.version.number() > version.number()
+        };
+        let keeps =
+            now < self.restored_until && known.is_some_and(|known| is_newer_than_copy(&known));
         if keeps {
             let row = ExpiredRow { version: *version, cause: ExpiryCause::Restoration };
             self.expired.insert(key.clone(), row);
