Do not take updates without the store's era for answers of the feed reader

Read in the code: while a system with a store of eras is upgraded, a feed reader of the earlier release relays versions that are older than all that newer boxes know. They took its updates for confirmations that nothing has changed, and would have learned of no change until it was upgraded as well. Such updates are ignored, so that the box reads the feeds itself once the reader has been silent for its time. Server changes of an earlier era than the known one confirm nothing either. Test: updates_without_the_era_of_the_store_ do_not_count_as_answers_of_the_feed_reader.

--- a/trackfront_core/src/ports/knowledge.rs
+++ b/trackfront_core/src/ports/knowledge.rs
@@ -68,8 +68,8 @@
     ) -> Result<Feed<OperatorUpdate>, TableError>;
 
     /// Returns whether the configuration's row still has version `row` at some moment after the
-    /// call; `false` if the store is in a later era. A feed may deliver nothing while changes are made, so the lack of changes in it is
-    /// no proof.
+    /// call; `false` if the store is in a later era. A feed may deliver nothing while changes are
+    /// made, so the lack of changes in it is no proof.
     async fn is_newest_config(&self, row: StoreVersion) -> Result<bool, TableError>;
 
     /// Reads the rows of all servers; none of them is a removal.
--- a/trackfrontd/src/serving/feed_relay.rs
+++ b/trackfrontd/src/serving/feed_relay.rs
@@ -284,6 +284,12 @@
     let now = node.now();
     if let Some(version) = update.version() {
         restoration::observe_era(node, version.era(), &from_ip.to_string());
+        if node.store_era.is_unknown_to_sender(version) {
+            // Such versions are older than all others. Counted as an answer of the feed reader, they
+            // would keep this box from reading the feeds itself.
+            log::debug!(from:% = from_ip; "ignored an update without the store's era");
+            return;
+        }
     }
     match update {
         FeedUpdate::Config { row } => {
@@ -314,6 +320,10 @@
 ) {
     let now = node.now();
     let (from, to, count) = (received.from, received.to, received.changes.len());
+    if to.era() < node.directory.lock().newest_version().era() {
+        // The sender has not noticed the store's restoration yet, so it confirms nothing.
+        return;
+    }
     // A full message may be followed by others.
     let is_last = count < MAX_CHANGES_PER_MESSAGE;
     let failed_at = node.store_failed_at();
--- a/trackfrontd/src/serving/restoration.rs
+++ b/trackfrontd/src/serving/restoration.rs
@@ -4,13 +4,14 @@
 //! and the servers write their rows again; the rows of this system's boxes are lost if the copy
 //! lacks them.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::time::sleep;
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
 use super::boxes;
@@ -26,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct StoreEra {
     known: Mutex<Option<KnownEra>>,
+    /// The first era that this box learned of.
+    first: OnceLock<u64>,
     restored: Notify,
 }
 
@@ -53,10 +56,17 @@
         if before.is_some_and(|before| era <= before) {
             return None;
         }
+        self.first.get_or_init(|| era);
         *known = Some(KnownEra { era, learned_at: now, is_first: before.is_none() });
         Some(Advance { before })
     }
 
+    /// Returns whether a version was sent by a box that does not know the store's eras: one of an
+    /// earlier release, while the system is being upgraded.
+    pub fn is_unknown_to_sender(&self, version: StoreVersion) -> bool {
+        version.era() == 0 && self.first.get().is_some_and(|first| *first > 0)
+    }
+
     /// Returns the latest era that this box knows; `None` if the store has no eras.
     pub fn latest(&self) -> Option<KnownEra> {
         *self.known.lock()
