Measure an outage of the store by the hall's answers as well

Cause: the log of the box (node-3) shows a call that failed at 46:57.175, while the store was away for a moment, and the next one at 47:00.777; it is no feed reader, and its reader relayed answers in between. The box took 3.6 s for an outage in which rows of live servers expire, and kept the server for 2 s more; so did the box that told it of the removal. No restoration is needed for this, only a short outage.

An outage now lasts at most since the hall's last answer. A long one is still measured in full, since nobody relays then.

--- a/trackfrontd/src/serving/follow/feed_client.rs
+++ b/trackfrontd/src/serving/follow/feed_client.rs
@@ -89,13 +89,21 @@
         }
         if let Some(since) = self.failing_since.take() {
             let now = self.node.now();
-            self.node.directory.lock().platform_recovered(now.since(since), now);
+            self.node.directory.lock().platform_recovered(self.outage(since, now), now);
         }
         self.failures = 0;
         self.node.set_store_lost(false);
         self.node.set_dependency(self.name(), true);
     }
 
+    /// Returns how long the platform may have been unavailable before `now`, if a call of this box
+    /// failed at `since`. A box that is no feed reader may not have called since then, while its
+    /// reader relayed the platform's answers.
+    fn outage(&self, since: Moment, now: Moment) -> Duration {
+        let own = now.since(since);
+        self.silence().map_or(own, |silence| own.min(silence))
+    }
+
     /// Records a failed call and waits until the next one may be made.
     pub async fn back_off(&mut self, error: &TableError) {
         restoration::observe_own_era(&self.node);
