Split the expiry of rows and the configuration rows off their large files

No behaviour changes: directory/expiry.rs has the rows that the table lacks for a while, config_rows.rs the examined rows of the configuration.

--- a/trackfront_core/src/serving/directory/restoration.rs
+++ b/trackfront_core/src/serving/directory/restoration.rs
@@ -8,10 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{
-    Directory, EXPIRY_GRACE, ExpiredRow, ExpiryCause, KnownServer, ServerChange, ServerEntry,
-    ServerState,
-};
+use super::expiry::{EXPIRY_GRACE, ExpiredRow, ExpiryCause};
+use super::{Directory, KnownServer, ServerChange, ServerEntry, ServerState};
 use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -12,9 +12,10 @@
 use super::Source;
 use super::feed_client::{FIRST_RETRY_DELAY, FeedClient};
 use crate::serving::boxes;
+use crate::serving::config_rows::ConfigOutcome;
 use crate::serving::exchange;
 use crate::serving::feed_relay::{FeedKind, hall_peers, relay_operator_rows};
-use crate::serving::node::{ConfigOutcome, ServingNode};
+use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
 use crate::serving::quota;
 
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -19,6 +19,7 @@
 pub mod boxes;
 mod cold;
 pub mod config_freshness;
+pub mod config_rows;
 pub mod crashes;
 pub mod delegates;
 pub mod exchange;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -32,6 +32,7 @@
 use crate::quotas::Quotas;
 
 use super::config_freshness::ConfigFreshness;
+use super::config_rows::{ConfigOutcome, ConfigRows};
 use super::crashes::Crashes;
 use super::exchange::Exchange;
 use super::feed_relay::FeedState;
@@ -79,28 +80,6 @@
     pub clock: Arc<dyn Clock>,
 }
 
-/// What became of an examined configuration row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConfigOutcome {
-    /// The configuration is in force.
-    InForce,
-    /// The configuration is invalid.
-    Refused,
-    /// The configuration is older than the one in force: the store was restored from a copy, and the
-    /// operator has not written it again yet.
-    Outdated,
-}
-
-/// The newest configuration rows that were examined.
-#[derive(Clone, Copy, Debug, Default)]
-struct ConfigRows {
-    examined: StoreVersion,
-    in_force: StoreVersion,
-    /// The newest one that is not outdated. If outdated rows were relayed, every box of a fleet
-    /// would read one for nothing.
-    to_relay: StoreVersion,
-}
-
 /// The shared state of a serving node. Each part has its own lock, and no lock is held across an
 /// await.
 pub struct ServingNode {
@@ -347,14 +326,8 @@
 
     /// Records an examined configuration row and what became of it.
     pub fn record_config_row(&self, row: StoreVersion, outcome: ConfigOutcome) {
-        let mut rows = self.config_rows.lock();
-        rows.examined = rows.examined.max(row);
-        if outcome != ConfigOutcome::Outdated {
-            rows.to_relay = rows.to_relay.max(row);
-        }
+        self.config_rows.lock().record(row, outcome);
         if outcome == ConfigOutcome::InForce {
-            rows.in_force = rows.in_force.max(row);
-            drop(rows);
             self.config_freshness.set_in_force(row);
         }
     }
