--- a/trackfront_core/src/quota/mod.rs
+++ b/trackfront_core/src/quota/mod.rs
@@ -11,6 +11,7 @@
 //! later than they were granted ([`share::GRANT_LIFETIME`]) and units that two coordinators both count for a box that
 //! switched without revoking its loan ([`pool::LOAN_DURATION`]). `tests/quota` bounds both.
 
+mod account;
 pub mod pool;
 pub mod share;
 
@@ -78,6 +79,13 @@
     pub returned_units: u32,
 }
 
+impl UnitRequest {
+    /// Returns whether no units are needed or returned.
+    pub fn is_empty(&self) -> bool {
+        self.waiting_units.is_empty() && self.prefetch_units == 0 && self.returned_units == 0
+    }
+}
+
 /// A coordinator's reply to a [`QuotaRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaReply {
--- a/trackfront_core/src/quota/pool.rs
+++ b/trackfront_core/src/quota/pool.rs
@@ -52,7 +52,7 @@
     retry_units: f64,
 }
 
-/// The limits and the number of boxes that a reply is based on.
+/// The limits and the number of boxes on which a reply is based.
 pub struct PoolTerms<'a> {
     /// The limits of accounts.
     pub limits: &'a HashMap<AccountId, AccountLimit>,
@@ -62,7 +62,7 @@
 
 impl Pool {
     /// Handles a request and returns the reply.
-    pub fn answer(
+    pub fn handle_request(
         &mut self,
         from: BoxId,
         request: &QuotaRequest,
@@ -84,7 +84,7 @@
         }
         let fraction = self.lent_fraction(terms.boxes);
         let grants =
-            request.unit_requests.iter().map(|want| self.grant(want, fraction, terms)).collect();
+            request.unit_requests.iter().map(|units| self.grant(units, fraction, terms)).collect();
         let reply = QuotaReply { number: request.number, partition: request.partition, grants };
         if let Some(lender) = self.lenders.get_mut(&from) {
             lender.last_reply = Some(reply.clone());
@@ -116,22 +116,22 @@
         boxes.map_or(0.0, |boxes| lenders as f64 / boxes.max(lenders).max(1) as f64)
     }
 
-    fn grant(&mut self, want: &UnitRequest, fraction: f64, terms: &PoolTerms<'_>) -> Grant {
-        let Some(limit) = terms.limits.get(&want.account) else {
+    fn grant(&mut self, request: &UnitRequest, fraction: f64, terms: &PoolTerms<'_>) -> Grant {
+        let Some(limit) = terms.limits.get(&request.account) else {
             return Grant::default();
         };
         let lent_s = self.lent_s;
         // An account also gets the units that accrued before its first request.
-        let new = Bucket { level: 0.0, filled_s: 0.0, retry_units: 0.0 };
-        let bucket = self.buckets.entry(want.account).or_insert(new);
+        let empty = Bucket { level: 0.0, filled_s: 0.0, retry_units: 0.0 };
+        let bucket = self.buckets.entry(request.account).or_insert(empty);
         let burst = limit.burst.max(limit.per_s * MIN_BURST_S);
         let max_level = burst * fraction;
         let gained = limit.per_s * (lent_s - bucket.filled_s);
         bucket.filled_s = lent_s;
         bucket.retry_units = (bucket.retry_units - gained).max(0.0);
-        bucket.level = (bucket.level + gained + f64::from(want.returned_units)).min(max_level);
+        bucket.level = (bucket.level + gained + f64::from(request.returned_units)).min(max_level);
         let mut grant = Grant::default();
-        for need in &want.waiting_units {
+        for need in &request.waiting_units {
             let need = f64::from(*need);
             let on_credit =
                 need > burst && fraction > CREDIT_MIN_FRACTION && bucket.level >= max_level;
@@ -143,15 +143,15 @@
             bucket.level -= need;
             grant.requests += 1;
         }
-        if bucket.level - f64::from(want.prefetch_units) >= max_level * PREFETCH_RESERVE {
-            bucket.level -= f64::from(want.prefetch_units);
-            grant.prefetch_units = want.prefetch_units;
+        if bucket.level - f64::from(request.prefetch_units) >= max_level * PREFETCH_RESERVE {
+            bucket.level -= f64::from(request.prefetch_units);
+            grant.prefetch_units = request.prefetch_units;
         }
         grant
     }
 }
 
 fn wait_ms(units: f64, per_s: f64) -> u32 {
-    let longest = MAX_WAIT.as_millis() as f64;
-    (units / per_s.max(f64::MIN_POSITIVE) * 1_000.0).clamp(1.0, longest).ceil() as u32
+    let max_wait_ms = MAX_WAIT.as_millis() as f64;
+    (units / per_s.max(f64::MIN_POSITIVE) * 1_000.0).clamp(1.0, max_wait_ms).ceil() as u32
 }
--- a/trackfront_core/src/quota/share.rs
+++ b/trackfront_core/src/quota/share.rs
@@ -8,12 +8,13 @@
 //! Nothing here does I/O or blocks. [`QuotaShare::poll`] returns the requests to send, and [`QuotaShare::take`] whether
 //! a request may pass. `poll` and [`QuotaShare::apply_reply`] return the waits that ended.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::units::Moment;
 
-use super::{AccountId, BoxId, Grant, QuotaReply, QuotaRequest, UnitRequest};
+use super::account::AccountQuota;
+use super::{AccountId, BoxId, QuotaReply, QuotaRequest, UnitRequest};
 
 /// How long granted units may be used. The units used in a window were granted in a window longer by this.
 pub const GRANT_LIFETIME: Duration = Duration::from_millis(300);
@@ -50,27 +51,30 @@
 /// The maximum number of waiting requests of one account in a quota request. The rest are sent in the next one.
 const MAX_WAITING_PER_REQUEST: usize = 64;
 
-/// The half-life of the moving average of demand.
-const DEMAND_HALF_LIFE: Duration = Duration::from_millis(1_000);
-
-/// The minimum number of requests expected within [`GRANT_LIFETIME`] for units to be requested in advance.
-const PREFETCH_MIN_REQUESTS: f64 = 2.0;
-
 /// The ID of a request that waits for units.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Waiter(pub u64);
 
 /// The outcome of a request's wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
+pub enum WaitOutcome {
     /// The request may pass.
     Granted,
-    /// The account has used up its limit. A retry is expected to pass after this time.
-    Reached(Duration),
-    /// No coordinator is known for the account. The client should retry after this time.
-    Unknown(Duration),
+    /// The account has used up its limit.
+    LimitReached {
+        /// The time after which a retry is expected to pass.
+        retry_after: Duration,
+    },
+    /// No coordinator replied for the account.
+    NoCoordinator {
+        /// The time after which the client should retry.
+        retry_after: Duration,
+    },
 }
 
+/// A request that no longer waits, and why.
+pub type EndedWait = (Waiter, WaitOutcome);
+
 /// A quota request to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OutgoingRequest {
@@ -80,19 +84,19 @@
     pub request: QuotaRequest,
 }
 
-/// The actions that a poll calls for.
+/// The results of a poll.
 #[derive(Debug, Default)]
-pub struct Step {
+pub struct Polled {
     /// Requests to send.
-    pub sends: Vec<OutgoingRequest>,
+    pub requests: Vec<OutgoingRequest>,
     /// Waits that ended.
-    pub over: Vec<(Waiter, Outcome)>,
+    pub ended_waits: Vec<EndedWait>,
 }
 
 /// One box's quota of the limits in one partition.
 #[derive(Debug)]
 pub struct QuotaShare {
-    me: BoxId,
+    own_id: BoxId,
     partition: u8,
     last_number: u32,
     /// The box that the quota is lent to.
@@ -103,15 +107,15 @@
     probe: Option<Probe>,
     probed_at: Moment,
     backoffs: HashMap<BoxId, Backoff>,
-    accounts: HashMap<AccountId, Account>,
+    accounts: HashMap<AccountId, AccountQuota>,
 }
 
 /// A request without a reply yet.
 #[derive(Debug)]
 struct Pending {
-    send: OutgoingRequest,
+    outgoing: OutgoingRequest,
     sent_at: Moment,
-    sends: u32,
+    attempts: u32,
     /// The next coordinator, if this request revokes a loan.
     next_coordinator: Option<BoxId>,
 }
@@ -120,9 +124,9 @@
 #[derive(Debug)]
 struct Probe {
     number: u32,
-    until: Moment,
+    ends_at: Moment,
     /// The candidates in ranking order, each with whether it replied.
-    boxes: Vec<(BoxId, bool)>,
+    candidates: Vec<(BoxId, bool)>,
 }
 
 /// The backoff of a box that did not reply.
@@ -132,98 +136,30 @@
     failures: u32,
 }
 
-#[derive(Debug, Default)]
-struct Account {
-    granted: VecDeque<(f64, Moment)>,
-    /// Waiting requests with their units, in order. A request that is cancelled while a reply for it is pending keeps its
-    /// entry, without a waiter, since the reply refers to requests by position.
-    waiting: VecDeque<(Option<Waiter>, u32)>,
-    /// How many of the waiting requests are in the pending quota request.
-    requested: usize,
-    back: f64,
-    demand: Demand,
-}
-
-/// Moving averages of the units and of the requests per second.
-#[derive(Debug, Default)]
-struct Demand {
-    units: f64,
-    requests: f64,
-    updated_at: Moment,
-}
-
-impl Demand {
-    fn count(&mut self, units: f64, now: Moment) {
-        self.decay(now);
-        let weight = std::f64::consts::LN_2 / DEMAND_HALF_LIFE.as_secs_f64();
-        self.units += units * weight;
-        self.requests += weight;
-    }
-
-    fn decay(&mut self, now: Moment) {
-        let half_lives = now.since(self.updated_at).as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64();
-        let left = 0.5f64.powf(half_lives);
-        self.units *= left;
-        self.requests *= left;
-        self.updated_at = now;
-    }
-}
-
-impl Account {
-    fn drop_expired_grants(&mut self, now: Moment) {
-        while self.granted.front().is_some_and(|(_, until)| *until <= now) {
-            self.granted.pop_front();
-        }
-    }
-
-    fn level(&self) -> f64 {
-        self.granted.iter().map(|(units, _)| units).sum()
-    }
-
-    /// Uses granted units, the oldest first. Returns `false` and uses none if there are too few.
-    fn take(&mut self, units: f64, now: Moment) -> bool {
-        self.drop_expired_grants(now);
-        if self.level() < units {
-            return false;
-        }
-        let mut left = units;
-        while left > 0.0 {
-            let Some((granted, _)) = self.granted.front_mut() else {
-                break;
-            };
-            let taken = granted.min(left);
-            *granted -= taken;
-            left -= taken;
-            if *granted <= 0.0 {
-                self.granted.pop_front();
-            }
+impl Probe {
+    fn record_reply(&mut self, from: BoxId) {
+        let replied = self.candidates.iter_mut().find(|(id, _)| *id == from);
+        if let Some((_, has_replied)) = replied {
+            *has_replied = true;
         }
-        true
     }
 
-    /// Returns the units to request in advance.
-    fn prefetch_units(&mut self, now: Moment) -> u32 {
-        self.demand.decay(now);
-        let lifetime_s = GRANT_LIFETIME.as_secs_f64();
-        if self.demand.requests * lifetime_s < PREFETCH_MIN_REQUESTS {
-            return 0;
-        }
-        (self.demand.units * lifetime_s - self.level()).max(0.0) as u32
+    /// Returns whether no reply that is still missing could change the result.
+    fn is_over(&self, now: Moment) -> bool {
+        now >= self.ends_at || self.candidates.first().is_some_and(|(_, replied)| *replied)
     }
 
-    /// Ends all waits with the given outcome.
-    fn end_all(&mut self, outcome: Outcome) -> impl Iterator<Item = (Waiter, Outcome)> + '_ {
-        self.requested = 0;
-        self.waiting.drain(..).filter_map(move |(waiter, _)| Some((waiter?, outcome)))
+    fn first_replied(&self) -> Option<BoxId> {
+        self.candidates.iter().find(|(_, replied)| *replied).map(|(id, _)| *id)
     }
 }
 
 impl QuotaShare {
     /// Creates the quota share of a box without a coordinator. Request numbers continue from `number`, which should
     /// differ between restarts of a box.
-    pub fn new(me: BoxId, partition: usize, number: u32) -> Self {
+    pub fn new(own_id: BoxId, partition: usize, number: u32) -> Self {
         Self {
-            me,
+            own_id,
             partition: partition as u8,
             last_number: number,
             coordinator: None,
@@ -238,31 +174,17 @@
 
     /// Takes `units` for a request. Returns `true` if it may pass now; otherwise it is queued as `waiter`.
     pub fn take(&mut self, account: AccountId, units: u32, waiter: Waiter, now: Moment) -> bool {
-        let account = self.accounts.entry(account).or_default();
-        account.demand.count(f64::from(units), now);
-        // Requests that already wait have precedence.
-        if account.waiting.is_empty() && account.take(f64::from(units), now) {
-            return true;
-        }
-        account.waiting.push_back((Some(waiter), units));
-        false
+        self.accounts.entry(account).or_default().take_or_wait(units, waiter, now)
     }
 
     /// Returns the units of a request that did not run.
-    pub fn give_back(&mut self, account: AccountId, units: u32) {
-        self.accounts.entry(account).or_default().back += f64::from(units);
+    pub fn return_units(&mut self, account: AccountId, units: u32) {
+        self.accounts.entry(account).or_default().return_units(units);
     }
 
     /// Cancels the wait of a request. Units still granted for it are returned.
-    pub fn forget(&mut self, waiter: Waiter) {
-        for account in self.accounts.values_mut() {
-            let index = account.waiting.iter().position(|(other, _)| *other == Some(waiter));
-            match index {
-                Some(index) if index < account.requested => account.waiting[index].0 = None,
-                Some(index) => drop(account.waiting.remove(index)),
-                None => {}
-            }
-        }
+    pub fn cancel_wait(&mut self, waiter: Waiter) {
+        self.accounts.values_mut().for_each(|account| account.cancel_wait(waiter));
     }
 
     /// Returns the box that the quota is lent to.
@@ -272,50 +194,46 @@
 
     /// Returns the actions due at `now`. `ranking` lists the boxes that may be up, normally including this one, in order
     /// of preference as coordinator; it is empty while they are unknown.
-    pub fn poll(&mut self, ranking: &[BoxId], now: Moment) -> Step {
-        let mut step = Step::default();
+    pub fn poll(&mut self, ranking: &[BoxId], now: Moment) -> Polled {
+        let mut polled = Polled::default();
         if ranking.is_empty() {
-            self.end_waits(Outcome::Unknown(UNKNOWN_RETRY_DELAY), &mut step);
-            return step;
+            let outcome = WaitOutcome::NoCoordinator { retry_after: UNKNOWN_RETRY_DELAY };
+            self.end_all_waits(outcome, &mut polled);
+            return polled;
         }
         self.backoffs.retain(|_, backoff| backoff.until + FAILURE_MEMORY > now);
-        self.resend_or_fail_over(ranking, now, &mut step);
-        self.end_probe(ranking, now, &mut step);
+        self.resend_or_fail_over(ranking, now, &mut polled);
+        self.end_probe(ranking, now, &mut polled);
         if self.pending.is_some() || self.probe.is_some() {
-            return step;
+            return polled;
         }
         let coordinator = *self
             .coordinator
-            .get_or_insert_with(|| first_available(&self.backoffs, ranking, self.me, now));
+            .get_or_insert_with(|| first_available(&self.backoffs, ranking, self.own_id, now));
         if self.is_preferred_probe_due(coordinator, ranking, now) {
-            self.probe_preferred(coordinator, ranking, now, &mut step);
+            self.probe_preferred(coordinator, ranking, now, &mut polled);
             if self.pending.is_some() {
-                return step;
+                return polled;
             }
         }
-        let is_wanted = self.accounts.values().any(|account| !account.waiting.is_empty());
+        let has_waiting = self.accounts.values().any(AccountQuota::has_waiting);
         let is_due = self.requested_at.is_none_or(|at| now.since(at) >= REQUEST_INTERVAL);
-        if is_wanted || is_due {
-            self.request_units(coordinator, now, &mut step);
+        if has_waiting || is_due {
+            self.request_units(coordinator, now, &mut polled);
         }
-        step
+        polled
     }
 
     /// Applies a reply. Returns the waits that ended.
-    pub fn apply_reply(
-        &mut self,
-        from: BoxId,
-        reply: &QuotaReply,
-        now: Moment,
-    ) -> Vec<(Waiter, Outcome)> {
+    pub fn apply_reply(&mut self, from: BoxId, reply: &QuotaReply, now: Moment) -> Vec<EndedWait> {
         if let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == reply.number) {
-            probe.boxes.iter_mut().filter(|(id, _)| *id == from).for_each(|(_, up)| *up = true);
+            probe.record_reply(from);
             return Vec::new();
         }
-        let is_reply = |pending: &Pending| {
-            pending.send.to == from && pending.send.request.number == reply.number
+        let is_answered = |pending: &mut Pending| {
+            pending.outgoing.to == from && pending.outgoing.request.number == reply.number
         };
-        let Some(pending) = self.pending.take_if(|pending| is_reply(pending)) else {
+        let Some(pending) = self.pending.take_if(is_answered) else {
             return Vec::new();
         };
         self.backoffs.remove(&from);
@@ -324,33 +242,28 @@
             self.requested_at = None;
             return Vec::new();
         }
-        let mut over = Vec::new();
-        let until = pending.sent_at + GRANT_LIFETIME;
-        for (want, grant) in pending.send.request.unit_requests.iter().zip(&reply.grants) {
-            let account = self.accounts.entry(want.account).or_default();
-            account.apply_grant(grant, until, now, &mut over);
+        let mut ended_waits = Vec::new();
+        let expires_at = pending.sent_at + GRANT_LIFETIME;
+        let unit_requests = &pending.outgoing.request.unit_requests;
+        for (unit_request, grant) in unit_requests.iter().zip(&reply.grants) {
+            let account = self.accounts.entry(unit_request.account).or_default();
+            account.apply_grant(grant, expires_at, now, &mut ended_waits);
         }
-        over
+        ended_waits
     }
 
     /// Sends the coordinator a request that renews the loan and asks for the needed units.
-    fn request_units(&mut self, coordinator: BoxId, now: Moment, step: &mut Step) {
+    fn request_units(&mut self, coordinator: BoxId, now: Moment, polled: &mut Polled) {
         let mut unit_requests = Vec::new();
         for (id, account) in &mut self.accounts {
-            account.drop_expired_grants(now);
-            let waiting_units = account.waiting.iter().take(MAX_WAITING_PER_REQUEST);
-            let waiting_units: Vec<u32> = waiting_units.map(|(_, units)| *units).collect();
-            account.requested = waiting_units.len();
-            let (prefetch_units, returned_units) =
-                (account.prefetch_units(now), account.back as u32);
-            account.back = 0.0;
-            if !waiting_units.is_empty() || prefetch_units > 0 || returned_units > 0 {
-                unit_requests.push(UnitRequest {
-                    account: *id,
-                    waiting_units,
-                    prefetch_units,
-                    returned_units,
-                });
+            let request = UnitRequest {
+                account: *id,
+                waiting_units: account.request_waiting_units(MAX_WAITING_PER_REQUEST),
+                prefetch_units: account.prefetch_units(now),
+                returned_units: account.take_unused_units(),
+            };
+            if !request.is_empty() {
+                unit_requests.push(request);
             }
         }
         let request = QuotaRequest {
@@ -360,18 +273,18 @@
             unit_requests,
         };
         self.requested_at = Some(now);
-        self.send(OutgoingRequest { to: coordinator, request }, None, now, step);
+        self.send(OutgoingRequest { to: coordinator, request }, None, now, polled);
     }
 
     fn send(
         &mut self,
-        send: OutgoingRequest,
+        outgoing: OutgoingRequest,
         next_coordinator: Option<BoxId>,
         now: Moment,
-        step: &mut Step,
+        polled: &mut Polled,
     ) {
-        step.sends.push(send.clone());
-        self.pending = Some(Pending { send, sent_at: now, sends: 1, next_coordinator });
+        polled.requests.push(outgoing.clone());
+        self.pending = Some(Pending { outgoing, sent_at: now, attempts: 1, next_coordinator });
     }
 
     fn next_number(&mut self) -> u32 {
@@ -380,22 +293,22 @@
     }
 
     /// Resends the pending request after a timeout, or gives up its coordinator after the last attempt.
-    fn resend_or_fail_over(&mut self, ranking: &[BoxId], now: Moment, step: &mut Step) {
+    fn resend_or_fail_over(&mut self, ranking: &[BoxId], now: Moment, polled: &mut Polled) {
         let Some(pending) = self.pending.as_mut() else {
             return;
         };
-        if now.since(pending.sent_at) < REPLY_TIMEOUT * pending.sends {
+        if now.since(pending.sent_at) < REPLY_TIMEOUT * pending.attempts {
             return;
         }
-        if pending.sends < SEND_ATTEMPTS {
-            pending.sends += 1;
-            if pending.send.request.lends {
+        if pending.attempts < SEND_ATTEMPTS {
+            pending.attempts += 1;
+            if pending.outgoing.request.lends {
                 self.requested_at = Some(now);
             }
-            step.sends.push(pending.send.clone());
+            polled.requests.push(pending.outgoing.clone());
             return;
         }
-        let coordinator = pending.send.to;
+        let coordinator = pending.outgoing.to;
         let failures = self
             .backoffs
             .get(&coordinator)
@@ -406,7 +319,7 @@
         self.pending = None;
         self.coordinator = None;
         self.requested_at = None;
-        self.start_probe(candidates(&self.backoffs, ranking, self.me, None, now), now, step);
+        self.start_probe(candidates(&self.backoffs, ranking, self.own_id, None, now), now, polled);
     }
 
     /// Returns whether a probe of the boxes that rank before the coordinator is due.
@@ -422,16 +335,16 @@
         coordinator: BoxId,
         ranking: &[BoxId],
         now: Moment,
-        step: &mut Step,
+        polled: &mut Polled,
     ) {
-        let before = candidates(&self.backoffs, ranking, self.me, Some(coordinator), now);
+        let before = candidates(&self.backoffs, ranking, self.own_id, Some(coordinator), now);
         if !before.is_empty() {
-            self.start_probe(before, now, step);
+            self.start_probe(before, now, polled);
             return;
         }
-        if is_before(ranking, self.me, coordinator) {
+        if is_before(ranking, self.own_id, coordinator) {
             self.probed_at = now;
-            self.revoke_loan(coordinator, self.me, now, step);
+            self.revoke_loan(coordinator, self.own_id, now, polled);
         }
     }
 
@@ -442,7 +355,7 @@
         coordinator: BoxId,
         next_coordinator: BoxId,
         now: Moment,
-        step: &mut Step,
+        polled: &mut Polled,
     ) {
         let number = self.next_number();
         let request = QuotaRequest {
@@ -451,12 +364,17 @@
             lends: false,
             unit_requests: Vec::new(),
         };
-        self.send(OutgoingRequest { to: coordinator, request }, Some(next_coordinator), now, step);
+        self.send(
+            OutgoingRequest { to: coordinator, request },
+            Some(next_coordinator),
+            now,
+            polled,
+        );
     }
 
-    fn start_probe(&mut self, boxes: Vec<BoxId>, now: Moment, step: &mut Step) {
+    fn start_probe(&mut self, candidates: Vec<BoxId>, now: Moment, polled: &mut Polled) {
         self.probed_at = now;
-        if boxes.is_empty() {
+        if candidates.is_empty() {
             return;
         }
         let number = self.next_number();
@@ -466,69 +384,30 @@
             lends: false,
             unit_requests: Vec::new(),
         };
-        step.sends
-            .extend(boxes.iter().map(|to| OutgoingRequest { to: *to, request: request.clone() }));
-        let boxes = boxes.into_iter().map(|id| (id, false)).collect();
-        self.probe = Some(Probe { number, until: now + REPLY_TIMEOUT, boxes });
+        let outgoing = |to: &BoxId| OutgoingRequest { to: *to, request: request.clone() };
+        polled.requests.extend(candidates.iter().map(outgoing));
+        let candidates = candidates.into_iter().map(|id| (id, false)).collect();
+        self.probe = Some(Probe { number, ends_at: now + REPLY_TIMEOUT, candidates });
     }
 
     /// Ends a probe and switches to the highest-ranked box that replied.
-    fn end_probe(&mut self, ranking: &[BoxId], now: Moment, step: &mut Step) {
-        let is_over =
-            |probe: &Probe| now >= probe.until || probe.boxes.first().is_some_and(|(_, up)| *up);
-        let Some(probe) = self.probe.take_if(|probe| is_over(probe)) else {
+    fn end_probe(&mut self, ranking: &[BoxId], now: Moment, polled: &mut Polled) {
+        let Some(probe) = self.probe.take_if(|probe| probe.is_over(now)) else {
             return;
         };
-        let up = probe.boxes.iter().find(|(_, up)| *up).map(|(id, _)| *id);
-        match (self.coordinator, up) {
-            (None, up) => self.coordinator = Some(up.unwrap_or(self.me)),
-            (Some(coordinator), up) => {
-                let next_coordinator = up.unwrap_or(self.me);
-                if self.pending.is_none() && is_before(ranking, next_coordinator, coordinator) {
-                    self.revoke_loan(coordinator, next_coordinator, now, step);
-                }
-            }
+        let next_coordinator = probe.first_replied().unwrap_or(self.own_id);
+        let Some(coordinator) = self.coordinator else {
+            self.coordinator = Some(next_coordinator);
+            return;
+        };
+        if self.pending.is_none() && is_before(ranking, next_coordinator, coordinator) {
+            self.revoke_loan(coordinator, next_coordinator, now, polled);
         }
     }
 
-    fn end_waits(&mut self, outcome: Outcome, step: &mut Step) {
+    fn end_all_waits(&mut self, outcome: WaitOutcome, polled: &mut Polled) {
         for account in self.accounts.values_mut() {
-            step.over.extend(account.end_all(outcome));
-        }
-    }
-}
-
-impl Account {
-    /// Applies a grant to the requests that it was requested for.
-    fn apply_grant(
-        &mut self,
-        grant: &Grant,
-        until: Moment,
-        now: Moment,
-        over: &mut Vec<(Waiter, Outcome)>,
-    ) {
-        let requested = std::mem::take(&mut self.requested);
-        let granted = (grant.requests as usize).min(requested);
-        for (waiter, units) in self.waiting.drain(..granted) {
-            match waiter {
-                Some(waiter) => over.push((waiter, Outcome::Granted)),
-                None => self.back += f64::from(units),
-            }
-        }
-        let wait = Duration::from_millis(u64::from(grant.wait_ms.max(1)));
-        for (waiter, _) in self.waiting.drain(..requested - granted) {
-            over.extend(waiter.map(|waiter| (waiter, Outcome::Reached(wait))));
-        }
-        if grant.prefetch_units > 0 && until > now {
-            self.granted.push_back((f64::from(grant.prefetch_units), until));
-        }
-        // Requests that arrived meanwhile may use the units granted in advance.
-        while let Some((waiter, units)) = self.waiting.front().copied() {
-            if !self.take(f64::from(units), now) {
-                break;
-            }
-            self.waiting.pop_front();
-            over.extend(waiter.map(|waiter| (waiter, Outcome::Granted)));
+            polled.ended_waits.extend(account.end_all_waits(outcome));
         }
     }
 }
@@ -546,11 +425,11 @@
 fn first_available(
     backoffs: &HashMap<BoxId, Backoff>,
     ranking: &[BoxId],
-    me: BoxId,
+    own_id: BoxId,
     now: Moment,
 ) -> BoxId {
-    let mut up = ranking.iter().filter(|id| !is_in_backoff(backoffs, **id, now));
-    up.next().copied().unwrap_or(me)
+    let mut available = ranking.iter().filter(|id| !is_in_backoff(backoffs, **id, now));
+    available.next().copied().unwrap_or(own_id)
 }
 
 /// Returns the candidates for coordinator to probe: boxes not in backoff that rank before this box, and before the
@@ -558,11 +437,11 @@
 fn candidates(
     backoffs: &HashMap<BoxId, Backoff>,
     ranking: &[BoxId],
-    me: BoxId,
+    own_id: BoxId,
     coordinator: Option<BoxId>,
     now: Moment,
 ) -> Vec<BoxId> {
-    let before = ranking.iter().take_while(|id| **id != me && Some(**id) != coordinator);
+    let before = ranking.iter().take_while(|id| **id != own_id && Some(**id) != coordinator);
     before
         .filter(|id| !is_in_backoff(backoffs, **id, now))
         .take(MAX_PROBED_BOXES)
--- a/trackfront_core/tests/quota.rs
+++ b/trackfront_core/tests/quota.rs
@@ -1,8 +1,8 @@
-//! Limits of accounts over many boxes, in simulated time.
+//! Limits of accounts that are shared by many boxes, in simulated time.
 
 mod quota {
-    mod bound;
-    mod keeper;
-    mod ways;
-    mod world;
+    mod coordinator;
+    mod random;
+    mod simulation;
+    mod strategies;
 }
--- a/trackfrontd/src/gateway/text.rs
+++ b/trackfrontd/src/gateway/text.rs
@@ -117,7 +117,7 @@
     let started = Answer::start(shared, tree, wanted).await;
     let not_run = started.as_ref().err().is_some_and(|e| e.outcome() == Outcome::NotRun);
     if not_run {
-        taken.give_back(shared);
+        taken.return_all(shared);
     }
     started
 }
--- a/trackfrontd/src/node.rs
+++ b/trackfrontd/src/node.rs
@@ -42,7 +42,7 @@
             tokio::spawn(follower::run(shared.clone())),
             tokio::spawn(peering::run_list(shared.clone())),
             tokio::spawn(peering::run_heartbeats(shared.clone())),
-            tokio::spawn(limits::run(shared.clone())),
+            tokio::spawn(limits::maintain_quotas(shared.clone())),
             tokio::spawn(reader::run(shared.clone())),
             tokio::spawn(cache_events::run(shared.clone())),
             tokio::spawn(shards::run(shared.clone(), shards.clone())),
--- a/trackfrontd/src/peering.rs
+++ b/trackfrontd/src/peering.rs
@@ -101,8 +101,8 @@
             PeerAnswer::Noted
         }
         PeerMessage::Quota { from, ask } => {
-            let answer = shared.quotas.answer(from, &ask, shared.outside.clock.now());
-            answer.map_or(PeerAnswer::Noted, PeerAnswer::Quota)
+            let reply = shared.quotas.handle_request(from, &ask, shared.outside.clock.now());
+            reply.map_or(PeerAnswer::Noted, PeerAnswer::Quota)
         }
         PeerMessage::Answered { shard, key, request, answer } => {
             shared.claims.answered(&shard, key, request, answer);
--- a/trackfrontd/src/serving/pipeline/limit.rs
+++ b/trackfrontd/src/serving/pipeline/limit.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use trackfront_core::quota::AccountId;
-use trackfront_core::quota::share::Outcome;
+use trackfront_core::quota::share::WaitOutcome;
 use trackfront_core::serving::request::Refusal;
 
 use super::{Attempts, Job};
@@ -38,7 +38,7 @@
 impl Drop for QuotaUnits {
     fn drop(&mut self) {
         if self.units > 0 {
-            self.node.quotas.give_back(self.account, self.units);
+            self.node.quotas.return_units(self.account, self.units);
         }
     }
 }
@@ -87,20 +87,20 @@
             self.answer_by.saturating_duration_since(self.request_time()).min(MAX_UNITS_WAIT);
         let outcome = self.node.quotas.take(id, units, self.node.now(), max_wait).await;
         let (refusal, cause, wait) = match outcome {
-            Outcome::Granted => {
+            WaitOutcome::Granted => {
                 return Ok(Some(QuotaUnits { node: self.node.clone(), account: id, units }));
             }
-            Outcome::Reached(retry_after) => {
+            WaitOutcome::LimitReached { retry_after } => {
                 let refusal = Refusal::LimitReached { account: account.name.clone(), retry_after };
                 (refusal, "the limit is reached", retry_after)
             }
-            Outcome::Unknown(retry_after) => {
+            WaitOutcome::NoCoordinator { retry_after } => {
                 let cause = "no box answers for its account's limit";
                 (Refusal::NoServer { cause, retry_after }, cause, retry_after)
             }
         };
         let coordinator =
-            self.node.quotas.keeper(id).map(|id| Ipv4Addr::from_bits(id.0).to_string());
+            self.node.quotas.coordinator(id).map(|id| Ipv4Addr::from_bits(id.0).to_string());
         let coordinator = coordinator.unwrap_or_default();
         let (request, wait_ms) = (&self.info.id, wait.as_millis() as u64);
         let (account, config) = (account.name.as_str(), self.config.version);
--- a/trackfrontd/src/serving/quota.rs
+++ b/trackfrontd/src/serving/quota.rs
@@ -1,5 +1,5 @@
-//! Sends quota requests for the limits of client accounts to other boxes and handles their answers,
-//! as datagrams.
+//! Exchanges quota requests and replies for the limits of client accounts with other boxes, as
+//! datagrams.
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -41,21 +41,21 @@
                 boxes_set_at = Some(now);
                 knew_all_boxes = knows_all_boxes;
             }
-            for send in node.quotas.questions(now) {
-                socket
-                    .send_now(&Message::QuotaRequest(send.request), Ipv4Addr::from_bits(send.to.0));
+            for outgoing in node.quotas.poll(now) {
+                let message = Message::QuotaRequest(outgoing.request);
+                socket.send_now(&message, Ipv4Addr::from_bits(outgoing.to.0));
             }
         }
-        node.quotas.woken().await;
+        node.quotas.wait_for_poll().await;
     }
 }
 
 fn set_boxes(node: &ServingNode, now: Moment) {
     let peers = node.peers.lock();
     let others: Vec<BoxId> = peers.reachable(now).iter().map(|ip| box_id(*ip)).collect();
-    let sharing = node.are_boxes_listed().then(|| peers.budget_box_count(now));
+    let box_count = node.are_boxes_listed().then(|| peers.budget_box_count(now));
     drop(peers);
-    node.quotas.set_boxes(&others, sharing);
+    node.quotas.set_boxes(&others, box_count);
 }
 
 /// Returns the identifier of a box among those that share limits.
@@ -64,13 +64,18 @@
 }
 
 /// Answers the quota request of another box.
-pub fn handle_request(node: &ServingNode, socket: &PeerSocket, ip: Ipv4Addr, ask: &QuotaRequest) {
-    if let Some(answer) = node.quotas.answer(box_id(ip), ask, node.now()) {
-        socket.send_now(&Message::QuotaReply(answer), ip);
+pub fn handle_request(
+    node: &ServingNode,
+    socket: &PeerSocket,
+    ip: Ipv4Addr,
+    request: &QuotaRequest,
+) {
+    if let Some(reply) = node.quotas.handle_request(box_id(ip), request, node.now()) {
+        socket.send_now(&Message::QuotaReply(reply), ip);
     }
 }
 
-/// Handles another box's answer to a quota request.
-pub fn handle_reply(node: &ServingNode, ip: Ipv4Addr, answer: &QuotaReply) {
-    node.quotas.take_in(box_id(ip), answer, node.now());
+/// Handles another box's reply to a quota request.
+pub fn handle_reply(node: &ServingNode, ip: Ipv4Addr, reply: &QuotaReply) {
+    node.quotas.handle_reply(box_id(ip), reply, node.now());
 }
--- a/trackfrontd/tests/quotas.rs
+++ b/trackfrontd/tests/quotas.rs
@@ -1,10 +1,7 @@
 //! Limits at a box that has just joined others.
 //!
-//! What was seen: one test of limits failed in a run of all tests, and 44 of 80 runs of it, eight at a time. The log
-//! of its box says when it listed the boxes, itself among them, and up to 1 s later still refuses requests for units.
-//! Two causes by the logs and the code: what a box knows of the others reached its limits once a second only; and one
-//! that does not know how many boxes share a limit kept it all the same, with a part of nothing, and told its clients
-//! and other boxes that the account had used up its limit, for 10 s.
+//! Guards against a joining box that coordinates a limit before it knows how many boxes share it. It had no quota to
+//! grant, but told its clients and other boxes for up to 10 s that the account had used up its limit.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,7 +9,7 @@
 
 use tokio::task::yield_now;
 use trackfront_core::accounts::{AccountLimit, LimitUnit};
-use trackfront_core::quota::share::{Outcome, OutgoingRequest};
+use trackfront_core::quota::share::{OutgoingRequest, WaitOutcome};
 use trackfront_core::quota::{AccountId, BoxId, QuotaRequest, rank_coordinators};
 use trackfront_core::units::Moment;
 use trackfrontd::quotas::Quotas;
@@ -20,20 +17,21 @@
 const LIMIT: AccountLimit =
     AccountLimit { unit: LimitUnit::Tokens { plain: 100 }, per_s: 2_000.0, burst: 1_000.0 };
 const UNITS: u32 = 100;
-const PATIENCE: Duration = Duration::from_secs(2);
+/// The maximum wait for units.
+const MAX_WAIT: Duration = Duration::from_secs(2);
 
 fn account() -> AccountId {
     AccountId::of(&"account".into())
 }
 
-/// Returns the box that should keep the account's limit, and the one after it.
+/// Returns the preferred coordinator of the account's limit, and the next one.
 fn boxes() -> (BoxId, BoxId) {
     let ranked = rank_coordinators(account().partition(), [BoxId(1), BoxId(2)].into_iter());
     (ranked[0], ranked[1])
 }
 
-fn quotas(me: BoxId) -> Arc<Quotas> {
-    let quotas = Arc::new(Quotas::new(me, 0));
+fn quotas(own_id: BoxId) -> Arc<Quotas> {
+    let quotas = Arc::new(Quotas::new(own_id, 0));
     quotas.set_limits(HashMap::from([(account(), LIMIT)]));
     quotas
 }
@@ -42,58 +40,62 @@
     Moment(Duration::from_millis(ms))
 }
 
-/// Asks at one box for as long as anything is asked, and carries the questions to the other.
+/// Passes the quota requests of one box to the other, and the replies back. Returns the requests.
 fn exchange(
-    here: &Quotas,
-    there: &Quotas,
-    (me, other): (BoxId, BoxId),
+    from: &Quotas,
+    to: &Quotas,
+    (from_id, to_id): (BoxId, BoxId),
     now: Moment,
 ) -> Vec<OutgoingRequest> {
-    let sends = here.questions(now);
-    for send in &sends {
-        assert_eq!(send.to, other);
-        if let Some(answer) = there.answer(me, &send.request, now) {
-            here.take_in(other, &answer, now);
+    let requests = from.poll(now);
+    for outgoing in &requests {
+        assert_eq!(outgoing.to, to_id);
+        if let Some(reply) = to.handle_request(from_id, &outgoing.request, now) {
+            from.handle_reply(to_id, &reply, now);
         }
     }
-    sends
+    requests
 }
 
 #[tokio::test]
-async fn a_box_that_does_not_know_all_keeps_no_limit() {
-    let (joining, keeping) = boxes();
-    let (new, old) = (quotas(joining), quotas(keeping));
+async fn box_that_does_not_know_all_boxes_coordinates_no_limit() {
+    let (joining, running) = boxes();
+    let (new, old) = (quotas(joining), quotas(running));
     old.set_boxes(&[joining], Some(2));
-    new.set_boxes(&[keeping], None);
+    new.set_boxes(&[running], None);
 
-    // The other box keeps the limit meanwhile, and its clients get their units.
-    old.questions(at(0));
+    // The other box coordinates the limit meanwhile, and its clients get their units.
+    old.poll(at(0));
     let probe = QuotaRequest {
         number: 1,
         partition: account().partition() as u8,
         lends: false,
         unit_requests: vec![],
     };
-    assert_eq!(new.answer(keeping, &probe, at(0)), None, "it cannot keep a limit yet");
+    assert_eq!(
+        new.handle_request(running, &probe, at(0)),
+        None,
+        "it cannot coordinate a limit yet"
+    );
     for time in (0..2_000).step_by(100) {
-        exchange(&old, &new, (keeping, joining), at(time));
-        exchange(&new, &old, (joining, keeping), at(time));
+        exchange(&old, &new, (running, joining), at(time));
+        exchange(&new, &old, (joining, running), at(time));
     }
-    assert_eq!(new.keeper(account()), Some(keeping));
+    assert_eq!(new.coordinator(account()), Some(running));
     let taken = {
         let new = new.clone();
-        tokio::spawn(async move { new.take(account(), UNITS, at(2_000), PATIENCE).await })
+        tokio::spawn(async move { new.take(account(), UNITS, at(2_000), MAX_WAIT).await })
     };
     yield_now().await;
-    exchange(&new, &old, (joining, keeping), at(2_000));
-    assert_eq!(taken.await.expect("it ends"), Outcome::Granted);
+    exchange(&new, &old, (joining, running), at(2_000));
+    assert_eq!(taken.await.expect("it ends"), WaitOutcome::Granted);
 
-    // Once it knows all it keeps the limit for both.
-    new.set_boxes(&[keeping], Some(2));
+    // It coordinates the limit for both once it knows all boxes.
+    new.set_boxes(&[running], Some(2));
     for time in (2_100..9_000).step_by(100) {
-        exchange(&old, &new, (keeping, joining), at(time));
-        exchange(&new, &old, (joining, keeping), at(time));
+        exchange(&old, &new, (running, joining), at(time));
+        exchange(&new, &old, (joining, running), at(time));
     }
-    assert_eq!(new.keeper(account()), Some(joining));
-    assert_eq!(old.keeper(account()), Some(joining));
+    assert_eq!(new.coordinator(account()), Some(joining));
+    assert_eq!(old.coordinator(account()), Some(joining));
 }
