--- a/trackfront_core/src/members.rs
+++ b/trackfront_core/src/members.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{Fence, HallName, NodeId, Revision, ShardId};
-use crate::ports::peers::{ClaimsKept, Heartbeat, PeerState};
+use crate::ports::peers::{Heartbeat, OwnedClaims, PeerState};
 use crate::ports::{ListedBox, ListedRole, ListedState};
 use crate::units::Moment;
 
@@ -32,7 +32,7 @@
     /// When this box learned of it.
     pub known_since: Moment,
     /// The shards whose claims it owns.
-    pub claims: Vec<ClaimsKept>,
+    pub claims: Vec<OwnedClaims>,
 }
 
 impl Member {
--- a/trackfront_core/src/ports/peers.rs
+++ b/trackfront_core/src/ports/peers.rs
@@ -25,7 +25,7 @@
 
 /// A shard whose claims a box stores.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimsKept {
+pub struct OwnedClaims {
     /// The shard.
     pub shard: ShardId,
     /// The fencing token of the shard's lease.
@@ -48,7 +48,7 @@
     /// The engines whose reports the sender itself has read since its last heartbeat to this peer.
     pub digests: Vec<EngineDigest>,
     /// The shards whose claims the sender stores.
-    pub claims: Vec<ClaimsKept>,
+    pub claims: Vec<OwnedClaims>,
     /// The demand for models and adapters that the sender observes.
     pub items: Vec<ItemDemand>,
 }
--- a/trackfront_standin/src/memory/load.rs
+++ b/trackfront_standin/src/memory/load.rs
@@ -12,7 +12,7 @@
 use trackfront_core::ports::engine::GenerateKind;
 use trackfront_core::ports::plain::http_parts::Header;
 use trackfrontd::gateway::answer::Piece;
-use trackfrontd::gateway::plain::{Answered, KnownCall, call_service};
+use trackfrontd::gateway::plain::{AuthorizedCall, CallAnswer, call_service};
 use trackfrontd::gateway::text::{self, TextRequest};
 use trackfrontd::shared::Shared;
 
@@ -65,7 +65,7 @@
 ) -> Result<(), RequestError> {
     let retry_after = Duration::from_secs(1);
     let tree = shared.in_force.current().ok_or(RequestError::NotReady { retry_after })?;
-    let read = text::read(shared, &tree, request)?;
+    let read = text::parse(shared, &tree, request)?;
     let name = read.wanted.name.clone();
     let (mut answer, mut piece) = text::start(shared, &tree, read.wanted).await?;
     result.first = Some(start.elapsed());
@@ -101,14 +101,14 @@
     service: &str,
     path: &str,
     key: Option<&str>,
-    allowed: Duration,
+    time_limit: Duration,
 ) -> CallResult {
     let start = Instant::now();
     let headers = key
         .map(|key| Header { name: "idempotency-key".into(), value: key.as_bytes().to_vec() })
         .into_iter()
         .collect();
-    let known = KnownCall {
+    let known = AuthorizedCall {
         service: ServiceName::from(service),
         caller: AccountName::from("desk"),
         call: PlainCall {
@@ -119,8 +119,8 @@
             body: Bytes::from_static(b"{}"),
         },
         key: key.map(str::to_string),
-        until: shared.outside.clock.now() + allowed,
-        allowed,
+        deadline_at: shared.outside.clock.now() + time_limit,
+        time_limit,
     };
     let retry_after = Duration::from_secs(1);
     let answered = match shared.in_force.current() {
@@ -129,8 +129,8 @@
     };
     let took = start.elapsed();
     match answered {
-        Ok(Answered::Now(_)) => CallResult { replayed: false, error: None, took },
-        Ok(Answered::Before(_)) => CallResult { replayed: true, error: None, took },
+        Ok(CallAnswer::New(_)) => CallResult { replayed: false, error: None, took },
+        Ok(CallAnswer::Replayed(_)) => CallResult { replayed: true, error: None, took },
         Err(error) => CallResult { replayed: false, error: Some(error), took },
     }
 }
--- a/trackfrontd/src/daemon.rs
+++ b/trackfrontd/src/daemon.rs
@@ -1,4 +1,4 @@
-//! Starts and stops the parts of one box.
+//! A box with its listeners, from start to stop.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,11 +18,11 @@
 use crate::shared::Shared;
 use crate::{gateway, operators, peering};
 
-/// How long a leaving box still takes new connections, while the balancer learns of it.
+/// How long a leaving box still accepts connections, until the balancer has noticed.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
 
-/// How long operators and peers are given to read their last answers.
-const LAST_ANSWERS: Duration = Duration::from_secs(2);
+/// The maximum time to answer the last requests of operators and peers.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running box.
 pub struct Daemon {
@@ -43,7 +43,7 @@
 }
 
 impl Listener {
-    /// Takes no new connection and waits until every request in progress is answered.
+    /// Stops accepting connections and waits until every request in progress is answered.
     async fn finish(self) {
         self.stop.send_replace(true);
         if self.task.await.is_err() {
@@ -53,7 +53,7 @@
 }
 
 impl Daemon {
-    /// Starts a box that reaches everything over the network.
+    /// Starts a box with ports that use the network.
     pub async fn start(settings: Settings) -> anyhow::Result<Daemon> {
         let metrics = Arc::new(Metrics::default());
         let outside = Outside::network(&settings, metrics.clone());
@@ -89,21 +89,21 @@
         })
     }
 
-    /// Leaves as planned: tells the balancer and the peers, hands the leases over, and finishes
+    /// Shuts down gracefully: notifies the balancer and the peers, releases the leases, and finishes
     /// every request in progress.
     pub async fn stop(self) {
         self.node.leave().await;
         tokio::time::sleep(LEAVE_GRACE).await;
         self.callers.finish().await;
         self.node.finish().await;
-        // Operators and peers may keep idle connections open; they are not waited for.
+        // Operators and peers may keep idle connections open, which must not delay the stop.
         let rest = async { tokio::join!(self.operators.finish(), self.peers.finish()) };
-        if tokio::time::timeout(LAST_ANSWERS, rest).await.is_err() {
+        if tokio::time::timeout(LAST_ANSWERS_TIMEOUT, rest).await.is_err() {
             log::warn!("operators or peers still had requests open");
         }
     }
 
-    /// Stops as a process does that is killed.
+    /// Stops at once, like a killed process.
     pub fn kill(self) {
         for listener in [&self.callers, &self.operators, &self.peers] {
             listener.task.abort();
--- a/trackfrontd/src/follower.rs
+++ b/trackfrontd/src/follower.rs
@@ -1,4 +1,4 @@
-//! Keeps the accepted tree in force: polls the table's head row and asks peers.
+//! Keeps the accepted tree in force: polls the head row of the table and fetches trees from peers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +15,8 @@
 use crate::limits;
 use crate::shared::Shared;
 
-/// How often the head row is read.
-const POLL_EVERY: Duration = Duration::from_millis(800);
+/// The interval at which the head row is read.
+const POLL_INTERVAL: Duration = Duration::from_millis(800);
 
 /// The key of the row that names the accepted tree.
 const HEAD_KEY: &str = "tree/head";
@@ -24,32 +24,32 @@
 /// Why a tree could not be fetched.
 #[derive(Debug, Error)]
 pub enum FollowError {
-    /// The table did not answer.
+    /// The table could not be read.
     #[error(transparent)]
     Table(#[from] TableError),
-    /// The object store did not answer.
+    /// The object store could not be read.
     #[error(transparent)]
     Objects(#[from] ObjectError),
-    /// The peer did not answer.
+    /// The peer could not be reached.
     #[error(transparent)]
     Peer(#[from] PeerError),
-    /// The head row does not decode.
+    /// The head row is invalid.
     #[error("the head row does not decode: {0}; it is read again")]
     BadHead(String),
-    /// The head row names an object that is not there.
+    /// The object in the head row does not exist.
     #[error("the object store has no `{0}`; peers are asked for it")]
     NoObject(String),
-    /// The snapshot was refused.
+    /// The snapshot cannot be put in force.
     #[error(transparent)]
     Install(#[from] InstallError),
 }
 
-/// The head row as read.
+/// The head row with its decoded value.
 #[derive(Clone, Debug)]
 pub struct ReadHead {
     /// The row.
     pub row: Row,
-    /// Its value.
+    /// The decoded value.
     pub head: Head,
 }
 
@@ -69,16 +69,16 @@
 }
 
 /// Follows the head row until the task is stopped.
-pub async fn run(shared: Arc<Shared>) {
+pub async fn follow_tree(shared: Arc<Shared>) {
     loop {
         if let Err(error) = poll(&shared).await {
             log::warn!("the tree cannot be followed: {error}");
         }
-        shared.rest(POLL_EVERY).await;
+        shared.sleep_about(POLL_INTERVAL).await;
     }
 }
 
-/// Reads the head row once and fetches its tree if that is newer.
+/// Reads the head row once, and fetches its tree if it is newer.
 async fn poll(shared: &Shared) -> Result<(), FollowError> {
     let Some(ReadHead { head, .. }) = read_head(shared).await? else {
         return Ok(());
@@ -92,7 +92,7 @@
     Ok(())
 }
 
-/// Asks a peer that has a newer tree for it.
+/// Fetches a newer tree from a peer.
 pub async fn fetch_from_peer(shared: &Shared, address: &str) -> Result<(), FollowError> {
     let message = PeerMessage::FetchTree { newer_than: shared.in_force.revision() };
     match shared.outside.peers.ask(address, message).await? {
@@ -101,13 +101,13 @@
     }
 }
 
-/// Puts a snapshot in force and brings everything that depends on the tree up to it.
+/// Puts a snapshot in force and updates everything that depends on the tree.
 pub fn install(shared: &Shared, bytes: &[u8], source: &str) -> Result<Revision, FollowError> {
     let backends = shared.outside.backends.as_ref();
     let installed = shared.in_force.install(bytes, &shared.place.region, backends);
     let revision = match installed {
         Ok(revision) => revision,
-        // Another task has put the same or a newer tree in force meanwhile.
+        // Another task put the same or a newer tree in force meanwhile.
         Err(InstallError::NotNewer { current, .. }) => return Ok(current),
         Err(error) => return Err(error.into()),
     };
--- a/trackfrontd/src/gateway/answer.rs
+++ b/trackfrontd/src/gateway/answer.rs
@@ -1,4 +1,4 @@
-//! One answer of an engine: started, checked frame by frame, taken up again where it breaks off.
+//! An answer of an engine: its start, its frames, and its recovery after a lost connection.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,43 +17,43 @@
 use crate::in_force::TreeInForce;
 use crate::shared::Shared;
 
-/// How often a stream is taken up again after it broke off.
+/// The maximum number of recoveries of a stream.
 const MAX_RESUMES: u32 = 3;
 
-/// How much of an answer is kept so that another engine can continue it, in bytes. A longer
-/// answer that breaks off for good ends with an error.
+/// The maximum size in bytes of the delivered part of an answer that is kept for another engine to
+/// continue. A longer answer whose stream cannot be resumed ends with an error.
 const MAX_DELIVERED_BYTES: usize = 256 * 1024;
 
-/// What is asked, of whichever engine.
+/// A request for an answer, independent of the engine.
 #[derive(Clone, Debug)]
-pub struct Wanted {
+pub struct GenerateCall {
     /// The request for the engine.
     pub request: GenerateRequest,
-    /// The name that the caller used.
+    /// The name of the model or adapter in the request.
     pub name: String,
-    /// Who calls.
+    /// The caller.
     pub caller: AccountName,
-    /// The tokens of the prompt.
+    /// The estimated number of tokens in the prompt.
     pub prompt_tokens: f64,
-    /// The tokens that the answer should have.
+    /// The expected number of tokens in the answer.
     pub output_tokens: f64,
     /// The chained hashes of the prompt's blocks.
     pub blocks: Vec<u64>,
-    /// When the answer has to be whole, by the clock that counts suspensions of the machine: a timer that is set to it
-    /// would leave a request the time that its machine was suspended, and routing would believe that.
-    pub until: Moment,
-    /// The time that the caller allowed.
-    pub allowed: Duration,
-    /// How many further engines may be tried.
+    /// The deadline for the complete answer, by a clock that includes suspensions of the machine. Timers do not, so a
+    /// deadline by their clock would be extended by the time of a suspension.
+    pub deadline_at: Moment,
+    /// The time from the request to its deadline.
+    pub time_limit: Duration,
+    /// The maximum number of retries at further engines.
     pub max_retries: usize,
-    /// Whether another engine may run the request if one may have started it.
+    /// Whether another engine may run the request after one may have started it.
     pub repeatable: bool,
 }
 
-impl Wanted {
-    /// Returns how much of the caller's time is left.
+impl GenerateCall {
+    /// Returns the time until the deadline.
     fn time_left(&self, shared: &Shared) -> Duration {
-        self.until.since(shared.outside.clock.now())
+        self.deadline_at.since(shared.outside.clock.now())
     }
 }
 
@@ -62,12 +62,12 @@
 pub enum Piece {
     /// Data for the caller.
     Data(Bytes),
-    /// The answer is whole.
+    /// The answer is complete.
     End,
 }
 
-/// A request at an engine. What was measured is told to the engine's load when it ends.
-struct AtEngine {
+/// An attempt at an engine. Its measurements update the engine's load when it is dropped.
+struct EngineAttempt {
     shared: Arc<Shared>,
     pick: Pick,
     engine: Arc<dyn Engine>,
@@ -78,7 +78,7 @@
     ended: RequestResult,
 }
 
-impl AtEngine {
+impl EngineAttempt {
     fn begin(shared: &Arc<Shared>, pick: Pick, engine: Arc<dyn Engine>) -> Self {
         pick.entry.begin(&pick.sent, shared.outside.clock.now());
         Self {
@@ -93,24 +93,24 @@
         }
     }
 
-    /// Notes that a piece has come.
-    fn piece(&mut self) {
+    /// Records the arrival of a piece.
+    fn record_piece(&mut self) {
         let now = Instant::now();
         self.first_at.get_or_insert(now);
         self.last_at = Some(now);
         self.pieces += 1;
     }
 
-    /// Notes that the answer is whole. What it waited for a place in the batch does not count as
-    /// demand, as far as it can be told from the time of the tokens.
-    fn whole(&mut self, name: &str) {
+    /// Records that the answer is complete. The service time starts with the first token, so the time in
+    /// the queue does not count as demand.
+    fn record_end(&mut self, name: &str) {
         self.ended.whole = Some(self.began.elapsed());
-        let tokens_took = self.first_at.map_or(Duration::ZERO, |first| first.elapsed());
-        self.shared.demand.record_service_time(name, tokens_took);
+        let service_time = self.first_at.map_or(Duration::ZERO, |first| first.elapsed());
+        self.shared.demand.record_service_time(name, service_time);
     }
 }
 
-impl Drop for AtEngine {
+impl Drop for EngineAttempt {
     fn drop(&mut self) {
         self.ended.first = self.first_at.map(|first| first - self.began);
         if let (Some(first), Some(last)) = (self.first_at, self.last_at)
@@ -125,10 +125,10 @@
 
 /// An answer in progress. Dropping it cancels the request at the engine.
 pub struct Answer {
-    wanted: Wanted,
+    wanted: GenerateCall,
     check: AnswerCheck,
     frames: FrameStream,
-    at: AtEngine,
+    at: EngineAttempt,
     tried: Vec<BackendId>,
     resumes: u32,
     delivered: Vec<Bytes>,
@@ -136,12 +136,12 @@
 }
 
 impl Answer {
-    /// Starts the request on the best engine and waits for the first piece. Engines that fail
-    /// before that are left for others, as long as the deadline and the retries allow.
+    /// Starts the request on the best engine and waits for the first piece. After a failure before that,
+    /// others are tried within the deadline and the retry budget.
     pub async fn start(
         shared: &Arc<Shared>,
         tree: &TreeInForce,
-        mut wanted: Wanted,
+        mut wanted: GenerateCall,
     ) -> Result<(Answer, Piece), RequestError> {
         shared.retries.count_request();
         let mut tried: Vec<BackendId> = Vec::new();
@@ -149,7 +149,7 @@
         loop {
             let pick = match choose(shared, &mut wanted, &tried) {
                 Ok(pick) => pick,
-                // What an engine said before tells more than that no other is left.
+                // The error of an engine is more useful than that no other engine is available.
                 Err(refused) => return Err(last.unwrap_or(refused)),
             };
             tried.push(pick.entry.id.clone());
@@ -174,12 +174,12 @@
     async fn start_on(
         shared: &Arc<Shared>,
         tree: &TreeInForce,
-        wanted: &Wanted,
+        wanted: &GenerateCall,
         pick: Pick,
         tried: &[BackendId],
-    ) -> Result<(Answer, Piece), Failed> {
-        let engine = link(tree, wanted, &pick)?;
-        let mut at = AtEngine::begin(shared, pick, engine);
+    ) -> Result<(Answer, Piece), AttemptError> {
+        let engine = engine_client(tree, wanted, &pick)?;
+        let mut at = EngineAttempt::begin(shared, pick, engine);
         let frames = start_frames(&mut at, wanted, wanted.request.clone()).await?;
         let mut answer = Answer {
             check: AnswerCheck::new(wanted.request.id.clone()),
@@ -193,11 +193,13 @@
         };
         match answer.read().await {
             Ok(piece) => Ok((answer, piece)),
-            Err(Broken::Late) => Err(Failed::last(passed(wanted, Outcome::Unknown))),
-            Err(Broken::Off(detail)) => {
+            Err(ReadError::DeadlinePassed) => {
+                Err(AttemptError::last(deadline_passed(wanted, Outcome::Unknown)))
+            }
+            Err(ReadError::Disconnected(detail)) => {
                 answer.at.ended.failed = true;
                 let outcome = Outcome::Unknown;
-                Err(Failed::retry(RequestError::BackendBroke { detail, outcome }))
+                Err(AttemptError::retry(RequestError::BackendBroke { detail, outcome }))
             }
         }
     }
@@ -207,61 +209,68 @@
         &self.wanted.request.id
     }
 
-    /// Returns how many pieces of data have come.
+    /// Returns the number of pieces of data so far.
     pub fn pieces(&self) -> u64 {
         self.check.next_offset()
     }
 
-    /// Waits for the next piece. A stream that breaks off is resumed where the engine can, and
-    /// else continued by another engine from the text delivered. After an error or the end
-    /// there is nothing more to read.
+    /// Waits for the next piece. A lost stream is resumed at the same engine, or continued by another one
+    /// from the delivered text. Must not be called after an error or the end.
     pub async fn next(&mut self, tree: &TreeInForce) -> Result<Piece, RequestError> {
         loop {
             match self.read().await {
                 Ok(piece) => return Ok(piece),
-                Err(Broken::Late) => return Err(passed(&self.wanted, Outcome::Ran)),
-                Err(Broken::Off(detail)) => self.take_up(tree, detail).await?,
+                Err(ReadError::DeadlinePassed) => {
+                    return Err(deadline_passed(&self.wanted, Outcome::Ran));
+                }
+                Err(ReadError::Disconnected(detail)) => self.recover(tree, detail).await?,
             }
         }
     }
 
-    /// Reads frames until one is for the caller.
-    async fn read(&mut self) -> Result<Piece, Broken> {
+    /// Reads frames until one has to be delivered.
+    async fn read(&mut self) -> Result<Piece, ReadError> {
         loop {
             let left = self.wanted.time_left(&self.at.shared);
             let frame = timeout(left, self.frames.next()).await;
-            let frame = match frame.map_err(|_| Broken::Late)? {
+            let frame = match frame.map_err(|_| ReadError::DeadlinePassed)? {
                 Some(Ok(frame)) => frame,
-                Some(Err(error)) => return Err(Broken::Off(error.to_string())),
-                None => return Err(Broken::Off("the stream ended without its end mark".into())),
+                Some(Err(error)) => return Err(ReadError::Disconnected(error.to_string())),
+                None => {
+                    return Err(ReadError::Disconnected(
+                        "the stream ended without its end mark".into(),
+                    ));
+                }
             };
             match self.check.accept(frame) {
                 FrameAction::Deliver(data) => {
-                    self.at.piece();
-                    self.keep(&data);
+                    self.at.record_piece();
+                    self.record_delivered(&data);
                     return Ok(Piece::Data(data));
                 }
                 FrameAction::End => {
-                    self.at.whole(&self.wanted.name);
+                    self.at.record_end(&self.wanted.name);
                     return Ok(Piece::End);
                 }
                 FrameAction::OtherRequest => self.at.shared.metrics.frame_dropped("other_request"),
                 FrameAction::Repeated => self.at.shared.metrics.frame_dropped("repeated"),
-                FrameAction::Gap => return Err(Broken::Off("frames are missing".into())),
+                FrameAction::Gap => {
+                    return Err(ReadError::Disconnected("frames are missing".into()));
+                }
             }
         }
     }
 
-    /// Keeps what was delivered, for another engine to continue.
-    fn keep(&mut self, data: &Bytes) {
+    /// Keeps delivered data, for another engine to continue.
+    fn record_delivered(&mut self, data: &Bytes) {
         self.delivered_bytes += data.len();
         if self.wanted.request.stream && self.delivered_bytes <= MAX_DELIVERED_BYTES {
             self.delivered.push(data.clone());
         }
     }
 
-    /// Takes a stream up again that broke off: at the same engine, or at another.
-    async fn take_up(&mut self, tree: &TreeInForce, detail: String) -> Result<(), RequestError> {
+    /// Recovers a lost stream, at the same engine or at another one.
+    async fn recover(&mut self, tree: &TreeInForce, detail: String) -> Result<(), RequestError> {
         let outcome = if self.pieces() == 0 { Outcome::Unknown } else { Outcome::Ran };
         let broken = RequestError::BackendBroke { detail, outcome };
         if !self.wanted.request.stream || self.pieces() == 0 || self.resumes == MAX_RESUMES {
@@ -276,50 +285,50 @@
         Ok(())
     }
 
-    /// Resumes at the same engine.
-    async fn resume(&mut self) -> Result<(), Failed> {
+    /// Resumes the stream at the same engine.
+    async fn resume(&mut self) -> Result<(), AttemptError> {
         let from = StartFrom::Resume { offset: self.check.next_offset() };
         let request = GenerateRequest { from, ..self.wanted.request.clone() };
         self.frames = start_frames(&mut self.at, &self.wanted, request).await?;
         Ok(())
     }
 
-    /// Lets another engine continue from the text delivered.
-    async fn continue_elsewhere(&mut self, tree: &TreeInForce) -> Result<(), Failed> {
+    /// Continues the answer at another engine, from the delivered text.
+    async fn continue_elsewhere(&mut self, tree: &TreeInForce) -> Result<(), AttemptError> {
         let offset = self.check.next_offset();
         let has_all = self.delivered.len() as u64 == offset;
         if !self.wanted.repeatable || !has_all || !self.at.shared.retries.try_take() {
-            return Err(Failed::last(passed(&self.wanted, Outcome::Ran)));
+            return Err(AttemptError::last(deadline_passed(&self.wanted, Outcome::Ran)));
         }
         let shared = self.at.shared.clone();
-        let pick = choose(&shared, &mut self.wanted, &self.tried).map_err(Failed::last)?;
+        let pick = choose(&shared, &mut self.wanted, &self.tried).map_err(AttemptError::last)?;
         self.tried.push(pick.entry.id.clone());
-        let engine = link(tree, &self.wanted, &pick)?;
+        let engine = engine_client(tree, &self.wanted, &pick)?;
         let from = StartFrom::Continue { offset, delivered: self.delivered.clone() };
         let request = GenerateRequest { from, ..self.wanted.request.clone() };
-        let mut at = AtEngine::begin(&shared, pick, engine);
+        let mut at = EngineAttempt::begin(&shared, pick, engine);
         self.frames = start_frames(&mut at, &self.wanted, request).await?;
         self.at = at;
         Ok(())
     }
 }
 
-/// Why the next frame did not come.
-enum Broken {
+/// Why no frame could be read.
+enum ReadError {
     /// The deadline passed.
-    Late,
-    /// The stream broke off.
-    Off(String),
+    DeadlinePassed,
+    /// The stream was lost.
+    Disconnected(String),
 }
 
-/// A failure to start on an engine.
-struct Failed {
+/// The failure of an attempt.
+struct AttemptError {
     error: RequestError,
-    /// Whether no other engine is to be tried.
+    /// Whether no other engine may be tried.
     is_final: bool,
 }
 
-impl Failed {
+impl AttemptError {
     fn last(error: RequestError) -> Self {
         Self { error, is_final: true }
     }
@@ -329,23 +338,23 @@
     }
 }
 
-/// Sends a request to an engine and waits until it answers or refuses.
+/// Sends a request to an engine and waits for the start of the answer.
 async fn start_frames(
-    at: &mut AtEngine,
-    wanted: &Wanted,
+    at: &mut EngineAttempt,
+    wanted: &GenerateCall,
     request: GenerateRequest,
-) -> Result<FrameStream, Failed> {
+) -> Result<FrameStream, AttemptError> {
     let left = wanted.time_left(&at.shared);
     let started = timeout(left, at.engine.generate(request)).await;
     let Ok(started) = started else {
-        return Err(Failed::last(passed(wanted, Outcome::Unknown)));
+        return Err(AttemptError::last(deadline_passed(wanted, Outcome::Unknown)));
     };
     started.map_err(|error| {
         let outcome = error.outcome();
         match error {
             GenerateError::Refused { status, detail, final_refusal, back_off } => {
                 at.ended.retry_after = back_off;
-                Failed {
+                AttemptError {
                     error: RequestError::BackendRefused { status, detail },
                     is_final: final_refusal,
                 }
@@ -353,22 +362,30 @@
             error => {
                 at.ended.failed = true;
                 let detail = error.to_string();
-                Failed::retry(RequestError::BackendBroke { detail, outcome })
+                AttemptError::retry(RequestError::BackendBroke { detail, outcome })
             }
         }
     })
 }
 
-/// Returns the link to the engine that was chosen.
-fn link(tree: &TreeInForce, wanted: &Wanted, pick: &Pick) -> Result<Arc<dyn Engine>, Failed> {
+/// Returns the client of the chosen engine.
+fn engine_client(
+    tree: &TreeInForce,
+    wanted: &GenerateCall,
+    pick: &Pick,
+) -> Result<Arc<dyn Engine>, AttemptError> {
     let retry_after = Duration::from_secs(1);
     let missing = RequestError::NoBackend { name: wanted.name.clone(), retry_after };
-    tree.engines.get(&pick.entry.id).cloned().ok_or_else(|| Failed::retry(missing))
+    tree.engines.get(&pick.entry.id).cloned().ok_or_else(|| AttemptError::retry(missing))
 }
 
-/// Chooses an engine and notes the choice. While no engine has the wanted version yet, the one
-/// before goes on answering.
-fn choose(shared: &Shared, wanted: &mut Wanted, tried: &[BackendId]) -> Result<Pick, RequestError> {
+/// Chooses an engine and records the choice. While the current version is ready on no engine, the one
+/// before is used.
+fn choose(
+    shared: &Shared,
+    wanted: &mut GenerateCall,
+    tried: &[BackendId],
+) -> Result<Pick, RequestError> {
     match choose_item(shared, wanted, tried) {
         Err(Refusal::NoEngine { .. }) if shared.fleet.ready_count(&wanted.request.item) == 0 => {
             if let Some(other) = shared.fleet.other_version(&wanted.request.item) {
@@ -388,7 +405,11 @@
     })
 }
 
-fn choose_item(shared: &Shared, wanted: &Wanted, tried: &[BackendId]) -> Result<Pick, Refusal> {
+fn choose_item(
+    shared: &Shared,
+    wanted: &GenerateCall,
+    tried: &[BackendId],
+) -> Result<Pick, Refusal> {
     let query = RouteQuery {
         item: &wanted.request.item,
         prompt_tokens: wanted.prompt_tokens,
@@ -404,6 +425,6 @@
     Ok(pick)
 }
 
-fn passed(wanted: &Wanted, outcome: Outcome) -> RequestError {
-    RequestError::DeadlinePassed { deadline_ms: wanted.allowed.as_millis() as u64, outcome }
+fn deadline_passed(wanted: &GenerateCall, outcome: Outcome) -> RequestError {
+    RequestError::DeadlinePassed { deadline_ms: wanted.time_limit.as_millis() as u64, outcome }
 }
--- a/trackfrontd/src/gateway/caller.rs
+++ b/trackfrontd/src/gateway/caller.rs
@@ -1,4 +1,4 @@
-//! Finds out who calls.
+//! Identifies and authorizes callers.
 
 use http::HeaderMap;
 use trackfront_adapters::key::bearer;
@@ -7,7 +7,7 @@
 
 use crate::in_force::{RequestLimits, TreeInForce};
 
-/// Returns the caller whose key the headers show.
+/// Returns the caller with the key in the headers.
 pub fn identify(headers: &HeaderMap, tree: &TreeInForce) -> Result<AccountName, RequestError> {
     bearer(headers)
         .and_then(|key| tree.tree.caller_by_key(key))
@@ -15,7 +15,7 @@
         .ok_or(RequestError::UnknownCaller)
 }
 
-/// Fails unless `caller` may use what `limits` are for.
+/// Returns an error unless `limits` give `caller` access to `name`.
 pub fn authorize(
     caller: &AccountName,
     limits: &RequestLimits,
--- a/trackfrontd/src/gateway/claims.rs
+++ b/trackfrontd/src/gateway/claims.rs
@@ -1,4 +1,4 @@
-//! Claims calls that may run once, from whichever box keeps the claims of their service.
+//! Claims calls that may run once, at the box that owns the claims of their service.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,23 +15,23 @@
 
 use crate::shared::Shared;
 
-/// How often a claim is asked for before the call is refused.
-const ATTEMPTS: u32 = 4;
+/// The maximum number of attempts to claim a call before it is refused.
+const MAX_ATTEMPTS: u32 = 4;
 
-/// How long to wait between two attempts.
-const PAUSE: Duration = Duration::from_millis(100);
+/// The delay between two attempts.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// When to come back if no box keeps the claims now.
+/// The retry delay for clients while no box owns the claims.
 const RETRY_AFTER: Duration = Duration::from_secs(3);
 
-/// A call that may run once, under its caller's key.
+/// A call that may run once, with its caller's key.
 #[derive(Clone, Debug)]
 pub struct ClaimedCall {
     shard: ShardId,
     claim: ClaimHashes,
 }
 
-/// The hashes by which a claim is made.
+/// The hashes that identify a claim.
 #[derive(Clone, Copy, Debug)]
 struct ClaimHashes {
     key: ClaimKey,
@@ -39,25 +39,25 @@
     request: RequestHash,
 }
 
-/// What to do with a call that was claimed.
+/// The result of claiming a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Claimed {
-    /// Run it, once.
+    /// The call may be run, once.
     Run,
-    /// It was run before; this is its answer.
+    /// The call ran before, with this answer.
     Answered(RecordedAnswer),
 }
 
-/// Where the claims of a shard are kept.
-enum Keeper {
-    /// On this box.
-    Here,
-    /// On the box at this peer address.
-    At(String),
+/// The owner of a shard's claims.
+enum Owner {
+    /// This box.
+    Local,
+    /// The box with this peer address.
+    Remote(String),
 }
 
 impl ClaimedCall {
-    /// Makes the claim of a call by its caller's key and the parts that say what is called.
+    /// Creates the claim of a call from its caller's key and the parts of its content.
     pub fn new(
         shard: ShardId,
         caller: &AccountName,
@@ -75,7 +75,7 @@
         Self { shard, claim }
     }
 
-    /// Claims the call. After [`Claimed::Run`] this request, and no other, may run it, once.
+    /// Claims the call. After [`Claimed::Run`], only this request may run it, once.
     pub async fn claim(&self, shared: &Shared) -> Result<Claimed, RequestError> {
         let claim = Claim {
             key: self.claim.key,
@@ -83,12 +83,12 @@
             request: self.claim.request,
             at: shared.outside.clock.unix(),
         };
-        for attempt in 0..ATTEMPTS {
+        for attempt in 0..MAX_ATTEMPTS {
             if attempt > 0 {
-                shared.outside.clock.sleep(PAUSE).await;
+                shared.outside.clock.sleep(RETRY_DELAY).await;
             }
-            // Asking again for the same request is harmless, also after a lost reply.
-            match self.ask(shared, claim, attempt).await {
+            // The same request may be claimed again, for example after a lost reply.
+            match self.send_claim(shared, claim, attempt).await {
                 Some(ClaimReply::Granted) => return Ok(Claimed::Run),
                 Some(ClaimReply::Answered(answer)) => return Ok(Claimed::Answered(answer)),
                 Some(ClaimReply::OtherCall) => return Err(RequestError::KeyReused),
@@ -99,11 +99,11 @@
         Err(RequestError::ClaimUnavailable { retry_after: RETRY_AFTER })
     }
 
-    /// Asks whichever box keeps the claims; `None` if its answer is lost.
-    async fn ask(&self, shared: &Shared, claim: Claim, attempt: u32) -> Option<ClaimReply> {
+    /// Sends the claim to its owner. Returns `None` if there was no reply.
+    async fn send_claim(&self, shared: &Shared, claim: Claim, attempt: u32) -> Option<ClaimReply> {
         let address = match find_owner(shared, &self.shard, attempt).await? {
-            Keeper::Here => return Some(shared.claims.claim(&self.shard, claim).await),
-            Keeper::At(address) => address,
+            Owner::Local => return Some(shared.claims.claim(&self.shard, claim).await),
+            Owner::Remote(address) => address,
         };
         let message = PeerMessage::Claim { shard: self.shard.clone(), claim };
         match shared.outside.peers.ask(&address, message).await {
@@ -116,30 +116,30 @@
         }
     }
 
-    /// Gives the claim back, after the call is known not to have run.
+    /// Releases the claim, since the call did not run.
     pub fn release(&self, shared: &Arc<Shared>) {
         let (key, request) = (self.claim.key, self.claim.request);
         let message = PeerMessage::Release { shard: self.shard.clone(), key, request };
-        self.tell(shared, message);
+        self.notify_owner(shared, message);
     }
 
-    /// Tells the answer, for repeats.
-    pub fn answered(&self, shared: &Arc<Shared>, answer: RecordedAnswer) {
+    /// Records the answer, for repeated calls.
+    pub fn record_answer(&self, shared: &Arc<Shared>, answer: RecordedAnswer) {
         let (key, request) = (self.claim.key, self.claim.request);
         let message = PeerMessage::Answered { shard: self.shard.clone(), key, request, answer };
-        self.tell(shared, message);
+        self.notify_owner(shared, message);
     }
 
-    /// Sends a message that may be lost: a key that is not given back stays taken, and an answer
-    /// that is not recorded is not known, which are both safe.
-    fn tell(&self, shared: &Arc<Shared>, message: PeerMessage) {
+    /// Sends a message to the owner. It may be lost, which is safe: the key stays claimed, or the answer
+    /// unknown.
+    fn notify_owner(&self, shared: &Arc<Shared>, message: PeerMessage) {
         let (shared, shard) = (shared.clone(), self.shard.clone());
         tokio::spawn(async move {
             match find_owner(&shared, &shard, 0).await {
-                Some(Keeper::Here) => {
+                Some(Owner::Local) => {
                     crate::peering::answer(shared, message).await;
                 }
-                Some(Keeper::At(address)) => {
+                Some(Owner::Remote(address)) => {
                     let _ = shared.outside.peers.ask(&address, message).await;
                 }
                 None => {}
@@ -148,25 +148,25 @@
     }
 }
 
-/// Finds the box that keeps the claims of `shard`: by heartbeats at first; by the lease's row
-/// if that did not help; and if nobody keeps them, the box whose turn it is.
-async fn find_owner(shared: &Shared, shard: &ShardId, attempt: u32) -> Option<Keeper> {
+/// Finds the owner of the claims of `shard`: by heartbeats in the first attempt, later by the row of the
+/// lease. Without an owner, it is the first box by rank.
+async fn find_owner(shared: &Shared, shard: &ShardId, attempt: u32) -> Option<Owner> {
     let own = shared.claims.fence(shard);
-    let heard = {
+    let reported = {
         let members = shared.members.lock();
         members.claims_owner(shard).map(|(address, fence)| (address.clone(), fence))
     };
-    match (own, heard) {
-        (Some(own), Some((_, heard))) if own >= heard => return Some(Keeper::Here),
-        (Some(_), None) => return Some(Keeper::Here),
-        (_, Some((address, _))) if attempt == 0 => return Some(Keeper::At(address)),
+    match (own, reported) {
+        (Some(own), Some((_, reported))) if own >= reported => return Some(Owner::Local),
+        (Some(_), None) => return Some(Owner::Local),
+        (_, Some((address, _))) if attempt == 0 => return Some(Owner::Remote(address)),
         _ => {}
     }
-    let holder = holder_by_table(shared, shard).await;
+    let holder = read_lease_holder(shared, shard).await;
     let members = shared.members.lock();
     match holder {
-        Some(holder) if holder == shared.me => Some(Keeper::Here),
-        Some(holder) => members.address_of(&holder).cloned().map(Keeper::At),
+        Some(holder) if holder == shared.me => Some(Owner::Local),
+        Some(holder) => members.address_of(&holder).cloned().map(Owner::Remote),
         None => {
             let now = shared.outside.clock.now();
             let key = format!("lease/claims/{shard}");
@@ -181,15 +181,18 @@
                 })?
                 .clone();
             if first == shared.me {
-                return Some(Keeper::Here);
+                return Some(Owner::Local);
             }
-            members.address_of(&first).cloned().map(Keeper::At)
+            members.address_of(&first).cloned().map(Owner::Remote)
         }
     }
 }
 
-/// Reads who holds the lease of a shard's claims.
-async fn holder_by_table(shared: &Shared, shard: &ShardId) -> Option<trackfront_core::ids::NodeId> {
+/// Reads the holder of the lease of a shard's claims.
+async fn read_lease_holder(
+    shared: &Shared,
+    shard: &ShardId,
+) -> Option<trackfront_core::ids::NodeId> {
     let key = RowKey(format!("lease/claims/{shard}"));
     let row = shared.outside.table.read(&key).await.ok()??;
     let lease: LeaseRow = serde_json::from_slice(&row.value).ok()?;
--- a/trackfrontd/src/gateway/generate.rs
+++ b/trackfrontd/src/gateway/generate.rs
@@ -22,18 +22,18 @@
 use crate::in_force::TreeInForce;
 use crate::shared::Shared;
 
-/// The content type of a whole answer.
+/// The content type of a complete answer.
 const JSON: &str = "application/json";
 
-/// Counts a request until it has come to its end.
-struct Tally {
+/// Counts a request and its result when it is dropped.
+struct RequestMetrics {
     shared: Arc<Shared>,
     kind: &'static str,
     started: Instant,
     result: &'static str,
 }
 
-impl Tally {
+impl RequestMetrics {
     fn new(shared: &Arc<Shared>, kind: GenerateKind) -> Self {
         let kind = match kind {
             GenerateKind::Completion => "completion",
@@ -48,7 +48,7 @@
     }
 }
 
-impl Drop for Tally {
+impl Drop for RequestMetrics {
     fn drop(&mut self) {
         self.shared.metrics.in_flight.dec();
         self.shared.metrics.request_ended(self.kind, self.result);
@@ -62,22 +62,22 @@
     request: Request<Incoming>,
     kind: GenerateKind,
 ) -> Result<Response<Body>, RequestError> {
-    let mut tally = Tally::new(shared, kind);
-    let answered = answer(shared, id, request, kind, &mut tally).await;
+    let mut metrics = RequestMetrics::new(shared, kind);
+    let answered = answer(shared, id, request, kind, &mut metrics).await;
     match answered {
         Ok(Started::Whole(response)) => {
-            tally.result = "answered";
+            metrics.result = "answered";
             Ok(response)
         }
-        Ok(Started::Stream(stream)) => Ok(stream.into_response(tally)),
+        Ok(Started::Stream(stream)) => Ok(stream.into_response(metrics)),
         Err(error) => {
-            tally.result = error.kind();
+            metrics.result = error.kind();
             Err(error)
         }
     }
 }
 
-/// An answer that is whole, or whose first piece is there.
+/// A complete answer, or a stream whose first piece has arrived.
 enum Started {
     Whole(Response<Body>),
     Stream(Box<TextStream>),
@@ -88,7 +88,7 @@
     id: &RequestId,
     request: Request<Incoming>,
     kind: GenerateKind,
-    tally: &mut Tally,
+    metrics: &mut RequestMetrics,
 ) -> Result<Started, RequestError> {
     let tree = tree(shared)?;
     let caller = caller::identify(request.headers(), &tree)?;
@@ -96,7 +96,7 @@
     let key = idempotency_key(request.headers())?;
     let body = body(request, MAX_UNKNOWN_BODY).await?;
     let request = TextRequest { id: id.clone(), caller, kind, body, deadline, key };
-    let read = text::read(shared, &tree, &request)?;
+    let read = text::parse(shared, &tree, &request)?;
     let claimed = match claimed_call(&request, &read) {
         None => None,
         Some(call) => match call.claim(shared).await? {
@@ -113,27 +113,30 @@
         call.release(shared);
     }
     let (mut answer, first) = started?;
-    tally.first_piece();
+    metrics.first_piece();
     if wants_stream {
         let first = Some(first);
         return Ok(Started::Stream(Box::new(TextStream { answer, first, tree, name })));
     }
-    let data = text::finish_whole(shared, &tree, &mut answer, &name, first).await?;
+    let data = text::read_to_end(shared, &tree, &mut answer, &name, first).await?;
     if let Some(call) = &claimed {
         let content_type = Some(JSON.to_string());
-        call.answered(shared, RecordedAnswer { status: 200, content_type, body: data.clone() });
+        call.record_answer(
+            shared,
+            RecordedAnswer { status: 200, content_type, body: data.clone() },
+        );
     }
     Ok(Started::Whole(response(StatusCode::OK, JSON, data)))
 }
 
-/// Returns the call to claim, if the caller marked the request as one that may run once.
-fn claimed_call(request: &TextRequest, read: &text::ReadRequest) -> Option<ClaimedCall> {
+/// Returns the call to claim, if the request has an idempotency key.
+fn claimed_call(request: &TextRequest, read: &text::ParsedRequest) -> Option<ClaimedCall> {
     let key = request.key.as_deref()?;
     let asked = [read.target.name.as_bytes(), &request.body];
     Some(ClaimedCall::new(read.target.shard.clone(), &request.caller, key, &asked, &request.id))
 }
 
-/// Answers a repeat with the recorded answer.
+/// Returns the recorded answer to a repeated call.
 pub fn replay(answer: RecordedAnswer) -> Result<Response<Body>, RequestError> {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let content_type = answer.content_type.as_deref().unwrap_or(JSON);
@@ -142,7 +145,7 @@
     Ok(response)
 }
 
-/// An answer that is streamed.
+/// A streamed answer.
 struct TextStream {
     answer: Answer,
     first: Option<Piece>,
@@ -151,13 +154,13 @@
 }
 
 impl TextStream {
-    /// Streams the answer as server-sent events. The pieces are read as the caller takes them,
-    /// so that a slow caller holds no more than one of them here.
-    fn into_response(self, tally: Tally) -> Response<Body> {
-        let events = stream::unfold(Some((self, tally)), |state| async move {
-            let (mut stream, mut tally) = state?;
-            let (event, goes_on) = stream.next_event(&mut tally).await;
-            let next = goes_on.then_some((stream, tally));
+    /// Streams the answer as server-sent events. The pieces are read as the caller consumes them, so at
+    /// most one of them is buffered for a slow caller.
+    fn into_response(self, metrics: RequestMetrics) -> Response<Body> {
+        let events = stream::unfold(Some((self, metrics)), |state| async move {
+            let (mut stream, mut metrics) = state?;
+            let (event, has_more) = stream.next_event(&mut metrics).await;
+            let next = has_more.then_some((stream, metrics));
             Some((Ok::<_, BodyError>(Frame::data(event)), next))
         });
         let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(events)));
@@ -165,8 +168,8 @@
         response
     }
 
-    /// Returns the next event, and whether more come.
-    async fn next_event(&mut self, tally: &mut Tally) -> (Bytes, bool) {
+    /// Returns the next event, and whether more will follow.
+    async fn next_event(&mut self, metrics: &mut RequestMetrics) -> (Bytes, bool) {
         let piece = match self.first.take() {
             Some(piece) => Ok(piece),
             None => self.answer.next(&self.tree).await,
@@ -174,12 +177,12 @@
         match piece {
             Ok(Piece::Data(data)) => (data_event(&data), true),
             Ok(Piece::End) => {
-                tally.result = "answered";
-                tally.shared.outputs.add(&self.name, self.answer.pieces());
+                metrics.result = "answered";
+                metrics.shared.outputs.add(&self.name, self.answer.pieces());
                 (data_event(DONE.as_bytes()), false)
             }
             Err(error) => {
-                tally.result = error.kind();
+                metrics.result = error.kind();
                 (problem::event(&error, self.answer.id()), false)
             }
         }
--- a/trackfrontd/src/gateway/mod.rs
+++ b/trackfrontd/src/gateway/mod.rs
@@ -25,25 +25,25 @@
 use crate::in_force::TreeInForce;
 use crate::shared::Shared;
 
-/// How long a request's body may take to arrive.
-const BODY_TIME: Duration = Duration::from_secs(10);
+/// The maximum time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The largest body that is read before its model is known, in bytes.
+/// The maximum size in bytes of a body that is read before its model is known.
 const MAX_UNKNOWN_BODY: usize = 16 * 1024 * 1024;
 
-/// When to come back while the box has no tree: after the next poll of the head row.
-const NO_TREE_RETRY: Duration = Duration::from_secs(2);
+/// The retry delay while the box has no tree, in which the head row is polled.
+const NO_TREE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
-/// Where the plain services are, followed by a service's name.
+/// The path prefix of plain services, followed by the name of a service.
 const SERVICES_PATH: &str = "/services/";
 
-/// The caller's own deadline for the whole answer, in milliseconds.
+/// The header with the caller's deadline for the complete answer, in milliseconds.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
-/// The caller's key for a call that may run once.
+/// The header with the idempotency key of a call that may run once.
 const KEY_HEADER: &str = "idempotency-key";
 
-/// Answers one request of a caller.
+/// Answers a request of a caller.
 pub async fn handle(
     shared: Arc<Shared>,
     request: Request<Incoming>,
@@ -57,7 +57,7 @@
     Ok(response)
 }
 
-/// Finds what a path is for.
+/// Dispatches a request by its path.
 async fn route(
     shared: &Arc<Shared>,
     id: &RequestId,
@@ -83,7 +83,7 @@
     }
 }
 
-/// Tells the balancer whether this box takes new work.
+/// Returns the readiness of this box, for load balancers.
 pub fn ready(shared: &Shared) -> Response<Body> {
     match shared.state() {
         PeerState::Serving => response(StatusCode::OK, "text/plain", "ready\n"),
@@ -96,16 +96,16 @@
 
 /// Returns the tree in force.
 fn tree(shared: &Shared) -> Result<Arc<TreeInForce>, RequestError> {
-    shared.in_force.current().ok_or(RequestError::NotReady { retry_after: NO_TREE_RETRY })
+    shared.in_force.current().ok_or(RequestError::NotReady { retry_after: NO_TREE_RETRY_DELAY })
 }
 
 /// Reads a request's body of at most `limit` bytes.
 async fn body(request: Request<Incoming>, limit: usize) -> Result<Bytes, RequestError> {
-    let read = read_body(request.into_body(), limit, BODY_TIME).await;
+    let read = read_body(request.into_body(), limit, BODY_TIMEOUT).await;
     read.map_err(|error| match error {
         ReadBodyError::TooLarge => too_large(limit),
         ReadBodyError::TooSlow => {
-            RequestError::BodyTooSlow { limit_ms: BODY_TIME.as_millis() as u64 }
+            RequestError::BodyTooSlow { limit_ms: BODY_TIMEOUT.as_millis() as u64 }
         }
         ReadBodyError::Broken(detail) => RequestError::BodyBroken { detail },
     })
@@ -115,7 +115,7 @@
     RequestError::BodyTooLarge { limit_kib: limit as u64 / 1024 }
 }
 
-/// Returns the caller's own deadline for the whole answer, if it gives one.
+/// Returns the caller's deadline for the complete answer, if the request has one.
 fn own_deadline(headers: &HeaderMap) -> Result<Option<Duration>, RequestError> {
     let Some(value) = headers.get(DEADLINE_HEADER) else {
         return Ok(None);
@@ -130,7 +130,7 @@
     }
 }
 
-/// Returns the caller's key for a call that may run once, if it gives one.
+/// Returns the idempotency key, if the request has one.
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, RequestError> {
     let Some(value) = headers.get(KEY_HEADER) else {
         return Ok(None);
--- a/trackfrontd/src/gateway/models.rs
+++ b/trackfrontd/src/gateway/models.rs
@@ -1,4 +1,4 @@
-//! Lists the models and adapters that a caller may use.
+//! The list of models and adapters that a caller may use.
 
 use http::{HeaderMap, Response, StatusCode};
 use serde::Serialize;
@@ -8,7 +8,7 @@
 use super::{caller, tree};
 use crate::shared::Shared;
 
-/// The list, in the shape that callers' libraries read.
+/// The list, in the format of client libraries.
 #[derive(Serialize)]
 struct ModelList<'a> {
     object: &'static str,
@@ -25,7 +25,7 @@
     parent: Option<&'a str>,
 }
 
-/// Lists what the caller may use.
+/// Returns the list for a caller.
 pub fn list(shared: &Shared, headers: &HeaderMap) -> Result<Response<Body>, RequestError> {
     let tree = tree(shared)?;
     let caller = caller::identify(headers, &tree)?;
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -21,8 +21,8 @@
 use crate::limits;
 use crate::shared::Shared;
 
-/// When to come back if no server can be reached.
-const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
+/// The retry delay if no server can be reached.
+const NO_SERVER_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Answers a call to a plain service over HTTP.
 pub async fn handle(
@@ -33,50 +33,50 @@
     let tree = tree(shared)?;
     let call = read_call(shared, &tree, id, request).await?;
     match call_service(shared, &tree, &call).await? {
-        Answered::Now(reply) => plain_response(reply),
-        Answered::Before(answer) => replay(answer),
+        CallAnswer::New(reply) => plain_response(reply),
+        CallAnswer::Replayed(answer) => replay(answer),
     }
 }
 
-/// A call whose caller may make it.
+/// A call that its caller is authorized to make.
 #[derive(Clone, Debug)]
-pub struct KnownCall {
+pub struct AuthorizedCall {
     /// The service.
     pub service: ServiceName,
-    /// Who calls.
+    /// The caller.
     pub caller: AccountName,
     /// The call.
     pub call: PlainCall,
-    /// The caller's key, if the call may run once only.
+    /// The idempotency key, if the call may run only once.
     pub key: Option<String>,
-    /// When the answer has to be whole, by the clock that counts suspensions of the machine.
-    pub until: Moment,
-    /// The time that the caller allowed.
-    pub allowed: Duration,
+    /// The deadline for the complete answer, by a clock that includes suspensions of the machine.
+    pub deadline_at: Moment,
+    /// The time from the call to its deadline.
+    pub time_limit: Duration,
 }
 
-impl KnownCall {
-    /// Returns how much of the caller's time is left.
+impl AuthorizedCall {
+    /// Returns the time until the deadline.
     fn time_left(&self, shared: &Shared) -> Duration {
-        self.until.since(shared.outside.clock.now())
+        self.deadline_at.since(shared.outside.clock.now())
     }
 }
 
 /// The answer to a call.
 #[derive(Clone, Debug)]
-pub enum Answered {
-    /// The call was run now.
-    Now(PlainReply),
-    /// The call was run before under the same key.
-    Before(RecordedAnswer),
+pub enum CallAnswer {
+    /// The reply of a server.
+    New(PlainReply),
+    /// The recorded answer to an earlier call with the same key.
+    Replayed(RecordedAnswer),
 }
 
-/// Makes a call: claims it if it may run once, and sends it on.
+/// Makes a call: claims it if it may run once, and sends it to a server.
 pub async fn call_service(
     shared: &Arc<Shared>,
     tree: &TreeInForce,
-    known: &KnownCall,
-) -> Result<Answered, RequestError> {
+    known: &AuthorizedCall,
+) -> Result<CallAnswer, RequestError> {
     shared.metrics.in_flight.inc();
     let answered = claim_and_send(shared, tree, known).await;
     shared.metrics.in_flight.dec();
@@ -88,45 +88,45 @@
 async fn claim_and_send(
     shared: &Arc<Shared>,
     tree: &TreeInForce,
-    known: &KnownCall,
-) -> Result<Answered, RequestError> {
+    known: &AuthorizedCall,
+) -> Result<CallAnswer, RequestError> {
     let target = tree.plain.get(&known.service).ok_or(RequestError::NoSuchPath)?;
     limits::take(shared, tree, &known.caller, 0.0).await?;
     shared.retries.count_request();
     let path = known.call.path_and_query.split('?').next().unwrap_or("/");
-    let marked = target.service.is_repeatable(&known.call.method, path);
-    // A caller that sends a key wants at most one run, whatever the tree says.
-    if marked && known.key.is_none() {
-        return send(shared, target, known, true).await.map(Answered::Now);
+    let is_repeatable = target.service.is_repeatable(&known.call.method, path);
+    // A call with a key runs at most once, even if its route is repeatable.
+    if is_repeatable && known.key.is_none() {
+        return send(shared, target, known, true).await.map(CallAnswer::New);
     }
     let claimed = claimed_call(target, known)?;
     let claim = timeout(known.time_left(shared), claimed.claim(shared)).await;
     match claim.unwrap_or(Err(not_sent(known)))? {
         Claimed::Run => {}
-        Claimed::Answered(answer) => return Ok(Answered::Before(answer)),
+        Claimed::Answered(answer) => return Ok(CallAnswer::Replayed(answer)),
     }
     let sent = send(shared, target, known, false).await;
     match &sent {
-        Ok(reply) => claimed.answered(shared, recorded(reply)),
+        Ok(reply) => claimed.record_answer(shared, recorded(reply)),
         Err(error) if error.outcome() == Outcome::NotRun => claimed.release(shared),
         Err(_) => {}
     }
-    sent.map(Answered::Now)
+    sent.map(CallAnswer::New)
 }
 
-/// The deadline passed before the call was sent.
-fn not_sent(known: &KnownCall) -> RequestError {
-    let deadline_ms = known.allowed.as_millis() as u64;
+/// Returns the error of a call whose deadline passed before it was sent.
+fn not_sent(known: &AuthorizedCall) -> RequestError {
+    let deadline_ms = known.time_limit.as_millis() as u64;
     RequestError::DeadlinePassed { deadline_ms, outcome: Outcome::NotRun }
 }
 
-/// Reads a call and checks that its caller may make it.
+/// Reads a call and authorizes its caller.
 async fn read_call(
     shared: &Shared,
     tree: &TreeInForce,
     id: &RequestId,
     request: Request<Incoming>,
-) -> Result<KnownCall, RequestError> {
+) -> Result<AuthorizedCall, RequestError> {
     let caller = caller::identify(request.headers(), tree)?;
     let rest = request.uri().path().strip_prefix(SERVICES_PATH).unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -134,27 +134,27 @@
     let target = tree.plain.get(&service).ok_or(RequestError::NoSuchPath)?;
     caller::authorize(&caller, &target.limits, name)?;
     let own = own_deadline(request.headers())?;
-    let allowed = own.map_or(target.limits.deadline, |own| own.min(target.limits.deadline));
+    let time_limit = own.map_or(target.limits.deadline, |own| own.min(target.limits.deadline));
     let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
     let path_and_query = format!("/{path}{query}");
     let method = request.method().as_str().to_string();
     let headers = passed_on(request.headers());
     let key = idempotency_key(request.headers())?;
-    let until = shared.outside.clock.now() + allowed;
+    let deadline_at = shared.outside.clock.now() + time_limit;
     let body = body(request, target.limits.max_body).await?;
     let call = PlainCall { id: id.clone(), method, path_and_query, headers, body };
-    Ok(KnownCall { service, caller, call, key, until, allowed })
+    Ok(AuthorizedCall { service, caller, call, key, deadline_at, time_limit })
 }
 
-/// Returns the claim that an unrepeatable call has to take.
-fn claimed_call(target: &PlainTarget, known: &KnownCall) -> Result<ClaimedCall, RequestError> {
+/// Returns the claim of a call that may run once.
+fn claimed_call(target: &PlainTarget, known: &AuthorizedCall) -> Result<ClaimedCall, RequestError> {
     let key = known.key.as_deref().ok_or(RequestError::KeyMissing)?;
     let call = &known.call;
     let asked = [call.method.as_bytes(), call.path_and_query.as_bytes(), &call.body];
     Ok(ClaimedCall::new(target.shard.clone(), &known.caller, key, &asked, &call.id))
 }
 
-/// Returns what is recorded of a reply, for repeats.
+/// Returns the part of a reply that is recorded for repeated calls.
 fn recorded(reply: &PlainReply) -> RecordedAnswer {
     let content_type = reply
         .headers
@@ -164,33 +164,33 @@
     RecordedAnswer { status: reply.status, content_type, body: reply.body.clone() }
 }
 
-/// Returns the servers in the order in which they are tried: those of this hall first, and
-/// among them another one first for each call.
+/// Returns the servers in the order of attempts: those of this hall first, in a rotation that is random
+/// for each call.
 fn order_servers<'a>(shared: &Shared, target: &'a PlainTarget) -> Vec<&'a PlainServer> {
     let mut servers: Vec<&PlainServer> = target.servers.iter().collect();
     let count = servers.len().max(1);
-    let turn = shared.with_rng(rand::Rng::next_u64) as usize % count;
-    servers.rotate_left(turn);
-    servers.sort_by_key(|server| !is_here(&server.hall, shared));
+    let offset = shared.with_rng(rand::Rng::next_u64) as usize % count;
+    servers.rotate_left(offset);
+    servers.sort_by_key(|server| !is_local(&server.hall, shared));
     servers
 }
 
-fn is_here(hall: &HallName, shared: &Shared) -> bool {
+fn is_local(hall: &HallName, shared: &Shared) -> bool {
     *hall == shared.place.hall
 }
 
-/// Sends the call on. A further server is tried only if the call is known not to have been
-/// sent, or may be repeated.
+/// Sends the call. After a failure another server is only tried if the call did not run or may be
+/// repeated.
 async fn send(
     shared: &Shared,
     target: &PlainTarget,
-    known: &KnownCall,
+    known: &AuthorizedCall,
     repeatable: bool,
 ) -> Result<PlainReply, RequestError> {
     let servers = order_servers(shared, target);
     let mut last = None;
     for server in servers.iter().take(1 + target.limits.max_retries) {
-        // A timer lets what is ready through, also where its time is over; a server is not to run it then.
+        // A timeout of zero would still let a call start that is ready at once.
         let left = known.time_left(shared);
         if left.is_zero() {
             return Err(last.unwrap_or_else(|| not_sent(known)));
@@ -204,7 +204,7 @@
         let error = match timeout(left, server.link.call(known.call.clone())).await {
             Err(_) => {
                 return Err(RequestError::DeadlinePassed {
-                    deadline_ms: known.allowed.as_millis() as u64,
+                    deadline_ms: known.time_limit.as_millis() as u64,
                     outcome: Outcome::Unknown,
                 });
             }
@@ -225,11 +225,11 @@
     }
     Err(last.unwrap_or_else(|| RequestError::NoBackend {
         name: known.service.to_string(),
-        retry_after: NO_SERVER_RETRY,
+        retry_after: NO_SERVER_RETRY_DELAY,
     }))
 }
 
-/// Returns whether a reply answers the request, as far as it says.
+/// Returns whether a reply belongs to the request. One that names no request is accepted.
 fn answers(reply: &PlainReply, id: &RequestId) -> bool {
     reply.request.as_ref().is_none_or(|named| named == id)
 }
--- a/trackfrontd/src/gateway/text.rs
+++ b/trackfrontd/src/gateway/text.rs
@@ -1,4 +1,4 @@
-//! Text requests, without HTTP: who may ask what, with which limits, of which engine.
+//! Text requests, independent of HTTP: parsing, authorization, limits and start.
 
 use std::borrow::Cow;
 use std::sync::Arc;
@@ -13,18 +13,18 @@
 use trackfront_core::ports::{GenerateRequest, StartFrom};
 use trackfront_core::prefix::block_hashes;
 
-use super::answer::{Answer, Piece, Wanted};
+use super::answer::{Answer, GenerateCall, Piece};
 use super::{caller, too_large};
 use crate::in_force::{ResolvedTarget, TreeInForce};
 use crate::limits;
 use crate::shared::Shared;
 
-/// How many bytes of a prompt make a token, about.
+/// The approximate number of bytes per token of a prompt.
 const BYTES_PER_TOKEN: f64 = 4.0;
 
-/// The fields of a body that routing needs. All others pass through to the engine untouched.
+/// The fields of a body that routing needs. The body is sent to the engine unchanged.
 #[derive(Deserialize)]
-struct Peek<'a> {
+struct RoutingFields<'a> {
     #[serde(borrow)]
     model: Cow<'a, str>,
     #[serde(default)]
@@ -39,77 +39,77 @@
     messages: Option<&'a RawValue>,
 }
 
-/// A text request whose caller is known.
+/// A text request with its caller.
 #[derive(Clone, Debug)]
 pub struct TextRequest {
     /// The request's identifier.
     pub id: RequestId,
-    /// Who calls.
+    /// The caller.
     pub caller: AccountName,
-    /// Which interface.
+    /// The kind of request.
     pub kind: GenerateKind,
-    /// The body as it came.
+    /// The unchanged body.
     pub body: Bytes,
-    /// The caller's own deadline.
+    /// The deadline in the request, relative to its arrival.
     pub deadline: Option<Duration>,
-    /// The caller's key, if the request may run once only.
+    /// The idempotency key, if the request may run only once.
     pub key: Option<String>,
 }
 
-/// A text request that was read and may be sent.
-pub struct ReadRequest {
-    /// What is asked.
+/// A parsed text request of an authorized caller.
+pub struct ParsedRequest {
+    /// The model or adapter.
     pub target: Arc<ResolvedTarget>,
-    /// What is asked, of whichever engine.
-    pub wanted: Wanted,
+    /// The call, independent of the engine.
+    pub wanted: GenerateCall,
 }
 
-/// Reads a request and checks that its caller may ask it.
-pub fn read(
+/// Parses a request and authorizes its caller.
+pub fn parse(
     shared: &Shared,
     tree: &TreeInForce,
     request: &TextRequest,
-) -> Result<ReadRequest, RequestError> {
-    let peek: Peek<'_> = serde_json::from_slice(&request.body)
+) -> Result<ParsedRequest, RequestError> {
+    let fields: RoutingFields<'_> = serde_json::from_slice(&request.body)
         .map_err(|error| RequestError::BadBody { detail: error.to_string() })?;
-    let target = find_target(tree, &peek.model)?;
+    let target = find_target(tree, &fields.model)?;
     caller::authorize(&request.caller, &target.limits, &target.name)?;
     if request.body.len() > target.limits.max_body {
         return Err(too_large(target.limits.max_body));
     }
-    let allowed = request
+    let time_limit = request
         .deadline
         .map_or(target.limits.deadline, |deadline| deadline.min(target.limits.deadline));
-    let prompt = peek.prompt.or(peek.messages).map_or("", RawValue::get).as_bytes();
-    let asked = peek.max_tokens.or(peek.max_completion_tokens);
-    let wanted = Wanted {
+    let prompt = fields.prompt.or(fields.messages).map_or("", RawValue::get).as_bytes();
+    let max_tokens = fields.max_tokens.or(fields.max_completion_tokens);
+    let wanted = GenerateCall {
         request: GenerateRequest {
             id: request.id.clone(),
             kind: request.kind,
             item: target.item.clone(),
             priority: target.limits.priority,
             body: request.body.clone(),
-            stream: peek.stream.unwrap_or(false),
+            stream: fields.stream.unwrap_or(false),
             from: StartFrom::Start,
         },
         name: target.name.clone(),
         caller: request.caller.clone(),
         prompt_tokens: prompt.len() as f64 / BYTES_PER_TOKEN,
-        output_tokens: shared.outputs.expect(&target.name, asked),
+        output_tokens: shared.outputs.expect(&target.name, max_tokens),
         blocks: block_hashes(prompt),
-        until: shared.outside.clock.now() + allowed,
-        allowed,
+        deadline_at: shared.outside.clock.now() + time_limit,
+        time_limit,
         max_retries: target.limits.max_retries,
         repeatable: request.key.is_none(),
     };
-    Ok(ReadRequest { target: target.clone(), wanted })
+    Ok(ParsedRequest { target: target.clone(), wanted })
 }
 
-/// Takes a request's share of its caller's limits and starts it.
+/// Takes the units of a request from its caller's limits and starts it.
 pub async fn start(
     shared: &Arc<Shared>,
     tree: &TreeInForce,
-    wanted: Wanted,
+    wanted: GenerateCall,
 ) -> Result<(Answer, Piece), RequestError> {
     shared.demand.count_request(&wanted.name, shared.outside.clock.now());
     let tokens = wanted.prompt_tokens + wanted.output_tokens;
@@ -122,8 +122,8 @@
     started
 }
 
-/// Reads the rest of an answer that is one body.
-pub async fn finish_whole(
+/// Reads the end of an answer that is a single body.
+pub async fn read_to_end(
     shared: &Shared,
     tree: &TreeInForce,
     answer: &mut Answer,
@@ -131,7 +131,7 @@
     first: Piece,
 ) -> Result<Bytes, RequestError> {
     let Piece::Data(data) = first else {
-        return Err(not_one_body());
+        return Err(not_a_single_body());
     };
     match answer.next(tree).await? {
         Piece::End => {
@@ -140,11 +140,11 @@
             }
             Ok(data)
         }
-        Piece::Data(_) => Err(not_one_body()),
+        Piece::Data(_) => Err(not_a_single_body()),
     }
 }
 
-/// The part of a whole answer that says how long it is.
+/// The part of a complete answer with its length.
 #[derive(Deserialize)]
 struct WithUsage {
     usage: Usage,
@@ -160,7 +160,7 @@
     Some(body.usage.completion_tokens)
 }
 
-fn not_one_body() -> RequestError {
+fn not_a_single_body() -> RequestError {
     RequestError::BackendBroke {
         detail: "the engine's answer is not one whole body".into(),
         outcome: Outcome::Unknown,
@@ -173,6 +173,6 @@
 ) -> Result<&'a Arc<ResolvedTarget>, RequestError> {
     tree.target(name).ok_or_else(|| RequestError::UnknownModel {
         name: name.to_string(),
-        nearest: tree.near_names(name),
+        nearest: tree.similar_names(name),
     })
 }
--- a/trackfrontd/src/in_force.rs
+++ b/trackfrontd/src/in_force.rs
@@ -1,4 +1,4 @@
-//! The tree in force on this box, ready for use. Its revision never goes down.
+//! The tree in force at this box, prepared for requests. Its revision never decreases.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -18,13 +18,13 @@
 
 use crate::outside::Backends;
 
-/// How many near matches an error names.
-const NEAR_NAMES: usize = 3;
+/// The maximum number of similar names in an error.
+const MAX_SIMILAR_NAMES: usize = 3;
 
-/// How alike a name has to be to be proposed, from 0 to 1.
-const NEAR: f64 = 0.75;
+/// The minimum similarity of a proposed name, from 0 to 1.
+const MIN_SIMILARITY: f64 = 0.75;
 
-/// Why a snapshot is not put in force.
+/// Why a snapshot cannot be put in force.
 #[derive(Debug, Error)]
 pub enum InstallError {
     /// The snapshot is damaged.
@@ -38,31 +38,31 @@
         /// The revision in force.
         current: Revision,
     },
-    /// The accepted tree does not build here.
+    /// The accepted tree is invalid for this version of the program.
     #[error("revision {revision} does not build on this box: {errors}; upgrade the box")]
     DoesNotBuild {
         /// The revision.
         revision: Revision,
-        /// The faults.
+        /// The errors.
         errors: TreeErrors,
     },
 }
 
-/// Holds the tree in force.
+/// The holder of the tree in force.
 #[derive(Default)]
 pub struct InForce {
     current: ArcSwapOption<TreeInForce>,
-    /// Held while a tree is put in force, so that revisions only grow.
+    /// Locked while a tree is put in force, so that revisions only increase.
     installing: Mutex<()>,
 }
 
-/// A tree in force, with what requests need of it looked up beforehand.
+/// A tree in force, with indexes for requests.
 pub struct TreeInForce {
     /// The committed tree.
     pub snapshot: Snapshot,
     /// The tree.
     pub tree: Tree,
-    /// The models and adapters by the names that callers use.
+    /// The models and adapters by the names in requests.
     pub targets: BTreeMap<String, Arc<ResolvedTarget>>,
     /// The plain services by name.
     pub plain: HashMap<ServiceName, PlainTarget>,
@@ -70,10 +70,10 @@
     pub engines: HashMap<BackendId, Arc<dyn Engine>>,
 }
 
-/// A model or adapter as a request needs it.
+/// A model or adapter, resolved for requests.
 #[derive(Clone, Debug)]
 pub struct ResolvedTarget {
-    /// The name that callers use.
+    /// The name in requests.
     pub name: String,
     /// The shard of its service.
     pub shard: ShardId,
@@ -83,22 +83,22 @@
     pub limits: RequestLimits,
 }
 
-/// The policy of a request, without its origins.
+/// The limits of a request by its policy.
 #[derive(Clone, Debug)]
 pub struct RequestLimits {
-    /// The callers that may use it; `None` for all.
+    /// The callers with access; `None` for all.
     pub callers: Option<Vec<AccountName>>,
-    /// The time for the whole answer.
+    /// The maximum time until the answer is complete.
     pub deadline: Duration,
     /// The priority.
     pub priority: u8,
-    /// The largest body, in bytes.
+    /// The maximum size of the body in bytes.
     pub max_body: usize,
-    /// How many further backend servers may be tried.
+    /// The maximum number of retries at further backend servers.
     pub max_retries: usize,
 }
 
-/// A plain service as a request needs it.
+/// A plain service, resolved for requests.
 pub struct PlainTarget {
     /// The shard of the service.
     pub shard: ShardId,
@@ -112,11 +112,11 @@
 
 /// A server of a plain service.
 pub struct PlainServer {
-    /// Its name.
+    /// The identifier.
     pub id: BackendId,
-    /// Its hall.
+    /// The hall.
     pub hall: HallName,
-    /// The way to it.
+    /// The client for it.
     pub link: Arc<dyn PlainService>,
 }
 
@@ -135,24 +135,24 @@
 }
 
 impl RequestLimits {
-    /// Returns whether `caller` may use what these limits are for.
+    /// Returns whether `caller` has access.
     pub fn allows(&self, caller: &AccountName) -> bool {
         self.callers.as_ref().is_none_or(|callers| callers.contains(caller))
     }
 }
 
 impl InForce {
-    /// Returns the tree in force; `None` before the first.
+    /// Returns the tree in force; `None` before the first one.
     pub fn current(&self) -> Option<Arc<TreeInForce>> {
         self.current.load_full()
     }
 
-    /// Returns the revision in force; zero before the first.
+    /// Returns the revision in force; zero before the first one.
     pub fn revision(&self) -> Revision {
         self.current.load().as_ref().map_or(Revision(0), |tree| tree.snapshot.revision)
     }
 
-    /// Puts a snapshot in force if it is sound and newer. Anything else leaves what is in force.
+    /// Puts a snapshot in force if it is valid and newer. Otherwise the tree in force stays.
     pub fn install(
         &self,
         bytes: &[u8],
@@ -187,7 +187,7 @@
         before: Option<&TreeInForce>,
     ) -> Self {
         let mut targets = BTreeMap::new();
-        // This region's own names go before those of others.
+        // Names of this region replace those of others.
         let others = tree.regions.keys().filter(|name| *name != region);
         for name in others.chain(std::iter::once(region)) {
             for (name, target) in tree.targets(name) {
@@ -200,31 +200,31 @@
                 targets.insert(name.to_string(), Arc::new(resolved));
             }
         }
-        let engines = engine_links(&tree, backends, before);
+        let engines = engine_clients(&tree, backends, before);
         let plain = plain_targets(&tree, region, backends);
         Self { snapshot, tree, targets, plain, engines }
     }
 
-    /// Finds a model or adapter by the name that callers use.
+    /// Returns the model or adapter with a name.
     pub fn target(&self, name: &str) -> Option<&Arc<ResolvedTarget>> {
         self.targets.get(name)
     }
 
-    /// Returns names that look like `name`.
-    pub fn near_names(&self, name: &str) -> Vec<String> {
-        let mut likely: Vec<(f64, &String)> = self
+    /// Returns the names that are similar to `name`, the most similar first.
+    pub fn similar_names(&self, name: &str) -> Vec<String> {
+        let mut similar: Vec<(f64, &String)> = self
             .targets
             .keys()
             .map(|known| (strsim::jaro_winkler(known, name), known))
-            .filter(|(likeness, _)| *likeness >= NEAR)
+            .filter(|(similarity, _)| *similarity >= MIN_SIMILARITY)
             .collect();
-        likely.sort_by(|a, b| b.0.total_cmp(&a.0));
-        likely.into_iter().take(NEAR_NAMES).map(|(_, known)| known.clone()).collect()
+        similar.sort_by(|a, b| b.0.total_cmp(&a.0));
+        similar.into_iter().take(MAX_SIMILAR_NAMES).map(|(_, known)| known.clone()).collect()
     }
 }
 
-/// Returns a link to each engine, kept where the address stays.
-fn engine_links(
+/// Returns the client of each engine. Clients are reused if the address has not changed.
+fn engine_clients(
     tree: &Tree,
     backends: &dyn Backends,
     before: Option<&TreeInForce>,
@@ -237,18 +237,18 @@
         .flat_map(|(_, service)| &service.backends);
     engines
         .map(|(id, backend)| {
-            let kept = before.filter(|_| {
+            let reused = before.filter(|_| {
                 address_before.get(id).is_some_and(|known| known.address == backend.address)
             });
-            let link = kept
+            let client = reused
                 .and_then(|before| before.engines.get(id).cloned())
                 .unwrap_or_else(|| backends.engine(&backend.address));
-            (id.clone(), link)
+            (id.clone(), client)
         })
         .collect()
 }
 
-/// Returns the plain services; this region's own go before those of others.
+/// Returns the plain services. Those of this region replace those of others.
 fn plain_targets(
     tree: &Tree,
     region: &RegionName,
--- a/trackfrontd/src/lib.rs
+++ b/trackfrontd/src/lib.rs
@@ -1,9 +1,9 @@
-//! The entry box of trackfront: what runs between callers and backend servers.
+//! The entry box of trackfront, which runs between callers and backend servers.
 //!
-//! [`daemon`] wires the parts together: [`follower`] keeps the accepted tree in force,
-//! [`peering`] talks to the other boxes, [`shards`] places models and keeps claims
-//! where this box holds the lease, [`reader`] reads engines' load, [`gateway`] answers callers, and [`operators`]
-//! answers the command-line tool.
+//! [`daemon`] starts all parts: [`follower`] keeps the accepted tree in force, [`peering`] exchanges
+//! heartbeats with other boxes, [`shards`] places models and grants claims for the shards that this box
+//! owns, [`reader`] reads the load of engines, [`gateway`] answers callers, and [`operators`] answers the
+//! command-line tool.
 
 #![warn(clippy::all)]
 
--- a/trackfrontd/src/logging.rs
+++ b/trackfrontd/src/logging.rs
@@ -17,7 +17,11 @@
     message: String,
 }
 
-/// Starts logging. Fails if it was started before.
+/// Starts logging.
+///
+/// # Errors
+///
+/// If logging was started before.
 pub fn start(settings: &LogSettings) -> anyhow::Result<()> {
     fern::Dispatch::new()
         .level(settings.level)
@@ -31,9 +35,8 @@
         .context("cannot start logging")
 }
 
-/// Ends the process when an assertion fails, after a line in the log: a box that would break a
-/// guarantee is replaced, as one that was lost. `flush` waits until the line is written, if another
-/// thread writes the log.
+/// Logs a panic and aborts the process, since a box whose assertion failed could break a guarantee. The
+/// platform replaces it. `flush` waits until the line is written, if another thread writes the log.
 pub fn abort_on_panic(flush: impl Fn() + Send + Sync + 'static) {
     std::panic::set_hook(Box::new(move |info| {
         log::error!("the box ends itself: {info}");
@@ -42,7 +45,7 @@
     }));
 }
 
-/// Formats one record.
+/// Formats a record.
 fn line(message: &fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
     let line = Line {
         time: humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
--- a/trackfrontd/src/main.rs
+++ b/trackfrontd/src/main.rs
@@ -26,7 +26,7 @@
     runtime.block_on(run(settings))
 }
 
-/// Runs the daemon until it is told to stop, then finishes every request in progress.
+/// Runs the daemon until SIGTERM or SIGINT, then finishes every request in progress.
 async fn run(settings: Settings) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/trackfrontd/src/node.rs
+++ b/trackfrontd/src/node.rs
@@ -1,4 +1,4 @@
-//! One box without its listeners: its state and everything that runs by itself.
+//! One box without its listeners: its state and its background tasks.
 
 use std::sync::Arc;
 
@@ -13,7 +13,7 @@
 use crate::shared::Shared;
 use crate::{cache_events, follower, limits, peering, reader, shards};
 
-/// A running box without listeners. Tests and benchmarks run it on ports in memory.
+/// A running box without listeners. Tests and benchmarks run it with in-memory ports.
 pub struct Node {
     /// The state of the box.
     pub shared: Arc<Shared>,
@@ -23,7 +23,7 @@
 }
 
 impl Node {
-    /// Starts a box that peers reach at `peer_address`. `seed` also makes its identity.
+    /// Starts a box that peers reach at `peer_address`. Its identity is derived from `seed`.
     pub fn start(
         place: Place,
         peer_address: String,
@@ -39,27 +39,27 @@
         let shards = Arc::new(ShardTasks::default());
         let writer = audit.clone();
         let tasks = vec![
-            tokio::spawn(follower::run(shared.clone())),
-            tokio::spawn(peering::run_list(shared.clone())),
-            tokio::spawn(peering::run_heartbeats(shared.clone())),
+            tokio::spawn(follower::follow_tree(shared.clone())),
+            tokio::spawn(peering::follow_box_list(shared.clone())),
+            tokio::spawn(peering::send_heartbeats(shared.clone())),
             tokio::spawn(limits::maintain_quotas(shared.clone())),
-            tokio::spawn(reader::run(shared.clone())),
-            tokio::spawn(cache_events::run(shared.clone())),
-            tokio::spawn(shards::run(shared.clone(), shards.clone())),
+            tokio::spawn(reader::read_stale_loads(shared.clone())),
+            tokio::spawn(cache_events::read_events(shared.clone())),
+            tokio::spawn(shards::run_shards(shared.clone(), shards.clone())),
             tokio::spawn(async move { writer.run().await }),
         ];
         Node { shared, audit, shards, tasks }
     }
 
-    /// Starts to leave: takes no new work, tells the peers, and hands the leases over.
+    /// Starts to leave: refuses new work, notifies the peers, and releases the leases.
     pub async fn leave(&self) {
         log::info!("box {} is leaving", self.shared.me);
         self.shared.leave();
-        peering::beat(&self.shared).await;
+        peering::send_heartbeat(&self.shared).await;
         self.shards.release().await;
     }
 
-    /// Ends what runs by itself, after the last request was answered.
+    /// Stops the background tasks, after the last request was answered.
     pub async fn finish(self) {
         for task in &self.tasks {
             task.abort();
@@ -68,7 +68,7 @@
         log::info!("box {} has left", self.shared.me);
     }
 
-    /// Stops as a process does that is killed.
+    /// Stops at once, like a killed process.
     pub fn kill(self) {
         for task in &self.tasks {
             task.abort();
--- a/trackfrontd/src/operators/apply.rs
+++ b/trackfrontd/src/operators/apply.rs
@@ -1,4 +1,4 @@
-//! Accepts a tree: checks it whole and commits it as the next revision.
+//! Applies a tree: validates it and commits it as the next revision.
 
 use std::sync::Arc;
 
@@ -16,17 +16,17 @@
 use crate::follower::{self, ReadHead, head_key, read_head};
 use crate::shared::Shared;
 
-/// How often a commit is sent before its fate counts as unknown.
+/// How many times a commit is sent before its outcome counts as unknown.
 const COMMIT_ATTEMPTS: u32 = 4;
 
-/// Applies a tree. Asking again with the same transaction applies it once.
+/// Applies a tree. It is applied once, even if the same transaction is sent again.
 pub async fn apply(shared: &Arc<Shared>, wanted: ApplyRequest) -> ApplyAnswer {
     match try_apply(shared, wanted).await {
         Ok(answer) | Err(answer) => answer,
     }
 }
 
-/// Does the steps of an apply; an `Err` is an answer that came before the last step.
+/// Applies a tree step by step. `Err` is the answer of a step before the last one.
 async fn try_apply(shared: &Arc<Shared>, wanted: ApplyRequest) -> Result<ApplyAnswer, ApplyAnswer> {
     let read = read_head(shared).await.map_err(|error| not_applied(&error))?;
     let head = read.as_ref().map(|read| &read.head);
@@ -37,7 +37,7 @@
     if let Some(head) = head.filter(|_| wanted.base != current) {
         return Err(conflict(head));
     }
-    let tree = checked(&wanted).map_err(invalid)?;
+    let tree = build_checked(&wanted).map_err(invalid)?;
     let next = Head::next(
         head,
         wanted.files.digest(),
@@ -55,13 +55,13 @@
     commit(shared, read.as_ref(), next, snapshot).await
 }
 
-fn checked(wanted: &ApplyRequest) -> Result<Tree, TreeErrors> {
+fn build_checked(wanted: &ApplyRequest) -> Result<Tree, TreeErrors> {
     let tree = build(&wanted.files)?;
     check(&tree)?;
     Ok(tree)
 }
 
-/// Refuses a tree in which names are missing that callers can reach now, unless that is meant.
+/// Refuses a tree that removes names which callers can use now, unless removals are allowed.
 async fn refuse_removals(
     shared: &Shared,
     head: &Head,
@@ -79,7 +79,7 @@
     if names.is_empty() { Ok(()) } else { Err(ApplyAnswer::Removes { names }) }
 }
 
-/// Returns the accepted snapshot: the one in force here, or else the object store's.
+/// Returns the accepted snapshot, from this box if it is in force or from the object store.
 async fn accepted_snapshot(shared: &Shared, head: &Head) -> Result<Snapshot, ApplyAnswer> {
     if let Some(current) = shared.in_force.current()
         && current.snapshot.revision == head.revision
@@ -92,7 +92,7 @@
     Snapshot::decode(&bytes).map_err(|error| not_applied(&error))
 }
 
-/// Writes the snapshot, then the head row on the version that was read.
+/// Writes the snapshot, then the head row if its version has not changed.
 async fn commit(
     shared: &Arc<Shared>,
     read: Option<&ReadHead>,
@@ -101,7 +101,7 @@
 ) -> Result<ApplyAnswer, ApplyAnswer> {
     let name = Snapshot::object_name(next.revision, &next.digest);
     let bytes = Bytes::from(snapshot.encode());
-    // The object comes first, so that a head row never names one that is not there.
+    // The object is written first, so the object in a head row always exists.
     let put = shared.outside.objects.put(&name, bytes.clone()).await;
     put.map_err(|error| not_applied(&error))?;
     let value = serde_json::to_vec(&next).expect("our own types always encode");
@@ -121,21 +121,21 @@
             }
             Ok(ApplyAnswer::Accepted { revision: next.revision })
         }
-        CommitOutcome::Conflict { .. } => Err(lost_race(shared, &next).await),
+        CommitOutcome::Conflict { .. } => Err(resolve_conflict(shared, &next).await),
         CommitOutcome::NotApplied(error) => Err(not_applied(&error)),
         CommitOutcome::Unknown(error) => Err(ApplyAnswer::Unknown { detail: error.to_string() }),
     }
 }
 
-/// Tells who came first.
-async fn lost_race(shared: &Shared, own: &Head) -> ApplyAnswer {
+/// Returns the answer to an apply that conflicted with another change.
+async fn resolve_conflict(shared: &Shared, own: &Head) -> ApplyAnswer {
     match read_head(shared).await {
         Ok(Some(read)) => match read.head.accepted(&own.txn) {
             Some(revision) => ApplyAnswer::Accepted { revision },
             None => conflict(&read.head),
         },
         Ok(None) => not_applied(&"the head row changed and is gone"),
-        // The conflict itself proves that this change was not applied.
+        // A conflict means that this change was not applied.
         Err(error) => not_applied(&format!("another change came first; {error}")),
     }
 }
--- a/trackfrontd/src/operators/mod.rs
+++ b/trackfrontd/src/operators/mod.rs
@@ -1,4 +1,4 @@
-//! Answers the command-line tool and the metrics reader.
+//! Answers requests of the command-line tool and for metrics.
 
 pub mod apply;
 mod audit;
@@ -20,13 +20,13 @@
 use crate::gateway;
 use crate::shared::Shared;
 
-/// The largest body, in bytes: a tree as JSON.
+/// The maximum size of a body in bytes: a tree as JSON.
 const MAX_BODY_BYTES: usize = 2 * MAX_TREE_BYTES;
 
-/// How long a body may take to arrive.
-const BODY_TIME: Duration = Duration::from_secs(10);
+/// The maximum time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Answers one request. All but health and readiness need the deployment's key.
+/// Answers a request. All paths except health and readiness need the deployment's key.
 pub async fn handle(
     shared: Arc<Shared>,
     key: DeploymentKey,
@@ -55,7 +55,7 @@
     Ok(answer)
 }
 
-/// Answers with an error that names the remedy.
+/// Returns an error response with a message that names the remedy.
 fn error(status: StatusCode, message: impl Into<String>) -> Response<Body> {
     json(status, &OperatorError { error: message.into() })
 }
@@ -68,7 +68,7 @@
 }
 
 async fn apply(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let body = match read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIME).await {
+    let body = match read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(problem) => return error(StatusCode::BAD_REQUEST, problem.to_string()),
     };
--- a/trackfrontd/src/operators/status.rs
+++ b/trackfrontd/src/operators/status.rs
@@ -1,11 +1,11 @@
-//! The status of a box and what it knows.
+//! The status of a box and its knowledge of the deployment.
 
 use trackfront_adapters::wire::operator::{ItemStatus, MemberStatus, Status};
 use trackfront_core::ports::ListedState;
 
 use crate::shared::Shared;
 
-/// Returns the box's status.
+/// Returns the status of a box.
 pub fn status(shared: &Shared) -> Status {
     Status {
         id: shared.me.clone(),
--- a/trackfrontd/src/outside.rs
+++ b/trackfrontd/src/outside.rs
@@ -1,4 +1,4 @@
-//! The ports of one box, on the real libraries or on others that a test or benchmark gives.
+//! The ports of one box, with implementations for the network or for tests and benchmarks.
 
 use std::sync::Arc;
 
@@ -21,16 +21,16 @@
 
 use crate::settings::Settings;
 
-/// Reaches backend servers by their address.
+/// Creates clients of backend servers.
 pub trait Backends: Send + Sync {
-    /// Returns the engine at `address`.
+    /// Returns a client of the engine at `address`.
     fn engine(&self, address: &str) -> Arc<dyn Engine>;
 
-    /// Returns the plain service's server at `address`.
+    /// Returns a client of the plain server at `address`.
     fn plain(&self, address: &str) -> Arc<dyn PlainService>;
 }
 
-/// Everything outside of a box.
+/// The ports of a box to everything outside.
 #[derive(Clone)]
 pub struct Outside {
     /// The clock.
@@ -45,30 +45,30 @@
     pub peers: Arc<dyn Peers>,
     /// The backend servers.
     pub backends: Arc<dyn Backends>,
-    /// Makes the chooser of engines.
+    /// Creates the router.
     pub make_chooser: MakeChooser,
-    /// Makes the planner of each shard that this box owns.
+    /// Creates the planner of a shard that this box owns.
     pub make_planner: MakePlanner,
 }
 
-/// Makes a planner. Benchmarks put baselines here.
+/// Creates a planner. Benchmarks replace it by baselines.
 pub type MakePlanner = Arc<dyn Fn() -> Box<dyn PlanMoves> + Send + Sync>;
 
-/// Makes the planner.
+/// Returns the function that creates the default planner.
 pub fn make_planner() -> MakePlanner {
     Arc::new(|| Box::new(Planner::default()))
 }
 
-/// Makes a chooser over a box's engines, for a box in a hall. Benchmarks put baselines here.
+/// Creates the router of a box in a hall. Benchmarks replace it by baselines.
 pub type MakeChooser = fn(Arc<Fleet>, &HallName) -> Box<dyn ChooseEngine>;
 
-/// Makes the router.
+/// Creates the default router.
 pub fn make_router(fleet: Arc<Fleet>, hall: &HallName) -> Box<dyn ChooseEngine> {
     Box::new(Router::new(fleet, hall.clone(), RouterOptions::default()))
 }
 
 impl Outside {
-    /// Reaches everything over the network, as the settings say.
+    /// Returns ports that use the network, by the settings.
     pub fn network(settings: &Settings, metrics: Arc<Metrics>) -> Outside {
         let client = HttpClient::default();
         let platform = &settings.platform;
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Makes the chooser of engines for a box in `hall`.
+    /// Creates the router of a box in `hall`.
     pub fn chooser(&self, fleet: Arc<Fleet>, hall: &HallName) -> Box<dyn ChooseEngine> {
         (self.make_chooser)(fleet, hall)
     }
@@ -106,7 +106,7 @@
     }
 }
 
-/// A table whose use is counted, since its rate is the scarcest thing in the system.
+/// A table that counts its calls, since their rate is limited.
 struct CountedTable<T> {
     table: T,
     metrics: Arc<Metrics>,
--- a/trackfrontd/src/peering.rs
+++ b/trackfrontd/src/peering.rs
@@ -1,4 +1,4 @@
-//! Heartbeats with the other boxes.
+//! Messages between boxes: heartbeats, trees, claims and quotas.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,25 +13,25 @@
 use crate::follower;
 use crate::shared::Shared;
 
-/// How often each peer gets a heartbeat.
-const HEARTBEAT_EVERY: Duration = Duration::from_secs(1);
+/// The interval of heartbeats to each peer.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How often the platform's list is read.
-const LIST_EVERY: Duration = Duration::from_secs(1);
+/// The interval at which the platform's box list is read.
+const BOX_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reads the platform's list until the task is stopped.
-pub async fn run_list(shared: Arc<Shared>) {
+/// Reads the platform's box list until the task is stopped.
+pub async fn follow_box_list(shared: Arc<Shared>) {
     loop {
         match shared.outside.boxes.boxes().await {
-            Ok(list) => take_list(&shared, &list),
+            Ok(list) => apply_box_list(&shared, &list),
             Err(error) => log::warn!("{error}"),
         }
-        shared.rest(LIST_EVERY).await;
+        shared.sleep_about(BOX_LIST_INTERVAL).await;
     }
 }
 
-/// Takes in the platform's list: the other boxes, and which engines are leaving.
-fn take_list(shared: &Shared, list: &[ListedBox]) {
+/// Applies the platform's box list: the other boxes, and the engines that are leaving.
+fn apply_box_list(shared: &Shared, list: &[ListedBox]) {
     let now = shared.outside.clock.now();
     shared.members.lock().set_list(list, &shared.peer_address, now);
     let Some(current) = shared.in_force.current() else {
@@ -50,18 +50,18 @@
 }
 
 /// Sends heartbeats until the task is stopped.
-pub async fn run_heartbeats(shared: Arc<Shared>) {
+pub async fn send_heartbeats(shared: Arc<Shared>) {
     loop {
-        beat(&shared).await;
-        shared.rest(HEARTBEAT_EVERY).await;
+        send_heartbeat(&shared).await;
+        shared.sleep_about(HEARTBEAT_INTERVAL).await;
     }
 }
 
-/// Sends one heartbeat to each peer and takes in the answers.
-pub async fn beat(shared: &Arc<Shared>) {
+/// Sends a heartbeat to each peer and applies the replies.
+pub async fn send_heartbeat(shared: &Arc<Shared>) {
     let addresses = shared.members.lock().addresses();
     let heartbeat = own_heartbeat(shared, true);
-    let beats = addresses.into_iter().map(|address| {
+    let heartbeats = addresses.into_iter().map(|address| {
         let message = PeerMessage::Heartbeat(heartbeat.clone());
         let shared = shared.clone();
         async move {
@@ -72,17 +72,17 @@
             }
         }
     });
-    futures::future::join_all(beats).await;
+    futures::future::join_all(heartbeats).await;
     let now = shared.outside.clock.now();
     let live = shared.members.lock().live(now).count();
     shared.metrics.live_peers.set(live as i64);
 }
 
-/// Answers a peer's message.
+/// Handles a peer's message and returns the reply.
 pub async fn answer(shared: Arc<Shared>, message: PeerMessage) -> PeerAnswer {
     match message {
         PeerMessage::Heartbeat(heartbeat) => {
-            // The fetch of a newer tree must not hold the answer up.
+            // Fetching a newer tree must not delay the reply.
             let answer = own_heartbeat(&shared, false);
             tokio::spawn(async move { apply_heartbeat(&shared, &heartbeat).await });
             PeerAnswer::Heartbeat(answer)
@@ -105,7 +105,7 @@
             reply.map_or(PeerAnswer::Noted, PeerAnswer::Quota)
         }
         PeerMessage::Answered { shard, key, request, answer } => {
-            shared.claims.answered(&shard, key, request, answer);
+            shared.claims.record_answer(&shard, key, request, answer);
             PeerAnswer::Noted
         }
     }
@@ -130,7 +130,7 @@
     }
 }
 
-/// Returns this box's heartbeat, with the digests that it has read itself if asked for.
+/// Returns this box's heartbeat, optionally with the digests that it has read itself.
 fn own_heartbeat(shared: &Shared, with_digests: bool) -> Heartbeat {
     let now = shared.outside.clock.now();
     let digests: Vec<EngineDigest> =
@@ -142,7 +142,7 @@
         state: shared.state(),
         revision: shared.in_force.revision(),
         digests,
-        claims: shared.claims.kept(),
+        claims: shared.claims.owned(),
         items: shared.demand.report(now),
     }
 }
--- a/trackfrontd/src/settings.rs
+++ b/trackfrontd/src/settings.rs
@@ -1,4 +1,4 @@
-//! The settings of one box: its addresses, its place, the platform and the key's file.
+//! The settings of one box: its addresses, its location, the platform and the file with the key.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -8,10 +8,10 @@
 use trackfront_adapters::key::DeploymentKey;
 use trackfront_core::ids::{HallName, RegionName};
 
-/// The number of worker threads if the settings do not say.
+/// The default number of worker threads.
 const DEFAULT_WORKERS: usize = 4;
 
-/// Why a settings file is refused.
+/// Why settings cannot be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
     /// The file cannot be read.
@@ -22,7 +22,7 @@
         /// The system's error.
         source: std::io::Error,
     },
-    /// The file has a fault.
+    /// The file is invalid.
     #[error("{path}: {message}; correct the key, docs/operations/settings.md lists them")]
     Invalid {
         /// The file.
@@ -30,7 +30,7 @@
         /// The parser's message, with line and key.
         message: String,
     },
-    /// The key's file cannot be used.
+    /// The file with the key cannot be used.
     #[error("{path}: the deployment's key cannot be used: {source}; write a key into the file")]
     Key {
         /// The file.
@@ -40,7 +40,7 @@
     },
 }
 
-/// The settings as they stand in the file.
+/// The contents of the settings file.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct SettingsFile {
@@ -53,11 +53,11 @@
     workers: Option<usize>,
 }
 
-/// Where the box is.
+/// The location of the box.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Place {
-    /// The name of the box, for people; the identity is drawn at each start.
+    /// The name of the box. Its identity has a random part, so it differs at each start.
     pub name: String,
     /// The region.
     pub region: RegionName,
@@ -69,11 +69,11 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
-    /// For callers.
+    /// The address for callers.
     pub callers: SocketAddr,
-    /// For the command-line tool and metrics.
+    /// The address for the command-line tool and metrics.
     pub operators: SocketAddr,
-    /// For the other boxes; the platform's list has this address.
+    /// The address for other boxes, as in the platform's list.
     pub peers: SocketAddr,
 }
 
@@ -89,18 +89,18 @@
     pub boxes: SocketAddr,
 }
 
-/// Where the deployment's key is.
+/// The location of the deployment's key.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct KeySettings {
     file: PathBuf,
 }
 
-/// What is logged.
+/// The settings of the log.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
-    /// The least level that is logged.
+    /// The lowest level that is logged.
     pub level: log::LevelFilter,
 }
 
@@ -110,25 +110,26 @@
     }
 }
 
-/// The checked settings of one box.
+/// The validated settings of one box.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Where the box is.
+    /// The location of the box.
     pub place: Place,
-    /// The addresses that it listens on.
+    /// The addresses that the box listens on.
     pub listen: Listen,
     /// The addresses of the platform.
     pub platform: PlatformSettings,
     /// The deployment's key.
     pub key: DeploymentKey,
-    /// What is logged.
+    /// The settings of the log.
     pub log: LogSettings,
     /// The number of worker threads.
     pub workers: usize,
 }
 
 impl Settings {
-    /// Reads and checks the settings in `path`. A relative key file is looked up beside it.
+    /// Reads and validates the settings in `path`. A relative path of the key file is relative to its
+    /// directory.
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| SettingsError::Unreadable { path: path.into(), source })?;
--- a/trackfrontd/src/shards/claims.rs
+++ b/trackfrontd/src/shards/claims.rs
@@ -1,8 +1,8 @@
-//! Keeps the claims of one shard while this box holds their lease.
+//! Grants the claims of one shard while this box holds their lease.
 //!
-//! Claims are committed in groups: whatever came in while the last group was being committed
-//! goes into the next, in one transaction with the lease's renewal. The rows of the log are
-//! moved into segments of the object store now and then, so that a new keeper reads few rows.
+//! Claims are committed in batches: those that arrive while a batch is being committed form the next
+//! one, in a transaction that also renews the lease. The rows of the log are compacted into segments in
+//! the object store, so that a new owner reads few rows.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -17,37 +17,37 @@
     Claim, ClaimEntry, ClaimIndex, ClaimKey, ClaimReply, RecordedAnswer, RequestHash, Submission,
 };
 use trackfront_core::ids::{Fence, ShardId};
-use trackfront_core::ports::peers::ClaimsKept;
+use trackfront_core::ports::peers::OwnedClaims;
 use trackfront_core::ports::{Expect, ObjectError, Row, RowKey, TableError, Write};
 use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::UnixMillis;
 
-use super::goes_on;
-use super::lease::{LeaseKeeper, write};
+use super::lease::{LeaseHolder, write};
+use super::should_continue;
 use crate::shared::Shared;
 
-/// The version of a row's first value.
+/// The version of the first value of a row.
 const FIRST_VERSION: StoreVersion = StoreVersion::new(0, 1);
 
-/// The least time between two commits of a shard: 20 writes a second at the most.
-const COMMIT_GAP: Duration = Duration::from_millis(50);
+/// The minimum interval between two commits of a shard, for at most 20 writes per second.
+const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long a keeper sleeps if nobody claims: often enough to renew its lease.
-const IDLE_STEP: Duration = Duration::from_millis(500);
+/// The interval without claims, short enough to renew the lease.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a claim waits for its commit before it counts as not recorded.
-const WAIT_TIME: Duration = Duration::from_secs(3);
+/// The maximum wait for the commit of a claim, after which it counts as not stored.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// How many rows the log may have before they are moved into a segment.
+/// The number of rows in the log above which they are compacted into a segment.
 const MAX_LOG_ROWS: usize = 256;
 
-/// How often old claims are forgotten.
-const FORGET_EVERY: Duration = Duration::from_secs(60);
+/// The interval at which old claims are removed.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
 
-/// How much longer claims are kept than the tree says, for boxes' wall clocks that differ.
-const KEEP_MARGIN_MS: u64 = 60_000;
+/// The time that claims are kept beyond the retention in the tree, since the wall clocks of boxes differ.
+const RETENTION_MARGIN_MS: u64 = 60_000;
 
-/// Why a shard's claims could not be read.
+/// Why the claims of a shard could not be read.
 #[derive(Debug, Error)]
 enum LoadError {
     #[error(transparent)]
@@ -60,125 +60,130 @@
     BadSegment(String),
 }
 
-/// The desks of all shards, where claims come in.
+/// The claim queues of all shards.
 #[derive(Default)]
-pub struct ClaimDesks {
-    desks: Mutex<BTreeMap<ShardId, Arc<ClaimDesk>>>,
-    wanted: Mutex<BTreeSet<ShardId>>,
-    wake: Notify,
+pub struct ClaimRegistry {
+    queues: Mutex<BTreeMap<ShardId, Arc<ClaimQueue>>>,
+    /// The shards without an owner for which claims have arrived.
+    unowned: Mutex<BTreeSet<ShardId>>,
+    owner_wanted: Notify,
 }
 
-/// Where claims of one shard come in.
-pub struct ClaimDesk {
-    state: Mutex<DeskState>,
-    /// Wakes the keeper.
-    wake: Notify,
-    /// Grows with each commit, and when the keeper changes.
+/// The claims of one shard that wait for its owner.
+pub struct ClaimQueue {
+    state: Mutex<QueueState>,
+    /// Notified when claims wait.
+    work_available: Notify,
+    /// Incremented by each commit and when the owner changes.
     commits: watch::Sender<u64>,
 }
 
 #[derive(Default)]
-struct DeskState {
+struct QueueState {
     index: ClaimIndex,
-    /// The token under which new claims are taken; `None` while this box holds no lease. What
-    /// is in the index was committed and stays true without one.
+    /// The fencing token of this box's lease; `None` while it holds none. The index only contains
+    /// committed claims, which remain valid without a lease.
     fence: Option<Fence>,
-    /// The last token under which this box kept the claims.
-    last: Option<Fence>,
+    /// The fencing token of the last lease of this box.
+    last_fence: Option<Fence>,
 }
 
-impl ClaimDesks {
-    /// Returns the desk of `shard`.
-    fn desk(&self, shard: &ShardId) -> Arc<ClaimDesk> {
-        let mut desks = self.desks.lock();
-        desks.entry(shard.clone()).or_insert_with(|| Arc::new(ClaimDesk::new())).clone()
+impl ClaimRegistry {
+    /// Returns the queue of `shard`, which is created if needed.
+    fn queue(&self, shard: &ShardId) -> Arc<ClaimQueue> {
+        let mut queues = self.queues.lock();
+        queues.entry(shard.clone()).or_insert_with(|| Arc::new(ClaimQueue::new())).clone()
     }
 
-    /// Takes in a claim, from this box or a peer. A shard that nobody has claimed from yet gets
-    /// a keeper.
+    /// Submits a claim of this box or a peer, and waits for the reply. If the shard has no owner here,
+    /// one is started.
     pub async fn claim(&self, shard: &ShardId, claim: Claim) -> ClaimReply {
-        let desk = self.desk(shard);
-        if !desk.is_kept() {
-            self.wanted.lock().insert(shard.clone());
-            self.wake.notify_one();
+        let queue = self.queue(shard);
+        if !queue.is_owned() {
+            self.unowned.lock().insert(shard.clone());
+            self.owner_wanted.notify_one();
         }
-        desk.claim(claim).await
+        queue.claim(claim).await
     }
 
-    /// Gives back a claim whose call is known not to have run.
+    /// Releases a claim whose call did not run.
     pub fn release(&self, shard: &ShardId, key: ClaimKey, request: RequestHash) {
-        let desk = self.desk(shard);
-        desk.state.lock().index.release(key, request);
-        desk.wake.notify_one();
+        let queue = self.queue(shard);
+        queue.state.lock().index.release(key, request);
+        queue.work_available.notify_one();
     }
 
-    /// Records the answer of a claimed call.
-    pub fn answered(
+    /// Records the answer to a claimed call.
+    pub fn record_answer(
         &self,
         shard: &ShardId,
         key: ClaimKey,
         request: RequestHash,
         answer: RecordedAnswer,
     ) {
-        self.desk(shard).state.lock().index.record_answer(key, request, answer);
+        self.queue(shard).state.lock().index.record_answer(key, request, answer);
     }
 
-    /// Returns the shards whose claims this box keeps, for its heartbeats.
-    pub fn kept(&self) -> Vec<ClaimsKept> {
-        let desks = self.desks.lock();
-        desks
+    /// Returns the shards whose claims this box owns, for its heartbeats.
+    pub fn owned(&self) -> Vec<OwnedClaims> {
+        let queues = self.queues.lock();
+        queues
             .iter()
-            .filter_map(|(shard, desk)| {
-                Some(ClaimsKept { shard: shard.clone(), fence: desk.state.lock().last? })
+            .filter_map(|(shard, queue)| {
+                Some(OwnedClaims { shard: shard.clone(), fence: queue.state.lock().last_fence? })
             })
             .collect()
     }
 
-    /// Returns the token under which this box keeps the claims of `shard`, if it does.
+    /// Returns the fencing token if this box owns the claims of `shard`.
     pub fn fence(&self, shard: &ShardId) -> Option<Fence> {
-        self.desk(shard).state.lock().fence
+        self.queue(shard).state.lock().fence
     }
 
-    /// Waits until a shard wants a keeper.
-    pub async fn wanted(&self) {
-        self.wake.notified().await;
+    /// Waits until a shard needs an owner.
+    pub async fn owner_wanted(&self) {
+        self.owner_wanted.notified().await;
     }
 
-    /// Takes out the shards that want a keeper.
-    pub fn take_wanted(&self) -> BTreeSet<ShardId> {
-        std::mem::take(&mut *self.wanted.lock())
+    /// Removes and returns the shards that need an owner.
+    pub fn take_unowned(&self) -> BTreeSet<ShardId> {
+        std::mem::take(&mut *self.unowned.lock())
     }
 }
 
-impl ClaimDesk {
+impl ClaimQueue {
     fn new() -> Self {
-        Self { state: Mutex::default(), wake: Notify::new(), commits: watch::channel(0).0 }
+        Self {
+            state: Mutex::default(),
+            work_available: Notify::new(),
+            commits: watch::channel(0).0,
+        }
     }
 
-    fn is_kept(&self) -> bool {
+    fn is_owned(&self) -> bool {
         self.state.lock().fence.is_some()
     }
 
-    /// Takes in a claim and waits until it is committed.
+    /// Submits a claim and waits until it is committed.
     async fn claim(&self, claim: Claim) -> ClaimReply {
         let mut commits = self.commits.subscribe();
         let committed = async {
             loop {
                 commits.mark_unchanged();
-                if let Some(reply) = self.take(claim) {
+                if let Some(reply) = self.submit(claim) {
                     return reply;
                 }
-                self.wake.notify_one();
+                self.work_available.notify_one();
                 if commits.changed().await.is_err() {
                     return ClaimReply::Unavailable;
                 }
             }
         };
-        tokio::time::timeout(WAIT_TIME, committed).await.unwrap_or(ClaimReply::Unavailable)
+        tokio::time::timeout(COMMIT_TIMEOUT, committed).await.unwrap_or(ClaimReply::Unavailable)
     }
 
-    /// Returns the reply to a claim, or `None` if it has to wait for a commit or a keeper.
-    fn take(&self, claim: Claim) -> Option<ClaimReply> {
+    /// Returns the reply to a claim; `None` if it has to wait for a commit or an owner.
+    fn submit(&self, claim: Claim) -> Option<ClaimReply> {
         let mut state = self.state.lock();
         if state.fence.is_none() {
             return state.index.lookup(&claim);
@@ -194,18 +199,18 @@
     }
 }
 
-/// Keeps the claims of one shard.
-pub struct ClaimKeeper {
+/// Grants the claims of one shard while it holds the lease.
+pub struct ClaimOwner {
     shared: Arc<Shared>,
     shard: ShardId,
-    desk: Arc<ClaimDesk>,
-    lease: LeaseKeeper,
+    queue: Arc<ClaimQueue>,
+    lease: LeaseHolder,
     /// The rows of the log, oldest first, with their versions.
     log: Vec<LogRow>,
     manifest: Manifest,
     manifest_expect: Expect,
     sequence: u64,
-    forgot_at: Option<trackfront_core::units::Moment>,
+    expired_at: Option<trackfront_core::units::Moment>,
 }
 
 /// A row of the log.
@@ -216,105 +221,104 @@
     entries: Vec<ClaimEntry>,
 }
 
-/// Which segments there are, oldest first.
+/// The list of segments, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Manifest {
     segments: Vec<Segment>,
 }
 
-/// An object with claims that were in the log.
+/// An object with claims that were compacted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Segment {
     /// The object's name.
     object: String,
-    /// When its youngest claim was made.
+    /// The time of its newest claim.
     youngest: UnixMillis,
 }
 
-impl ClaimKeeper {
-    /// Makes the keeper of a shard's claims.
+impl ClaimOwner {
+    /// Creates the owner of a shard's claims, without the lease.
     pub fn new(shared: Arc<Shared>, shard: ShardId) -> Self {
-        let desk = shared.claims.desk(&shard);
+        let queue = shared.claims.queue(&shard);
         let key = format!("lease/claims/{shard}");
         Self {
-            lease: LeaseKeeper::new(shared.clone(), shard.clone(), key),
+            lease: LeaseHolder::new(shared.clone(), shard.clone(), key),
             shared,
             shard,
-            desk,
+            queue,
             log: Vec::new(),
             manifest: Manifest::default(),
             manifest_expect: Expect::Absent,
             sequence: 0,
-            forgot_at: None,
+            expired_at: None,
         }
     }
 
-    /// Keeps the claims until `released` turns true, then gives them up.
+    /// Grants claims until `released` is true, then releases the lease.
     pub async fn run(mut self, mut released: watch::Receiver<bool>) {
         loop {
             self.step().await;
-            if !goes_on(self.wait_for_work(), &mut released).await {
+            if !should_continue(self.wait_for_work(), &mut released).await {
                 break;
             }
         }
-        // What waits is committed before the lease is given up.
+        // Waiting claims are committed before the lease is released.
         self.step().await;
-        self.stop_keeping();
-        self.lease.give_up().await;
+        self.stop_owning();
+        self.lease.release().await;
     }
 
-    /// Waits until there is something to commit, at most [`IDLE_STEP`], at least
-    /// [`COMMIT_GAP`].
+    /// Waits until there are claims to commit, for [`MIN_COMMIT_INTERVAL`] to [`IDLE_INTERVAL`].
     async fn wait_for_work(&self) {
         let clock = &self.shared.outside.clock;
-        clock.sleep(COMMIT_GAP).await;
+        clock.sleep(MIN_COMMIT_INTERVAL).await;
         tokio::select! {
-            () = clock.sleep(IDLE_STEP) => {},
-            () = self.desk.wake.notified() => {},
+            () = clock.sleep(IDLE_INTERVAL) => {},
+            () = self.queue.work_available.notified() => {},
         }
     }
 
     async fn step(&mut self) {
-        let held = self.lease.hold().await;
-        if held != self.desk.state.lock().fence {
-            self.stop_keeping();
+        let held = self.lease.acquire_or_keep().await;
+        if held != self.queue.state.lock().fence {
+            self.stop_owning();
         }
         let Some(fence) = held else {
             return;
         };
-        if !self.desk.is_kept() && !self.start_keeping(fence).await {
+        if !self.queue.is_owned() && !self.start_owning(fence).await {
             return;
         }
         self.commit_waiting(fence).await;
-        self.forget_old();
+        self.expire_old();
         if self.log.len() > MAX_LOG_ROWS {
-            self.move_log().await;
+            self.compact_log().await;
         }
     }
 
-    /// Stops taking claims. What waits was not recorded, and nobody may run it.
-    fn stop_keeping(&mut self) {
-        let mut state = self.desk.state.lock();
+    /// Stops granting claims. Waiting claims were not stored, so their calls must not run.
+    fn stop_owning(&mut self) {
+        let mut state = self.queue.state.lock();
         if state.fence.take().is_some() {
-            // Only what was committed is true; a new keeper reads it anew.
+            // Only committed claims are valid. The next owner reads them from the table.
             state.index.drop_uncommitted();
         }
         drop(state);
-        self.desk.notify();
+        self.queue.notify();
     }
 
-    /// Reads all claims and starts to take new ones.
-    async fn start_keeping(&mut self, fence: Fence) -> bool {
+    /// Reads all claims and starts to grant new ones.
+    async fn start_owning(&mut self, fence: Fence) -> bool {
         match self.load().await {
             Ok(index) => {
                 log::info!("{} claims of {} are kept here", index.len(), self.shard);
                 self.sequence = 0;
-                let mut state = self.desk.state.lock();
+                let mut state = self.queue.state.lock();
                 state.index.replace_claims(index);
                 state.fence = Some(fence);
-                state.last = Some(fence);
+                state.last_fence = Some(fence);
                 drop(state);
-                self.desk.notify();
+                self.queue.notify();
                 true
             }
             Err(error) => {
@@ -348,9 +352,9 @@
         Ok(index)
     }
 
-    /// Commits one group of claims, or renews the lease where that is due.
+    /// Commits a batch of claims, or renews the lease if that is due.
     async fn commit_waiting(&mut self, fence: Fence) {
-        let batch = self.desk.state.lock().index.start_batch();
+        let batch = self.queue.state.lock().index.start_batch();
         let Some(entries) = batch else {
             if self.lease.is_due() {
                 self.lease.commit(Vec::new()).await;
@@ -358,30 +362,30 @@
             return;
         };
         self.sequence += 1;
-        // Tokens grow, so rows sort in the order in which they were committed.
+        // Fencing tokens increase, so the rows sort by the time of their commits.
         let key = RowKey(format!("{}{:012}-{:012}", self.log_prefix(), fence.0, self.sequence));
         let row = write(&key, Expect::Absent, &entries);
         if !self.lease.commit(vec![row]).await {
-            self.stop_keeping();
+            self.stop_owning();
             return;
         }
         self.log.push(LogRow { key, version: FIRST_VERSION, entries });
-        self.desk.state.lock().index.finish_batch();
-        self.desk.notify();
+        self.queue.state.lock().index.finish_batch();
+        self.queue.notify();
     }
 
-    fn forget_old(&mut self) {
+    fn expire_old(&mut self) {
         let now = self.shared.outside.clock.now();
-        if self.forgot_at.is_some_and(|at| now.since(at) < FORGET_EVERY) {
+        if self.expired_at.is_some_and(|at| now.since(at) < EXPIRY_INTERVAL) {
             return;
         }
-        self.forgot_at = Some(now);
-        let before = self.keep_since();
-        self.desk.state.lock().index.expire(before);
+        self.expired_at = Some(now);
+        let before = self.min_claim_time();
+        self.queue.state.lock().index.expire(before);
     }
 
-    /// Returns the time before which claims may be forgotten.
-    fn keep_since(&self) -> UnixMillis {
+    /// Returns the time before which claims may be removed.
+    fn min_claim_time(&self) -> UnixMillis {
         let minutes = self
             .shared
             .in_force
@@ -391,18 +395,18 @@
                 Some(service.policy.claim_keep_min.value)
             })
             .unwrap_or(u64::MAX / 60_000 - 1);
-        let keep_ms = minutes.saturating_mul(60_000).saturating_add(KEEP_MARGIN_MS);
-        UnixMillis(self.shared.outside.clock.unix().0.saturating_sub(keep_ms))
+        let retention_ms = minutes.saturating_mul(60_000).saturating_add(RETENTION_MARGIN_MS);
+        UnixMillis(self.shared.outside.clock.unix().0.saturating_sub(retention_ms))
     }
 
-    /// Moves the rows of the log into a segment.
-    async fn move_log(&mut self) {
+    /// Compacts the rows of the log into a segment.
+    async fn compact_log(&mut self) {
         let entries: Vec<ClaimEntry> =
             self.log.iter().flat_map(|row| row.entries.iter().copied()).collect();
         let Some(last) = self.log.last() else {
             return;
         };
-        // The name follows from the last row, so a repeated move writes the same object.
+        // The name is derived from the last row, so a repeated attempt writes the same object.
         let name = last.key.0.rsplit('/').next().unwrap_or_default();
         let object = format!("claims/{}/{name}", self.shard);
         let bytes = serde_json::to_vec(&entries).expect("our own types always encode");
@@ -411,9 +415,9 @@
             return;
         }
         let youngest = entries.iter().filter_map(claimed_at).max().unwrap_or_default();
-        let keep_since = self.keep_since();
+        let min_claim_time = self.min_claim_time();
         let mut manifest = self.manifest.clone();
-        manifest.segments.retain(|segment| segment.youngest >= keep_since);
+        manifest.segments.retain(|segment| segment.youngest >= min_claim_time);
         manifest.segments.push(Segment { object, youngest });
         let mut writes = vec![write(&self.manifest_key(), self.manifest_expect, &manifest)];
         writes.extend(self.log.iter().map(|row| Write {
@@ -422,7 +426,7 @@
             value: None,
         }));
         if !self.lease.commit(writes).await {
-            self.stop_keeping();
+            self.stop_owning();
             return;
         }
         self.log.clear();
--- a/trackfrontd/src/shards/lease.rs
+++ b/trackfrontd/src/shards/lease.rs
@@ -1,4 +1,4 @@
-//! Holds a lease: takes it, renews it together with other writes, gives it up.
+//! The lease of a shard: acquired, renewed together with other writes, and released.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,42 +18,42 @@
 
 use crate::shared::Shared;
 
-/// How long a lease lasts after each write.
+/// The duration of a lease after each renewal.
 const LEASE_TTL: Duration = Duration::from_secs(6);
 
-/// How long after the last write a lease is renewed.
-const RENEW_AFTER: Duration = Duration::from_secs(2);
+/// The time after the last write at which a lease is renewed.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// How many boxes watch a lease; more would read the table for nothing.
-const WATCHERS: usize = 3;
+/// The number of boxes that watch a lease. More would load the table without benefit.
+const MAX_WATCHERS: usize = 3;
 
-/// How much longer each further watcher waits before it takes a vacant lease.
-const WATCHER_STEP: Duration = Duration::from_secs(2);
+/// The additional delay of each further watcher before it acquires a vacant lease.
+const WATCHER_DELAY_STEP: Duration = Duration::from_secs(2);
 
-/// How often a commit is sent before its fate counts as unknown.
+/// How many times a commit is sent before its outcome counts as unknown.
 const COMMIT_ATTEMPTS: u32 = 3;
 
 /// A lease that this box may hold.
-pub struct LeaseKeeper {
+pub struct LeaseHolder {
     shared: Arc<Shared>,
     shard: ShardId,
     key: RowKey,
     machine: StateMachine<LeaseMachine>,
-    seen: Option<ObservedLease>,
+    observed: Option<ObservedLease>,
     vacant_since: Option<Moment>,
     written_at: Moment,
     held: Option<Fence>,
 }
 
-impl LeaseKeeper {
-    /// Watches the lease at `key`, which is about `shard`.
+impl LeaseHolder {
+    /// Creates the state for the lease of `shard` at `key`, which is not held.
     pub fn new(shared: Arc<Shared>, shard: ShardId, key: String) -> Self {
         Self {
             shared,
             shard,
             key: RowKey(key),
             machine: LeaseMachine::new(LEASE_TTL).state_machine(),
-            seen: None,
+            observed: None,
             vacant_since: None,
             written_at: Moment::default(),
             held: None,
@@ -64,58 +64,58 @@
         self.shared.outside.clock.now()
     }
 
-    /// Returns the fencing token if the lease may be used now.
+    /// Returns the fencing token if the lease is valid now.
     pub fn usable(&self) -> Option<Fence> {
         self.machine.state().usable(self.now())
     }
 
-    /// Returns the state, for checks last thing before a send.
+    /// Returns the state, for checks right before sends.
     pub fn state(&self) -> LeaseState {
         self.machine.state().clone()
     }
 
-    /// Returns whether the lease has to be renewed.
+    /// Returns whether a renewal is due.
     pub fn is_due(&self) -> bool {
-        self.now().since(self.written_at) >= RENEW_AFTER
+        self.now().since(self.written_at) >= RENEWAL_INTERVAL
     }
 
-    /// Returns the fencing token if the lease is held, and takes it if it is vacant and this
-    /// box's turn.
-    pub async fn hold(&mut self) -> Option<Fence> {
+    /// Returns the fencing token if the lease is held. Acquires it if it is vacant and this box is the
+    /// next candidate.
+    pub async fn acquire_or_keep(&mut self) -> Option<Fence> {
         self.machine.handle(&LeaseEvent::Tick(self.now()));
         match self.usable() {
             Some(fence) => Some(fence),
             None => {
-                self.note_lost("the lease lapsed");
-                self.try_take().await
+                self.record_loss("the lease lapsed");
+                self.try_acquire().await
             }
         }
     }
 
-    /// Renews the lease and applies `writes` in one transaction, which fails whole if the lease
-    /// went to another box. Returns whether it was applied.
+    /// Renews the lease and applies `writes` in one transaction, which fails if another box has acquired
+    /// the lease. Returns whether it was applied.
     pub async fn commit(&mut self, writes: Vec<Write>) -> bool {
         let Some(fence) = self.usable() else {
-            self.note_lost("the lease lapsed");
+            self.record_loss("the lease lapsed");
             return false;
         };
         let row = self.own_row(fence);
         self.commit_row(row, writes).await
     }
 
-    /// Stops holding, because of `cause`, without a word to the table.
-    pub fn drop_lease(&mut self, cause: &str) {
+    /// Stops holding the lease because of `cause`, without a write to the table.
+    pub fn abandon(&mut self, cause: &str) {
         self.machine.handle(&LeaseEvent::Superseded);
-        self.note_lost(cause);
+        self.record_loss(cause);
     }
 
-    /// Gives the lease up, so that another box need not wait for it to lapse.
-    pub async fn give_up(&mut self) {
+    /// Releases the lease, so that another box need not wait for its end.
+    pub async fn release(&mut self) {
         let Some(fence) = self.usable() else {
             return;
         };
         self.machine.handle(&LeaseEvent::Released);
-        self.note_lost("the box gives it up");
+        self.record_loss("the box gives it up");
         let row = LeaseRow { holder: None, ..self.own_row(fence) };
         let txn = self.transaction(vec![write(&self.key, self.expect(), &row)]);
         let table = self.shared.outside.table.as_ref();
@@ -124,25 +124,25 @@
         }
     }
 
-    async fn try_take(&mut self) -> Option<Fence> {
+    async fn try_acquire(&mut self) -> Option<Fence> {
         let others = self.shared.members.lock().live_ids(self.now());
-        let place = rank(&self.key.0, &self.shared.me, &others);
-        if place >= WATCHERS {
+        let rank = rank(&self.key.0, &self.shared.me, &others);
+        if rank >= MAX_WATCHERS {
             return None;
         }
-        if let Err(error) = self.look().await {
+        if let Err(error) = self.read_row().await {
             log::warn!("the lease {} cannot be read: {error}", self.key);
             return None;
         }
         let now = self.now();
-        let Some(row) = takeover(self.seen.as_ref(), &self.shared.me, LEASE_TTL, now) else {
+        let Some(row) = takeover(self.observed.as_ref(), &self.shared.me, LEASE_TTL, now) else {
             self.vacant_since = None;
             return None;
         };
-        // A table restored from a backup may have an older row than this box has written.
+        // A table that was restored from a copy may have an older row than this box has written.
         let row = row.with_fence_above(self.machine.largest_fence());
         let vacant_since = *self.vacant_since.get_or_insert(now);
-        if now.since(vacant_since) < WATCHER_STEP * place as u32 {
+        if now.since(vacant_since) < WATCHER_DELAY_STEP * rank as u32 {
             return None;
         }
         let fence = row.fence;
@@ -156,15 +156,15 @@
         Some(fence)
     }
 
-    /// Reads the lease's row and notes since when it stands as it does.
-    async fn look(&mut self) -> Result<(), TableError> {
+    /// Reads the row of the lease, and records since when it is unchanged.
+    async fn read_row(&mut self) -> Result<(), TableError> {
         let row = self.shared.outside.table.read(&self.key).await?;
         let now = self.now();
-        self.seen = row.and_then(|row| seen_lease(&row, self.seen.as_ref(), now));
+        self.observed = row.and_then(|row| observed_lease(&row, self.observed.as_ref(), now));
         Ok(())
     }
 
-    /// Commits a row that takes or renews the lease, with `writes`.
+    /// Commits a row that acquires or renews the lease, together with `writes`.
     async fn commit_row(&mut self, row: LeaseRow, writes: Vec<Write>) -> bool {
         let sent_at = self.now();
         let fence = row.fence;
@@ -176,22 +176,22 @@
             CommitOutcome::Applied => {}
             CommitOutcome::Conflict { key } => {
                 log::info!("the lease {} is held by another box ({key} has changed)", self.key);
-                self.drop_lease("another box has it");
+                self.abandon("another box has it");
                 return false;
             }
             CommitOutcome::NotApplied(error) => {
                 log::warn!("the lease {} cannot be written: {error}", self.key);
                 return false;
             }
-            // The row's version is not known any more, so the lease is taken anew.
+            // The version of the row is unknown now, so the lease has to be acquired again.
             CommitOutcome::Unknown(error) => {
                 log::warn!("it is not known whether the lease {} was written: {error}", self.key);
-                self.drop_lease("a write's fate is unknown");
+                self.abandon("a write's fate is unknown");
                 return false;
             }
         }
-        if !self.note_written(row, sent_at).await {
-            self.drop_lease("the row could not be read back");
+        if !self.record_written(row, sent_at).await {
+            self.abandon("the row could not be read back");
             return false;
         }
         self.machine.handle(&LeaseEvent::Written { fence, sent_at });
@@ -199,21 +199,21 @@
         true
     }
 
-    /// Notes the row that was written, with its version.
-    async fn note_written(&mut self, row: LeaseRow, sent_at: Moment) -> bool {
-        match &self.seen {
-            Some(seen) => {
-                let version = seen.version.next();
-                self.seen = Some(ObservedLease { version, row, since: sent_at });
+    /// Records the row that was written, with its version.
+    async fn record_written(&mut self, row: LeaseRow, sent_at: Moment) -> bool {
+        match &self.observed {
+            Some(observed) => {
+                let version = observed.version.next();
+                self.observed = Some(ObservedLease { version, row, since: sent_at });
                 true
             }
             // The version of a first row is read, since the row may have been deleted before.
-            None => self.look().await.is_ok(),
+            None => self.read_row().await.is_ok(),
         }
     }
 
-    /// Notes that a lease that was held is held no more.
-    fn note_lost(&mut self, cause: &str) {
+    /// Records that the lease is no longer held, if it was.
+    fn record_loss(&mut self, cause: &str) {
         let Some(fence) = self.held.take() else {
             return;
         };
@@ -230,7 +230,7 @@
     }
 
     fn expect(&self) -> Expect {
-        self.seen.as_ref().map_or(Expect::Absent, |seen| Expect::Version(seen.version))
+        self.observed.as_ref().map_or(Expect::Absent, |observed| Expect::Version(observed.version))
     }
 
     fn transaction(&self, writes: Vec<Write>) -> Transaction {
@@ -238,14 +238,14 @@
     }
 }
 
-/// Makes a conditional write of a row.
+/// Returns a conditional write of a row.
 pub fn write(key: &RowKey, expect: Expect, value: &impl Serialize) -> Write {
     let value = serde_json::to_vec(value).expect("our own types always encode");
     Write { key: key.clone(), expect, value: Some(Bytes::from(value)) }
 }
 
-/// Notes a lease's row; a version that was seen before keeps its moment.
-fn seen_lease(row: &Row, before: Option<&ObservedLease>, now: Moment) -> Option<ObservedLease> {
+/// Returns the observation of a lease's row. The time of an unchanged version is kept.
+fn observed_lease(row: &Row, before: Option<&ObservedLease>, now: Moment) -> Option<ObservedLease> {
     let value: LeaseRow = match serde_json::from_slice(&row.value) {
         Ok(value) => value,
         Err(error) => {
--- a/trackfrontd/src/shards/mod.rs
+++ b/trackfrontd/src/shards/mod.rs
@@ -1,4 +1,4 @@
-//! The shards that this box looks after: their leases, their placement, their claims.
+//! The shards that this box may own: their leases, placement and claims.
 
 pub mod claims;
 mod lease;
@@ -15,43 +15,43 @@
 use trackfront_core::tree::{Service, ServiceKind};
 
 use crate::shared::Shared;
-use claims::ClaimKeeper;
-use placement::PlacementKeeper;
+use claims::ClaimOwner;
+use placement::PlacementOwner;
 
-/// How often new shards are looked for.
-const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// The interval at which new shards are looked for.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a task does for its shard.
+/// The job of a task for its shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Job {
-    /// Places models on engines.
+    /// To place models on engines.
     Placement,
-    /// Keeps the claims of calls that may run once.
+    /// To grant the claims of calls that may run once.
     Claims,
 }
 
-/// Looks after all shards of this box's region until the task is stopped.
-pub async fn run(shared: Arc<Shared>, tasks: Arc<ShardTasks>) {
+/// Starts the tasks of all shards of this box's region, until the task is stopped.
+pub async fn run_shards(shared: Arc<Shared>, tasks: Arc<ShardTasks>) {
     loop {
         if let Some(current) = shared.in_force.current() {
-            let here =
+            let own =
                 current.tree.shards().filter(|(shard, _)| shard.region == shared.place.region);
-            for (shard, service) in here {
+            for (shard, service) in own {
                 tasks.ensure(&shared, shard, job(service));
             }
         }
-        for shard in shared.claims.take_wanted() {
+        for shard in shared.claims.take_unowned() {
             tasks.ensure(&shared, shard, Job::Claims);
         }
         tokio::select! {
-            () = shared.rest(LOOK_EVERY) => {},
-            () = shared.claims.wanted() => {},
+            () = shared.sleep_about(CHECK_INTERVAL) => {},
+            () = shared.claims.owner_wanted() => {},
         }
     }
 }
 
-/// Returns the job that a service always needs. The claims of a service with models are kept
-/// only once somebody claims, since few of its callers ever do.
+/// Returns the job that a service always needs. The claims of a service with models only have an owner
+/// after the first claim, since few of its callers send one.
 fn job(service: &Service) -> Job {
     match service.kind {
         ServiceKind::Engines { .. } => Job::Placement,
@@ -59,11 +59,14 @@
     }
 }
 
-/// Waits for `pause`, or until the task is released. Returns whether it goes on.
-async fn goes_on(pause: impl Future<Output = ()>, released: &mut watch::Receiver<bool>) -> bool {
+/// Waits for `pause` or until the task is released. Returns whether the task should continue.
+async fn should_continue(
+    pause: impl Future<Output = ()>,
+    released: &mut watch::Receiver<bool>,
+) -> bool {
     tokio::select! {
         () = pause => true,
-        // A sender that is gone releases the task, too.
+        // A dropped sender also releases the task.
         _ = released.wait_for(|released| *released) => false,
     }
 }
@@ -77,18 +80,18 @@
 #[derive(Default)]
 struct Tasks {
     running: BTreeMap<(ShardId, Job), ShardTask>,
-    /// Whether the box is leaving and starts no more tasks.
+    /// Whether the box is leaving, so no more tasks are started.
     closed: bool,
 }
 
-/// A running task. It ends when it is released, or by itself when this is dropped.
+/// A running task, which ends when it is released or this is dropped.
 struct ShardTask {
     handle: JoinHandle<()>,
     release: watch::Sender<bool>,
 }
 
 impl ShardTasks {
-    /// Starts a shard's task unless it runs.
+    /// Starts the task of a shard unless it is running.
     fn ensure(&self, shared: &Arc<Shared>, shard: ShardId, job: Job) {
         let mut tasks = self.tasks.lock();
         if tasks.closed || tasks.running.contains_key(&(shard.clone(), job)) {
@@ -97,16 +100,16 @@
         let (release, released) = watch::channel(false);
         let handle = match job {
             Job::Placement => {
-                tokio::spawn(PlacementKeeper::new(shared.clone(), shard.clone()).run(released))
+                tokio::spawn(PlacementOwner::new(shared.clone(), shard.clone()).run(released))
             }
             Job::Claims => {
-                tokio::spawn(ClaimKeeper::new(shared.clone(), shard.clone()).run(released))
+                tokio::spawn(ClaimOwner::new(shared.clone(), shard.clone()).run(released))
             }
         };
         tasks.running.insert((shard, job), ShardTask { handle, release });
     }
 
-    /// Stops all tasks at once, without giving leases up.
+    /// Stops all tasks at once, without releasing leases.
     pub fn abort(&self) {
         let mut tasks = self.tasks.lock();
         tasks.closed = true;
@@ -115,7 +118,7 @@
         }
     }
 
-    /// Gives all leases up and waits for that.
+    /// Releases all leases, and waits until the tasks have ended.
     pub async fn release(&self) {
         let running = {
             let mut tasks = self.tasks.lock();
@@ -125,7 +128,7 @@
         for task in running.values() {
             task.release.send_replace(true);
         }
-        // The senders live until the tasks have ended, so that none sees its own dropped.
+        // The senders are kept until the tasks have ended, since dropping them would release the tasks.
         let ended: Vec<_> = running.into_values().map(|task| (task.release, task.handle)).collect();
         for (_release, handle) in ended {
             if handle.await.is_err() {
--- a/trackfrontd/src/shards/placement.rs
+++ b/trackfrontd/src/shards/placement.rs
@@ -1,4 +1,4 @@
-//! Places the models of one shard while this box holds its lease.
+//! Places the models of one shard while this box holds the lease.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -17,27 +17,27 @@
 use trackfront_core::tree::Service;
 use trackfront_core::units::Moment;
 
-use super::goes_on;
-use super::lease::{LeaseKeeper, write};
+use super::lease::{LeaseHolder, write};
+use super::should_continue;
 use crate::in_force::TreeInForce;
 use crate::reader;
 use crate::shared::Shared;
 
-/// How often a shard is looked after while nothing is open.
-const STEP_EVERY: Duration = Duration::from_secs(1);
+/// The interval of steps without open orders.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How often a shard is looked after while orders are open.
-const STEP_EVERY_BUSY: Duration = Duration::from_millis(200);
+/// The interval of steps with open orders.
+const BUSY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Keeps the placement of one shard.
-pub struct PlacementKeeper {
+/// Places the models of one shard while it holds the lease.
+pub struct PlacementOwner {
     shared: Arc<Shared>,
     shard: ShardId,
-    lease: LeaseKeeper,
+    lease: LeaseHolder,
     owned: Option<Owned>,
 }
 
-/// An owned shard, with its orders row as the table has it.
+/// An owned shard, with its orders row in the table.
 struct Owned {
     owner: ShardOwner,
     planner: Box<dyn PlanMoves>,
@@ -45,24 +45,24 @@
     row: OrdersRow,
 }
 
-impl PlacementKeeper {
-    /// Makes the keeper of a shard.
+impl PlacementOwner {
+    /// Creates the owner of a shard, without the lease.
     pub fn new(shared: Arc<Shared>, shard: ShardId) -> Self {
-        let lease = LeaseKeeper::new(shared.clone(), shard.clone(), format!("lease/{shard}"));
+        let lease = LeaseHolder::new(shared.clone(), shard.clone(), format!("lease/{shard}"));
         Self { shared, shard, lease, owned: None }
     }
 
-    /// Keeps the shard until `released` turns true, then gives it up.
+    /// Places models until `released` is true, then releases the lease.
     pub async fn run(mut self, mut released: watch::Receiver<bool>) {
         loop {
             self.step().await;
             let busy = self.owned.as_ref().is_some_and(|owned| owned.owner.has_open());
-            let pause = if busy { STEP_EVERY_BUSY } else { STEP_EVERY };
-            if !goes_on(self.shared.rest(pause), &mut released).await {
+            let pause = if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
+            if !should_continue(self.shared.sleep_about(pause), &mut released).await {
                 break;
             }
         }
-        self.lease.give_up().await;
+        self.lease.release().await;
         self.shared.owned.lock().remove(&self.shard);
     }
 
@@ -77,7 +77,7 @@
         let Some(service) = current.tree.service(&self.shard) else {
             return;
         };
-        let held = self.lease.hold().await;
+        let held = self.lease.acquire_or_keep().await;
         let owned_fence = self.owned.as_ref().map(|owned| owned.owner.fence());
         if held != owned_fence {
             self.stop_owning();
@@ -86,9 +86,9 @@
             self.start_owning(fence, service).await;
         }
         if self.owned.is_some() {
-            self.work(&current, service).await;
+            self.place(&current, service).await;
         }
-        self.show_status();
+        self.update_status();
     }
 
     fn stop_owning(&mut self) {
@@ -97,19 +97,19 @@
         }
     }
 
-    /// Reads what the owner before has left and starts to own.
+    /// Reads the orders of the last owner and starts to place models.
     async fn start_owning(&mut self, fence: Fence, service: &Service) {
         let row = match self.shared.outside.table.read(&self.orders_key()).await {
             Ok(row) => row,
             Err(error) => {
-                // Without the intents nothing may be ordered.
+                // No order may be sent while the intents are unknown.
                 log::warn!("the orders of {} cannot be read: {error}", self.shard);
                 return;
             }
         };
-        let found = match &row {
+        let stored = match &row {
             Some(row) => match serde_json::from_slice(&row.value) {
-                Ok(found) => found,
+                Ok(stored) => stored,
                 Err(error) => {
                     log::error!("the orders of {} do not decode: {error}", self.shard);
                     return;
@@ -118,21 +118,21 @@
             None => OrdersRow::default(),
         };
         let now = self.now();
-        let owner = ShardOwner::new(self.shard.clone(), fence, service, found.clone(), now);
+        let owner = ShardOwner::new(self.shard.clone(), fence, service, stored.clone(), now);
         let expect = Expect::unchanged(row.as_ref());
         let planner = (self.shared.outside.make_planner)();
-        self.owned = Some(Owned { owner, planner, expect, row: found });
+        self.owned = Some(Owned { owner, planner, expect, row: stored });
     }
 
-    /// Does one round of an owner's work.
-    async fn work(&mut self, current: &TreeInForce, service: &Service) {
+    /// Reads reports, plans moves, writes the intents and sends the orders that are due.
+    async fn place(&mut self, current: &TreeInForce, service: &Service) {
         self.read_reports(current, service).await;
         let now = self.now();
         let Some(owned) = &mut self.owned else {
             return;
         };
         if owned.owner.is_superseded() {
-            self.lease.drop_lease("an engine has seen a larger fencing token");
+            self.lease.abandon("an engine has seen a larger fencing token");
             self.stop_owning();
             return;
         }
@@ -145,14 +145,14 @@
             });
         }
         let demand = item_demand(&self.shared, service, now);
-        set_engine_facts(&self.shared, service, &mut owned.owner);
+        update_engines(&self.shared, service, &mut owned.owner);
         let Owned { owner, planner, .. } = owned;
         self.shared.with_rng(|rng| owner.plan(service, planner.as_mut(), &demand, now, rng));
         let Some(owned) = &mut self.owned else {
             return;
         };
         let changed = owned.owner.has_unwritten() || !ended.is_empty();
-        if (changed || self.lease.is_due()) && !self.write_down().await {
+        if (changed || self.lease.is_due()) && !self.write_orders().await {
             return;
         }
         self.send_due(current).await;
@@ -177,9 +177,9 @@
         }
     }
 
-    /// Renews the lease, with the open orders where they changed, in one transaction. Returns
-    /// whether the table has all intents.
-    async fn write_down(&mut self) -> bool {
+    /// Renews the lease and writes the open orders, if they changed, in one transaction. Returns whether
+    /// all intents are in the table.
+    async fn write_orders(&mut self) -> bool {
         let Some(owned) = &self.owned else {
             return false;
         };
@@ -192,15 +192,15 @@
         if !self.lease.commit(writes).await {
             return false;
         }
-        if changed && !self.note_written(row).await {
+        if changed && !self.record_written(row).await {
             return false;
         }
         self.mark_written();
         true
     }
 
-    /// Notes that the table has `row` as its orders row.
-    async fn note_written(&mut self, row: OrdersRow) -> bool {
+    /// Records that `row` is the orders row in the table.
+    async fn record_written(&mut self, row: OrdersRow) -> bool {
         let expect = match self.owned.as_ref().map(|owned| owned.expect) {
             Some(Expect::Version(version)) => Expect::Version(version.next()),
             _ => match self.shared.outside.table.read(&self.orders_key()).await {
@@ -234,7 +234,7 @@
         }
     }
 
-    /// Sends the orders that are due. The lease is checked last thing before each send.
+    /// Sends the orders that are due. The lease is checked right before each send.
     async fn send_due(&mut self, current: &TreeInForce) {
         let now = self.now();
         let Some(owned) = &mut self.owned else {
@@ -272,7 +272,7 @@
         }
     }
 
-    fn show_status(&self) {
+    fn update_status(&self) {
         let Some(owned) = &self.owned else {
             return;
         };
@@ -300,7 +300,7 @@
     }
 }
 
-/// Returns how much each item of a service is asked for, over all boxes.
+/// Returns the demand for each item of a service, over all boxes.
 fn item_demand(shared: &Shared, service: &Service, now: Moment) -> HashMap<ItemKey, Demand> {
     let by_name = shared.demand.total(now);
     let mut by_item = HashMap::new();
@@ -316,8 +316,8 @@
     by_item
 }
 
-/// Tells the owner what this box has measured of its engines.
-fn set_engine_facts(shared: &Shared, service: &Service, owner: &mut ShardOwner) {
+/// Updates the owner with this box's measurements of its engines.
+fn update_engines(shared: &Shared, service: &Service, owner: &mut ShardOwner) {
     let gap = Duration::from_millis(service.policy.token_gap_ms.value);
     for id in service.backends.keys() {
         if let Some(entry) = shared.fleet.engine(id) {
--- a/trackfrontd/src/shared.rs
+++ b/trackfrontd/src/shared.rs
@@ -1,4 +1,4 @@
-//! What the tasks of one box share.
+//! The state that the tasks of one box share.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -25,20 +25,20 @@
 use crate::outside::Outside;
 use crate::quotas::Quotas;
 use crate::settings::Place;
-use crate::shards::claims::ClaimDesks;
+use crate::shards::claims::ClaimRegistry;
 
-/// The share by which a period is varied, so that boxes do not act in step.
+/// The fraction by which intervals vary at random, so that boxes do not act in step.
 const JITTER: f64 = 0.2;
 
 /// The state of one box.
 pub struct Shared {
     /// The identity of this run of the box.
     pub me: NodeId,
-    /// Where the box is.
+    /// The location of the box.
     pub place: Place,
     /// The address by which peers reach this box.
     pub peer_address: String,
-    /// Everything outside.
+    /// The ports to everything outside.
     pub outside: Outside,
     /// The metrics.
     pub metrics: Arc<Metrics>,
@@ -48,28 +48,28 @@
     pub in_force: InForce,
     /// The engines.
     pub fleet: Arc<Fleet>,
-    /// Chooses engines.
+    /// The router that chooses engines.
     pub router: Box<dyn ChooseEngine>,
-    /// How long answers of each model are, on average.
+    /// The mean length of answers of each model.
     pub outputs: OutputMeans,
-    /// How much models and adapters are asked for.
+    /// The demand for models and adapters.
     pub demand: DemandMeter,
     /// The limits of callers.
     pub quotas: Quotas,
-    /// How many retries may be sent.
+    /// The retry budget.
     pub retries: RetryBudget,
-    /// Where claims of calls that may run once come in.
-    pub claims: ClaimDesks,
+    /// The claims of calls that may run once.
+    pub claims: ClaimRegistry,
     /// The other boxes.
     pub members: Mutex<Members>,
-    /// The shards that this box owns, for the status.
+    /// The shards that this box owns, for the status page.
     pub owned: Mutex<BTreeMap<ShardId, ShardStatus>>,
     leaving: AtomicBool,
     rng: Mutex<ChaCha8Rng>,
 }
 
 impl Shared {
-    /// Makes the state of a box.
+    /// Creates the state of a box.
     pub fn new(
         me: NodeId,
         place: Place,
@@ -81,7 +81,7 @@
     ) -> Self {
         let fleet = Arc::new(Fleet::default());
         Self {
-            // Questions of an earlier process at this address had other numbers.
+            // Quota requests of an earlier process at this address had other numbers.
             quotas: Quotas::new(limits::box_id(&peer_address), seed as u32),
             me,
             peer_address,
@@ -92,7 +92,7 @@
             outputs: OutputMeans::default(),
             demand: DemandMeter::default(),
             retries: RetryBudget::default(),
-            claims: ClaimDesks::default(),
+            claims: ClaimRegistry::default(),
             place,
             fleet,
             outside,
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Returns the state that this box tells its peers.
+    /// Returns the state of this box, as sent to its peers.
     pub fn state(&self) -> PeerState {
         if self.leaving.load(Ordering::SeqCst) {
             PeerState::Leaving
@@ -114,23 +114,23 @@
         }
     }
 
-    /// Makes this box leave; that is never taken back.
+    /// Sets the state to leaving, which is final.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
     }
 
-    /// Draws a new identifier.
+    /// Returns a new random identifier.
     pub fn draw_id(&self, prefix: &str) -> String {
         draw_id(prefix, &mut *self.rng.lock())
     }
 
-    /// Uses the box's source of random numbers.
-    pub fn with_rng<T>(&self, job: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
-        job(&mut self.rng.lock())
+    /// Calls `use_rng` with the random number generator of the box.
+    pub fn with_rng<T>(&self, use_rng: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
+        use_rng(&mut self.rng.lock())
     }
 
-    /// Waits for about `period`.
-    pub async fn rest(&self, period: Duration) {
+    /// Sleeps for about `period`, with jitter.
+    pub async fn sleep_about(&self, period: Duration) {
         let factor = self.rng.lock().random_range(1.0 - JITTER..1.0 + JITTER);
         self.outside.clock.sleep(period.mul_f64(factor)).await;
     }
