--- a/trackfront_adapters/src/audit.rs
+++ b/trackfront_adapters/src/audit.rs
@@ -9,13 +9,13 @@
 use trackfront_core::ids::NodeId;
 use trackfront_core::ports::{Clock, Objects};
 
-/// How often a batch is written, if there is anything to write.
-const WRITE_EVERY: Duration = Duration::from_secs(2);
+/// The interval at which batches are written.
+const WRITE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// How many records are kept while the store is away; later ones are counted as lost.
-const MAX_KEPT: usize = 20_000;
+/// The maximum number of buffered records. More are counted as lost.
+const MAX_BUFFERED: usize = 20_000;
 
-/// How many records go into one object.
+/// The maximum number of records in an object.
 const MAX_BATCH: usize = 2_000;
 
 /// The folder of the audit trail in the object store.
@@ -23,7 +23,7 @@
 
 /// Buffers audit records and writes them to the object store.
 pub struct AuditWriter {
-    me: NodeId,
+    own_id: NodeId,
     clock: Arc<dyn Clock>,
     objects: Arc<dyn Objects>,
     buffer: Mutex<Buffer>,
@@ -37,25 +37,25 @@
 }
 
 impl AuditWriter {
-    /// Makes a writer for the box `me`.
-    pub fn new(me: NodeId, clock: Arc<dyn Clock>, objects: Arc<dyn Objects>) -> Self {
-        Self { me, clock, objects, buffer: Mutex::default() }
+    /// Creates the writer of the box `own_id`.
+    pub fn new(own_id: NodeId, clock: Arc<dyn Clock>, objects: Arc<dyn Objects>) -> Self {
+        Self { own_id, clock, objects, buffer: Mutex::default() }
     }
 
-    /// Writes batches until the task is stopped; then [`AuditWriter::flush`] writes the rest.
+    /// Writes batches until the task is stopped. [`AuditWriter::flush`] writes the rest.
     pub async fn run(&self) {
         loop {
-            self.clock.sleep(WRITE_EVERY).await;
+            self.clock.sleep(WRITE_INTERVAL).await;
             self.flush().await;
         }
     }
 
-    /// Writes what is buffered, as far as the store takes it.
+    /// Writes all buffered records, until the store fails.
     pub async fn flush(&self) {
         while let Some(batch) = self.next_batch() {
             let name = self.object_name(&batch);
             let body = encode(&batch);
-            // A batch whose reply was lost is written again under the same name.
+            // A batch whose reply was lost is written again with the same name.
             if let Err(error) = self.objects.put(&name, body).await {
                 log::warn!("audit records wait: {error}");
                 return;
@@ -64,10 +64,10 @@
         }
     }
 
-    /// Returns the next records to write, without taking them out.
+    /// Returns the next records to write, which stay in the buffer.
     fn next_batch(&self) -> Option<Vec<AuditRecord>> {
         let mut buffer = self.buffer.lock();
-        if buffer.lost > 0 && buffer.records.len() < MAX_KEPT {
+        if buffer.lost > 0 && buffer.records.len() < MAX_BUFFERED {
             let lost = std::mem::take(&mut buffer.lost);
             let gap = self.stamp(AuditEvent::Gap { lost });
             buffer.records.push(gap);
@@ -82,15 +82,15 @@
         buffer.batches += 1;
     }
 
-    /// Names the object so that names sort by time.
+    /// Returns the name of an object. Names sort by time.
     fn object_name(&self, batch: &[AuditRecord]) -> String {
         let batches = self.buffer.lock().batches;
         let first = batch.first().map_or(0, |record| record.at.0);
-        format!("{AUDIT_PREFIX}{first:014}-{}-{batches:06}", self.me)
+        format!("{AUDIT_PREFIX}{first:014}-{}-{batches:06}", self.own_id)
     }
 
     fn stamp(&self, event: AuditEvent) -> AuditRecord {
-        AuditRecord { at: self.clock.unix(), by: self.me.clone(), event }
+        AuditRecord { at: self.clock.unix(), by: self.own_id.clone(), event }
     }
 }
 
@@ -99,7 +99,7 @@
         log::info!(target: "audit", "{}", serde_json::to_string(&event).unwrap_or_default());
         let record = self.stamp(event);
         let mut buffer = self.buffer.lock();
-        if buffer.records.len() < MAX_KEPT {
+        if buffer.records.len() < MAX_BUFFERED {
             buffer.records.push(record);
         } else {
             buffer.lost += 1;
@@ -117,7 +117,7 @@
     text.into()
 }
 
-/// Reads a batch; lines that do not decode are passed over.
+/// Decodes a batch. Invalid lines are skipped.
 pub fn decode(body: &[u8]) -> Vec<AuditRecord> {
     body.split(|byte| *byte == b'\n').filter_map(|line| serde_json::from_slice(line).ok()).collect()
 }
--- a/trackfront_adapters/src/back_off.rs
+++ b/trackfront_adapters/src/back_off.rs
@@ -1,16 +1,15 @@
-//! For how long a server that turns a request away wants no further ones.
+//! The time for which a server that refuses a request asks for no further ones.
 
 use std::time::Duration;
 
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, StatusCode};
 
-/// The longest time that is believed: whoever wants a longer one can say so again.
-const LONGEST: Duration = Duration::from_secs(3_600);
+/// The maximum time that is accepted. A server can ask again afterwards.
+const MAX_BACK_OFF: Duration = Duration::from_secs(3_600);
 
-/// Reads for how long a server wants no requests: `Retry-After` in seconds, fractions included, on an answer that it is
-/// not available. On one that there were too many requests it is about those of one caller. What cannot be read is logged
-/// and says nothing.
+/// Returns the time for which a server asks for no requests: the `Retry-After` header of a 503 answer, in seconds or
+/// fractions of them. In a 429 answer it only concerns one caller. An invalid value is logged and ignored.
 pub fn back_off(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
     let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
     let value = headers.get(RETRY_AFTER).filter(|_| is_unavailable)?;
@@ -19,5 +18,5 @@
     if back_off.is_none() {
         log::warn!(value:?; "time to come back not understood");
     }
-    back_off.map(|wait| wait.min(LONGEST))
+    back_off.map(|wait| wait.min(MAX_BACK_OFF))
 }
--- a/trackfront_adapters/src/clock.rs
+++ b/trackfront_adapters/src/clock.rs
@@ -7,15 +7,15 @@
 use trackfront_core::ports::Clock;
 use trackfront_core::units::{Moment, UnixMillis};
 
-/// The clock that counts the time for which the machine is suspended as well. By the steady clock, which timers go by,
-/// all that a box believes would be that much younger than it is when it wakes: a lease that another box has taken
-/// over, keys that were taken away, servers that left.
+/// A clock that includes the time for which the machine is suspended. By the monotonic clock, on which timers are based,
+/// a resumed box would underestimate the age of what it knows, such as a lease that another box has acquired, keys that
+/// were removed and servers that left.
 #[derive(Debug)]
 pub struct SystemClock {
     start: Duration,
 }
 
-/// Returns the time since the machine started, in which it was suspended or not.
+/// Returns the time since the machine started, including suspensions.
 fn since_boot() -> Duration {
     clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has had this clock since 2.6.39").into()
 }
--- a/trackfront_adapters/src/engine.rs
+++ b/trackfront_adapters/src/engine.rs
@@ -25,16 +25,16 @@
     RESUME_HEADER, VERSION_HEADER, continued_body, generate_path, parse_event_id,
 };
 
-/// How long an engine may take to answer outside of generation.
-const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// The timeout of requests other than text requests.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long a KV cache may take to move.
-const KV_TIME: Duration = Duration::from_secs(10);
+/// The timeout of the transfer of a KV cache.
+const KV_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How much of an engine's error is passed on, in characters.
+/// The maximum length of an engine's error message in characters.
 const DETAIL_CHARS: usize = 200;
 
-/// The engine at an address.
+/// A client of the engine at an address.
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
     client: HttpClient,
@@ -42,12 +42,12 @@
 }
 
 impl HttpEngine {
-    /// Uses the engine at `address`.
+    /// Creates a client of the engine at `address`.
     pub fn new(client: HttpClient, address: impl Into<String>) -> Self {
         Self { client, address: address.into() }
     }
 
-    async fn ask(
+    async fn send(
         &self,
         method: Method,
         path: &str,
@@ -59,8 +59,10 @@
     }
 
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, EngineError> {
-        let answer =
-            self.ask(Method::GET, path, Bytes::new(), ANSWER_TIME).await.map_err(unavailable)?;
+        let answer = self
+            .send(Method::GET, path, Bytes::new(), REQUEST_TIMEOUT)
+            .await
+            .map_err(unavailable)?;
         if answer.status != StatusCode::OK {
             return Err(EngineError::BadAnswer(format!("status {}", answer.status)));
         }
@@ -68,7 +70,7 @@
             .map_err(|error| EngineError::BadAnswer(error.to_string()))
     }
 
-    /// Makes the HTTP request for a text request.
+    /// Returns the HTTP request for a text request.
     fn generate_request(
         &self,
         wanted: &GenerateRequest,
@@ -100,7 +102,7 @@
 impl Engine for HttpEngine {
     async fn generate(&self, wanted: GenerateRequest) -> Result<FrameStream, GenerateError> {
         let request = self.generate_request(&wanted).map_err(generate_error)?;
-        // From here on the engine may be at work, so a caller that goes away has to cancel it.
+        // The engine may process the request from now on, so it is cancelled if the caller leaves.
         let mut guard = CancelGuard { engine: self.clone(), request: Some(wanted.id.clone()) };
         let response = match self.client.send(request).await {
             Ok(response) => response,
@@ -119,20 +121,21 @@
             let events = BodyDataStream::new(response.into_body()).eventsource();
             return Ok(Box::pin(frames(events.boxed(), guard)));
         }
-        let frames = whole_answer(response).await?;
+        let frames = complete_answer(response).await?;
         guard.request = None;
         Ok(Box::pin(futures::stream::iter(frames.into_iter().map(Ok))))
     }
 
     async fn cancel(&self, request: &RequestId) -> Result<(), EngineError> {
         let path = format!("{CANCEL_PATH}{request}");
-        let asked = self.ask(Method::POST, &path, Bytes::new(), ANSWER_TIME).await;
-        asked.map(|_| ()).map_err(unavailable)
+        let sent = self.send(Method::POST, &path, Bytes::new(), REQUEST_TIMEOUT).await;
+        sent.map(|_| ()).map_err(unavailable)
     }
 
     async fn order(&self, order: &Order) -> OrderReply {
         let body = serde_json::to_vec(order).expect("our own types always encode");
-        let answer = match self.ask(Method::POST, ORDERS_PATH, body.into(), ANSWER_TIME).await {
+        let answer = match self.send(Method::POST, ORDERS_PATH, body.into(), REQUEST_TIMEOUT).await
+        {
             Ok(answer) => answer,
             Err(error) => return OrderReply::Unknown(unavailable(error)),
         };
@@ -155,7 +158,7 @@
     async fn export_kv(&self, request: &RequestId) -> Result<Option<KvBlob>, EngineError> {
         let path = format!("{KV_PATH}{request}");
         let answer =
-            self.ask(Method::GET, &path, Bytes::new(), KV_TIME).await.map_err(unavailable)?;
+            self.send(Method::GET, &path, Bytes::new(), KV_TIMEOUT).await.map_err(unavailable)?;
         match answer.status {
             StatusCode::OK => Ok(Some(KvBlob(answer.body))),
             StatusCode::NOT_FOUND => Ok(None),
@@ -165,7 +168,7 @@
 
     async fn import_kv(&self, request: &RequestId, kv: KvBlob) -> Result<(), EngineError> {
         let path = format!("{KV_PATH}{request}");
-        let answer = self.ask(Method::PUT, &path, kv.0, KV_TIME).await.map_err(unavailable)?;
+        let answer = self.send(Method::PUT, &path, kv.0, KV_TIMEOUT).await.map_err(unavailable)?;
         match answer.status {
             StatusCode::OK => Ok(()),
             status => Err(EngineError::BadAnswer(format!("status {status}"))),
@@ -173,7 +176,7 @@
     }
 }
 
-/// Cancels a request at the engine unless it came to its end.
+/// Cancels a request at the engine when dropped, unless it has ended.
 struct CancelGuard {
     engine: HttpEngine,
     request: Option<RequestId>,
@@ -195,8 +198,8 @@
 
 type Events<E> = BoxStream<'static, Result<Event, eventsource_stream::EventStreamError<E>>>;
 
-/// Turns a stream of events into frames. After a broken connection the request is not
-/// cancelled, so that it can be resumed.
+/// Converts a stream of events to frames. After a lost connection the request is not cancelled, so that
+/// it can be resumed.
 fn frames<E: std::fmt::Display + 'static>(
     events: Events<E>,
     guard: CancelGuard,
@@ -216,7 +219,7 @@
     })
 }
 
-/// Reads one event as a frame.
+/// Converts an event to a frame.
 fn frame(event: &Event) -> Result<Frame, GenerateError> {
     let (request, offset) = parse_event_id(&event.id)
         .ok_or_else(|| GenerateError::Broke(format!("an event has the id `{}`", event.id)))?;
@@ -227,8 +230,8 @@
     Ok(Frame { request, offset, body })
 }
 
-/// Reads a whole answer as one frame and its end.
-async fn whole_answer(
+/// Reads a complete answer as one frame and its end.
+async fn complete_answer(
     response: http::Response<hyper::body::Incoming>,
 ) -> Result<[Frame; 2], GenerateError> {
     let answer = read_answer(response).await.map_err(generate_error)?;
--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -1,4 +1,4 @@
-//! An HTTP client whose errors say whether anything was sent.
+//! An HTTP client whose errors state whether the request was sent.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,52 +18,52 @@
 
 use crate::keep_alive;
 
-/// How long a connection may take to open: several times the way to the farthest hall.
+/// The timeout for opening a connection, several times the latency to the farthest hall.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long an unused connection is kept.
+/// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// How many addresses are kept connections to. Far more than a deployment has; servers that come and go
-/// leave theirs behind.
+/// The maximum number of addresses with connections, far more than a deployment has. Connections of servers
+/// that left would otherwise accumulate.
 const MAX_ADDRESSES: usize = 4_096;
 
-/// The largest answer that is read whole, in bytes.
+/// The maximum size of an answer in bytes.
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// How long an answer that has begun may pause: over it, a link that loses packets has sent the lost ones
-/// again more than once.
+/// The maximum pause while an answer is read. In this time a lossy link retransmits lost packets more than
+/// once.
 pub(crate) const MAX_PAUSE: Duration = Duration::from_millis(900);
 
-/// What the narrowest link has left for one body, in bytes a second: a sixth of 10 Mbit/s.
-const LEAST_RATE: f64 = 200_000.0;
+/// The minimum transfer rate of a body in bytes per second: a sixth of 10 Mbit/s.
+const MIN_RATE: f64 = 200_000.0;
 
-/// Returns how long a body may be on its way.
-pub(crate) fn time_on_the_way(bytes: usize) -> Duration {
-    Duration::from_secs_f64(bytes as f64 / LEAST_RATE)
+/// Returns the maximum transfer time of a body.
+pub(crate) fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MIN_RATE)
 }
 
-/// How long an answer may take whose size depends on the deployment.
+/// The timeouts of an answer whose size depends on the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Patience {
-    /// Until its head is there.
+pub struct AnswerTimeouts {
+    /// The timeout until the head.
     pub head: Duration,
-    /// Until all of it is there. It has to keep coming meanwhile.
+    /// The timeout until the end of the body.
     pub whole: Duration,
 }
 
-/// Why there is no answer.
+/// Why there is no complete answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum HttpError {
-    /// Nothing was sent.
+    /// The request was not sent.
     #[error("{0}")]
     NotSent(String),
-    /// The request was sent, wholly or in part, and no whole answer came.
+    /// The request was sent, at least in part, but no complete answer arrived.
     #[error("{0}")]
     Lost(String),
 }
 
-/// A whole answer.
+/// A complete answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
     /// The status.
@@ -76,12 +76,12 @@
 
 type Connections = Client<HttpConnector, Full<Bytes>>;
 
-/// A client that keeps connections open. It never repeats a request by itself.
+/// A client that reuses connections. It never repeats a request by itself.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     http2_only: bool,
-    /// By address. Those to one address are left for new ones when an answer stays out: the ones that were
-    /// kept open may be as silent as the one that it did not come on.
+    /// Connections by address. After a timeout all connections to an address are dropped, since the others may
+    /// have failed for the same reason.
     connections: Arc<Mutex<HashMap<Authority, Connections>>>,
 }
 
@@ -92,7 +92,7 @@
 }
 
 impl HttpClient {
-    /// Makes a client that speaks HTTP/2 only, to servers that are known to.
+    /// Creates a client that only uses HTTP/2, for servers that support it.
     pub fn http2() -> Self {
         Self::new(true)
     }
@@ -112,7 +112,7 @@
         Some(connections.entry(address).or_insert_with(new).clone())
     }
 
-    /// Sends `request` and returns once the answer's head is there.
+    /// Sends `request` and waits for the head of the answer.
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
@@ -121,12 +121,12 @@
         let connections = connections
             .ok_or_else(|| HttpError::NotSent(format!("{} names no address", request.uri())))?;
         connections.request(request).await.map_err(|error| {
-            let detail = chain(&error);
+            let detail = error_chain(&error);
             if error.is_connect() { HttpError::NotSent(detail) } else { HttpError::Lost(detail) }
         })
     }
 
-    /// Sends `request` and reads the whole answer within `time`.
+    /// Sends `request` and reads the complete answer within `time`.
     pub async fn fetch(
         &self,
         request: Request<Full<Bytes>>,
@@ -137,40 +137,39 @@
             let response = self.send(request).await?;
             read_answer(response).await
         });
-        fetched.await.unwrap_or_else(|_| Err(self.too_late(address, "no answer", time)))
+        fetched.await.unwrap_or_else(|_| Err(self.timed_out(address, "no answer", time)))
     }
 
-    /// Sends `request` and reads an answer that may be large. What bounds it is that it keeps coming: a
-    /// configuration of 1 MB takes 0.85 s of a link of 10 Mbit/s, and with 0.9 s for the whole of it 84 of 90
-    /// boxes gave it up and began anew.
+    /// Sends `request` and reads an answer that may be large. Besides the timeouts, pauses are bounded. A
+    /// configuration of 1 MB takes 0.85 s on a link of 10 Mbit/s; with a timeout of 0.9 s and no other bound, 84 of
+    /// 90 boxes aborted the transfer and started again.
     pub async fn fetch_large(
         &self,
         request: Request<Full<Bytes>>,
-        patience: Patience,
+        timeouts: AnswerTimeouts,
     ) -> Result<Answer, HttpError> {
-        let Patience { head, whole } = patience;
+        let AnswerTimeouts { head, whole } = timeouts;
         let address = request.uri().authority().cloned();
         let fetched = timeout(whole, async {
             let Ok(response) = timeout(head, self.send(request)).await else {
-                return Err(self.too_late(address.clone(), "no answer", head));
+                return Err(self.timed_out(address.clone(), "no answer", head));
             };
             match read_large(response?).await {
                 Some(answer) => answer,
-                None => Err(self.too_late(address.clone(), "no more of it", MAX_PAUSE)),
+                None => Err(self.timed_out(address.clone(), "no more of it", MAX_PAUSE)),
             }
         });
         let fetched = fetched.await;
-        fetched.unwrap_or_else(|_| Err(self.too_late(address, "no whole answer", whole)))
+        fetched.unwrap_or_else(|_| Err(self.timed_out(address, "no whole answer", whole)))
     }
 
-    /// Leaves all connections that are kept open: the machine was suspended, and their other ends may have given them
-    /// up.
+    /// Drops all connections, for example after the machine was suspended, since the other ends may have closed them.
     pub fn forget_connections(&self) {
         self.connections.lock().clear();
     }
 
-    /// Says what did not come in time, and leaves the connections to that address that are kept open.
-    fn too_late(&self, address: Option<Authority>, what: &str, time: Duration) -> HttpError {
+    /// Drops the connections to an address after a timeout, and returns the error.
+    fn timed_out(&self, address: Option<Authority>, what: &str, time: Duration) -> HttpError {
         if let Some(address) = address {
             self.connections.lock().remove(&address);
         }
@@ -178,7 +177,7 @@
     }
 }
 
-/// Reads the rest of an answer for as long as it keeps coming; `None` if it stops.
+/// Reads the rest of an answer. Returns `None` after a pause longer than [`MAX_PAUSE`].
 async fn read_large(response: Response<Incoming>) -> Option<Result<Answer, HttpError>> {
     let (parts, body) = response.into_parts();
     let mut body = Limited::new(body, MAX_ANSWER_BYTES);
@@ -186,7 +185,7 @@
     while let Some(frame) = timeout(MAX_PAUSE, body.frame()).await.ok()? {
         match frame.map(Frame::into_data) {
             Ok(Ok(piece)) => whole.extend_from_slice(&piece),
-            // Trailers say nothing that anybody here asks for.
+            // Trailers are not used.
             Ok(Err(_)) => {}
             Err(error) => return Some(Err(HttpError::Lost(error.to_string()))),
         }
@@ -198,7 +197,7 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    keep_alive::watch_all(&mut connector);
+    keep_alive::enable_for_all(&mut connector);
     Client::builder(TokioExecutor::new())
         .http2_only(http2_only)
         .pool_idle_timeout(IDLE_TIMEOUT)
@@ -215,13 +214,16 @@
     Ok(Answer { status: parts.status, headers: parts.headers, body })
 }
 
-/// Makes a request builder for a path on a server.
+/// Returns a request builder for a path on a server.
 pub fn request(method: Method, address: &str, path: &str) -> http::request::Builder {
     Request::builder().method(method).uri(format!("http://{address}{path}"))
 }
 
-/// Adds a body to a builder. Addresses and paths are checked where they are read, so a failure
-/// means that a caller's path has characters that no URI has.
+/// Adds a body to a request builder.
+///
+/// # Errors
+///
+/// If the path of the request is not valid in a URI.
 pub fn with_body(
     builder: http::request::Builder,
     body: impl Into<Bytes>,
@@ -231,8 +233,8 @@
         .map_err(|error| HttpError::NotSent(format!("the request cannot be made: {error}")))
 }
 
-/// Returns an error's message with those of its causes.
-pub(crate) fn chain(error: &dyn std::error::Error) -> String {
+/// Returns the message of an error with those of its causes.
+pub(crate) fn error_chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
     while let Some(inner) = cause {
--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -1,4 +1,4 @@
-//! An HTTP/1.1 and HTTP/2 server with limits, for every listener of ours.
+//! An HTTP/1.1 and HTTP/2 server with limits, for all listeners.
 
 use std::future::Future;
 use std::time::Duration;
@@ -19,29 +19,29 @@
 
 use crate::keep_alive;
 
-/// How many headers a request may have: more than any client library sends.
+/// The maximum number of headers of a request, more than any client library sends.
 const MAX_HEADERS: usize = 64;
 
-/// How many bytes a request's head may have.
+/// The default maximum size of a request's head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
-/// How long a request's head may take to arrive.
+/// The default timeout for the arrival of a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How many connections a listener serves at once; more wait in the backlog.
+/// The default maximum number of concurrent connections. More wait in the backlog.
 const MAX_CONNECTIONS: usize = 8_192;
 
-/// The least size of a buffer for heads that the HTTP library takes.
+/// The minimum size of the buffer for heads in the HTTP library.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
-/// What a listener bears.
+/// The limits of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerLimits {
-    /// How many bytes a request's head may have.
+    /// The default maximum size of a request's head in bytes.
     pub head_bytes: usize,
-    /// How long a connection may wait for a whole head, idle time between requests included.
+    /// The timeout for the arrival of a complete head, including idle time between requests.
     pub head_timeout: Duration,
-    /// How many connections are served at once; more wait in the backlog.
+    /// The maximum number of concurrent connections. More wait in the backlog.
     pub connections: usize,
 }
 
@@ -55,32 +55,32 @@
     }
 }
 
-/// How many streams a connection may have open at once over HTTP/2.
+/// The maximum number of concurrent streams of an HTTP/2 connection.
 const MAX_STREAMS: u32 = 512;
 
-/// An error of a streamed body; it ends the connection.
+/// An error of a streamed body, which closes the connection.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
 /// The body of a response.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
-/// Says that a connection is to be dropped without an answer. Only stand-ins do that.
+/// Closes the connection without an answer. Only used by stand-ins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the connection is dropped without an answer")]
 pub struct Abort;
 
-/// Makes a body of bytes that are all there.
+/// Returns a body with the given bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Makes a response with a JSON body.
+/// Returns a response with a JSON body.
 pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
     let bytes = serde_json::to_vec(value).expect("our own types always encode");
     response(status, "application/json", bytes)
 }
 
-/// Makes a response with a body of some type.
+/// Returns a response with a body of a content type.
 pub fn response(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Response<Body> {
     Response::builder()
         .status(status)
@@ -92,18 +92,18 @@
 /// Why a request's body was not read.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ReadBodyError {
-    /// The body is over the limit.
+    /// The body exceeds the limit.
     #[error("the body is over the limit")]
     TooLarge,
     /// The body did not arrive in time.
     #[error("the body did not arrive in time")]
     TooSlow,
-    /// The connection broke.
+    /// The connection was lost.
     #[error("the body broke off: {0}")]
     Broken(String),
 }
 
-/// Reads a whole body of at most `limit` bytes within `time`.
+/// Reads a complete body of at most `limit` bytes within `time`.
 pub async fn read_body(
     body: Incoming,
     limit: usize,
@@ -118,8 +118,8 @@
     }
 }
 
-/// Serves `handler` on `listener` until `stop` turns true; then takes no new connection,
-/// tells the open ones to close, and returns once every request in progress is answered.
+/// Serves `handler` on `listener` until `stop` is true. Then accepts no new connections, closes the open
+/// ones gracefully, and returns when every request in progress is answered.
 pub async fn serve<H, F>(listener: TcpListener, handler: H, stop: watch::Receiver<bool>)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -128,7 +128,7 @@
     serve_with(listener, ServerLimits::default, handler, stop).await;
 }
 
-/// As [`serve`], with limits that are asked for anew for each connection.
+/// Like [`serve`], with limits that are evaluated for each connection.
 pub async fn serve_with<L, H, F>(
     listener: TcpListener,
     limits: L,
@@ -140,7 +140,7 @@
     F: Future<Output = Result<Response<Body>, Abort>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    // The connections belong to this task, so that they end with it if it is aborted.
+    // The connections belong to this task, so they are closed if it is aborted.
     let mut connections = JoinSet::new();
     loop {
         let has_slot = connections.len() < limits().connections;
@@ -156,7 +156,7 @@
             }
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
-                // The usual cause is a lack of file descriptors, which passes.
+                // The usual cause is a temporary lack of file descriptors.
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -165,12 +165,12 @@
     graceful.shutdown().await;
 }
 
-/// Waits until `stop` turns true or its sender is gone.
+/// Waits until `stop` is true or its sender is dropped.
 pub async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
-/// Serves one connection to its end.
+/// Serves a connection until it is closed.
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: ServerLimits,
@@ -181,7 +181,7 @@
     F: Future<Output = Result<Response<Body>, Abort>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    keep_alive::watch(&stream);
+    keep_alive::enable(&stream);
     let service = service_fn(handler);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/trackfront_adapters/src/interface.rs
+++ b/trackfront_adapters/src/interface.rs
@@ -1,6 +1,6 @@
-//! How requests are written on the wire, as traits that a deployment's interface implements.
+//! The wire formats of requests, as traits that each deployment's interface implements.
 //!
-//! The request pipeline decides; an interface only translates names and formats.
+//! The request pipeline makes the decisions. An interface only translates names and formats.
 
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 
 use crate::http_server::Body;
 
-/// Headers that concern one connection only, beside those that `Connection` names.
+/// The headers that concern a single connection, in addition to those listed in `Connection`.
 pub(crate) const CONNECTION_HEADERS: [&str; 7] = [
     "connection",
     "keep-alive",
@@ -30,52 +30,52 @@
 
 /// The interface to clients.
 pub trait ClientInterface: Send + Sync {
-    /// Reads what a request says of itself.
+    /// Decodes the properties of a request.
     fn read(&self, parts: &request::Parts) -> Result<RequestInfo, Refusal>;
 
-    /// Writes an answer of the node's own.
+    /// Encodes a refusal.
     fn refuse(&self, refusal: &Refusal, id: Option<&RequestId>) -> Response<Body>;
 }
 
-/// One send of a request to a server.
+/// An attempt to send a request to a server.
 #[derive(Clone, Debug)]
 pub struct Attempt<'a> {
     /// The server.
     pub server: &'a ServerEntry,
-    /// How long the client will still wait; `None` if it did not say.
+    /// The time until the client's deadline; `None` if it has none.
     pub time_left: Option<Duration>,
-    /// The rank; 0 goes first.
+    /// The priority; 0 is the highest.
     pub priority: u8,
-    /// The client account whose request it is.
+    /// The client account of the request.
     pub account: Option<&'a AccountName>,
-    /// The last event that the client has, to continue a stream.
+    /// The last event that the client received, after which the stream continues.
     pub after_event: Option<&'a str>,
 }
 
-/// What the head of a server's answer says.
+/// The decoded head of a server's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerHead {
-    /// The request that it answers, by the server's word.
+    /// The request that it answers, as stated by the server.
     pub request: Option<RequestId>,
-    /// Whether the server says that it did not run the request.
+    /// Whether the server states that it did not run the request.
     pub not_run: bool,
-    /// Whether the server says that it is another one than expected, or lacks the model.
+    /// Whether the server is not the expected one or lacks the model.
     pub misdirected: bool,
-    /// The run of the server that answered, if it says.
+    /// The instance of the server that answered, if stated.
     pub instance: Option<ServerKey>,
-    /// Whether the answer bears the mark that makes it count as the server's own.
+    /// Whether the answer has the server's signature.
     pub signed: bool,
     /// The server's load.
     pub load: Option<ReportedLoad>,
-    /// How much longer it is cold, if it says so.
+    /// The remaining time for which the server is cold, if stated.
     pub cold_for: Option<Duration>,
-    /// What it says of itself beside.
+    /// The server's other statements about itself.
     pub notice: Notice,
 }
 
 /// The interface to servers.
 pub trait ServerInterface: Send + Sync {
-    /// Writes a request of a client for a server.
+    /// Encodes a client's request for a server.
     fn request(
         &self,
         head: &request::Parts,
@@ -83,23 +83,23 @@
         attempt: &Attempt<'_>,
     ) -> Request<Full<Bytes>>;
 
-    /// Reads the head of an answer.
+    /// Decodes the head of an answer.
     fn read_head(&self, parts: &response::Parts) -> ServerHead;
 
-    /// Writes a question for an engine's report.
+    /// Encodes a request for an engine's report.
     fn report_request(&self, server: &ServerEntry) -> Request<Full<Bytes>>;
 
-    /// Reads an engine's report; the error says what is wrong with it.
+    /// Decodes an engine's report. The error describes what is invalid.
     fn read_report(&self, body: &[u8]) -> Result<EngineReport, String>;
 
-    /// Writes an order.
+    /// Encodes an order.
     fn order_request(&self, server: &ServerEntry, order: &EngineOrder) -> Request<Full<Bytes>>;
 
-    /// Reads the answer to an order.
+    /// Decodes the answer to an order.
     fn read_order_answer(&self, status: StatusCode) -> OrderAnswer;
 }
 
-/// Copies the headers that are passed on: all but those that concern one connection.
+/// Returns the end-to-end headers: all except those that concern a single connection.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
--- a/trackfront_adapters/src/key.rs
+++ b/trackfront_adapters/src/key.rs
@@ -1,4 +1,4 @@
-//! The deployment's key, which peers and operators have to show.
+//! The deployment's key, which authenticates peers and operators.
 
 use std::fmt;
 use std::io;
@@ -8,7 +8,7 @@
 use http::header::AUTHORIZATION;
 use subtle::ConstantTimeEq;
 
-/// The shortest key that is taken, in characters.
+/// The minimum length of a key in characters.
 const MIN_KEY_CHARS: usize = 16;
 
 /// The secret that the boxes and the operators of a deployment share. It is never printed.
@@ -22,7 +22,11 @@
 }
 
 impl DeploymentKey {
-    /// Takes a key; one that is too short is refused.
+    /// Creates a key from its text.
+    ///
+    /// # Errors
+    ///
+    /// If it is too short.
     pub fn new(text: &str) -> Result<Self, String> {
         let text = text.trim();
         if text.len() < MIN_KEY_CHARS {
@@ -39,13 +43,13 @@
         Self::new(&text).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 
-    /// Returns the value of the `authorization` header that shows this key.
+    /// Returns the value of the `authorization` header with this key.
     pub fn authorization(&self) -> String {
         format!("Bearer {}", self.0)
     }
 
-    /// Returns whether the headers show this key. The time taken does not depend on the key.
-    pub fn is_shown_by(&self, headers: &HeaderMap) -> bool {
+    /// Returns whether the headers contain this key, in constant time.
+    pub fn authenticates(&self, headers: &HeaderMap) -> bool {
         bearer(headers).is_some_and(|shown| shown.as_bytes().ct_eq(self.0.as_bytes()).into())
     }
 }
--- a/trackfront_adapters/src/peers.rs
+++ b/trackfront_adapters/src/peers.rs
@@ -1,4 +1,4 @@
-//! Messages between entry boxes: `bincode` over streams of `h2`.
+//! Messages between entry boxes, encoded with `bincode` and sent over HTTP/2.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -20,43 +20,43 @@
 use trackfront_core::ports::peers::{PeerAnswer, PeerMessage};
 use trackfront_core::ports::{PeerError, Peers};
 
-use crate::http_client::{MAX_PAUSE, time_on_the_way};
+use crate::http_client::{MAX_PAUSE, transfer_time};
 use crate::http_server::stopped;
 use crate::keep_alive;
 use crate::key::DeploymentKey;
 
-/// The path of the one kind of request there is. A change of the messages changes it.
+/// The path of all requests, which has to change with the message format.
 const PATH: &str = "/peer/2";
 
-/// How long a peer may take to answer, beside the time that the message is on its way.
-const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// The timeout for an answer, in addition to the transfer time of the message.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The largest message, in bytes: a tree's snapshot with room to spare.
+/// The maximum size of a message in bytes, sufficient for the snapshot of a tree.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
-/// The links to the other boxes; one connection is kept open to each.
+/// Connections to the other boxes, one for each.
 pub struct H2Peers {
     key: DeploymentKey,
-    links: Mutex<HashMap<String, SendRequest<Bytes>>>,
+    connections: Mutex<HashMap<String, SendRequest<Bytes>>>,
 }
 
 impl H2Peers {
-    /// Makes links that show `key`.
+    /// Creates a client that authenticates with `key`.
     pub fn new(key: DeploymentKey) -> Self {
-        Self { key, links: Mutex::default() }
+        Self { key, connections: Mutex::default() }
     }
 
-    /// Returns the open link to `address`, or opens one.
-    async fn link(&self, address: &str) -> Result<SendRequest<Bytes>, PeerError> {
-        let kept = self.links.lock().get(address).cloned();
-        if let Some(link) = kept
+    /// Returns the connection to `address`, which is opened if needed.
+    async fn connection(&self, address: &str) -> Result<SendRequest<Bytes>, PeerError> {
+        let open = self.connections.lock().get(address).cloned();
+        if let Some(link) = open
             && let Ok(link) = link.ready().await
         {
             return Ok(link);
         }
         let stream = TcpStream::connect(address).await.map_err(unavailable)?;
         let _ = stream.set_nodelay(true);
-        keep_alive::watch(&stream);
+        keep_alive::enable(&stream);
         let (link, connection) = h2::client::handshake(stream).await.map_err(unavailable)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -64,7 +64,7 @@
             }
         });
         let link = link.ready().await.map_err(unavailable)?;
-        self.links.lock().insert(address.to_string(), link.clone());
+        self.connections.lock().insert(address.to_string(), link.clone());
         Ok(link)
     }
 
@@ -74,7 +74,7 @@
         message: &PeerMessage,
     ) -> Result<PeerAnswer, PeerError> {
         let message = encode(message);
-        let time = ANSWER_TIME + time_on_the_way(message.len());
+        let time = ANSWER_TIMEOUT + transfer_time(message.len());
         let response = timeout(time, self.send(address, message)).await;
         let response = response.unwrap_or_else(|_| Err(unavailable("no answer in time")))?;
         match response.status() {
@@ -88,7 +88,7 @@
 
     /// Sends a message and waits for the head of the answer.
     async fn send(&self, address: &str, message: Bytes) -> Result<Response<RecvStream>, PeerError> {
-        let mut link = self.link(address).await?;
+        let mut link = self.connection(address).await?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{address}{PATH}"))
@@ -106,13 +106,13 @@
     async fn ask(&self, address: &str, message: PeerMessage) -> Result<PeerAnswer, PeerError> {
         let answer = self.exchange(address, &message).await;
         if matches!(answer, Err(PeerError::Unavailable(_))) {
-            self.links.lock().remove(address);
+            self.connections.lock().remove(address);
         }
         answer
     }
 }
 
-/// Answers peers on `listener` with `handler` until `stop` turns true.
+/// Answers peers on `listener` with `handler` until `stop` is true.
 pub async fn serve_peers<H, F>(
     listener: TcpListener,
     key: DeploymentKey,
@@ -123,17 +123,22 @@
     F: Future<Output = PeerAnswer> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    // The links belong to this task, so that they end with it if it is aborted.
-    let mut links = JoinSet::new();
+    // The connections belong to this task, so they are closed if it is aborted.
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            Some(_) = links.join_next() => continue,
+            Some(_) = connections.join_next() => continue,
             () = stopped(&mut stop) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                links.spawn(serve_link(stream, key.clone(), handler.clone(), stop.clone()));
+                connections.spawn(serve_connection(
+                    stream,
+                    key.clone(),
+                    handler.clone(),
+                    stop.clone(),
+                ));
             }
             Err(error) => {
                 log::warn!("a peer link could not be accepted: {error}");
@@ -143,8 +148,8 @@
     }
 }
 
-/// Answers one peer until the link closes.
-async fn serve_link<H, F>(
+/// Answers a peer until the connection is closed.
+async fn serve_connection<H, F>(
     stream: TcpStream,
     key: DeploymentKey,
     handler: Arc<H>,
@@ -154,7 +159,7 @@
     F: Future<Output = PeerAnswer> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    keep_alive::watch(&stream);
+    keep_alive::enable(&stream);
     let Ok(mut connection) = h2::server::handshake(stream).await else {
         return;
     };
@@ -163,7 +168,7 @@
             accepted = connection.accept() => accepted,
             () = stopped(&mut stop) => {
                 connection.graceful_shutdown();
-                // The streams in progress are answered while the connection is driven on.
+                // Streams in progress are only answered while the connection is polled.
                 while connection.accept().await.is_some() {}
                 return;
             },
@@ -180,7 +185,7 @@
     }
 }
 
-/// Answers one message.
+/// Answers a message.
 async fn answer<H, F>(
     request: Request<RecvStream>,
     mut respond: h2::server::SendResponse<Bytes>,
@@ -191,7 +196,7 @@
     H: Fn(PeerMessage) -> F,
     F: Future<Output = PeerAnswer>,
 {
-    if !key.is_shown_by(request.headers()) {
+    if !key.authenticates(request.headers()) {
         log::warn!("a peer showed a wrong key or none and was refused");
         return refuse(&mut respond, StatusCode::UNAUTHORIZED);
     }
@@ -220,7 +225,7 @@
     respond.send_response(response, true).map(|_| ())
 }
 
-/// Sends a whole body as the peer's window allows.
+/// Sends a body as the flow control window of the peer allows.
 async fn send_all(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), h2::Error> {
     while !bytes.is_empty() {
         stream.reserve_capacity(bytes.len());
@@ -234,7 +239,7 @@
     stream.send_data(Bytes::new(), true)
 }
 
-/// Reads a whole body, up to the largest message, for as long as it keeps coming.
+/// Reads a body of at most [`MAX_MESSAGE_BYTES`] without pauses longer than [`MAX_PAUSE`].
 async fn read_all(mut stream: RecvStream) -> Result<Bytes, h2::Error> {
     let mut bytes = BytesMut::new();
     let next = async |stream: &mut RecvStream| {
@@ -251,7 +256,7 @@
     Ok(bytes.freeze())
 }
 
-/// Returns how many bytes a message takes on a link, without the frame around it.
+/// Returns the encoded size of a message in bytes, without HTTP/2 frames.
 pub fn encoded_len(value: &impl Serialize) -> usize {
     encode(value).len()
 }
--- a/trackfront_adapters/src/plain.rs
+++ b/trackfront_adapters/src/plain.rs
@@ -1,4 +1,4 @@
-//! A server of a plain service over HTTP.
+//! A client of a plain service's server over HTTP.
 
 use std::time::Duration;
 
@@ -12,13 +12,13 @@
 use crate::interface::CONNECTION_HEADERS;
 use crate::wire::engine::REQUEST_ID_HEADER;
 
-/// How long a call may take at most; the caller's own deadline is mostly shorter.
-const CALL_TIME: Duration = Duration::from_secs(60);
+/// The timeout of a call. The deadline of its caller is usually shorter.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Headers that are ours and are not passed on, beside those that concern one connection only.
+/// The headers that are not forwarded, in addition to those that concern a single connection.
 const OWN_HEADERS: [&str; 3] = ["host", "authorization", "content-length"];
 
-/// One server of a plain service at an address.
+/// A client of the plain server at an address.
 #[derive(Clone, Debug)]
 pub struct HttpPlainService {
     client: HttpClient,
@@ -26,7 +26,7 @@
 }
 
 impl HttpPlainService {
-    /// Uses the server at `address`.
+    /// Creates a client of the server at `address`.
     pub fn new(client: HttpClient, address: impl Into<String>) -> Self {
         Self { client, address: address.into() }
     }
@@ -43,22 +43,22 @@
             builder = builder.header(&header.name, header.value.as_slice());
         }
         let request = with_body(builder, call.body).map_err(plain_error)?;
-        let answer = self.client.fetch(request, CALL_TIME).await.map_err(plain_error)?;
+        let answer = self.client.fetch(request, CALL_TIMEOUT).await.map_err(plain_error)?;
         let request = answer.headers.get(REQUEST_ID_HEADER).and_then(|id| id.to_str().ok());
         Ok(PlainReply {
             request: request.map(RequestId::from),
             status: answer.status.as_u16(),
-            headers: passed_on(&answer.headers),
+            headers: forwarded_headers(&answer.headers),
             body: answer.body,
         })
     }
 }
 
-/// Returns the headers that are passed on.
-pub fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+/// Returns the headers that are forwarded.
+pub fn forwarded_headers(headers: &HeaderMap) -> Vec<Header> {
     headers
         .iter()
-        .filter(|(name, _)| !is_own(name))
+        .filter(|(name, _)| !is_not_forwarded(name))
         .map(|(name, value): (&HeaderName, &HeaderValue)| Header {
             name: name.as_str().to_string(),
             value: value.as_bytes().to_vec(),
@@ -66,7 +66,7 @@
         .collect()
 }
 
-fn is_own(name: &HeaderName) -> bool {
+fn is_not_forwarded(name: &HeaderName) -> bool {
     let name = name.as_str();
     name == REQUEST_ID_HEADER || OWN_HEADERS.contains(&name) || CONNECTION_HEADERS.contains(&name)
 }
--- a/trackfront_adapters/src/platform/mod.rs
+++ b/trackfront_adapters/src/platform/mod.rs
@@ -1,4 +1,4 @@
-//! The platform's service over HTTP.
+//! Clients of the platform's services over HTTP.
 
 mod box_list;
 mod objects;
@@ -10,5 +10,5 @@
 pub use objects::HttpObjects;
 pub use table::HttpTable;
 
-/// How long the platform may take to answer before the reply counts as lost.
-const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// The timeout after which a reply counts as lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
--- a/trackfront_adapters/src/platform/objects.rs
+++ b/trackfront_adapters/src/platform/objects.rs
@@ -7,16 +7,16 @@
 use http::{Method, StatusCode};
 use trackfront_core::ports::{ObjectError, Objects};
 
-use super::ANSWER_TIME;
+use super::ANSWER_TIMEOUT;
 use crate::http_client::{
-    Answer, HttpClient, HttpError, Patience, request, time_on_the_way, with_body,
+    Answer, AnswerTimeouts, HttpClient, HttpError, request, transfer_time, with_body,
 };
 use crate::wire::platform::{OBJECT_LIST_PATH, OBJECTS_PATH};
 
-/// How long an object may go on coming: the largest snapshot of a tree, 8 MB, on a link of 10 Mbit/s.
-const READING_TIME: Duration = Duration::from_secs(8);
+/// The timeout for reading an object: the largest snapshot of a tree, 8 MB, on a link of 10 Mbit/s.
+const READ_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// The platform's object store at an address.
+/// A client of the platform's object store at an address.
 #[derive(Clone, Debug)]
 pub struct HttpObjects {
     client: HttpClient,
@@ -31,8 +31,8 @@
 
     async fn ask(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, ObjectError> {
         let unavailable = |error: HttpError| ObjectError::Unavailable(error.to_string());
-        let head = ANSWER_TIME + time_on_the_way(body.len());
-        let patience = Patience { head, whole: head + READING_TIME };
+        let head = ANSWER_TIMEOUT + transfer_time(body.len());
+        let patience = AnswerTimeouts { head, whole: head + READ_TIMEOUT };
         let request = with_body(request(method, &self.address, path), body).map_err(unavailable)?;
         let answer = self.client.fetch_large(request, patience).await.map_err(unavailable)?;
         match answer.status {
--- a/trackfront_adapters/src/platform/table.rs
+++ b/trackfront_adapters/src/platform/table.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use trackfront_core::ports::{CommitOutcome, Row, RowKey, Table, TableError, Transaction};
 
-use super::ANSWER_TIME;
+use super::ANSWER_TIMEOUT;
 use crate::http_client::{Answer, HttpClient, HttpError, request, with_body};
 use crate::wire::platform::{COMMIT_PATH, CommitAnswer, CommitBody, ROWS_PATH, ReadBody, RowBody};
 
@@ -17,7 +17,7 @@
 }
 
 impl HttpTable {
-    /// Uses the table at `address`.
+    /// Creates a client of the table at `address`.
     pub fn new(client: HttpClient, address: impl Into<String>) -> Self {
         Self { client, address: address.into() }
     }
@@ -25,7 +25,7 @@
     async fn post(&self, path: &str, body: &impl Serialize) -> Result<Answer, HttpError> {
         let bytes = serde_json::to_vec(body).expect("our own types always encode");
         let request = with_body(request(Method::POST, &self.address, path), bytes)?;
-        self.client.fetch(request, ANSWER_TIME).await
+        self.client.fetch(request, ANSWER_TIMEOUT).await
     }
 
     async fn rows(&self, body: &ReadBody) -> Result<Vec<Row>, TableError> {
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -1,7 +1,7 @@
-//! Connections to servers: kept for further requests, closed at once when a request is dropped.
+//! A pool of connections to servers.
 //!
-//! A server works on a request until its connection closes, so an answer that is no longer wanted
-//! ends with its connection. An error says whether the request was sent.
+//! A server processes a request until its connection is closed, so the connection of a cancelled request
+//! is closed at once. Errors state whether the request was sent.
 
 use std::collections::HashMap;
 use std::io;
@@ -23,47 +23,47 @@
 use trackfront_core::ports::Clock;
 use trackfront_core::units::Moment;
 
-use crate::http_client::chain;
+use crate::http_client::error_chain;
 use crate::keep_alive;
 
-/// How many unused connections to one server are kept.
+/// The maximum number of idle connections to a server.
 const MAX_IDLE: usize = 32;
 
-/// How long before a server would close an unused connection it is no longer used.
+/// The time before a server closes an idle connection in which it is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Why there is no answer.
+/// Why there is no complete answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum UpstreamError {
-    /// Nothing was sent.
+    /// The request was not sent.
     #[error("nothing was sent: {0}")]
     NotSent(String),
-    /// Nothing was sent: nobody listens at the address, so the server has ended.
+    /// The request was not sent, since no process listens at the address. The server has ended.
     #[error("nothing was sent: {0}")]
     ConnectionRefused(String),
-    /// Nothing was sent: once a connection was there, the request was not to be sent any more. It says nothing of the
+    /// The request was not sent, since it was no longer allowed when the connection was open. This is no failure of the
     /// server.
     #[error("nothing was sent: the request may no longer be sent")]
     Withheld,
-    /// The request was sent, wholly or in part, and no whole answer came.
+    /// The request was sent, at least in part, but no complete answer arrived.
     #[error("the answer is lost: {0}")]
     Lost(String),
 }
 
-/// How a request is sent.
+/// Options for sending a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendOptions {
-    /// How long a connection may take to open.
+    /// The timeout for opening a connection.
     pub connect_time: Duration,
-    /// How long a kept connection may have been unused; zero for a new one.
+    /// The maximum idle time of a reused connection; zero to open a new one.
     pub max_idle: Duration,
 }
 
-/// A connection, closed when it is dropped.
+/// A connection, which is closed when dropped.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    /// Whether it has carried a request before.
+    /// Whether it was used for a request before.
     used: bool,
 }
 
@@ -73,8 +73,8 @@
     }
 }
 
-/// An unused connection. Its age counts the time for which the machine is suspended: its server may have closed it then,
-/// and what may run once and is sent on it is lost.
+/// An idle connection. Its idle time includes suspensions of the machine, in which its server may have closed it. A
+/// run-once request that is sent on a closed connection is lost.
 struct Idle {
     connection: Connection,
     since: Moment,
@@ -83,16 +83,16 @@
 
 type IdleByAddress = Arc<Mutex<HashMap<String, Vec<Idle>>>>;
 
-/// Counts of connections, for metrics.
+/// Connection counts, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolCounts {
-    /// Connections that were opened.
+    /// The number of opened connections.
     pub opened: u64,
-    /// Sends over a kept connection.
+    /// The number of requests on reused connections.
     pub reused: u64,
 }
 
-/// Sends requests to servers.
+/// A pool of connections to servers, by address.
 pub struct UpstreamPool {
     idle: IdleByAddress,
     counts: Mutex<PoolCounts>,
@@ -101,18 +101,17 @@
 
 /// The answer of a server.
 pub struct UpstreamAnswer {
-    /// Status and headers.
+    /// The status and headers.
     pub head: response::Parts,
     /// The body.
     pub body: UpstreamBody,
-    /// Whether the request was the first on its connection: what came can only be its answer. On a
-    /// kept connection it may be a surplus answer to an earlier one.
+    /// Whether the request was the first on its connection, so this can only be its answer. On a reused
+    /// connection it may be a surplus answer to an earlier request.
     pub is_first: bool,
 }
 
 impl UpstreamAnswer {
-    /// Returns whether the answer's end can be told from that of its connection: it states a length, or comes in
-    /// chunks.
+    /// Returns whether the answer states its length or is chunked, so its end differs from a lost connection.
     pub fn has_own_end(&self) -> bool {
         let headers = &self.head.headers;
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
@@ -120,28 +119,28 @@
 }
 
 impl UpstreamPool {
-    /// Makes a pool without connections.
+    /// Creates a pool without connections.
     pub fn new(clock: Arc<dyn Clock>) -> Self {
         Self { idle: IdleByAddress::default(), counts: Mutex::default(), clock }
     }
 
-    /// Returns how many connections were opened and used again.
+    /// Returns how many connections were opened and reused.
     pub fn counts(&self) -> PoolCounts {
         *self.counts.lock()
     }
 
-    /// Sends a request and returns once the head of the answer is there. Dropping the future or
-    /// the answer's body closes the connection. `make` makes the request last thing before the send, since what it
-    /// says of time may be over once a connection is there; `None` if it may no longer be sent.
+    /// Sends a request and waits for the head of the answer. Dropping the future or the body closes the
+    /// connection. `build` creates the request right before it is sent, since its remaining time changes while the
+    /// connection opens. It returns `None` if the request may no longer be sent.
     pub async fn send(
         &self,
         address: &str,
         options: SendOptions,
-        make: impl Fn() -> Option<Request<Full<Bytes>>>,
+        build: impl Fn() -> Option<Request<Full<Bytes>>>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
         loop {
             let mut connection = self.connection(address, options).await?;
-            let Some(request) = make() else {
+            let Some(request) = build() else {
                 return Err(UpstreamError::Withheld);
             };
             let was_used = connection.used;
@@ -149,28 +148,28 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
-                    let home = Home {
+                    let origin = Origin {
                         idle: self.idle.clone(),
                         clock: self.clock.clone(),
                         address: address.to_owned(),
                         keep_until: keep_until(&head.headers, self.clock.now()),
                     };
-                    let body = UpstreamBody { body, held: Some((connection, home)) };
+                    let body = UpstreamBody { body, held: Some((connection, origin)) };
                     return Ok(UpstreamAnswer { head, body, is_first: !was_used });
                 }
                 Err(mut error) => match error.take_message() {
-                    // The server had closed the kept connection; nothing was written to it.
+                    // The server had closed the reused connection, and nothing was written to it.
                     Some(_) if was_used => {}
-                    Some(_) => return Err(UpstreamError::NotSent(chain(error.error()))),
-                    None => return Err(UpstreamError::Lost(chain(error.error()))),
+                    Some(_) => return Err(UpstreamError::NotSent(error_chain(error.error()))),
+                    None => return Err(UpstreamError::Lost(error_chain(error.error()))),
                 },
             }
         }
     }
 
-    /// Opens a connection to `address` and keeps it for the next request there. An error says that none opened.
+    /// Opens a connection to `address` for the next request there.
     pub async fn open_spare(&self, address: &str, time: Duration) -> Result<(), UpstreamError> {
-        let connection = self.open_in(address, time).await?;
+        let connection = self.open_within(address, time).await?;
         let mut idle = self.idle.lock();
         let connections = idle.entry(address.to_owned()).or_default();
         if connections.len() < MAX_IDLE {
@@ -179,24 +178,26 @@
         Ok(())
     }
 
-    /// Returns whether there is an unused connection to `address`.
+    /// Returns whether there is an idle connection to `address`.
     pub fn is_connected(&self, address: &str) -> bool {
-        self.idle.lock().get(address).is_some_and(|kept| !kept.is_empty())
+        self.idle.lock().get(address).is_some_and(|pooled| !pooled.is_empty())
     }
 
-    /// Closes the unused connections to `address`: one that was used before them has fallen silent.
+    /// Closes the idle connections to `address`, for example after another one was lost.
     pub fn forget(&self, address: &str) {
         self.idle.lock().remove(address);
     }
 
-    /// Closes unused connections that have been so for longer than `max_idle`.
+    /// Closes the connections that have been idle for longer than `max_idle`.
     pub fn close_idle(&self, max_idle: Duration) {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         for connections in idle.values_mut() {
-            connections.retain(|kept| {
-                let in_time = kept.until.is_none_or(|until| now < until);
-                in_time && !kept.connection.sender.is_closed() && now.since(kept.since) < max_idle
+            connections.retain(|pooled| {
+                let in_time = pooled.until.is_none_or(|until| now < until);
+                in_time
+                    && !pooled.connection.sender.is_closed()
+                    && now.since(pooled.since) < max_idle
             });
         }
         idle.retain(|_, connections| !connections.is_empty());
@@ -207,14 +208,18 @@
         address: &str,
         options: SendOptions,
     ) -> Result<Connection, UpstreamError> {
-        if let Some(connection) = self.kept(address, options.max_idle) {
+        if let Some(connection) = self.take_idle(address, options.max_idle) {
             self.counts.lock().reused += 1;
             return Ok(connection);
         }
-        self.open_in(address, options.connect_time).await
+        self.open_within(address, options.connect_time).await
     }
 
-    async fn open_in(&self, address: &str, time: Duration) -> Result<Connection, UpstreamError> {
+    async fn open_within(
+        &self,
+        address: &str,
+        time: Duration,
+    ) -> Result<Connection, UpstreamError> {
         let opening = tokio::time::timeout(time, open(address)).await;
         let connection = opening
             .map_err(|_| UpstreamError::NotSent("the connection did not open in time".into()))??;
@@ -222,19 +227,19 @@
         Ok(connection)
     }
 
-    fn kept(&self, address: &str, max_idle: Duration) -> Option<Connection> {
+    fn take_idle(&self, address: &str, max_idle: Duration) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(address)?;
-        while let Some(kept) = connections.pop() {
-            let in_time = kept.until.is_none_or(|until| now < until);
-            let sender = &kept.connection.sender;
+        while let Some(pooled) = connections.pop() {
+            let in_time = pooled.until.is_none_or(|until| now < until);
+            let sender = &pooled.connection.sender;
             if in_time
-                && now.since(kept.since) < max_idle
+                && now.since(pooled.since) < max_idle
                 && sender.is_ready()
                 && !sender.is_closed()
             {
-                return Some(kept.connection);
+                return Some(pooled.connection);
             }
         }
         None
@@ -242,25 +247,26 @@
 }
 
 async fn open(address: &str) -> Result<Connection, UpstreamError> {
-    let not_sent = |error: &dyn std::error::Error| UpstreamError::NotSent(chain(error));
+    let not_sent = |error: &dyn std::error::Error| UpstreamError::NotSent(error_chain(error));
     let address: SocketAddr = address.parse().map_err(|error| not_sent(&error))?;
     let stream = TcpStream::connect(address).await.map_err(|error| match error.kind() {
-        io::ErrorKind::ConnectionRefused => UpstreamError::ConnectionRefused(chain(&error)),
+        io::ErrorKind::ConnectionRefused => UpstreamError::ConnectionRefused(error_chain(&error)),
         _ => not_sent(&error),
     })?;
     let _ = stream.set_nodelay(true);
-    keep_alive::watch(&stream);
+    keep_alive::enable(&stream);
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
-            log::trace!("a connection to a server ended: {}", chain(&error));
+            log::trace!("a connection to a server ended: {}", error_chain(&error));
         }
     });
     Ok(Connection { sender, task: task.abort_handle(), used: false })
 }
 
-/// Until when an answer allows its connection to be used again: `None` for never.
+/// Returns until when the connection of an answer may be reused. The outer `None` means not at all, the inner one without
+/// a limit.
 fn keep_until(headers: &HeaderMap, now: Moment) -> Option<Option<Moment>> {
     let closes = headers.get_all(CONNECTION).iter().any(|value| {
         value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
@@ -268,30 +274,30 @@
     if closes {
         return None;
     }
-    let told = headers.get("keep-alive").and_then(|value| value.to_str().ok());
-    let seconds = told.and_then(|value| {
+    let keep_alive = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = keep_alive.and_then(|value| {
         let mut words = value.split(',').map(str::trim);
         words.find_map(|word| word.strip_prefix("timeout=")?.trim().parse::<u64>().ok())
     });
     Some(seconds.map(|seconds| now + Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)))
 }
 
-/// Where a connection goes once its answer is whole.
-struct Home {
+/// The pool to which a connection returns after its answer.
+struct Origin {
     idle: IdleByAddress,
     clock: Arc<dyn Clock>,
     address: String,
     keep_until: Option<Option<Moment>>,
 }
 
-/// The body of an answer. Dropped before its end, it closes its connection.
+/// The body of an answer. If it is dropped before its end, the connection is closed.
 pub struct UpstreamBody {
     body: Incoming,
-    held: Option<(Connection, Home)>,
+    held: Option<(Connection, Origin)>,
 }
 
 impl UpstreamBody {
-    /// Returns the next piece, or `None` at the end of a whole body.
+    /// Returns the next piece, or `None` at the end of a complete body.
     pub async fn next(&mut self) -> Option<Result<Bytes, UpstreamError>> {
         loop {
             match self.body.frame().await {
@@ -302,22 +308,22 @@
                 },
                 Some(Err(error)) => {
                     self.held = None;
-                    return Some(Err(UpstreamError::Lost(chain(&error))));
+                    return Some(Err(UpstreamError::Lost(error_chain(&error))));
                 }
                 None => {
-                    self.give_back();
+                    self.return_connection();
                     return None;
                 }
             }
         }
     }
 
-    /// Closes the connection: the server stops working on the request.
+    /// Closes the connection, so the server cancels the request.
     pub fn close(&mut self) {
         self.held = None;
     }
 
-    /// Reads the whole body, of at most `limit` bytes.
+    /// Reads the complete body of at most `limit` bytes.
     pub async fn read(mut self, limit: usize) -> Result<Bytes, UpstreamError> {
         let mut whole = Vec::new();
         while let Some(piece) = self.next().await {
@@ -329,16 +335,16 @@
         Ok(whole.into())
     }
 
-    fn give_back(&mut self) {
-        let Some((connection, home)) = self.held.take() else {
+    fn return_connection(&mut self) {
+        let Some((connection, origin)) = self.held.take() else {
             return;
         };
-        let Some(until) = home.keep_until else {
+        let Some(until) = origin.keep_until else {
             return;
         };
-        let since = home.clock.now();
-        let mut idle = home.idle.lock();
-        let connections = idle.entry(home.address).or_default();
+        let since = origin.clock.now();
+        let mut idle = origin.idle.lock();
+        let connections = idle.entry(origin.address).or_default();
         if connections.len() < MAX_IDLE {
             connections.push(Idle { connection, since, until });
         }
--- a/trackfront_adapters/src/wire/engine.rs
+++ b/trackfront_adapters/src/wire/engine.rs
@@ -6,35 +6,35 @@
 use trackfront_core::ids::RequestId;
 use trackfront_core::ports::engine::GenerateKind;
 
-/// Names the request in both directions.
+/// The header that identifies the request, in both directions.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
-/// The priority of a request.
+/// The header with the priority of a request.
 pub const PRIORITY_HEADER: &str = "x-priority";
-/// The offset from which a stream is resumed.
+/// The header with the offset at which a stream is resumed.
 pub const RESUME_HEADER: &str = "x-resume-at";
-/// The offset from which another engine's answer is continued. The body then has the text
-/// delivered so far under [`CONTINUE_FIELD`].
+/// The header with the offset at which another engine's answer is continued. The body contains the
+/// delivered text in [`CONTINUE_FIELD`].
 pub const CONTINUE_HEADER: &str = "x-continue-at";
-/// The field of the body with the text to continue from.
+/// The field of the body with the delivered text.
 pub const CONTINUE_FIELD: &str = "continue_from";
-/// The model to use.
+/// The header with the model.
 pub const MODEL_HEADER: &str = "x-item-model";
-/// The adapter to use, if any.
+/// The header with the adapter, if any.
 pub const ADAPTER_HEADER: &str = "x-item-adapter";
-/// The version to use.
+/// The header with the version.
 pub const VERSION_HEADER: &str = "x-item-version";
-/// Present on an error that is the request's own fault.
+/// The header of an error that is caused by the request itself.
 pub const FINAL_HEADER: &str = "x-final";
 
-/// Where orders go.
+/// The path of orders.
 pub const ORDERS_PATH: &str = "/orders";
-/// Where the load report is read.
+/// The path of the load report.
 pub const REPORT_PATH: &str = "/report";
-/// Where cache events are read.
+/// The path of cache events.
 pub const CACHE_EVENTS_PATH: &str = "/cache-events";
-/// Where requests are cancelled, followed by their identifier.
+/// The path to cancel a request, followed by its identifier.
 pub const CANCEL_PATH: &str = "/cancel/";
-/// Where KV caches are exported and imported, followed by the request's identifier.
+/// The path to export and import a KV cache, followed by the request's identifier.
 pub const KV_PATH: &str = "/kv/";
 
 /// The data of the last event of a stream.
@@ -52,21 +52,21 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "reply", rename_all = "snake_case")]
 pub enum OrderAnswer {
-    /// Taken.
+    /// The order was accepted.
     Accepted,
-    /// Its fencing token is older than one seen.
+    /// The fencing token is smaller than another one received.
     Stale {
-        /// The largest token seen.
+        /// The largest received token.
         seen: u64,
     },
-    /// Not taken.
+    /// The order was refused.
     Refused {
-        /// Why.
+        /// The reason.
         reason: String,
     },
 }
 
-/// Returns `body` with the text of the frames delivered so far, from which the engine goes on.
+/// Returns `body` with the text of the delivered frames, from which the engine continues.
 pub fn continued_body(body: &[u8], delivered: &[Bytes]) -> Result<Vec<u8>, serde_json::Error> {
     let mut object: serde_json::Map<String, Value> = serde_json::from_slice(body)?;
     let text: String = delivered.iter().filter_map(|data| delta_text(data)).collect();
@@ -74,7 +74,7 @@
     serde_json::to_vec(&object)
 }
 
-/// Returns the text that a stream's event adds.
+/// Returns the text in an event of a stream.
 fn delta_text(data: &[u8]) -> Option<String> {
     let event: Value = serde_json::from_slice(data).ok()?;
     let choice = event.get("choices")?.get(0)?;
@@ -82,12 +82,12 @@
     text.as_str().map(str::to_string)
 }
 
-/// Returns the `id` field of a stream's event.
+/// Returns the `id` field of an event.
 pub fn event_id(request: &RequestId, offset: u64) -> String {
     format!("{request}/{offset}")
 }
 
-/// Reads the `id` field of a stream's event.
+/// Parses the `id` field of an event.
 pub fn parse_event_id(id: &str) -> Option<(RequestId, u64)> {
     let (request, offset) = id.rsplit_once('/')?;
     Some((request.into(), offset.parse().ok()?))
--- a/trackfront_adapters/src/wire/held_off.rs
+++ b/trackfront_adapters/src/wire/held_off.rs
@@ -1,22 +1,22 @@
-//! What operators ask serving boxes about requests that are held off, and what they are told.
+//! The interface for operators to quarantined requests.
 
 use serde::{Deserialize, Serialize};
 
-/// The path of the list.
+/// The path of the list of quarantined requests.
 pub const HELD_OFF_PATH: &str = "/held-off";
 
-/// The path at which one is let go; its fingerprint follows.
+/// The path to release a request, followed by its fingerprint.
 pub const LET_GO_PATH: &str = "/held-off/let-go/";
 
-/// A request that is held off, since servers crashed under it.
+/// A quarantined request, which has crashed servers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldOff {
-    /// Its fingerprint, as in the logs.
+    /// The fingerprint, as in the logs.
     pub fingerprint: String,
-    /// How many servers crashed under it.
+    /// The number of servers that it crashed.
     pub servers: usize,
-    /// For how long the box that tells has held it off, in milliseconds.
+    /// How long this box has quarantined it, in milliseconds.
     pub held_ms: u64,
-    /// Whether the platform's table has it, so that it outlasts a loss of all boxes.
+    /// Whether it is stored in the platform's table, which outlasts all boxes.
     pub written_down: bool,
 }
--- a/trackfront_adapters/src/wire/mod.rs
+++ b/trackfront_adapters/src/wire/mod.rs
@@ -1,6 +1,6 @@
 //! The paths, headers and field names of the systems outside.
 //!
-//! The users' own systems are met here and nowhere else: another system is another module.
+//! Each external system has its own module, and no other code contains its names.
 
 pub mod engine;
 pub mod held_off;
--- a/trackfront_adapters/src/wire/operator.rs
+++ b/trackfront_adapters/src/wire/operator.rs
@@ -1,4 +1,4 @@
-//! What the command-line tool and a box's operator listener say to each other.
+//! The messages between the command-line tool and the operator listener of a box.
 
 use serde::{Deserialize, Serialize};
 use trackfront_core::ids::{BackendId, Fence, NodeId, Revision, ShardId, TxnId};
@@ -6,36 +6,36 @@
 use trackfront_core::tree::TreeFiles;
 use trackfront_core::units::Mib;
 
-/// Where the status is read.
+/// The path of the status.
 pub const STATUS_PATH: &str = "/operator/status";
-/// Where the tree in force is read.
+/// The path of the tree in force.
 pub const TREE_PATH: &str = "/operator/tree";
-/// Where a tree is applied.
+/// The path to apply a tree.
 pub const APPLY_PATH: &str = "/operator/apply";
-/// Where the audit trail is read.
+/// The path of the audit trail.
 pub const AUDIT_PATH: &str = "/operator/audit";
-/// Where the metrics are read.
+/// The path of the metrics.
 pub const METRICS_PATH: &str = "/metrics";
 
-/// Asks a box to apply a tree. Repeating it with the same `txn` applies it once.
+/// A request to apply a tree. It is applied once, even if it is sent again with the same `txn`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ApplyRequest {
-    /// The identifier by which a repeat is known.
+    /// The identifier by which a repeated request is recognized.
     pub txn: TxnId,
-    /// The revision that the change was made on.
+    /// The revision on which the change is based.
     pub base: Revision,
-    /// The whole new tree.
+    /// The complete new tree.
     pub files: TreeFiles,
-    /// Who asks.
+    /// The author.
     pub author: String,
-    /// Why.
+    /// The reason.
     pub reason: String,
-    /// Whether models and adapters that callers can reach now may disappear.
+    /// Whether the change may remove models and adapters that callers can use now.
     pub allow_removals: bool,
 }
 
-/// What became of an apply.
+/// The result of an apply.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "apply", rename_all = "snake_case")]
 pub enum ApplyAnswer {
@@ -53,34 +53,34 @@
     Conflict {
         /// The revision that is accepted now.
         revision: Revision,
-        /// Who made the other change.
+        /// The author of the other change.
         author: String,
         /// The other change's reason.
         reason: String,
     },
-    /// The tree has faults.
+    /// The tree is invalid.
     Invalid {
-        /// The faults, one a line.
+        /// The errors, one per line.
         faults: Vec<String>,
     },
-    /// Models or adapters would disappear.
+    /// The tree removes models or adapters.
     Removes {
         /// Their names, with the region.
         names: Vec<String>,
     },
-    /// The platform did not take the change, and it is not applied.
+    /// The platform did not accept the change, which was not applied.
     NotApplied {
-        /// Why, and what to do.
+        /// The reason and the remedy.
         detail: String,
     },
-    /// It is not known whether the change was applied; asking again with the same `txn` tells.
+    /// It is unknown whether the change was applied. The same request with the same `txn` tells.
     Unknown {
-        /// What was seen.
+        /// The error.
         detail: String,
     },
 }
 
-/// The state of a box and what it knows.
+/// The state of a box and its knowledge of the deployment.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
     /// The box.
@@ -95,7 +95,7 @@
     pub members: Vec<MemberStatus>,
     /// The shards that this box owns.
     pub shards: Vec<ShardStatus>,
-    /// The models and adapters of the region, and on how many engines they answer.
+    /// The models and adapters of the region.
     pub items: Vec<ItemStatus>,
 }
 
@@ -104,17 +104,17 @@
 pub struct MemberStatus {
     /// Its peer address.
     pub address: String,
-    /// Its identity, once heard.
+    /// Its identity; `None` before its first heartbeat.
     pub id: Option<NodeId>,
     /// Its hall.
     pub hall: String,
-    /// Its state, by its own word.
+    /// The state that it reported.
     pub state: PeerState,
-    /// Whether it was heard lately.
+    /// Whether it has sent a heartbeat recently.
     pub live: bool,
     /// Whether the platform lists it as live.
     pub listed: bool,
-    /// The revision in force there.
+    /// The revision in force at it.
     pub revision: Revision,
 }
 
@@ -125,7 +125,7 @@
     pub shard: ShardId,
     /// The fencing token.
     pub fence: Fence,
-    /// Orders that are not settled.
+    /// The number of open orders.
     pub open_orders: usize,
     /// The engines' memory.
     pub engines: Vec<EngineStatus>,
@@ -136,28 +136,28 @@
 pub struct EngineStatus {
     /// The engine.
     pub engine: BackendId,
-    /// What is counted.
+    /// The used memory.
     pub used: Mib,
-    /// What is free.
+    /// The free memory.
     pub free: Mib,
-    /// Whether it answers.
+    /// Whether the engine reports its state.
     pub usable: bool,
 }
 
 /// A model or adapter.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ItemStatus {
-    /// The name that callers use.
+    /// The name in requests.
     pub name: String,
     /// The item.
     pub item: String,
-    /// On how many engines it answers.
+    /// The number of engines on which it is ready.
     pub ready_on: usize,
 }
 
 /// An error of the operator listener.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct OperatorError {
-    /// What is wrong and what to do.
+    /// The error and the remedy.
     pub error: String,
 }
--- a/trackfront_adapters/src/wire/platform.rs
+++ b/trackfront_adapters/src/wire/platform.rs
@@ -5,18 +5,18 @@
 use trackfront_core::ids::TxnId;
 use trackfront_core::ports::{CommitOutcome, Expect, Row, RowKey, TableError, Transaction, Write};
 
-/// Where rows are read and scanned.
+/// The path to read and scan rows.
 pub const ROWS_PATH: &str = "/rows";
-/// Where transactions are committed.
+/// The path to commit transactions.
 pub const COMMIT_PATH: &str = "/commit";
-/// Where objects are, followed by their name.
+/// The path of objects, followed by their name.
 pub const OBJECTS_PATH: &str = "/objects/";
-/// Where objects are listed.
+/// The path to list objects.
 pub const OBJECT_LIST_PATH: &str = "/object-list";
-/// Where the box list is read.
+/// The path of the box list.
 pub const BOXES_PATH: &str = "/boxes";
 
-/// A row as sent.
+/// A row on the wire.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RowBody {
     /// The key.
@@ -25,7 +25,7 @@
     pub version: u64,
     /// The transaction that wrote it.
     pub written_by: TxnId,
-    /// The value; ours is always JSON text.
+    /// The value, which is always JSON text.
     pub value: String,
 }
 
@@ -40,17 +40,17 @@
     }
 }
 
-/// What a read or a scan asks for.
+/// A request to read or scan rows.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReadBody {
     /// One row.
     Key(RowKey),
-    /// All rows whose key starts so.
+    /// All rows whose key has this prefix.
     Prefix(String),
 }
 
-/// A transaction as sent.
+/// A transaction on the wire.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CommitBody {
     /// The identifier.
@@ -59,12 +59,12 @@
     pub writes: Vec<WriteBody>,
 }
 
-/// A conditional write as sent.
+/// A conditional write on the wire.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WriteBody {
     /// The key.
     pub key: RowKey,
-    /// The version that the row has to be at; `None` if it may not exist.
+    /// The expected version of the row; `None` if it must not exist.
     pub expect: Option<u64>,
     /// The new value; `None` deletes the row.
     pub value: Option<String>,
@@ -81,7 +81,7 @@
         /// The row.
         key: RowKey,
     },
-    /// Refused for the rate limit.
+    /// Refused because of the rate limit.
     RateLimited,
 }
 
@@ -99,7 +99,7 @@
                 Expect::Absent => None,
                 Expect::Version(version) => Some(version.number()),
             },
-            // All values of ours are JSON text.
+            // All values are JSON text.
             value: write.value.as_ref().map(|value| String::from_utf8_lossy(value).into_owned()),
         }
     }
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use trackfront_adapters::http_server::{Body, full};
-use trackfront_adapters::plain::passed_on;
+use trackfront_adapters::plain::forwarded_headers;
 use trackfront_core::claims::RecordedAnswer;
 use trackfront_core::ids::{AccountName, HallName, RequestId, ServiceName};
 use trackfront_core::outcome::{Outcome, RequestError};
@@ -138,7 +138,7 @@
     let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
     let path_and_query = format!("/{path}{query}");
     let method = request.method().as_str().to_string();
-    let headers = passed_on(request.headers());
+    let headers = forwarded_headers(request.headers());
     let key = idempotency_key(request.headers())?;
     let deadline_at = shared.outside.clock.now() + time_limit;
     let body = body(request, target.limits.max_body).await?;
--- a/trackfrontd/src/operators/mod.rs
+++ b/trackfrontd/src/operators/mod.rs
@@ -37,7 +37,7 @@
         "/readyz" => return Ok(gateway::ready(&shared)),
         _ => {}
     }
-    if !key.is_shown_by(request.headers()) {
+    if !key.authenticates(request.headers()) {
         log::warn!("an operator showed a wrong key or none and was refused");
         return Ok(error(StatusCode::UNAUTHORIZED, "show the deployment's key with --key-file"));
     }
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -23,7 +23,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use trackfront_adapters::http_client::{HttpClient, HttpError, Patience, request, with_body};
+use trackfront_adapters::http_client::{AnswerTimeouts, HttpClient, HttpError, request, with_body};
 use trackfront_adapters::http_server::{Body, response};
 use trackfront_core::ports::StoredConfig;
 use trackfront_core::serving::config::ServingConfig;
@@ -67,8 +67,8 @@
 /// The timeouts for the head and the whole of a response. The snapshot of a configuration of 4,250
 /// routes takes some 65 KB; a box with the smallest link in use, 10 Mbit/s, sends thirty of them in
 /// 1.6 s. Beyond that, reading the store is faster: it takes 0.9 s over a box's own link.
-const SNAPSHOT_TIMEOUTS: Patience =
-    Patience { head: Duration::from_millis(400), whole: Duration::from_millis(2_000) };
+const SNAPSHOT_TIMEOUTS: AnswerTimeouts =
+    AnswerTimeouts { head: Duration::from_millis(400), whole: Duration::from_millis(2_000) };
 
 /// The number of boxes that are asked, one after the other, before the store is read.
 const MAX_SOURCES: usize = 2;
--- a/trackfrontd/tests/bad_input.rs
+++ b/trackfrontd/tests/bad_input.rs
@@ -1,5 +1,6 @@
-//! Requests that are refused: each case is a TOML file with a request and the answer to expect.
-//! After each, the same box still answers a good request.
+//! Invalid requests. Each case is a TOML file with a request and the expected answer.
+//!
+//! Guards against invalid requests that are accepted, or after which the box no longer serves valid ones.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -15,10 +16,10 @@
 use trackfront_adapters::http_client::{Answer, HttpClient, request, with_body};
 use trackfront_standin::small::{CALLER_KEY, OTHER_KEY, Small, Spec};
 
-/// How long an answer may take.
-const ANSWER_TIME: Duration = Duration::from_secs(10);
+/// The maximum time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// One case.
+/// A case.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Case {
@@ -29,16 +30,16 @@
     headers: BTreeMap<String, String>,
     #[serde(default)]
     body: String,
-    /// So many bytes of blanks are added to the body.
+    /// The number of spaces added to the body.
     #[serde(default)]
     pad: usize,
-    /// So many headers are added.
+    /// The number of headers added.
     #[serde(default)]
     more_headers: usize,
     /// Whether the connection is closed after the first half of the request.
     #[serde(default)]
     cut: bool,
-    /// Whose key is shown: `desk`, `guest`, or none.
+    /// The caller whose key is sent: `desk`, `guest`, or none.
     #[serde(default = "desk")]
     caller: String,
     status: u16,
@@ -56,7 +57,7 @@
     "desk".into()
 }
 
-/// The deployment that all cases share.
+/// Returns the deployment that all cases share.
 fn shared() -> &'static (Runtime, Small) {
     static SHARED: OnceLock<(Runtime, Small)> = OnceLock::new();
     SHARED.get_or_init(|| {
@@ -81,7 +82,7 @@
         _ => {}
     }
     let body = format!("{}{}", case.body, " ".repeat(case.pad));
-    Ok(HttpClient::default().fetch(with_body(builder, body)?, ANSWER_TIME).await?)
+    Ok(HttpClient::default().fetch(with_body(builder, body)?, ANSWER_TIMEOUT).await?)
 }
 
 /// Sends half a request and closes the connection.
@@ -121,8 +122,8 @@
     if fits { Ok(()) } else { Err(format!("another problem: {text}").into()) }
 }
 
-/// A good request, by which a box shows that it is well.
-async fn check_well(address: &str) -> datatest_stable::Result<()> {
+/// Checks that the box answers a valid request.
+async fn check_serves(address: &str) -> datatest_stable::Result<()> {
     let good = Case {
         method: post(),
         path: "/v1/completions".into(),
@@ -151,7 +152,7 @@
         } else {
             check_refusal(&address, &case).await?;
         }
-        check_well(&address).await
+        check_serves(&address).await
     })
 }
 
--- a/trackfrontd/tests/failures.rs
+++ b/trackfrontd/tests/failures.rs
@@ -1,5 +1,8 @@
-//! Failures on a request's way: each case is a TOML file with steps, run by real boxes over
-//! stand-ins in memory, on a paused clock.
+//! Failures while requests are processed. Each case is a TOML file with steps, run by real boxes with
+//! in-memory stand-ins and a paused clock.
+//!
+//! Guards against calls that run twice, answers that are lost although they could be recovered, and errors
+//! that state a wrong outcome.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -17,24 +20,24 @@
 use trackfront_standin::small::{PLAIN, REGION, Spec};
 use trackfrontd::shared::Shared;
 
-/// How long a call to a plain service may take.
-const CALL_TIME: Duration = Duration::from_secs(5);
+/// The deadline of calls to a plain service.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 type Failure = Box<dyn std::error::Error>;
 
-/// One case.
+/// A case.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Case {
-    /// What the case is about.
+    /// The description of the case.
     about: String,
-    /// The tree's policy.
+    /// The policy in the tree.
     #[serde(default)]
     policy: String,
     steps: Vec<Step>,
 }
 
-/// One step.
+/// A step of a case.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
 enum Step {
@@ -44,17 +47,17 @@
     Plain { server: Option<usize>, faults: PlainFaults },
     /// Sets the faults of the table.
     Table { faults: PlatformFaults },
-    /// Loses the next answers of peers.
+    /// Drops the next replies of peers.
     LoseAnswers { count: u32 },
-    /// Cuts a hall off.
+    /// Partitions a hall from the others.
     Cut { hall: String },
-    /// Heals all cuts.
+    /// Ends all partitions.
     Heal,
-    /// Kills the box that keeps the claims of the plain service.
+    /// Kills the box that owns the claims of the plain service.
     KillKeeper,
-    /// Has the first model loaded on a second engine, as when its own is leaving for a while.
+    /// Loads the first model on a second engine.
     CopyModel,
-    /// Takes the engine down on which a request runs.
+    /// Stops the engine on which a request runs.
     DownBusyEngine,
     /// Waits.
     Sleep { ms: u64 },
@@ -83,15 +86,15 @@
     },
     /// Waits for all requests in the background.
     Join,
-    /// Checks how often a key was run.
+    /// Checks how many times the call with a key ran.
     Runs { key: String, count: u32 },
-    /// Checks how often a key was run at the most.
+    /// Checks the maximum number of times the call with a key ran.
     RunsAtMost { key: String, count: u32 },
-    /// Checks that all engines together have nothing in their batches any more.
+    /// Checks that the batches of all engines are empty.
     Idle,
 }
 
-/// How a request ends.
+/// The expected result of a request.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Expected {
@@ -99,7 +102,7 @@
     one_of: Vec<String>,
     /// The outcome of the error.
     outcome: Option<String>,
-    /// How many tokens came.
+    /// The number of received tokens.
     tokens: Option<u64>,
 }
 
@@ -121,14 +124,14 @@
     }
 }
 
-/// A deployment with the requests that are still in progress.
+/// A deployment with the requests in progress.
 struct Run {
     deployment: MemoryDeployment,
     background: Vec<JoinHandle<Result<(), String>>>,
 }
 
 impl Run {
-    /// Returns the box with this number, from zero, among those that still run.
+    /// Returns the box with this index among those that run.
     fn entry(&self, index: usize) -> Arc<Shared> {
         let addresses = self.deployment.box_addresses();
         self.deployment.nodes[&addresses[index % addresses.len()]].shared.clone()
@@ -156,7 +159,7 @@
             Step::LoseAnswers { count } => self.deployment.net.lose_answers(count),
             Step::Cut { hall } => self.deployment.net.cut(&HallName::from(hall)),
             Step::Heal => self.deployment.net.heal(),
-            Step::KillKeeper => self.kill_keeper()?,
+            Step::KillKeeper => self.kill_claims_owner()?,
             Step::CopyModel => self.copy_model().await?,
             Step::DownBusyEngine => {
                 let engines = self.deployment.engines.values();
@@ -232,16 +235,16 @@
         Err("no engine has the model".into())
     }
 
-    fn kill_keeper(&mut self) -> Result<(), Failure> {
+    fn kill_claims_owner(&mut self) -> Result<(), Failure> {
         let shard = ShardId { region: REGION.into(), service: PLAIN.into() };
-        let keeper = self
+        let owner = self
             .deployment
             .nodes
             .iter()
             .find(|(_, node)| node.shared.claims.fence(&shard).is_some())
             .map(|(address, _)| address.clone())
             .ok_or("no box keeps the claims")?;
-        self.deployment.kill_box(&keeper);
+        self.deployment.kill_box(&owner);
         Ok(())
     }
 
@@ -273,7 +276,7 @@
     expect: Expected,
 ) -> Result<(), String> {
     let path = path.as_deref().unwrap_or("/bookings");
-    let result = call(&entry, PLAIN, path, key.as_deref(), CALL_TIME).await;
+    let result = call(&entry, PLAIN, path, key.as_deref(), CALL_TIMEOUT).await;
     let word = match &result.error {
         Some(error) => error.kind(),
         None if result.replayed => "replayed",
--- a/trackfrontd/tests/processes.rs
+++ b/trackfrontd/tests/processes.rs
@@ -1,4 +1,7 @@
-//! Entry boxes as separate processes: killed, stopped, and cut off from the platform.
+//! Entry boxes as separate processes that are killed, stopped or partitioned from the platform.
+//!
+//! Guards against models that are no longer served after their owner is lost, streams that a graceful stop
+//! interrupts, and boxes that need the store to start.
 
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -15,13 +18,13 @@
 use trackfront_standin::deployment::Platform;
 use trackfront_standin::small::{CALLER_KEY, REGION, SERVICE, Small, Spec, apply};
 
-/// How long anything may take before a test fails. No test asserts a time below this.
-const PATIENCE: Duration = Duration::from_secs(60);
+/// The maximum time of any wait. No test asserts a shorter time.
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// How long one request may take.
-const REQUEST_TIME: Duration = Duration::from_secs(20);
+/// The maximum time of a request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A box that runs as a process of its own, on a loopback address of its own.
+/// A box that runs as a separate process with its own loopback address.
 struct BoxProcess {
     child: Child,
     ip: String,
@@ -31,7 +34,7 @@
 
 impl BoxProcess {
     fn start(platform: &Platform, test: u8, index: u8, hall: &str) -> anyhow::Result<BoxProcess> {
-        // The address depends on the process, so that two runs of the tests do not meet.
+        // The address depends on the test process, so that concurrent test runs use different ones.
         let run = std::process::id() % 60_000;
         let ip = format!("127.{}.{}.{}", 100 + run / 250 % 100, run % 250 + 1, test * 20 + index);
         let folder = std::env::temp_dir().join(format!("trackfront-test-{run}-{test}-{index}"));
@@ -72,7 +75,7 @@
         }
     }
 
-    /// Sends SIGTERM, as the platform does at a planned stop.
+    /// Sends SIGTERM, as the platform does for a graceful stop.
     fn terminate(&self) -> anyhow::Result<()> {
         let status = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status()?;
         ensure!(status.success(), "SIGTERM could not be sent");
@@ -81,7 +84,7 @@
 
     async fn wait_exit(&mut self) -> anyhow::Result<ExitStatus> {
         let start = Instant::now();
-        while start.elapsed() < PATIENCE {
+        while start.elapsed() < TEST_TIMEOUT {
             if let Some(status) = self.child.try_wait()? {
                 return Ok(status);
             }
@@ -93,7 +96,7 @@
     async fn status(&self) -> anyhow::Result<Status> {
         let builder = request(Method::GET, &self.operators(), STATUS_PATH)
             .header("authorization", key().authorization());
-        let answer = HttpClient::default().fetch(with_body(builder, "")?, REQUEST_TIME).await?;
+        let answer = HttpClient::default().fetch(with_body(builder, "")?, REQUEST_TIMEOUT).await?;
         serde_json::from_slice(&answer.body).context("the status does not decode")
     }
 
@@ -101,14 +104,14 @@
         let body = json!({"model": model, "prompt": "x", "stream": true, "max_tokens": tokens});
         let builder = request(Method::POST, &self.callers(), "/v1/completions")
             .header("authorization", format!("Bearer {CALLER_KEY}"));
-        HttpClient::default().fetch(with_body(builder, body.to_string())?, REQUEST_TIME).await
+        HttpClient::default().fetch(with_body(builder, body.to_string())?, REQUEST_TIMEOUT).await
     }
 
-    /// Asks until `model` is answered.
+    /// Sends requests until one for `model` is answered.
     async fn wait_answer(&self, model: &str) -> anyhow::Result<()> {
         let start = Instant::now();
         let mut last = String::new();
-        while start.elapsed() < PATIENCE {
+        while start.elapsed() < TEST_TIMEOUT {
             match self.complete(model, 2).await {
                 Ok(answer) if answer.status == StatusCode::OK => return Ok(()),
                 Ok(answer) => last = String::from_utf8_lossy(&answer.body).into_owned(),
@@ -144,10 +147,10 @@
     small.platform.boxes.set(boxes.iter().map(BoxProcess::listed).collect());
 }
 
-/// Waits until a box answers operators.
+/// Waits until a box answers its operators.
 async fn wait_up(entry: &BoxProcess) -> anyhow::Result<()> {
     let start = Instant::now();
-    while start.elapsed() < PATIENCE {
+    while start.elapsed() < TEST_TIMEOUT {
         if entry.status().await.is_ok() {
             return Ok(());
         }
@@ -167,10 +170,10 @@
     Ok((small, boxes))
 }
 
-/// Finds the box that owns the service with models.
+/// Returns the index of the box that owns the service with models.
 async fn find_owner(boxes: &[BoxProcess]) -> anyhow::Result<usize> {
     let start = Instant::now();
-    while start.elapsed() < PATIENCE {
+    while start.elapsed() < TEST_TIMEOUT {
         for (index, entry) in boxes.iter().enumerate() {
             let status = entry.status().await;
             let owns = status.is_ok_and(|status| {
@@ -186,17 +189,17 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_killed_owner_is_replaced() -> anyhow::Result<()> {
+async fn killed_owner_is_replaced() -> anyhow::Result<()> {
     let (small, mut boxes) = start(1, 3).await?;
     let owner = find_owner(&boxes).await?;
     let mut killed = boxes.remove(owner);
     killed.child.kill()?;
     killed.child.wait()?;
-    // What is placed stays served by the others.
+    // The other boxes still serve the models that are loaded.
     for entry in &boxes {
         entry.wait_answer("letter").await?;
     }
-    // A new model is placed by the next owner, which has a larger fencing token.
+    // The next owner has a larger fencing token and places a new model.
     let mut files = small.files.clone();
     let path = format!("{REGION}/{SERVICE}/late/model.toml");
     files.0.insert(path, "version = \"1\"\nweights_mib = 1024\n".into());
@@ -214,7 +217,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_planned_stop_cuts_no_stream() -> anyhow::Result<()> {
+async fn graceful_stop_interrupts_no_stream() -> anyhow::Result<()> {
     let (_small, mut boxes) = start(2, 2).await?;
     let tokens = 400;
     let mut leaving = boxes.remove(0);
@@ -231,8 +234,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_box_that_starts_while_the_store_is_down_gets_the_tree_from_a_peer() -> anyhow::Result<()>
-{
+async fn box_that_starts_while_the_store_is_down_gets_the_tree_from_a_peer() -> anyhow::Result<()> {
     let (small, mut boxes) = start(3, 2).await?;
     small.platform.table.faults.change(|faults| faults.down = true);
     small.platform.objects.faults.change(|faults| faults.down = true);
--- a/trackfrontd/tests/random.rs
+++ b/trackfrontd/tests/random.rs
@@ -1,7 +1,7 @@
-//! Long randomised runs: thousands of interleavings of requests, faults and restarts over real
-//! boxes, on a paused clock. The invariants are asserted in the program and checked here.
+//! Random sequences of requests, faults and restarts with real boxes and a paused clock.
 //!
-//! The seed is fixed; `TRACKFRONT_CASES` makes the run longer.
+//! Guards against combinations of faults that break a promise, such as calls that run twice. The promises are
+//! asserted in the program and checked here. The seed is fixed; `TRACKFRONT_CASES` sets the number of runs.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,35 +17,35 @@
 use trackfront_standin::plain::PlainFaults;
 use trackfront_standin::small::{PLAIN, Spec};
 
-/// How many runs there are in CI.
+/// The default number of runs.
 const CASES: u32 = 12;
 
-/// How many steps a run has at most.
+/// The maximum number of steps in a run.
 const STEPS: usize = 120;
 
-/// How long everything is given to heal after a run.
-const HEAL_TIME: Duration = Duration::from_secs(40);
+/// The maximum time of the recovery after a run.
+const RECOVERY_TIME: Duration = Duration::from_secs(40);
 
-/// One step of a run.
+/// A step of a run.
 #[derive(Clone, Debug)]
 enum Step {
-    /// Calls the plain service through a box under one of a few keys.
+    /// Calls the plain service through a box with one of a few keys.
     Call { entry: usize, key: u8 },
     /// Sends a text request.
     Text { entry: usize, tokens: u64 },
-    /// Lets time pass.
+    /// Advances the clock.
     Sleep { ms: u64 },
     /// Kills a box and starts another in its hall.
     Replace { entry: usize },
-    /// Takes the table down, or up again.
+    /// Makes the table unavailable or available.
     Table { down: bool },
-    /// Loses replies of the table after they took effect.
+    /// Drops replies of the table to writes that it applied.
     LoseCommits { count: u32 },
-    /// Loses answers of peers.
+    /// Drops replies of peers.
     LoseAnswers { count: u32 },
-    /// Cuts a hall off.
+    /// Partitions a hall from the others.
     Cut { hall: usize },
-    /// Heals all cuts.
+    /// Ends all partitions.
     Heal,
     /// Sets faults of the plain service.
     Plain { drop_before: u32, lose_replies: u32, wrong_ids: u32, latency_ms: u64 },
@@ -74,7 +74,7 @@
     ]
 }
 
-/// A run and what was seen in it.
+/// A run and its results.
 struct Run {
     deployment: MemoryDeployment,
     halls: Vec<HallName>,
@@ -158,8 +158,8 @@
         }
     }
 
-    /// Ends all faults and checks that everything comes back.
-    async fn heal(&mut self) {
+    /// Ends all faults and checks that everything recovers.
+    async fn clear_faults(&mut self) {
         self.deployment.net.heal();
         self.deployment.net.lose_answers(0);
         self.deployment.table.faults.set(Default::default());
@@ -169,11 +169,11 @@
         for server in self.deployment.plain.values() {
             server.set_faults(PlainFaults::default());
         }
-        tokio::time::sleep(HEAL_TIME).await;
+        tokio::time::sleep(RECOVERY_TIME).await;
         assert_eq!(self.deployment.missing_items(), 0, "every model is reachable again");
     }
 
-    /// Checks the calls: each key ran at most once, and what was refused as not run was not.
+    /// Checks that the call with each key ran at most once, and not if it was refused as not run.
     async fn check_calls(&mut self) {
         let mut all_not_run: HashMap<String, bool> = HashMap::new();
         for (key, job) in std::mem::take(&mut self.calls) {
@@ -212,7 +212,7 @@
     for step in &steps {
         run.step(step).await;
     }
-    run.heal().await;
+    run.clear_faults().await;
     run.check_calls().await;
     for job in std::mem::take(&mut run.texts) {
         job.await.expect("a text request does not panic");
@@ -221,7 +221,7 @@
 }
 
 #[test]
-fn nothing_that_must_hold_is_broken() {
+fn promises_hold_under_random_faults() {
     let cases = std::env::var("TRACKFRONT_CASES").ok().and_then(|text| text.parse().ok());
     let config = Config {
         cases: cases.unwrap_or(CASES),
