--- a/trackfront_adapters/src/metrics.rs
+++ b/trackfront_adapters/src/metrics.rs
@@ -17,7 +17,7 @@
 /// The first bucket of the time histograms, in seconds.
 const FIRST_BUCKET: f64 = 0.001;
 
-/// How many buckets the time histograms have; each is twice the one before.
+/// The number of buckets of the time histograms, each twice as large as the one before.
 const BUCKETS: u16 = 16;
 
 /// The labels of a finished request.
@@ -39,23 +39,23 @@
 /// All metrics of a box.
 pub struct Metrics {
     registry: Registry,
-    /// Requests that came to an end.
+    /// Requests that ended.
     pub requests: Family<RequestLabels, Counter>,
     /// Requests in progress.
     pub in_flight: Gauge,
-    /// Time to the first piece of an answer.
+    /// The time to the first piece of an answer.
     pub first_token: Histogram,
-    /// Sends to a further backend server.
+    /// Retries at further backend servers.
     pub retries: Counter,
-    /// Streams taken up again at their offset.
+    /// Recovered streams.
     pub resumes: Counter,
-    /// Frames that did not belong and were dropped.
+    /// Dropped frames, by reason.
     pub dropped_frames: Family<FrameLabels, Counter>,
     /// The revision in force.
     pub revision: Gauge<u64, AtomicU64>,
-    /// Leases held.
+    /// The number of held leases.
     pub leases: Gauge,
-    /// Peers that answer.
+    /// The number of live peers.
     pub live_peers: Gauge,
     /// Transactions sent to the platform's table.
     pub table_writes: Counter,
@@ -114,7 +114,7 @@
         self.requests.get_or_create(&RequestLabels { kind, result }).inc();
     }
 
-    /// Returns how many completions were answered whole.
+    /// Returns the number of completions with complete answers.
     pub fn text_answers(&self) -> u64 {
         let labels = RequestLabels { kind: "completion", result: "answered" };
         self.requests.get_or_create(&labels).get()
@@ -125,7 +125,7 @@
         self.dropped_frames.get_or_create(&FrameLabels { reason }).inc();
     }
 
-    /// Notes the time to the first piece of an answer.
+    /// Records the time to the first piece of an answer.
     pub fn first_token_after(&self, time: Duration) {
         self.first_token.observe(time.as_secs_f64());
     }
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -14,7 +14,7 @@
 /// The first bucket of the time histograms, in seconds; each is twice the one before.
 const FIRST_BUCKET: f64 = 0.001;
 
-/// How many buckets the time histograms have.
+/// The number of buckets of the time histograms.
 const BUCKETS: u16 = 16;
 
 /// The labels of a finished request.
@@ -35,13 +35,13 @@
     pub outcome: &'static str,
 }
 
-/// How many accounts have counters of their own: what clients make a box keep stays bounded.
+/// The maximum number of accounts with their own counters, which bounds the memory.
 pub const MAX_ACCOUNTS: usize = 64;
 
-/// The name that all other accounts are counted under.
+/// The label of all other accounts.
 const OTHER_ACCOUNTS: &str = "other";
 
-/// The label of something that comes in a few kinds.
+/// The label of metrics by kind.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct KindLabel {
     /// The kind.
@@ -51,52 +51,52 @@
 /// All metrics of a serving node.
 pub struct ServingMetrics {
     registry: Registry,
-    /// Requests that came to an end.
+    /// Requests that ended.
     pub requests: Family<OutcomeLabels, Counter>,
-    /// Requests that came to an end, by client account.
+    /// Requests that ended, by client account.
     pub by_account: Family<AccountLabels, Counter>,
     accounts: Mutex<BTreeSet<String>>,
     /// Requests that were refused as not run, by cause.
     pub refusals: Family<KindLabel, Counter>,
-    /// Rows of servers that name none to use, by version.
+    /// Rows that describe no usable server, by version.
     pub unusable_rows: Counter,
-    /// Sends to servers, by how they ended.
+    /// Sends to servers, by result.
     pub sends: Family<KindLabel, Counter>,
-    /// Time to the first event or the whole plain answer, by kind of route.
+    /// The time to the first event or to the complete plain answer, by kind of route.
     pub first_event: Family<KindLabel, Histogram>,
-    /// Time to the first event over what was estimated.
+    /// The ratio of the time to the first event to its estimate.
     pub estimate_ratio: Histogram,
-    /// How long requests were held for what was to come, by whether it came.
+    /// How long requests were held for an expected load or server, by whether it became available.
     pub held: Family<KindLabel, Histogram>,
-    /// What was learned of requests that crash servers: struck, held off, let go.
+    /// Events of requests that crash servers: crashes, quarantines and releases.
     pub crashes: Family<KindLabel, Counter>,
-    /// What servers said of themselves in answers, where that was new: leaves, limited, unlimited, backs off.
+    /// New notices of servers in answers, by kind: leaves, limited, unlimited, backs off.
     pub notices: Family<KindLabel, Counter>,
-    /// Servers whose notices are in force, by the same kinds.
+    /// The number of servers with a notice in force, by the same kinds.
     pub noticed_servers: Family<KindLabel, Gauge>,
-    /// How often nothing ran: the machine was suspended, or the process stood still.
+    /// Suspensions of the machine and pauses of the process.
     pub standstills: Family<KindLabel, Counter>,
     /// Requests in progress.
     pub in_flight: Gauge,
     /// Calls to the platform's store, by kind.
     pub store_calls: Family<KindLabel, Counter>,
-    /// Orders given to engines, by answer.
+    /// Orders sent to engines, by answer.
     pub orders: Family<KindLabel, Counter>,
-    /// Whether a dependency is there (1) or lost (0).
+    /// Whether a dependency is available (1) or lost (0).
     pub dependencies: Family<KindLabel, Gauge>,
     /// The version of the configuration in force.
     pub config_version: Gauge,
     /// The era of the platform's store; 0 if it has none.
     pub store_era: Gauge,
-    /// Halls whose servers get nothing, as the operator said.
+    /// The number of evacuated halls.
     pub evacuated_halls: Gauge,
-    /// Nodes heard of lately, this one included.
+    /// The number of live boxes, including this one.
     pub nodes: Gauge,
-    /// Log lines that were dropped because the reader of the output was too slow.
+    /// Log lines that were dropped because the output was read too slowly.
     pub dropped_lines: Gauge,
-    /// Connections to servers that were opened.
+    /// Opened connections to servers.
     pub connections_opened: Gauge,
-    /// Sends over connections that were kept.
+    /// Requests on reused connections.
     pub connections_reused: Gauge,
 }
 
