Do not say that a limit is reached where no box could tell

What callers of the product's own interface saw: 429 `limit_reached`, whose remedy is to send less, while no box coordinated their limit, as for some tenths of a second after a coordinator is lost or a box has started.

Cause: a wait for units can end because the limit is reached or because no coordinator replied, and both had one error.

Change: RequestError has LimitUnavailable, 503 `limit_unavailable` with a Retry-After; nothing was sent, as before.

`caller_without_coordinator_is_not_told_that_its_limit_is_reached` failed before (429 where 503 was due) and passes.

--- a/trackfront_core/src/outcome.rs
+++ b/trackfront_core/src/outcome.rs
@@ -136,6 +136,17 @@
         /// The time after which the client should retry.
         retry_after: Duration,
     },
+    /// No box could grant units of the caller's limit.
+    #[error(
+        "no box answers for the limit of the caller `{caller}`; try again in {} s",
+        .retry_after.as_secs_f64().ceil()
+    )]
+    LimitUnavailable {
+        /// The caller's name.
+        caller: String,
+        /// The time after which the client should retry.
+        retry_after: Duration,
+    },
     /// The claim of a call that is not repeatable could not be stored in the platform's table.
     #[error("the call could not be recorded and was not sent; try again in {} s", .retry_after.as_secs())]
     ClaimUnavailable {
@@ -213,6 +224,7 @@
             RequestError::ClaimUnavailable { .. } => "claim_unavailable",
             RequestError::Overloaded { .. } => "overloaded",
             RequestError::LimitReached { .. } => "limit_reached",
+            RequestError::LimitUnavailable { .. } => "limit_unavailable",
             RequestError::DeadlinePassed { .. } => "deadline_passed",
             RequestError::BackendRefused { .. } => "backend_refused",
             RequestError::BackendBroke { .. } => "backend_broke",
@@ -236,6 +248,7 @@
             RequestError::NotReady { .. }
             | RequestError::NoBackend { .. }
             | RequestError::Overloaded { .. }
+            | RequestError::LimitUnavailable { .. }
             | RequestError::ClaimUnavailable { .. } => 503,
             RequestError::LimitReached { .. } => 429,
             RequestError::DeadlinePassed { .. } => 504,
@@ -251,6 +264,7 @@
             | RequestError::NoBackend { retry_after, .. }
             | RequestError::Overloaded { retry_after, .. }
             | RequestError::LimitReached { retry_after, .. }
+            | RequestError::LimitUnavailable { retry_after, .. }
             | RequestError::ClaimUnavailable { retry_after } => Some(*retry_after),
             _ => None,
         }
--- a/trackfrontd/src/limits.rs
+++ b/trackfrontd/src/limits.rs
@@ -84,6 +84,20 @@
     }
 }
 
+/// Returns the error for a request whose wait for units ended without a grant.
+pub fn refusal(outcome: WaitOutcome, caller: &AccountName) -> Option<RequestError> {
+    let caller = caller.to_string();
+    match outcome {
+        WaitOutcome::Granted => None,
+        WaitOutcome::LimitReached { retry_after } => {
+            Some(RequestError::LimitReached { caller, retry_after })
+        }
+        WaitOutcome::NoCoordinator { retry_after } => {
+            Some(RequestError::LimitUnavailable { caller, retry_after })
+        }
+    }
+}
+
 /// Takes the units of a request from its caller's limits. `tokens` is the number of tokens that it is expected to use.
 pub async fn take(
     shared: &Shared,
@@ -101,15 +115,12 @@
     let tokens = known.tokens.filter(|_| units > 0).map(|_| (AccountId::of(caller), units));
     for (account, units) in requests.into_iter().chain(tokens) {
         let now = shared.outside.clock.now();
-        match shared.quotas.take(account, units, now, MAX_UNITS_WAIT).await {
-            WaitOutcome::Granted => taken.0.push((account, units)),
-            WaitOutcome::LimitReached { retry_after }
-            | WaitOutcome::NoCoordinator { retry_after } => {
-                taken.return_all(shared);
-                let caller = caller.to_string();
-                return Err(RequestError::LimitReached { caller, retry_after });
-            }
+        let outcome = shared.quotas.take(account, units, now, MAX_UNITS_WAIT).await;
+        if let Some(error) = refusal(outcome, caller) {
+            taken.return_all(shared);
+            return Err(error);
         }
+        taken.0.push((account, units));
     }
     Ok(taken)
 }
--- a/trackfrontd/tests/quotas.rs
+++ b/trackfrontd/tests/quotas.rs
@@ -12,6 +12,7 @@
 use trackfront_core::quota::share::{OutgoingRequest, WaitOutcome};
 use trackfront_core::quota::{AccountId, BoxId, QuotaRequest, rank_coordinators};
 use trackfront_core::units::Moment;
+use trackfrontd::limits::refusal;
 use trackfrontd::quotas::Quotas;
 
 const LIMIT: AccountLimit =
@@ -99,3 +100,26 @@
     assert_eq!(new.coordinator(account()), Some(joining));
     assert_eq!(old.coordinator(account()), Some(joining));
 }
+
+/// Guards against callers of the product's own interface that are told that their limit is reached while no box could
+/// coordinate it, so that they reduce their load for nothing.
+#[tokio::test]
+async fn caller_without_coordinator_is_not_told_that_its_limit_is_reached() {
+    let caller = "account".into();
+    let alone = quotas(BoxId(1));
+    alone.set_boxes(&[], None);
+    let waiting = tokio::spawn({
+        let alone = alone.clone();
+        async move { alone.take(account(), UNITS, at(0), MAX_WAIT).await }
+    });
+    yield_now().await;
+    assert_eq!(alone.poll(at(0)), []);
+    let error = refusal(waiting.await.expect("it ends"), &caller).expect("it is refused");
+    assert_eq!((error.status(), error.kind()), (503, "limit_unavailable"));
+    assert!(error.retry_after().is_some());
+
+    let reached = WaitOutcome::LimitReached { retry_after: Duration::from_secs(2) };
+    let error = refusal(reached, &caller).expect("it is refused");
+    assert_eq!((error.status(), error.kind()), (429, "limit_reached"));
+    assert_eq!(refusal(WaitOutcome::Granted, &caller), None);
+}
