--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -38,6 +38,7 @@
 pub mod order_tracker;
 pub mod overlay;
 pub mod packing;
+mod peer;
 pub mod peer_socket;
 pub mod peer_tracker;
 pub mod permits;
--- a/trackfrontd/src/serving/order_holder.rs
+++ b/trackfrontd/src/serving/order_holder.rs
@@ -8,7 +8,7 @@
 use trackfront_core::units::Moment;
 
 use super::messages::{HolderReport, LeaseReport};
-use super::peer_tracker::PEER_TIMEOUT;
+use super::peer::PEER_TIMEOUT;
 
 /// How long the holder counts as alive after its last digest, if that was reported by another box.
 const RELAYED_ALIVE_FOR: Duration = Duration::from_millis(2_500);
--- a/trackfrontd/src/serving/peer_tracker.rs
+++ b/trackfrontd/src/serving/peer_tracker.rs
@@ -13,6 +13,7 @@
 use super::delegates::{Halls, ListedBox};
 use super::messages::{Digest, HolderReport};
 use super::order_holder::KnownHolder;
+use super::peer::{DigestSources, PEER_TIMEOUT, Peer, REACHABLE_TIME};
 
 /// The longest interval, in rounds, between digests to a box of another hall in a small fleet.
 /// Traffic between halls is expensive.
@@ -37,70 +38,9 @@
 /// 400 of their digests a second, whatever the size of the hall.
 const INTERVAL_PER_HALL_BOX: Duration = Duration::from_micros(2_500);
 
-/// The time after its last digest for which a box counts as alive. Boxes send digests more often
-/// than that.
-pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// The time for which a silent box still counts among those that share budgets.
 const BUDGET_SHARE_TIME: Duration = Duration::from_secs(120);
 
-/// The time after its last digest, or after it was listed, for which a silent box is still sent
-/// messages as usual.
-const REACHABLE_TIME: Duration = Duration::from_secs(10);
-
-/// The state of another box.
-#[derive(Clone, Debug)]
-struct Peer {
-    listed_at: Moment,
-    last_digest_at: Option<Moment>,
-    listing: ListedBox,
-    store_lost: bool,
-    announcement: Option<LeaseAnnouncement>,
-    /// Since when the box has been expected to send digests to this one.
-    expected_since: Option<Moment>,
-    /// Whether the box should have sent digests to this one but did not.
-    is_missing: bool,
-}
-
-impl Peer {
-    fn new(listing: ListedBox, listed_at: Moment) -> Self {
-        Self {
-            listed_at,
-            last_digest_at: None,
-            listing,
-            store_lost: false,
-            announcement: None,
-            expected_since: None,
-            is_missing: false,
-        }
-    }
-
-    fn last_seen_at(&self) -> Moment {
-        self.last_digest_at.unwrap_or(self.listed_at)
-    }
-
-    fn is_alive(&self, now: Moment) -> bool {
-        self.last_digest_at.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
-    }
-}
-
-/// Which boxes send digests to this one.
-#[derive(Clone, Copy)]
-struct DigestSources {
-    is_whole_fleet: bool,
-    is_whole_hall: bool,
-    hall: u32,
-}
-
-impl DigestSources {
-    fn is_reachable(self, peer: &Peer, now: Moment) -> bool {
-        match self.is_whole_fleet || (self.is_whole_hall && peer.listing.hall == self.hall) {
-            true => now.since(peer.last_seen_at()) < REACHABLE_TIME,
-            false => !peer.is_missing,
-        }
-    }
-}
-
 /// The boxes of this box's hall, and its position in the succession of feed readers.
 #[derive(Clone, Debug, Default)]
 pub struct HallPeers {
