--- a/trackfrontd/src/serving/pipeline/key.rs
+++ b/trackfrontd/src/serving/pipeline/key.rs
@@ -30,7 +30,10 @@
         Authentication::Anonymous => Ok(None),
         Authentication::Account(_) | Authentication::UnknownKey if !knows_keys => {
             match route.public {
-                true => Ok(None),
+                true => {
+                    log_unchecked_key(node, info);
+                    Ok(None)
+                }
                 false => Err(not_current(node)),
             }
         }
@@ -39,6 +42,14 @@
     }
 }
 
+/// Logs that a request on a public route is served without the account of its key, which may have
+/// been revoked.
+fn log_unchecked_key(node: &ServingNode, info: &RequestInfo) {
+    let age = node.config_freshness.age(node.now());
+    let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+    log::info!(request:% = info.id, age_ms; "key not checked");
+}
+
 fn holder(config: &ServingConfig, route: &Route, info: &RequestInfo) -> Authentication {
     config.authenticate(route, info.key.as_ref())
 }
