--- a/trackfront_adapters/src/lib.rs
+++ b/trackfront_adapters/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod audit;
 pub mod back_off;
 pub mod clock;
+pub mod connect;
 pub mod engine;
 pub mod http_client;
 pub mod http_server;
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -18,13 +18,12 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use trackfront_core::ports::Clock;
 use trackfront_core::units::Moment;
 
+use crate::connect::Connect;
 use crate::http_client::error_chain;
-use crate::keep_alive;
 
 /// The maximum number of idle connections to a server.
 const MAX_IDLE: usize = 32;
@@ -97,6 +96,7 @@
     idle: IdleByAddress,
     counts: Mutex<PoolCounts>,
     clock: Arc<dyn Clock>,
+    connect: Arc<dyn Connect>,
 }
 
 /// The answer of a server.
@@ -120,8 +120,8 @@
 
 impl UpstreamPool {
     /// Creates a pool without connections.
-    pub fn new(clock: Arc<dyn Clock>) -> Self {
-        Self { idle: IdleByAddress::default(), counts: Mutex::default(), clock }
+    pub fn new(clock: Arc<dyn Clock>, connect: Arc<dyn Connect>) -> Self {
+        Self { idle: IdleByAddress::default(), counts: Mutex::default(), clock, connect }
     }
 
     /// Returns how many connections were opened and reused.
@@ -220,7 +220,7 @@
         address: &str,
         time: Duration,
     ) -> Result<Connection, UpstreamError> {
-        let opening = tokio::time::timeout(time, open(address)).await;
+        let opening = tokio::time::timeout(time, open(&*self.connect, address)).await;
         let connection = opening
             .map_err(|_| UpstreamError::NotSent("the connection did not open in time".into()))??;
         self.counts.lock().opened += 1;
@@ -246,15 +246,13 @@
     }
 }
 
-async fn open(address: &str) -> Result<Connection, UpstreamError> {
+async fn open(connect: &dyn Connect, address: &str) -> Result<Connection, UpstreamError> {
     let not_sent = |error: &dyn std::error::Error| UpstreamError::NotSent(error_chain(error));
     let address: SocketAddr = address.parse().map_err(|error| not_sent(&error))?;
-    let stream = TcpStream::connect(address).await.map_err(|error| match error.kind() {
+    let stream = connect.connect(address).await.map_err(|error| match error.kind() {
         io::ErrorKind::ConnectionRefused => UpstreamError::ConnectionRefused(error_chain(&error)),
         _ => not_sent(&error),
     })?;
-    let _ = stream.set_nodelay(true);
-    keep_alive::enable(&stream);
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
     let task = tokio::spawn(async move {
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -8,6 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
+use trackfront_adapters::connect::Connect;
 use trackfront_adapters::interface::{ClientInterface, ServerInterface};
 use trackfront_adapters::serving_metrics::{KindLabel, ServingMetrics};
 use trackfront_adapters::upstream::UpstreamPool;
@@ -78,6 +79,8 @@
     pub servers: Arc<dyn ServerInterface>,
     /// The clock that all decisions use.
     pub clock: Arc<dyn Clock>,
+    /// Opens the connections to backend servers.
+    pub connect: Arc<dyn Connect>,
 }
 
 /// The shared state of a serving node. Each part has its own lock, and no lock is held across an
@@ -180,7 +183,7 @@
         let quotas = Quotas::new(box_id(settings.node.ip), rand::random());
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
-            pool: UpstreamPool::new(ports.clock.clone()),
+            pool: UpstreamPool::new(ports.clock.clone(), ports.connect.clone()),
             ports,
             metrics: ServingMetrics::default(),
             config: ArcSwapOption::empty(),
