--- a/trackfront_adapters/src/lib.rs
+++ b/trackfront_adapters/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod plain;
 pub mod platform;
 pub mod serving_metrics;
+pub mod tunnel;
 pub mod upstream;
 pub mod wire;
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -62,6 +62,10 @@
     pub unusable_rows: Counter,
     /// Sends to servers, by result.
     pub sends: Family<KindLabel, Counter>,
+    /// Connections to servers through other boxes, by result.
+    pub relayed: Family<KindLabel, Counter>,
+    /// Connections that other boxes asked this one to carry, by result.
+    pub carried: Family<KindLabel, Counter>,
     /// The time to the first event or to the complete plain answer, by kind of route.
     pub first_event: Family<KindLabel, Histogram>,
     /// The ratio of the time to the first event to its estimate.
@@ -114,6 +118,8 @@
             refusals: Family::default(),
             unusable_rows: Counter::default(),
             sends: Family::default(),
+            relayed: Family::default(),
+            carried: Family::default(),
             first_event: Family::new_with_constructor(latency),
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             held: Family::new_with_constructor(latency),
@@ -153,6 +159,10 @@
         let unusable = self.unusable_rows.clone();
         registry.register("unusable_rows", "Rows of servers that name none to use", unusable);
         registry.register("sends", "Sends to servers by how they ended", self.sends.clone());
+        let relayed = self.relayed.clone();
+        registry.register("relayed", "Connections to servers through other boxes", relayed);
+        let carried = self.carried.clone();
+        registry.register("carried", "Connections asked for by other boxes", carried);
         registry.register_with_unit(
             "first_event",
             "Time to the first event or the whole plain answer",
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -22,7 +22,7 @@
 use trackfront_core::ports::Clock;
 use trackfront_core::units::Moment;
 
-use crate::connect::Connect;
+use crate::connect::{ByteStream, Connect};
 use crate::http_client::error_chain;
 
 /// The maximum number of idle connections to a server.
@@ -59,11 +59,13 @@
 }
 
 /// A connection, which is closed when dropped.
-struct Connection {
+pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     /// Whether it was used for a request before.
     used: bool,
+    /// Whether it may be used for further requests.
+    is_reusable: bool,
 }
 
 impl Drop for Connection {
@@ -129,17 +131,38 @@
         *self.counts.lock()
     }
 
-    /// Sends a request and waits for the head of the answer. Dropping the future or the body closes the
-    /// connection. `build` creates the request right before it is sent, since its remaining time changes while the
-    /// connection opens. It returns `None` if the request may no longer be sent.
+    /// Sends a request over a direct connection, see [`Self::send_over`].
     pub async fn send(
         &self,
         address: &str,
         options: SendOptions,
         build: impl Fn() -> Option<Request<Full<Bytes>>>,
     ) -> Result<UpstreamAnswer, UpstreamError> {
+        let open = || self.open(address, options.connect_time);
+        self.send_over(address, options.max_idle, open, build).await
+    }
+
+    /// Sends a request over an idle connection, or one that `open` opens, and waits for the head of the answer.
+    /// Dropping the future or the body closes the connection. `build` creates the request right before it is sent, since its remaining time changes while the
+    /// connection opens. It returns `None` if the request may no longer be sent.
+    pub async fn send_over<F>(
+        &self,
+        address: &str,
+        max_idle: Duration,
+        open: impl Fn() -> F,
+        build: impl Fn() -> Option<Request<Full<Bytes>>>,
+    ) -> Result<UpstreamAnswer, UpstreamError>
+    where
+        F: Future<Output = Result<Connection, UpstreamError>>,
+    {
         loop {
-            let mut connection = self.connection(address, options).await?;
+            let mut connection = match self.take_idle(address, max_idle) {
+                Some(connection) => {
+                    self.counts.lock().reused += 1;
+                    connection
+                }
+                None => open().await?,
+            };
             let Some(request) = build() else {
                 return Err(UpstreamError::Withheld);
             };
@@ -152,7 +175,8 @@
                         idle: self.idle.clone(),
                         clock: self.clock.clone(),
                         address: address.to_owned(),
-                        keep_until: keep_until(&head.headers, self.clock.now()),
+                        keep_until: keep_until(&head.headers, self.clock.now())
+                            .filter(|_| connection.is_reusable),
                     };
                     let body = UpstreamBody { body, held: Some((connection, origin)) };
                     return Ok(UpstreamAnswer { head, body, is_first: !was_used });
@@ -169,13 +193,18 @@
 
     /// Opens a connection to `address` for the next request there.
     pub async fn open_spare(&self, address: &str, time: Duration) -> Result<(), UpstreamError> {
-        let connection = self.open_within(address, time).await?;
+        let connection = self.open(address, time).await?;
+        self.add_spare(address, connection);
+        Ok(())
+    }
+
+    /// Keeps an unused connection to `address` for the next request there.
+    pub fn add_spare(&self, address: &str, connection: Connection) {
         let mut idle = self.idle.lock();
         let connections = idle.entry(address.to_owned()).or_default();
         if connections.len() < MAX_IDLE {
             connections.push(Idle { connection, since: self.clock.now(), until: None });
         }
-        Ok(())
     }
 
     /// Returns whether there is an idle connection to `address`.
@@ -203,28 +232,34 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    async fn connection(
-        &self,
-        address: &str,
-        options: SendOptions,
-    ) -> Result<Connection, UpstreamError> {
-        if let Some(connection) = self.take_idle(address, options.max_idle) {
-            self.counts.lock().reused += 1;
-            return Ok(connection);
-        }
-        self.open_within(address, options.connect_time).await
+    /// Opens a connection to `address` within `time`.
+    pub async fn open(&self, address: &str, time: Duration) -> Result<Connection, UpstreamError> {
+        let connection = handshake(self.open_bytes(address, time).await?, true).await?;
+        self.counts.lock().opened += 1;
+        Ok(connection)
     }
 
-    async fn open_within(
+    /// Opens a connection to `address` within `time`, for any bytes.
+    pub async fn open_bytes(
         &self,
         address: &str,
         time: Duration,
-    ) -> Result<Connection, UpstreamError> {
-        let opening = tokio::time::timeout(time, open(&*self.connect, address)).await;
-        let connection = opening
-            .map_err(|_| UpstreamError::NotSent("the connection did not open in time".into()))??;
-        self.counts.lock().opened += 1;
-        Ok(connection)
+    ) -> Result<Box<dyn ByteStream>, UpstreamError> {
+        let address: SocketAddr = address.parse().map_err(|error| not_sent(&error))?;
+        let opening = tokio::time::timeout(time, self.connect.connect(address)).await;
+        let opening = opening
+            .map_err(|_| UpstreamError::NotSent("the connection did not open in time".into()))?;
+        opening.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => {
+                UpstreamError::ConnectionRefused(error_chain(&error))
+            }
+            _ => not_sent(&error),
+        })
+    }
+
+    /// Uses a connection that was opened in another way for a single request.
+    pub async fn use_once(&self, stream: Box<dyn ByteStream>) -> Result<Connection, UpstreamError> {
+        handshake(stream, false).await
     }
 
     fn take_idle(&self, address: &str, max_idle: Duration) -> Option<Connection> {
@@ -246,13 +281,14 @@
     }
 }
 
-async fn open(connect: &dyn Connect, address: &str) -> Result<Connection, UpstreamError> {
-    let not_sent = |error: &dyn std::error::Error| UpstreamError::NotSent(error_chain(error));
-    let address: SocketAddr = address.parse().map_err(|error| not_sent(&error))?;
-    let stream = connect.connect(address).await.map_err(|error| match error.kind() {
-        io::ErrorKind::ConnectionRefused => UpstreamError::ConnectionRefused(error_chain(&error)),
-        _ => not_sent(&error),
-    })?;
+fn not_sent(error: &dyn std::error::Error) -> UpstreamError {
+    UpstreamError::NotSent(error_chain(error))
+}
+
+async fn handshake(
+    stream: Box<dyn ByteStream>,
+    is_reusable: bool,
+) -> Result<Connection, UpstreamError> {
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
     let task = tokio::spawn(async move {
@@ -260,7 +296,7 @@
             log::trace!("a connection to a server ended: {}", error_chain(&error));
         }
     });
-    Ok(Connection { sender, task: task.abort_handle(), used: false })
+    Ok(Connection { sender, task: task.abort_handle(), used: false, is_reusable })
 }
 
 /// Returns until when the connection of an answer may be reused. The outer `None` means not at all, the inner one without
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -399,6 +399,11 @@
         self.server(server).mark_ended(now);
     }
 
+    /// Forgets that servers could not be reached, since the fault lay with this box's own links.
+    pub fn clear_pauses(&mut self) {
+        self.servers.values_mut().for_each(ServerLoad::mark_reachable);
+    }
+
     /// Applies a server's report of its load.
     pub fn apply_report(&mut self, server: &BackendId, reported: ReportedLoad, now: Moment) {
         let load = self.server(server);
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -27,7 +27,9 @@
     mod permits;
     mod planner;
     mod planner_random;
+    mod reach;
     mod refusal_retries;
+    mod relays;
     mod retry_budget;
     mod sampling;
     mod saturation;
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -15,6 +15,7 @@
 use super::log_queue::LogQueue;
 use super::node::ServingNode;
 use super::pipeline;
+use super::reach::carry;
 use super::{crashes, exchange};
 
 /// The maximum number of connections that wait to be accepted.
@@ -79,8 +80,8 @@
     serve(listener, handler, stop).await;
 }
 
-/// Serves snapshots for other boxes, operators' calls about quarantined requests, and the metrics
-/// on any other path.
+/// Serves snapshots and connections to servers for other boxes, operators' calls about quarantined
+/// requests, and the metrics on any other path.
 pub async fn serve_boxes(
     node: Arc<ServingNode>,
     log_queue: LogQueue,
@@ -88,11 +89,16 @@
     stop: watch::Receiver<bool>,
 ) {
     let handler = move |request: Request<Incoming>| {
-        let (method, path) = (request.method(), request.uri().path());
-        let held_off = || crashes::operators::answer(&node, method, path);
-        let answer = exchange::handle_request(&node, path).or_else(held_off);
-        let answer = answer.unwrap_or_else(|| metrics_text(&node, &log_queue));
-        async move { Ok(answer) }
+        let (node, log_queue) = (node.clone(), log_queue.clone());
+        async move {
+            if carry::is_asked(&request) {
+                return Ok(carry::handle_request(node, request).await);
+            }
+            let (method, path) = (request.method(), request.uri().path());
+            let held_off = || crashes::operators::answer(&node, method, path);
+            let answer = exchange::handle_request(&node, path).or_else(held_off);
+            Ok(answer.unwrap_or_else(|| metrics_text(&node, &log_queue)))
+        }
     };
     serve(listener, handler, stop).await;
 }
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -45,6 +45,7 @@
 pub mod pipeline;
 pub mod placement;
 pub mod quota;
+pub mod reach;
 pub mod response_relay;
 pub mod restoration;
 pub mod run;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -11,6 +11,7 @@
 use trackfront_adapters::connect::Connect;
 use trackfront_adapters::interface::{ClientInterface, ServerInterface};
 use trackfront_adapters::serving_metrics::{KindLabel, ServingMetrics};
+use trackfront_adapters::tunnel::TunnelClient;
 use trackfront_adapters::upstream::UpstreamPool;
 use trackfront_core::ids::{BackendId, HallName};
 use trackfront_core::ports::{Clock, Knowledge, Table};
@@ -23,7 +24,9 @@
 use trackfront_core::serving::halls::Evacuations;
 use trackfront_core::serving::load::LoadTracker;
 use trackfront_core::serving::notices::NoticeTracker;
+use trackfront_core::serving::reach::ReachTracker;
 use trackfront_core::serving::refusal_retries::RefusalRetries;
+use trackfront_core::serving::relays::RelaySelector;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::serving::retry_budget::RetryBudgets;
 use trackfront_core::serving::saturation::Saturation;
@@ -43,6 +46,7 @@
 use super::peer_tracker::PeerTracker;
 use super::permits::ServerPermits;
 use super::quota::box_id;
+use super::reach::carry::CarriedConnections;
 use super::restoration::StoreEra;
 use super::settings::ServingSettings;
 use super::suspension::Suspensions;
@@ -114,6 +118,14 @@
     pub permits: ServerPermits,
     /// Prompt prefixes that engines have cached.
     pub prompt_memory: Mutex<PrefixIndex>,
+    /// Which servers this box reaches by itself.
+    pub reach: Mutex<ReachTracker>,
+    /// Which boxes carry connections for this one.
+    pub relays: Mutex<RelaySelector>,
+    /// The connections to servers that other boxes carry for this one.
+    pub tunnels: TunnelClient,
+    /// The connections that this box carries for others.
+    pub carried: CarriedConnections,
     /// The retry budgets of the services.
     pub retry_budgets: Mutex<RetryBudgets>,
     /// The fraction of requests that found no free server.
@@ -196,6 +208,10 @@
             notice_outbox: NoticeOutbox::default(),
             permits: ServerPermits::new(rand::random()),
             prompt_memory: Mutex::default(),
+            reach: Mutex::default(),
+            relays: Mutex::default(),
+            tunnels: TunnelClient::default(),
+            carried: CarriedConnections::default(),
             retry_budgets: Mutex::new(budgets),
             saturation: Mutex::default(),
             refusal_retries: Mutex::default(),
@@ -395,6 +411,11 @@
         self.servers_changed.notify_waiters();
     }
 
+    /// Returns whether this box is cut off from all servers.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.lock().cut_off_since().is_some()
+    }
+
     /// Returns whether a server accepts new requests, according to its row and its notices.
     pub fn accepts_new(&self, server: &KnownServer) -> bool {
         server.is_ready() && self.notices.lock().leaving_since(&server.entry.id).is_none()
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_adapters::upstream::{SendOptions, UpstreamAnswer, UpstreamError};
+use trackfront_adapters::upstream::{UpstreamAnswer, UpstreamError};
 use trackfront_core::ids::{AdapterName, BackendId};
 use trackfront_core::serving::config::EngineSpec;
 use trackfront_core::serving::directory::{KnownServer, Residents};
@@ -29,6 +29,7 @@
 use super::order_tracker::OrderTracker;
 use super::overlay::EntryKind;
 use super::permits;
+use super::reach;
 
 /// The time for other boxes to learn that a model is withdrawn, before it is unloaded.
 const MODEL_WITHDRAWAL_NOTICE: Duration = Duration::from_millis(150);
@@ -68,8 +69,8 @@
 /// The maximum wait for a permit at an engine with a limit.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(1_000);
 
-/// The timeout for opening a connection to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The maximum idle time of a pooled connection for a report.
+const MAX_REPORT_IDLE: Duration = Duration::from_secs(2);
 
 /// The outcome of an order for an incarnation of the engine that has ended.
 const OTHER_INCARNATION: &str = "the engine has started again";
@@ -266,11 +267,12 @@
         };
         let server = &self.server.entry;
         // A new connection for each order, so that nothing written earlier can arrive after it.
-        let options = SendOptions { connect_time: CONNECT_TIMEOUT, max_idle: Duration::ZERO };
+        // It never goes through another box: to the engine, that one would be a second holder of the lease.
+        let open = || reach::open_direct(&self.node, server);
         let may_order =
             || self.order_fence.usable(self.node.now()) == Some(fence) && self.may_call(permit);
         let build = || may_order().then(|| self.node.ports.servers.order_request(server, &order));
-        let sending = self.node.pool.send(&server.address, options, build);
+        let sending = self.node.pool.send_over(&server.address, Duration::ZERO, open, build);
         let sent_at = self.node.now();
         match timeout(ORDER_TIMEOUT, sending).await {
             Ok(Ok(answer)) => {
@@ -430,11 +432,11 @@
         let server = &self.server.entry;
         let build =
             || self.may_call(permit).then(|| self.node.ports.servers.report_request(server));
-        let options =
-            SendOptions { connect_time: CONNECT_TIMEOUT, max_idle: Duration::from_secs(2) };
+        let open = || reach::open_direct(&self.node, server);
         let asked_at = self.node.now();
         let reading = async {
-            let answer = self.node.pool.send(&server.address, options, build).await?;
+            let pool = &self.node.pool;
+            let answer = pool.send_over(&server.address, MAX_REPORT_IDLE, open, build).await?;
             self.observe_head(&answer, asked_at);
             answer.body.read(MAX_REPORT_BYTES).await
         };
--- a/trackfrontd/src/serving/peer.rs
+++ b/trackfrontd/src/serving/peer.rs
@@ -66,9 +66,22 @@
     /// Returns whether messages are sent to a box as usual. Boxes that send no digests to this one are reachable unless
     /// they are missing.
     pub fn is_reachable(self, peer: &Peer, now: Moment) -> bool {
-        match self.is_whole_fleet || (self.is_whole_hall && peer.listing.hall == self.hall) {
+        match self.include(peer) {
             true => now.since(peer.last_seen_at()) < REACHABLE_TIME,
             false => !peer.is_missing,
         }
     }
+
+    /// Returns whether a box is up as far as this one can tell.
+    pub fn is_up(self, peer: &Peer, now: Moment) -> bool {
+        match self.include(peer) {
+            true => peer.is_alive(now),
+            false => !peer.is_missing,
+        }
+    }
+
+    /// Returns whether a box sends digests to this one.
+    fn include(self, peer: &Peer) -> bool {
+        self.is_whole_fleet || (self.is_whole_hall && peer.listing.hall == self.hall)
+    }
 }
--- a/trackfrontd/src/serving/peer_tracker.rs
+++ b/trackfrontd/src/serving/peer_tracker.rs
@@ -396,6 +396,13 @@
         DigestSources { is_whole_fleet, is_whole_hall, hall: self.me.hall }
     }
 
+    /// Returns the boxes that may carry connections for this one: those that are up as far as it can tell.
+    pub fn relay_candidates(&self, now: Moment) -> Vec<ListedBox> {
+        let sources = self.digest_sources();
+        let up = self.peers.values().filter(|peer| sources.is_up(peer, now));
+        up.map(|peer| peer.listing).collect()
+    }
+
     /// Returns every other box that was ever listed or sent a digest.
     pub fn all(&self) -> Vec<Ipv4Addr> {
         self.peers.keys().copied().collect()
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 use trackfront_adapters::interface::Attempt;
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_adapters::upstream::{SendOptions, UpstreamAnswer, UpstreamError};
+use trackfront_adapters::upstream::{UpstreamAnswer, UpstreamError};
 use trackfront_core::ids::RequestId;
 use trackfront_core::serving::choice::Choice;
 use trackfront_core::serving::directory::KnownServer;
@@ -25,15 +25,13 @@
 use crate::serving::feed_relay::FeedKind;
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::EntryKind;
-use crate::serving::{cold, crashes, notices};
+use crate::serving::reach::Purpose;
+use crate::serving::{cold, crashes, notices, reach};
 
-/// The timeout for opening a connection to a server: many times the round trip within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// How long the choice of a server stays valid until the request is sent: twice the connect
-/// timeout, and short against the seconds for which a leaving server keeps serving. It is only
+/// How long the choice of a server stays valid until the request is sent: longer than a connection
+/// takes to open through another box, and short against the seconds for which a leaving server keeps serving. It is only
 /// exceeded if the process stood still or the machine was suspended.
-const MAX_CHOICE_AGE: Duration = Duration::from_millis(500);
+const MAX_CHOICE_AGE: Duration = Duration::from_millis(700);
 
 /// The maximum idle time of a pooled connection for a request that may be repeated.
 const MAX_IDLE_REPEATABLE: Duration = Duration::from_secs(20);
@@ -144,9 +142,10 @@
         let server = &choice.server.entry;
         let mut guard = self.begin_send(choice);
         self.log_send(choice, guard.expected_ms(), after_event.is_some());
-        let options = SendOptions { connect_time: CONNECT_TIMEOUT, max_idle: self.max_idle() };
+        let purpose = self.purpose();
+        let open = || reach::open(node, server, purpose);
         let build = || self.build_request(choice, permit, after_event);
-        let sending = node.pool.send(&server.address, options, build);
+        let sending = node.pool.send_over(&server.address, self.max_idle(), open, build);
         let sent = timeout_at(self.timer(self.head_until().min(self.answer_by)), sending).await;
         let (result, outcome) = match sent {
             Err(_) => {
@@ -229,13 +228,24 @@
     /// Returns the maximum idle time of a pooled connection for this request.
     fn max_idle(&self) -> Duration {
         let repeats = self.route.is_idempotent() && self.route.max_attempts > 1;
-        match self.saw_silence.load(Ordering::Relaxed) {
+        let max_idle = match self.saw_silence.load(Ordering::Relaxed) {
             true => Duration::ZERO,
             false if repeats => MAX_IDLE_REPEATABLE,
             false => MAX_IDLE_ONCE,
+        };
+        // A connection from before a cut may carry nothing.
+        match self.node.reach.lock().cut_off_since() {
+            Some(since) => max_idle.min(self.node.now().since(since)),
+            None => max_idle,
         }
     }
 
+    /// Returns what a connection for this request is for.
+    fn purpose(&self) -> Purpose<'_> {
+        let account = self.account.as_ref().and_then(|account| account.regions.as_ref());
+        Purpose { request: self.info.id.as_str(), regions: [self.route.regions.as_ref(), account] }
+    }
+
     /// Records that a server fell silent. The fault may lie with its connection, and other
     /// connections of the same age may be affected, so this request only uses new connections from
     /// now on.
--- /dev/null
+++ b/trackfrontd/src/serving/reach/mod.rs
@@ -0,0 +1,224 @@
+//! Opens connections to servers: directly, or through another box if this one cannot reach them.
+//!
+//! A connection that does not open soon is opened through another box as well, and the first one is used. What this
+//! shows about the box's own links is tracked by [`ReachTracker`]; [`watch`] finds out when they work again.
+
+pub mod carry;
+mod relayed;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use relayed::{RelayedError, open_relayed};
+use tokio::time::{sleep, timeout};
+use trackfront_adapters::connect::ByteStream;
+use trackfront_adapters::upstream::{Connection, UpstreamError};
+use trackfront_core::ids::{BackendId, RegionName};
+use trackfront_core::serving::directory::{KnownServer, ServerEntry};
+use trackfront_core::serving::reach::{Path, ReachChange};
+
+use super::node::ServingNode;
+
+/// How long a direct connection may take before one through another box is opened as well: several times the round trip
+/// between the farthest regions.
+const RELAY_DELAY: Duration = Duration::from_millis(60);
+
+/// The timeout for opening a connection directly: many times the round trip within a region.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The interval at which [`watch`] looks for servers that are not reached.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The number of these intervals between direct attempts of a box that is cut off.
+const ATTEMPT_INTERVALS: u32 = 2;
+
+/// The name of the servers among the dependencies, in logs and metrics.
+const SERVERS: &str = "servers";
+
+/// What a connection is for.
+#[derive(Clone, Copy, Debug)]
+pub struct Purpose<'a> {
+    /// The request that is sent over it, or what else it is for, for logs.
+    pub request: &'a str,
+    /// The regions that may see the request, if it is restricted; all restrictions apply.
+    pub regions: [Option<&'a BTreeSet<RegionName>>; 2],
+}
+
+impl Purpose<'static> {
+    /// Returns the purpose of a connection over which no request of a client is sent.
+    pub fn check(what: &'static str) -> Self {
+        Self { request: what, regions: [None, None] }
+    }
+}
+
+/// Opens a connection for a request. An error says that nothing was sent.
+pub async fn open(
+    node: &ServingNode,
+    server: &ServerEntry,
+    purpose: Purpose<'_>,
+) -> Result<Connection, UpstreamError> {
+    let path = node.reach.lock().path(&server.id, node.now());
+    let relayed = open_relayed(node, server, purpose);
+    if path == Path::Relayed {
+        return match relayed.await {
+            Ok(connection) => Ok(connection),
+            Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
+            Err(RelayedError::NoBox) if node.is_cut_off() => Err(no_box()),
+            Err(RelayedError::NoBox) => open_direct(node, server).await,
+        };
+    }
+    tokio::pin!(relayed);
+    let direct = open_direct(node, server);
+    tokio::pin!(direct);
+    let direct_result = match timeout(RELAY_DELAY, &mut direct).await {
+        Ok(Ok(connection)) => return Ok(connection),
+        Ok(Err(error)) => Some(error),
+        Err(_) => {
+            record_direct(node, &server.id, false);
+            None
+        }
+    };
+    let Some(error) = direct_result else {
+        return tokio::select! {
+            biased;
+            result = &mut direct => match result {
+                Ok(connection) => Ok(connection),
+                Err(error) => or_error(relayed.await, error),
+            },
+            result = &mut relayed => match result {
+                Ok(connection) => Ok(connection),
+                Err(_) => direct.await,
+            },
+        };
+    };
+    or_error(relayed.await, error)
+}
+
+/// Returns the connection through another box, or else the error of the direct attempt.
+fn or_error(
+    relayed: Result<Connection, RelayedError>,
+    error: UpstreamError,
+) -> Result<Connection, UpstreamError> {
+    match relayed {
+        Ok(connection) => Ok(connection),
+        Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
+        Err(RelayedError::NoBox) => Err(error),
+    }
+}
+
+fn refused_elsewhere() -> UpstreamError {
+    UpstreamError::ConnectionRefused("the server refuses connections of another box as well".into())
+}
+
+fn no_box() -> UpstreamError {
+    UpstreamError::NotSent("no box that reaches the server answered".into())
+}
+
+/// Opens a connection directly and records whether it opened.
+pub async fn open_direct(
+    node: &ServingNode,
+    server: &ServerEntry,
+) -> Result<Connection, UpstreamError> {
+    let result = node.pool.open(&server.address, CONNECT_TIMEOUT).await;
+    record_direct(node, &server.id, result.is_ok());
+    result
+}
+
+/// Opens a connection directly for any bytes, and records whether it opened.
+async fn open_bytes_direct(
+    node: &ServingNode,
+    server: &ServerEntry,
+    time: Duration,
+) -> Result<Box<dyn ByteStream>, UpstreamError> {
+    let result = node.pool.open_bytes(&server.address, time).await;
+    record_direct(node, &server.id, result.is_ok());
+    result
+}
+
+fn record_direct(node: &ServingNode, server: &BackendId, opened: bool) {
+    let now = node.now();
+    let mut reach = node.reach.lock();
+    let change = match opened {
+        true => reach.record_opened(server, now),
+        false => reach.record_failed(server, now),
+    };
+    drop(reach);
+    record(node, change);
+}
+
+/// Logs a change of what this box believes about its links, and drops what it learned from failed connections.
+fn record(node: &ServingNode, change: Option<ReachChange>) {
+    match change {
+        None => {}
+        Some(ReachChange::CutOff { failed_servers }) => {
+            node.set_dependency(SERVERS, false);
+            node.loads.lock().clear_pauses();
+            log::warn!(dependency = SERVERS, failed_servers; "cut off from all servers");
+            node.servers_changed.notify_waiters();
+        }
+        Some(ReachChange::Restored { after }) => {
+            node.set_dependency(SERVERS, true);
+            node.loads.lock().clear_pauses();
+            let ms = after.as_millis() as u64;
+            log::info!(dependency = SERVERS, ms; "servers reached again");
+        }
+    }
+}
+
+/// Finds out whether servers that are not reached are reached by other boxes, and whether a cut-off box reaches servers
+/// again, for as long as the node runs.
+pub async fn watch(node: Arc<ServingNode>) {
+    node.set_dependency(SERVERS, true);
+    let mut round = 0u32;
+    loop {
+        sleep(WATCH_INTERVAL).await;
+        round = round.wrapping_add(1);
+        node.tunnels.close_idle();
+        if !node.is_cut_off() {
+            check_failed_servers(&node).await;
+            continue;
+        }
+        if round.is_multiple_of(ATTEMPT_INTERVALS) {
+            attempt_direct(&node).await;
+        }
+        if node.relays.lock().working(node.now()).is_none() {
+            search_box(&node).await;
+        }
+    }
+}
+
+/// Reaches a server through another box if connections to it and others failed.
+async fn check_failed_servers(node: &ServingNode) {
+    let unconfirmed = node.reach.lock().unconfirmed(node.now());
+    let server = unconfirmed.and_then(|id| node.directory.lock().get(&id).cloned());
+    if let Some(server) = server {
+        // The connection is closed at once; what counts is whether it opened.
+        let _ = open_relayed(node, &server.entry, Purpose::check("a server not reached")).await;
+    }
+}
+
+/// Opens a connection to a random server, and keeps it for the next request there.
+async fn attempt_direct(node: &ServingNode) {
+    if let Some(server) = random_server(node)
+        && let Ok(connection) = open_direct(node, &server.entry).await
+    {
+        node.pool.add_spare(&server.entry.address, connection);
+    }
+}
+
+/// Looks for a box that carries connections, so that the next request need not.
+async fn search_box(node: &ServingNode) {
+    if let Some(server) = random_server(node) {
+        let _ =
+            open_relayed(node, &server.entry, Purpose::check("a box that reaches servers")).await;
+    }
+}
+
+/// Returns a random server that accepts new requests.
+fn random_server(node: &ServingNode) -> Option<Arc<KnownServer>> {
+    let directory = node.directory.lock();
+    let ready = directory.all().filter(|server| node.accepts_new(server));
+    ready.choose(&mut rand::rng()).cloned()
+}
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -21,7 +21,7 @@
 use super::settings::ServingSettings;
 use super::{
     boxes, cold, config_freshness, crashes, follow, listeners, missing_items, notices, permits,
-    quota, restoration, suspension,
+    quota, reach, restoration, suspension,
 };
 
 /// The timeout of a call to the platform's store, in addition to the time that the call asks the
@@ -92,6 +92,7 @@
     tasks.spawn(gossip::receive_messages(node.clone(), socket));
     tasks.spawn(sweep(node.clone()));
     tasks.spawn(suspension::watch(node.clone()));
+    tasks.spawn(reach::watch(node.clone()));
     tasks.spawn(reload(node.clone(), path, hangup));
     tasks.spawn(listeners::serve_readiness(node.clone(), readiness, rest_stopped.clone()));
     let ports = BTreeSet::from([listen.peers, listen.metrics]);
@@ -148,7 +149,11 @@
     sleep(lame_duck).await;
     stop_clients.send_replace(true);
     let rest = grace.saturating_sub(lame_duck + EXIT_MARGIN);
-    if timeout(rest, serving).await.is_err() {
+    let ended = async {
+        let _ = serving.await;
+        node.carried.all_ended().await;
+    };
+    if timeout(rest, ended).await.is_err() {
         let in_flight = node.metrics.in_flight.get();
         log::warn!(in_flight; "grace period over with requests in progress");
     }
