--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -27,20 +27,18 @@
 use trackfront_core::serving::crashes::{
     CrashReport, CrashTracker, IncarnationId, SuspicionChange,
 };
-use trackfront_core::serving::directory::KnownServer;
+use trackfront_core::serving::directory::{KnownServer, ServerEntry};
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::units::Moment;
 
 use super::node::{ServingNode, short_server};
 use super::quota::box_id;
+use super::reach;
 
 /// The delay after a broken connection before the server is probed; a process that ends no longer
 /// listens by then.
 const PROBE_DELAY: Duration = Duration::from_millis(30);
 
-/// The timeout for opening the probe's connection.
-const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// The number of boxes that count the crashes of one request. The count is lost if they are lost
 /// one after the other.
 const COORDINATORS: usize = 3;
@@ -158,14 +156,21 @@
 async fn probe(node: Arc<ServingNode>, server: Arc<KnownServer>) {
     sleep(PROBE_DELAY).await;
     let (id, address) = (&server.entry.id, &server.entry.address);
-    if let Err(UpstreamError::ConnectionRefused(_)) =
-        node.pool.open_spare(address, PROBE_CONNECT_TIMEOUT).await
-    {
-        connection_refused(&node, id);
+    match reach::open_direct(&node, &server.entry).await {
+        Ok(connection) => node.pool.add_spare(address, connection),
+        Err(UpstreamError::ConnectionRefused(_)) => verify_refused(&node, &server.entry).await,
+        Err(_) => {}
     }
     node.crashes.probing.lock().remove(id);
 }
 
+/// Handles a refused connection: the server has ended, unless other boxes reach it.
+pub async fn verify_refused(node: &ServingNode, server: &ServerEntry) {
+    if reach::is_refused_elsewhere(node, server).await {
+        connection_refused(node, &server.id);
+    }
+}
+
 /// Records that no process listens at a server's address, and informs the other boxes. With four of
 /// eight servers down, 50 of 50 requests at six boxes are answered; if each box found out by
 /// itself, 26 were (`platform/tests/crashes.rs`).
--- a/trackfrontd/src/serving/order_task.rs
+++ b/trackfrontd/src/serving/order_task.rs
@@ -449,7 +449,7 @@
                         self.node.loads.lock().mark_unreachable(&server.id, self.node.now());
                     }
                     UpstreamError::ConnectionRefused(_) => {
-                        crashes::connection_refused(&self.node, &server.id)
+                        crashes::verify_refused(&self.node, server).await
                     }
                     UpstreamError::Lost(_) | UpstreamError::Withheld => {}
                 }
--- a/trackfrontd/src/serving/reach/carry.rs
+++ b/trackfrontd/src/serving/reach/carry.rs
@@ -15,7 +15,7 @@
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::directory::KnownServer;
 
-use super::open_bytes_direct;
+use super::{open_bytes_direct, reaches_another};
 use crate::serving::node::{ServingNode, short_server};
 
 /// The path of a connection to a server, followed by the server's short name.
@@ -164,11 +164,14 @@
     }
     let entry = &server.entry;
     let mut guard = CarriedConnection::begin(node, id, &entry.id).ok_or(Refusal::Busy)?;
-    let stream =
-        open_bytes_direct(node, entry, CONNECT_TIMEOUT).await.map_err(|error| match error {
-            UpstreamError::ConnectionRefused(_) => Refusal::ServerRefuses,
-            _ => Refusal::ServerSilent,
-        })?;
+    let stream = match open_bytes_direct(node, entry, CONNECT_TIMEOUT).await {
+        Ok(stream) => stream,
+        Err(UpstreamError::ConnectionRefused(_)) if reaches_another(node, &entry.id).await => {
+            return Err(Refusal::ServerRefuses);
+        }
+        Err(UpstreamError::ConnectionRefused(_)) => return Err(Refusal::Unable),
+        Err(_) => return Err(Refusal::ServerSilent),
+    };
     guard.is_open = true;
     log::info!(request = id, server:% = entry.id; "connection carried for another box");
     Ok(tunnel::carry(stream, request.into_body(), guard))
--- a/trackfrontd/src/serving/reach/mod.rs
+++ b/trackfrontd/src/serving/reach/mod.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use rand::seq::IteratorRandom;
 use relayed::{RelayedError, open_relayed};
 use tokio::time::{sleep, timeout};
@@ -34,6 +36,9 @@
 /// The number of these intervals between direct attempts of a box that is cut off.
 const ATTEMPT_INTERVALS: u32 = 2;
 
+/// The number of other servers that are tried at once to find out whether this box's own links work.
+const CONTROL_SERVERS: usize = 3;
+
 /// The name of the servers among the dependencies, in logs and metrics.
 const SERVERS: &str = "servers";
 
@@ -53,7 +58,8 @@
     }
 }
 
-/// Opens a connection for a request. An error says that nothing was sent.
+/// Opens a connection for a request. An error says that nothing was sent; `ConnectionRefused` also that the server has
+/// ended, as other boxes see it.
 pub async fn open(
     node: &ServingNode,
     server: &ServerEntry,
@@ -66,7 +72,7 @@
             Ok(connection) => Ok(connection),
             Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
             Err(RelayedError::NoBox) if node.is_cut_off() => Err(no_box()),
-            Err(RelayedError::NoBox) => open_direct(node, server).await,
+            Err(RelayedError::NoBox) => unconfirmed(open_direct(node, server).await),
         };
     }
     tokio::pin!(relayed);
@@ -89,7 +95,7 @@
             },
             result = &mut relayed => match result {
                 Ok(connection) => Ok(connection),
-                Err(_) => direct.await,
+                Err(_) => unconfirmed(direct.await),
             },
         };
     };
@@ -104,7 +110,7 @@
     match relayed {
         Ok(connection) => Ok(connection),
         Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
-        Err(RelayedError::NoBox) => Err(error),
+        Err(RelayedError::NoBox) => unconfirmed(Err(error)),
     }
 }
 
@@ -116,6 +122,16 @@
     UpstreamError::NotSent("no box that reaches the server answered".into())
 }
 
+/// Turns a refusal that no other box confirmed into a failure that says nothing about the server.
+fn unconfirmed(result: Result<Connection, UpstreamError>) -> Result<Connection, UpstreamError> {
+    result.map_err(|error| match error {
+        UpstreamError::ConnectionRefused(cause) => {
+            UpstreamError::NotSent(format!("{cause}; no other box could confirm it"))
+        }
+        other => other,
+    })
+}
+
 /// Opens a connection directly and records whether it opened.
 pub async fn open_direct(
     node: &ServingNode,
@@ -167,6 +183,16 @@
     }
 }
 
+/// Returns whether a server that refused a connection of this box also refuses one that comes through another box, so
+/// that it has ended. Without another box, this one's view counts.
+pub async fn is_refused_elsewhere(node: &ServingNode, server: &ServerEntry) -> bool {
+    if !relayed::has_candidates(node) {
+        return true;
+    }
+    let purpose = Purpose::check("a server that refused a connection");
+    matches!(open_relayed(node, server, purpose).await, Err(RelayedError::ServerRefuses))
+}
+
 /// Finds out whether servers that are not reached are reached by other boxes, and whether a cut-off box reaches servers
 /// again, for as long as the node runs.
 pub async fn watch(node: Arc<ServingNode>) {
@@ -201,7 +227,7 @@
 
 /// Opens a connection to a random server, and keeps it for the next request there.
 async fn attempt_direct(node: &ServingNode) {
-    if let Some(server) = random_server(node)
+    if let Some(server) = random_servers(node, 1, None).first()
         && let Ok(connection) = open_direct(node, &server.entry).await
     {
         node.pool.add_spare(&server.entry.address, connection);
@@ -210,15 +236,35 @@
 
 /// Looks for a box that carries connections, so that the next request need not.
 async fn search_box(node: &ServingNode) {
-    if let Some(server) = random_server(node) {
+    if let Some(server) = random_servers(node, 1, None).first() {
         let _ =
             open_relayed(node, &server.entry, Purpose::check("a box that reaches servers")).await;
     }
 }
 
-/// Returns a random server that accepts new requests.
-fn random_server(node: &ServingNode) -> Option<Arc<KnownServer>> {
+/// Returns whether this box reaches a server other than `except`, or there is none. If not, its own links may be at
+/// fault for what it sees of `except`.
+async fn reaches_another(node: &ServingNode, except: &BackendId) -> bool {
+    let others = random_servers(node, CONTROL_SERVERS, Some(except));
+    let is_alone = others.is_empty();
+    let attempts = others.iter().map(|server| open_direct(node, &server.entry));
+    let mut attempts: FuturesUnordered<_> = attempts.collect();
+    while let Some(result) = attempts.next().await {
+        if result.is_ok() {
+            return true;
+        }
+    }
+    is_alone
+}
+
+/// Returns random servers that accept new requests.
+fn random_servers(
+    node: &ServingNode,
+    count: usize,
+    except: Option<&BackendId>,
+) -> Vec<Arc<KnownServer>> {
     let directory = node.directory.lock();
-    let ready = directory.all().filter(|server| node.accepts_new(server));
-    ready.choose(&mut rand::rng()).cloned()
+    let is_candidate =
+        |server: &&Arc<KnownServer>| Some(&server.entry.id) != except && node.accepts_new(server);
+    directory.all().filter(is_candidate).cloned().sample(&mut rand::rng(), count)
 }
--- a/trackfrontd/src/serving/reach/relayed.rs
+++ b/trackfrontd/src/serving/reach/relayed.rs
@@ -40,6 +40,9 @@
     NoBox,
 }
 
+/// The bytes of a connection, and the box that carries it.
+type CarriedStream = (Ipv4Addr, Box<dyn ByteStream>);
+
 /// What a box answered.
 enum Answer {
     Opened(Box<dyn ByteStream>),
@@ -48,6 +51,13 @@
     Failed(RelayFailure, Option<Ipv4Addr>),
 }
 
+/// Returns whether there is another box to ask.
+pub(super) fn has_candidates(node: &ServingNode) -> bool {
+    let RelayCandidates { own_hall, other_halls, other_regions } =
+        candidates(node, Purpose::check(""));
+    !(own_hall.is_empty() && other_halls.is_empty() && other_regions.is_empty())
+}
+
 /// Opens a connection to a server through another box.
 pub(super) async fn open_relayed(
     node: &ServingNode,
@@ -86,14 +96,10 @@
     purpose: Purpose<'_>,
     boxes: Vec<Ipv4Addr>,
     until: Instant,
-) -> Result<(Ipv4Addr, Box<dyn ByteStream>), RelayedError> {
-    let mut boxes = boxes.into_iter();
+) -> Result<CarriedStream, RelayedError> {
     let mut asking = FuturesUnordered::new();
     let mut silent = 0;
-    loop {
-        let Some(ip) = boxes.next() else {
-            break;
-        };
+    for ip in boxes {
         asking.push(async move { (ip, ask(node, ip, server, purpose).await) });
         let next_at = (Instant::now() + NEXT_BOX_DELAY).min(until);
         while let Ok(Some((ip, answer))) = timeout_at(next_at, asking.next()).await {
@@ -123,7 +129,7 @@
     ip: Ipv4Addr,
     answer: Answer,
     silent: &mut usize,
-) -> Option<Result<(Ipv4Addr, Box<dyn ByteStream>), RelayedError>> {
+) -> Option<Result<CarriedStream, RelayedError>> {
     let now = node.now();
     match answer {
         Answer::Opened(stream) => {
