--- a/trackfrontd/src/serving/lease.rs
+++ b/trackfrontd/src/serving/lease.rs
@@ -172,11 +172,11 @@
     }
 
     /// Releases the lease, so that another box can acquire it without waiting for its end.
-    pub async fn release(&mut self) {
+    pub async fn release(&mut self, cause: &'static str) {
         if !self.is_holder() {
             return;
         }
-        self.drop_lease("the node stops");
+        self.drop_lease(cause);
         let dropped_at = self.node.now();
         self.machine.handle(&LeaseEvent::Released);
         let Some(observed) = &self.observed else {
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -90,7 +90,7 @@
             self.round().await;
         }
         self.tasks.abort_all();
-        self.lease.release().await;
+        self.lease.release("the node stops").await;
     }
 
     async fn round(&mut self) {
@@ -108,6 +108,14 @@
         if self.node.is_discovering_peers() || !self.knows_engines(&services) {
             return;
         }
+        // Its orders would reach no engine.
+        if self.node.is_cut_off() {
+            if self.lease.is_holder() {
+                self.tasks.abort_all();
+                self.lease.release("this box is cut off from all servers").await;
+            }
+            return;
+        }
         let was_holder = self.lease.is_holder();
         if !self.lease.try_acquire().await {
             return;
