--- a/trackfront_core/src/serving/choice.rs
+++ b/trackfront_core/src/serving/choice.rs
@@ -111,6 +111,8 @@
     Limited,
     /// It asked this box to back off.
     BacksOff,
+    /// It is brittle and has no room.
+    Full,
 }
 
 impl UnavailableCause {
@@ -119,6 +121,7 @@
         match self {
             UnavailableCause::Cold => "the servers that offer it are cold",
             UnavailableCause::Limited => "the servers that offer it take no more a second",
+            UnavailableCause::Full => "the servers that offer it are brittle and have no room",
             UnavailableCause::BacksOff => "the servers that offer it asked this box to stay away",
         }
     }
@@ -165,7 +168,7 @@
     fn leaving_since(&self, server: &BackendId) -> Option<Moment>;
 
     /// Returns whether a notice of `server` forbids requests to it now, and until when.
-    fn unavailable(&self, server: &BackendId) -> Option<Unavailable>;
+    fn unavailable(&self, server: &KnownServer) -> Option<Unavailable>;
 }
 
 /// Chooses the server with the lowest cost among `servers`.
@@ -195,7 +198,7 @@
                 ColdState::Blocked(until) => {
                     Some(Unavailable { until, cause: UnavailableCause::Cold })
                 }
-                ColdState::Warm | ColdState::Admitting => view.unavailable(id),
+                ColdState::Warm | ColdState::Admitting => view.unavailable(server),
             }
             .map(NoChoice::Unavailable),
             Err(missing) => Some(missing),
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -28,5 +28,6 @@
 pub mod relays;
 pub mod request;
 pub mod retry_budget;
+pub mod room;
 pub mod sampling;
 pub mod saturation;
--- a/trackfront_core/src/serving/notices.rs
+++ b/trackfront_core/src/serving/notices.rs
@@ -9,13 +9,16 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::ids::BackendId;
+use crate::ids::{BackendId, ServiceName};
 use crate::serving::permits::Permit;
 use crate::units::Moment;
 
 /// How long notices of an unlisted server are kept: its row may expire and be written again.
 const UNLISTED_TTL: Duration = Duration::from_secs(120);
 
+/// How long the word of one server of a service that it is brittle counts for another that has said nothing.
+const SERVICE_BRITTLE_TTL: Duration = Duration::from_secs(10);
+
 /// The limit that a server names in an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum NamedLimit {
@@ -37,6 +40,8 @@
     pub limit: NamedLimit,
     /// For how long this box should send it no requests.
     pub back_off: Option<Duration>,
+    /// The number of requests a second that it can reject before it falls over, if it is brittle.
+    pub brittle: NamedLimit,
 }
 
 /// The answer that a notice arrived with.
@@ -57,11 +62,15 @@
     Limited(f64),
     /// The server's limit has ended.
     Unlimited,
+    /// The server falls over if it rejects more than this many requests a second.
+    Brittle(f64),
+    /// The server is no longer brittle.
+    Sturdy,
     /// The server, which accepted requests before, wants none from this box for this time.
     BacksOff(Duration),
 }
 
-/// The limit of a server as it last named it, or the end of that limit.
+/// A limit of a server as it last named it, or the end of that limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct KnownLimit {
     /// Requests a second; `None` once the limit has ended.
@@ -80,6 +89,10 @@
     limits: HashMap<BackendId, KnownLimit>,
     /// Until when a server wants no requests.
     back_off: HashMap<BackendId, Moment>,
+    /// The rejections a second that brittle servers bear.
+    brittle: HashMap<BackendId, KnownLimit>,
+    /// When a server of a service last said that it is brittle.
+    brittle_services: HashMap<ServiceName, Moment>,
 }
 
 impl NoticeTracker {
@@ -95,17 +108,11 @@
         if notice.leaves {
             changes.extend(self.mark_leaving(server, now));
         }
-        match notice.limit {
-            NamedLimit::PerSecond(per_s) => {
-                changes.extend(self.apply_limit(server, Some(per_s), now))
-            }
-            NamedLimit::Absent if source.is_answer => {
-                let named = self.limits.get(server).filter(|limit| limit.per_s.is_some());
-                if named.is_some_and(|limit| limit.at < source.sent) {
-                    changes.extend(self.apply_limit(server, None, now));
-                }
-            }
-            NamedLimit::Absent | NamedLimit::Unreadable => {}
+        if let Some(per_s) = stated(&self.limits, server, notice.limit, source) {
+            changes.extend(self.apply_limit(server, per_s, now));
+        }
+        if let Some(per_s) = stated(&self.brittle, server, notice.brittle, source) {
+            changes.extend(self.apply_brittle(server, per_s, now));
         }
         if let Some(wait) = notice.back_off {
             let until = self.back_off.entry(server.clone()).or_default();
@@ -133,14 +140,49 @@
         per_s: Option<f64>,
         at: Moment,
     ) -> Option<NoticeChange> {
-        let before = self.limits.get(server).copied();
-        if before.is_some_and(|before| before.at > at) {
-            return None;
+        let is_news = apply_statement(&mut self.limits, server, per_s, at);
+        is_news.then_some(per_s.map_or(NoticeChange::Unlimited, NoticeChange::Limited))
+    }
+
+    /// Applies how many rejections a second a server bears, or with `None` that it is no longer brittle, as it stated at
+    /// `at`. The latest statement holds. Returns the change.
+    pub fn apply_brittle(
+        &mut self,
+        server: &BackendId,
+        per_s: Option<f64>,
+        at: Moment,
+    ) -> Option<NoticeChange> {
+        let is_news = apply_statement(&mut self.brittle, server, per_s, at);
+        is_news.then_some(per_s.map_or(NoticeChange::Sturdy, NoticeChange::Brittle))
+    }
+
+    /// Records that a server of a service is brittle; all of its servers are at the same time.
+    pub fn mark_service_brittle(&mut self, service: &ServiceName, at: Moment) {
+        let known = self.brittle_services.entry(service.clone()).or_insert(at);
+        *known = (*known).max(at);
+    }
+
+    /// Returns whether a server is brittle: by its own last word, or else by that of the service's other servers. A server
+    /// that fell over has said nothing yet when it is back.
+    pub fn is_brittle(&self, server: &BackendId, service: &ServiceName, now: Moment) -> bool {
+        match self.brittle.get(server) {
+            Some(stated) => stated.per_s.is_some(),
+            None => {
+                let others = self.brittle_services.get(service);
+                others.is_some_and(|at| now.since(*at) < SERVICE_BRITTLE_TTL)
+            }
         }
-        let is_same = before.map_or(per_s.is_none(), |before| before.per_s == per_s);
-        let since = before.filter(|_| is_same).map_or(at, |before| before.since);
-        self.limits.insert(server.clone(), KnownLimit { per_s, at, since });
-        (!is_same).then_some(per_s.map_or(NoticeChange::Unlimited, NoticeChange::Limited))
+    }
+
+    /// Returns the last statement on how many rejections a second a server bears.
+    pub fn known_brittle(&self, server: &BackendId) -> Option<KnownLimit> {
+        self.brittle.get(server).copied()
+    }
+
+    /// Returns the servers that are brittle.
+    pub fn brittle(&self) -> impl Iterator<Item = &BackendId> {
+        let brittle = self.brittle.iter().filter(|(_, stated)| stated.per_s.is_some());
+        brittle.map(|(server, _)| server)
     }
 
     /// Returns when this box learned that a server leaves.
@@ -197,5 +239,41 @@
             !is_over && is_kept(server, limit.at)
         });
         self.back_off.retain(|_, until| now < *until);
+        self.brittle.retain(|server, stated| is_kept(server, stated.at));
+        self.brittle_services.retain(|_, at| now.since(*at) < SERVICE_BRITTLE_TTL);
+    }
+}
+
+/// Returns what an answer states about a limit, `Some(None)` for its end; `None` if it states nothing.
+fn stated(
+    known: &HashMap<BackendId, KnownLimit>,
+    server: &BackendId,
+    named: NamedLimit,
+    source: NoticeSource,
+) -> Option<Option<f64>> {
+    match named {
+        NamedLimit::PerSecond(per_s) => Some(Some(per_s)),
+        NamedLimit::Absent if source.is_answer => {
+            let before = known.get(server).filter(|limit| limit.per_s.is_some());
+            before.is_some_and(|limit| limit.at < source.sent).then_some(None)
+        }
+        NamedLimit::Absent | NamedLimit::Unreadable => None,
+    }
+}
+
+/// Applies a statement unless a later one is known. Returns whether it changes what is known.
+fn apply_statement(
+    known: &mut HashMap<BackendId, KnownLimit>,
+    server: &BackendId,
+    per_s: Option<f64>,
+    at: Moment,
+) -> bool {
+    let before = known.get(server).copied();
+    if before.is_some_and(|before| before.at > at) {
+        return false;
     }
+    let is_same = before.map_or(per_s.is_none(), |before| before.per_s == per_s);
+    let since = before.filter(|_| is_same).map_or(at, |before| before.since);
+    known.insert(server.clone(), KnownLimit { per_s, at, since });
+    !is_same
 }
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -31,6 +31,7 @@
     mod refusal_retries;
     mod relays;
     mod retry_budget;
+    mod room;
     mod sampling;
     mod saturation;
     mod store_version;
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -50,7 +50,8 @@
         self.leaving.get(server.as_str()).copied()
     }
 
-    fn unavailable(&self, server: &BackendId) -> Option<Unavailable> {
+    fn unavailable(&self, server: &KnownServer) -> Option<Unavailable> {
+        let server = &server.entry.id;
         self.unavailable.get(server.as_str()).copied()
     }
 }
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -22,7 +22,9 @@
 use super::peer::PEER_TIMEOUT;
 use super::peer_socket::{MAX_DATAGRAM, PeerSocket};
 use super::peer_tracker::MIN_DIGEST_INTERVAL;
-use super::{boxes, config_freshness, crashes, feed_relay, missing_items, notices, permits, quota};
+use super::{
+    boxes, config_freshness, crashes, feed_relay, missing_items, notices, permits, quota, room,
+};
 
 /// The shortest time between a digest and an early one.
 const MIN_EARLY_INTERVAL: Duration = Duration::from_millis(20);
@@ -218,6 +220,9 @@
                 permits::handle_request(&node, &socket, ip, &request)
             }
             Ok((Message::PermitReply(reply), _)) => permits::handle_reply(&node, reply),
+            Ok((Message::RoomRequest(request), _)) => room::handle_request(&node, ip, &request),
+            Ok((Message::RoomReply(reply), _)) => room::handle_reply(&node, reply),
+            Ok((Message::RoomRelease(release), _)) => room::handle_release(&node, ip, release),
             Err(error) => {
                 let now = node.now();
                 if now.since(warned_at) > PEER_TIMEOUT {
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -57,6 +57,12 @@
     PermitRequest(PermitRequest),
     /// The reply to a [`PermitRequest`].
     PermitReply(PermitReply),
+    /// A request to the coordinator of a brittle server's room.
+    RoomRequest(RoomRequest),
+    /// The reply to a [`RoomRequest`].
+    RoomReply(RoomReply),
+    /// The return of room at a brittle server.
+    RoomRelease(RoomRelease),
 }
 
 /// The full list of boxes, as one box read it from the platform's table.
@@ -99,6 +105,10 @@
     LimitOver,
     /// The server stays cold for this many more milliseconds.
     Cold(u32),
+    /// The server falls over if it rejects more than this many requests a second.
+    Brittle(f64),
+    /// The server is no longer brittle.
+    Sturdy,
 }
 
 /// A request for a permit to send one request to a server that named a limit.
@@ -127,6 +137,45 @@
     pub wait_ms: u32,
 }
 
+/// A request for room for one request at a brittle server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomRequest {
+    /// The number of the request for room, unique at the requesting box.
+    pub number: u32,
+    /// The server's short name.
+    pub server: u32,
+    /// The slots in the server's row.
+    pub slots: u32,
+    /// The longest time that the request can wait for room, in milliseconds.
+    pub max_wait_ms: u32,
+    /// The longest time that the request can be at the server, in milliseconds.
+    pub max_time_ms: u32,
+    /// Whether this goes to the standby because the coordinator did not reply.
+    pub is_standby: bool,
+}
+
+/// The reply to a [`RoomRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomReply {
+    /// The number of the request for room.
+    pub number: u32,
+    /// Whether the request may be sent.
+    pub is_granted: bool,
+    /// The time until room may be requested again, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// The return of room: the request has ended at the server, or no longer waits for room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomRelease {
+    /// The number of the request for room.
+    pub number: u32,
+    /// The server's short name.
+    pub server: u32,
+    /// Whether the server rejected the request for want of room.
+    pub was_rejected: bool,
+}
+
 /// A change by the order holder: server, item, and whether the item was added (otherwise
 /// withdrawn).
 pub type OverlayEntry = (u32, u32, bool);
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -48,6 +48,7 @@
 pub mod reach;
 pub mod response_relay;
 pub mod restoration;
+pub mod room;
 pub mod run;
 pub mod settings;
 pub mod suspension;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -48,6 +48,7 @@
 use super::quota::box_id;
 use super::reach::carry::CarriedConnections;
 use super::restoration::StoreEra;
+use super::room::ServerRoom;
 use super::settings::ServingSettings;
 use super::suspension::Suspensions;
 use super::unusable_rows::UnusableRows;
@@ -116,6 +117,8 @@
     pub notice_outbox: NoticeOutbox,
     /// Permits for servers that named a limit.
     pub permits: ServerPermits,
+    /// Room at brittle servers.
+    pub room: ServerRoom,
     /// Prompt prefixes that engines have cached.
     pub prompt_memory: Mutex<PrefixIndex>,
     /// Which servers this box reaches by itself.
@@ -207,6 +210,7 @@
             notices: Mutex::default(),
             notice_outbox: NoticeOutbox::default(),
             permits: ServerPermits::new(rand::random()),
+            room: ServerRoom::new(rand::random()),
             prompt_memory: Mutex::default(),
             reach: Mutex::default(),
             relays: Mutex::default(),
--- a/trackfrontd/src/serving/notices/broadcast.rs
+++ b/trackfrontd/src/serving/notices/broadcast.rs
@@ -99,11 +99,24 @@
             NoticeKind::Limit(per_s) if !per_s.is_finite() || per_s < 0.0 => continue,
             NoticeKind::Limit(per_s) => node.notices.lock().apply_limit(&server, Some(per_s), at),
             NoticeKind::LimitOver => node.notices.lock().apply_limit(&server, None, at),
+            NoticeKind::Brittle(per_s) if !per_s.is_finite() || per_s < 0.0 => continue,
+            NoticeKind::Brittle(per_s) => {
+                mark_service_brittle(node, &server, at);
+                node.notices.lock().apply_brittle(&server, Some(per_s), at)
+            }
+            NoticeKind::Sturdy => node.notices.lock().apply_brittle(&server, None, at),
         };
         change.into_iter().for_each(|change| record(node, &server, change, by));
     }
 }
 
+fn mark_service_brittle(node: &ServingNode, server: &BackendId, at: Moment) {
+    let known = node.directory.lock().get(server).cloned();
+    if let Some(known) = known {
+        node.notices.lock().mark_service_brittle(&known.entry.service, at);
+    }
+}
+
 /// Sends due notices to the other boxes. Runs as long as the box does.
 pub async fn broadcast(node: Arc<ServingNode>, socket: Arc<PeerSocket>) {
     loop {
@@ -169,7 +182,11 @@
         let ms = u32::try_from(until.since(now).as_millis()).unwrap_or(u32::MAX);
         record_at(NoticeKind::Cold(ms), now)
     });
-    limit.into_iter().chain(leaves).chain(cold).collect()
+    let brittle = tracker.known_brittle(server).map(|KnownLimit { per_s, at, .. }| match per_s {
+        Some(per_s) => record_at(NoticeKind::Brittle(per_s), at),
+        None => record_at(NoticeKind::Sturdy, at),
+    });
+    limit.into_iter().chain(leaves).chain(cold).chain(brittle).collect()
 }
 
 fn age_ms(at: Moment, now: Moment) -> u32 {
@@ -183,8 +200,11 @@
     }
     let (cold, tracker, now) = (node.cold.lock(), node.notices.lock(), node.now());
     let limited = tracker.limits().map(|(server, _)| server);
-    let noticed: BTreeSet<&BackendId> =
-        limited.chain(tracker.leaving()).chain(cold.reported_cold(now)).collect();
+    let noticed: BTreeSet<&BackendId> = limited
+        .chain(tracker.leaving())
+        .chain(tracker.brittle())
+        .chain(cold.reported_cold(now))
+        .collect();
     let records = noticed.into_iter().flat_map(|server| records_of(&tracker, &cold, server, now));
     Some(records.collect())
 }
--- a/trackfrontd/src/serving/notices/mod.rs
+++ b/trackfrontd/src/serving/notices/mod.rs
@@ -11,7 +11,7 @@
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::directory::KnownServer;
-use trackfront_core::serving::notices::{NoticeChange, NoticeSource};
+use trackfront_core::serving::notices::{NamedLimit, NoticeChange, NoticeSource};
 use trackfront_core::units::Moment;
 
 use super::node::ServingNode;
@@ -22,6 +22,8 @@
 const UNLIMITED: &str = "unlimited";
 const BACKS_OFF: &str = "backs_off";
 const COLD: &str = "cold";
+const BRITTLE: &str = "brittle";
+const STURDY: &str = "sturdy";
 
 /// The maximum extension of a server's back-off time, as a share of it. Without it, all requests
 /// that the server turned away together would return together.
@@ -47,7 +49,13 @@
     let mut notice = head.notice;
     notice.back_off =
         notice.back_off.map(|wait| wait.mul_f64(1.0 + BACK_OFF_JITTER * jitter_of(node, id)));
-    let changes = node.notices.lock().apply(id, &notice, source, now);
+    let changes = {
+        let mut notices = node.notices.lock();
+        if matches!(notice.brittle, NamedLimit::PerSecond(_)) {
+            notices.mark_service_brittle(&server.entry.service, now);
+        }
+        notices.apply(id, &notice, source, now)
+    };
     for change in changes {
         record(node, id, change, by);
         if needs_broadcast(change) {
@@ -101,6 +109,15 @@
             node.servers_changed.notify_waiters();
             UNLIMITED
         }
+        NoticeChange::Brittle(rejections_per_s) => {
+            log::warn!(server:%, rejections_per_s, by; "server is brittle");
+            BRITTLE
+        }
+        NoticeChange::Sturdy => {
+            log::info!(server:%, by; "server is no longer brittle");
+            node.servers_changed.notify_waiters();
+            STURDY
+        }
         NoticeChange::BacksOff(wait) => {
             log::info!(server:%, ms = wait.as_millis() as u64, by; "server asks to back off");
             BACKS_OFF
@@ -118,6 +135,7 @@
         (LEAVES, tracker.leaving().count()),
         (LIMITED, tracker.limits().count()),
         (BACKS_OFF, tracker.backing_off_count(now)),
+        (BRITTLE, tracker.brittle().count()),
     ];
     for (kind, count) in counts {
         node.metrics.noticed_servers.get_or_create(&KindLabel { kind }).set(count as i64);
--- a/trackfrontd/src/serving/overlay.rs
+++ b/trackfrontd/src/serving/overlay.rs
@@ -156,12 +156,19 @@
         self.notices.leaving_since(server)
     }
 
-    fn unavailable(&self, server: &BackendId) -> Option<Unavailable> {
+    fn unavailable(&self, known: &KnownServer) -> Option<Unavailable> {
+        let server = &known.entry.id;
         if let Some(until) = self.notices.backoff_until(server, self.now) {
             return Some(Unavailable { until, cause: UnavailableCause::BacksOff });
         }
-        self.notices.limit_per_s(server)?;
+        let cause = match self.notices.limit_per_s(server) {
+            Some(_) => UnavailableCause::Limited,
+            None if self.notices.is_brittle(server, &known.entry.service, self.now) => {
+                UnavailableCause::Full
+            }
+            None => return None,
+        };
         let until = self.gates?.closed_until(server, self.now)?;
-        Some(Unavailable { until, cause: UnavailableCause::Limited })
+        Some(Unavailable { until, cause })
     }
 }
--- a/trackfrontd/src/serving/permits.rs
+++ b/trackfrontd/src/serving/permits.rs
@@ -134,7 +134,8 @@
     }
 }
 
-fn coordinator(node: &ServingNode, short_name: u32, now: Moment) -> Option<Coordinator> {
+/// Returns the box that coordinates what all boxes together send to a server.
+pub fn coordinator(node: &ServingNode, short_name: u32, now: Moment) -> Option<Coordinator> {
     let me = node.settings.load().node.ip;
     let others = node.peers.lock().reachable(now);
     let boxes = others.into_iter().chain([me]).map(box_id);
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -26,7 +26,8 @@
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::EntryKind;
 use crate::serving::reach::Purpose;
-use crate::serving::{cold, crashes, notices, reach};
+use crate::serving::room::RoomGrant;
+use crate::serving::{cold, crashes, notices, reach, room};
 
 /// How long the choice of a server stays valid until the request is sent: longer than a connection
 /// takes to open through another box, and short against the seconds for which a leaving server keeps serving. It is only
@@ -44,6 +45,9 @@
 /// tried.
 const HEAD_WAIT_TARGET_FACTOR: u32 = 4;
 
+/// The longest wait for room at one brittle server; another may have some.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(150);
+
 /// Counts a request as in flight at a server until it is dropped.
 pub struct SendGuard {
     node: Arc<ServingNode>,
@@ -54,6 +58,8 @@
     server: Arc<KnownServer>,
     /// Whether the answer's framing shows that it is complete.
     has_own_end: bool,
+    /// The room that the request takes, if the server is brittle.
+    room: Option<RoomGrant>,
 }
 
 impl SendGuard {
@@ -83,6 +89,11 @@
     /// Records how the request ended at the server. Later calls have no effect.
     pub fn finish(&mut self, outcome: AttemptOutcome) {
         let now = self.node.now();
+        if let Some(mut room) = self.room.take()
+            && outcome == AttemptOutcome::Refused
+        {
+            room.record_rejected();
+        }
         if let Some(tracked) = self.tracked.take() {
             if let Some(item) = &self.item {
                 self.node.adapter_use.lock().end(tracked.server(), item);
@@ -106,11 +117,13 @@
 /// The outcome of a single send.
 pub enum SendOutcome {
     /// The head of an answer to this request arrived.
-    Answer(Box<UpstreamAnswer>, SendGuard),
+    Answer(Box<UpstreamAnswer>, Box<SendGuard>),
     /// The server could not be reached; nothing was sent.
     Unreachable,
     /// The connection was refused: no process listens at the server's address.
     NotListening,
+    /// The server is brittle and has no room; nothing was sent.
+    NoRoom,
     /// The server refused the request without running it.
     Refused,
     /// The chosen incarnation of the server has ended; a new one at its address refused the request
@@ -140,7 +153,12 @@
     ) -> SendOutcome {
         let node = &self.node;
         let server = &choice.server.entry;
-        let mut guard = self.begin_send(choice);
+        let (max_wait, max_time) = self.room_times(choice);
+        let Ok(room) = room::acquire(node, server, max_wait, max_time).await else {
+            log::info!(request:% = self.info.id, server:% = server.id; "no room at brittle server");
+            return SendOutcome::NoRoom;
+        };
+        let mut guard = self.begin_send(choice, room);
         self.log_send(choice, guard.expected_ms(), after_event.is_some());
         let purpose = self.purpose();
         let open = || reach::open(node, server, purpose);
@@ -182,6 +200,13 @@
         outcome
     }
 
+    /// Returns how long the request can wait for room at a brittle server, and how long it may be there.
+    fn room_times(&self, choice: &Choice) -> (Duration, Duration) {
+        let now = self.request_time();
+        let left = self.admission_time(now).saturating_sub(choice.estimate);
+        (left.min(MAX_ROOM_WAIT), self.answer_by.saturating_duration_since(now))
+    }
+
     /// Builds the request for the server once a connection is open; returns `None` if it may no
     /// longer be sent. The machine may have been suspended since the server was chosen without a
     /// timer showing it: the client's deadline may have passed, its key may have been revoked, the
@@ -285,6 +310,10 @@
             let own_key = &choice.server.entry.key;
             let replaced =
                 head.misdirected && head.instance.as_ref().is_some_and(|key| key != own_key);
+            if head.misdirected {
+                // It says nothing about the server's room.
+                guard.room = None;
+            }
             guard.finish(if replaced { AttemptOutcome::Replaced } else { AttemptOutcome::Refused });
             if replaced {
                 crashes::server_ended(node, server, "another run answers at its address");
@@ -307,7 +336,7 @@
             return ("unsigned", SendOutcome::Failed("the answer is not the server's"));
         }
         guard.has_own_end = answer.has_own_end();
-        ("answered", SendOutcome::Answer(Box::new(answer), guard))
+        ("answered", SendOutcome::Answer(Box::new(answer), Box::new(guard)))
     }
 
     /// Records that the server lacks an item that its row lists.
@@ -319,7 +348,7 @@
         self.node.overlay.lock().record(server, item, EntryKind::Withdrawn, now);
     }
 
-    fn begin_send(&self, choice: &Choice) -> SendGuard {
+    fn begin_send(&self, choice: &Choice, room: Option<RoomGrant>) -> SendGuard {
         let node = self.node.clone();
         let now = node.now();
         let id = &choice.server.entry.id;
@@ -343,6 +372,7 @@
             fingerprint: self.fingerprint,
             server: choice.server.clone(),
             has_own_end: false,
+            room,
         }
     }
 
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -98,8 +98,10 @@
 
     /// Returns how long the request can wait for what is missing.
     fn wait_for_missing(&self, no_choice: NoChoice) -> Wait {
-        if let NoChoice::Unavailable(Unavailable { until, cause: UnavailableCause::BacksOff }) =
-            no_choice
+        if let NoChoice::Unavailable(Unavailable {
+            until,
+            cause: UnavailableCause::BacksOff | UnavailableCause::Full,
+        }) = no_choice
         {
             return self.wait_until(until);
         }
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -271,6 +271,10 @@
         }
         let server = choice.server.entry.id.clone();
         let sent = job.send(&choice, permit, None).await;
+        if matches!(sent, SendOutcome::NoRoom) {
+            // Nothing more is sent there for a moment, so another server is chosen, or the request waits.
+            continue;
+        }
         attempts.has_retry = false;
         if matches!(sent, SendOutcome::Answer(..) | SendOutcome::Failed(_)) {
             attempts.units.take().into_iter().for_each(QuotaUnits::consume);
@@ -279,7 +283,7 @@
         match sent {
             SendOutcome::Answer(answer, guard) => {
                 attempts.sends += 1;
-                match response_relay::relay(&job, *answer, guard, &attempts).await {
+                match response_relay::relay(&job, *answer, *guard, &attempts).await {
                     RelayOutcome::Answer(response, is_stream) => {
                         let mut response = response_relay::log_end(response, is_stream, end);
                         close_if_stopping(&node, &mut response);
@@ -289,6 +293,7 @@
                     RelayOutcome::Broken(cause) => attempts.may_have_run = Some(cause),
                 }
             }
+            SendOutcome::NoRoom => {}
             SendOutcome::Unreachable => attempts.unreachable += 1,
             SendOutcome::NotListening => attempts.not_listening += 1,
             SendOutcome::Refused => attempts.sends += 1,
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -308,7 +308,7 @@
         match sent {
             SendOutcome::Answer(answer, guard) if answer.head.status.is_success() => {
                 self.body = answer.body;
-                self.guard = guard;
+                self.guard = *guard;
                 true
             }
             _ => false,
