--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,8 +64,8 @@
     task: AbortHandle,
     /// Whether it was used for a request before.
     used: bool,
-    /// Whether it may be used for further requests.
-    is_reusable: bool,
+    /// The box that carries it, if it is not direct. Such a connection serves a single request.
+    carried_by: Option<Ipv4Addr>,
 }
 
 impl Drop for Connection {
@@ -110,6 +110,8 @@
     /// Whether the request was the first on its connection, so this can only be its answer. On a reused
     /// connection it may be a surplus answer to an earlier request.
     pub is_first: bool,
+    /// The box that carried the request to the server, if it was not sent directly.
+    pub carried_by: Option<Ipv4Addr>,
 }
 
 impl UpstreamAnswer {
@@ -176,10 +178,11 @@
                         clock: self.clock.clone(),
                         address: address.to_owned(),
                         keep_until: keep_until(&head.headers, self.clock.now())
-                            .filter(|_| connection.is_reusable),
+                            .filter(|_| connection.carried_by.is_none()),
                     };
+                    let carried_by = connection.carried_by;
                     let body = UpstreamBody { body, held: Some((connection, origin)) };
-                    return Ok(UpstreamAnswer { head, body, is_first: !was_used });
+                    return Ok(UpstreamAnswer { head, body, is_first: !was_used, carried_by });
                 }
                 Err(mut error) => match error.take_message() {
                     // The server had closed the reused connection, and nothing was written to it.
@@ -234,7 +237,7 @@
 
     /// Opens a connection to `address` within `time`.
     pub async fn open(&self, address: &str, time: Duration) -> Result<Connection, UpstreamError> {
-        let connection = handshake(self.open_bytes(address, time).await?, true).await?;
+        let connection = handshake(self.open_bytes(address, time).await?, None).await?;
         self.counts.lock().opened += 1;
         Ok(connection)
     }
@@ -257,9 +260,13 @@
         })
     }
 
-    /// Uses a connection that was opened in another way for a single request.
-    pub async fn use_once(&self, stream: Box<dyn ByteStream>) -> Result<Connection, UpstreamError> {
-        handshake(stream, false).await
+    /// Uses a connection that another box carries for a single request.
+    pub async fn use_once(
+        &self,
+        stream: Box<dyn ByteStream>,
+        carried_by: Ipv4Addr,
+    ) -> Result<Connection, UpstreamError> {
+        handshake(stream, Some(carried_by)).await
     }
 
     fn take_idle(&self, address: &str, max_idle: Duration) -> Option<Connection> {
@@ -287,7 +294,7 @@
 
 async fn handshake(
     stream: Box<dyn ByteStream>,
-    is_reusable: bool,
+    carried_by: Option<Ipv4Addr>,
 ) -> Result<Connection, UpstreamError> {
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
@@ -296,7 +303,7 @@
             log::trace!("a connection to a server ended: {}", error_chain(&error));
         }
     });
-    Ok(Connection { sender, task: task.abort_handle(), used: false, is_reusable })
+    Ok(Connection { sender, task: task.abort_handle(), used: false, carried_by })
 }
 
 /// Returns until when the connection of an answer may be reused. The outer `None` means not at all, the inner one without
--- a/trackfront_core/src/serving/notices.rs
+++ b/trackfront_core/src/serving/notices.rs
@@ -115,16 +115,25 @@
             changes.extend(self.apply_brittle(server, per_s, now));
         }
         if let Some(wait) = notice.back_off {
-            let until = self.back_off.entry(server.clone()).or_default();
-            if *until <= now {
-                changes.push(NoticeChange::BacksOff(wait));
-            }
-            // Each answer has its own time; a later, shorter one does not end an earlier one.
-            *until = (*until).max(now + wait);
+            changes.extend(self.mark_backing_off(server, wait, now));
         }
         changes
     }
 
+    /// Records that a server wants no requests from this box for a while. Returns the change, if it is new.
+    pub fn mark_backing_off(
+        &mut self,
+        server: &BackendId,
+        wait: Duration,
+        now: Moment,
+    ) -> Option<NoticeChange> {
+        let until = self.back_off.entry(server.clone()).or_default();
+        let is_news = *until <= now;
+        // Each answer has its own time; a later, shorter one does not end an earlier one.
+        *until = (*until).max(now + wait);
+        is_news.then_some(NoticeChange::BacksOff(wait))
+    }
+
     /// Records that a server leaves, reported by itself or by another box. Returns the change, if it is new.
     pub fn mark_leaving(&mut self, server: &BackendId, now: Moment) -> Option<NoticeChange> {
         let is_news = !self.leaving.contains_key(server);
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -109,6 +109,8 @@
     Brittle(f64),
     /// The server is no longer brittle.
     Sturdy,
+    /// The server asks the receiver, which carried a request to it, to send nothing for this many milliseconds.
+    BacksOff(u32),
 }
 
 /// A request for a permit to send one request to a server that named a limit.
--- a/trackfrontd/src/serving/notices/broadcast.rs
+++ b/trackfrontd/src/serving/notices/broadcast.rs
@@ -42,6 +42,8 @@
 #[derive(Default)]
 pub struct NoticeOutbox {
     pending: Mutex<HashMap<BackendId, PendingSend>>,
+    /// Notices for a single box.
+    direct: Mutex<Vec<(Ipv4Addr, NoticeRecord)>>,
     wake: Notify,
 }
 
@@ -62,6 +64,15 @@
         self.wake.notify_one();
     }
 
+    /// Tells a box that carried a request that the server asks it to back off.
+    pub fn add_back_off(&self, to: Ipv4Addr, server: &BackendId, wait: Duration) {
+        let ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        let kind = NoticeKind::BacksOff(ms);
+        let record = NoticeRecord { server: short_server(server), kind, age_ms: 0 };
+        self.direct.lock().push((to, record));
+        self.wake.notify_one();
+    }
+
     fn take_due(&self, now: Moment) -> Vec<BackendId> {
         let mut due = Vec::new();
         self.pending.lock().retain(|server, pending_send| {
@@ -77,7 +88,7 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.pending.lock().is_empty()
+        self.pending.lock().is_empty() && self.direct.lock().is_empty()
     }
 }
 
@@ -104,6 +115,10 @@
                 mark_service_brittle(node, &server, at);
                 node.notices.lock().apply_brittle(&server, Some(per_s), at)
             }
+            NoticeKind::BacksOff(ms) => {
+                let wait = Duration::from_millis(u64::from(ms));
+                node.notices.lock().mark_backing_off(&server, wait, now)
+            }
             NoticeKind::Sturdy => node.notices.lock().apply_brittle(&server, None, at),
         };
         change.into_iter().for_each(|change| record(node, &server, change, by));
@@ -128,6 +143,10 @@
         }
         sleep(BATCH_DELAY).await;
         let now = node.now();
+        let direct = std::mem::take(&mut *node.notice_outbox.direct.lock());
+        for (to, record) in direct {
+            send(&socket, &[record], false, &[to]).await;
+        }
         let due = node.notice_outbox.take_due(now);
         if due.is_empty() {
             continue;
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -298,6 +298,10 @@
         };
         let source = NoticeSource { sent: choice.at, is_answer: is_ours && head.signed };
         notices::observe_head(node, &choice.server, &head, source, self.info.id.as_str());
+        if let (Some(ip), Some(wait)) = (answer.carried_by, head.notice.back_off) {
+            // To the server, the box that carried the request sent it.
+            node.notice_outbox.add_back_off(ip, server, wait);
+        }
         if !is_ours {
             guard.finish(AttemptOutcome::Failed);
             let other = head.request.as_ref().map_or("", RequestId::as_str);
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -54,6 +54,10 @@
 /// excludes it.
 const UNREACHABLE_GRACE: Duration = Duration::from_millis(700);
 
+/// The time since the first failed connection after which a box that is cut off gives up the order lease. Several servers
+/// that were silent for a moment look like a cut until one is tried again, and the next holder waits for seconds.
+const MIN_CUT_OFF: Duration = Duration::from_millis(1_000);
+
 /// Plans and gives orders while this box holds the order lease.
 pub struct Placement {
     node: Arc<ServingNode>,
@@ -108,8 +112,7 @@
         if self.node.is_discovering_peers() || !self.knows_engines(&services) {
             return;
         }
-        // Its orders would reach no engine.
-        if self.node.is_cut_off() {
+        if self.reaches_no_engine() {
             if self.lease.is_holder() {
                 self.tasks.abort_all();
                 self.lease.release("this box is cut off from all servers").await;
@@ -142,6 +145,12 @@
         }
     }
 
+    /// Returns whether this box has been cut off for so long that its orders reach no engine.
+    fn reaches_no_engine(&self) -> bool {
+        let cut_off_since = self.node.reach.lock().cut_off_since();
+        cut_off_since.is_some_and(|since| self.node.now().since(since) >= MIN_CUT_OFF)
+    }
+
     /// Returns whether there are engines to give orders to, and the list of them is complete.
     fn knows_engines(&self, services: &[(ServiceName, EngineSpec)]) -> bool {
         let directory = self.node.directory.lock();
--- a/trackfrontd/src/serving/reach/relayed.rs
+++ b/trackfrontd/src/serving/reach/relayed.rs
@@ -77,7 +77,7 @@
     let (kind, result) = match result {
         Ok((ip, stream)) => {
             log::info!(request, server:% = id, by:% = ip, ms; "connection carried by another box");
-            let connection = node.pool.use_once(stream).await;
+            let connection = node.pool.use_once(stream, ip).await;
             ("opened", connection.map_err(|_| RelayedError::NoBox))
         }
         Err(RelayedError::ServerRefuses) => ("server_refuses", Err(RelayedError::ServerRefuses)),
