--- a/trackfront_core/src/serving/relays.rs
+++ b/trackfront_core/src/serving/relays.rs
@@ -16,7 +16,7 @@
 /// The time for which a box counts as working after it carried a connection.
 const WORKING_TTL: Duration = Duration::from_secs(5);
 
-/// The time for which a box that is itself cut off, stopping or silent is not asked.
+/// The time for which a box that is itself cut off, stopping or silent is not asked, or asked last if it works.
 const AVOID_TIME: Duration = Duration::from_millis(1_000);
 
 /// The time for which a box that carries as much as it can is not asked.
@@ -34,8 +34,10 @@
 /// Why a box did not carry a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayFailure {
-    /// It is cut off itself, stopping, silent, or does not know the server.
+    /// It is cut off itself, stopping, or does not know the server.
     Unusable,
+    /// It did not answer in time. A box that carried connections lately may only be slow: it is asked last.
+    Silent,
     /// It carries as much as it can.
     Busy,
 }
@@ -56,6 +58,8 @@
 pub struct RelaySelector {
     working: BTreeMap<Ipv4Addr, Moment>,
     avoided_until: BTreeMap<Ipv4Addr, Moment>,
+    /// Working boxes that did not answer in time, and until when they are asked last.
+    slow_until: BTreeMap<Ipv4Addr, Moment>,
 }
 
 impl RelaySelector {
@@ -81,9 +85,16 @@
             let limit = limit.min(MAX_ASKED.saturating_sub(selected.len()));
             selected.extend(self.pick(group, false, limit, rng));
         }
+        let all = [own_hall, other_halls, other_regions].into_iter().flatten();
+        let slow = all.filter(|ip| self.slow_until.contains_key(ip) && self.is_asked(ip));
+        selected.extend(slow.take(MAX_WORKING));
         selected
     }
 
+    fn is_asked(&self, ip: &Ipv4Addr) -> bool {
+        !self.avoided_until.contains_key(ip)
+    }
+
     /// Returns random boxes of a group that work, or that are not known to.
     fn pick(
         &self,
@@ -93,7 +104,9 @@
         rng: &mut impl Rng,
     ) -> Vec<Ipv4Addr> {
         let is_candidate = |ip: &&Ipv4Addr| {
-            !self.avoided_until.contains_key(*ip) && self.working.contains_key(*ip) == works
+            self.is_asked(ip)
+                && !self.slow_until.contains_key(*ip)
+                && self.working.contains_key(*ip) == works
         };
         let mut picked: Vec<Ipv4Addr> = group.iter().filter(is_candidate).copied().collect();
         picked.shuffle(rng);
@@ -111,17 +124,22 @@
     pub fn record_working(&mut self, ip: Ipv4Addr, now: Moment) {
         self.working.insert(ip, now);
         self.avoided_until.remove(&ip);
+        self.slow_until.remove(&ip);
     }
 
     /// Records that a box did not carry a connection.
     pub fn record_failure(&mut self, ip: Ipv4Addr, failure: RelayFailure, now: Moment) {
         let time = match failure {
-            RelayFailure::Unusable => {
-                self.working.remove(&ip);
-                AVOID_TIME
+            RelayFailure::Silent if self.working.contains_key(&ip) => {
+                self.slow_until.insert(ip, now + AVOID_TIME);
+                return;
             }
+            RelayFailure::Unusable | RelayFailure::Silent => AVOID_TIME,
             RelayFailure::Busy => BUSY_TIME,
         };
+        if failure == RelayFailure::Unusable {
+            self.working.remove(&ip);
+        }
         self.avoided_until.insert(ip, now + time);
     }
 
@@ -135,5 +153,6 @@
     fn forget_old(&mut self, now: Moment) {
         self.working.retain(|_, at| now.since(*at) < WORKING_TTL);
         self.avoided_until.retain(|_, until| now < *until);
+        self.slow_until.retain(|_, until| now < *until);
     }
 }
--- a/trackfront_core/tests/serving/relays.rs
+++ b/trackfront_core/tests/serving/relays.rs
@@ -139,6 +139,26 @@
     }
 }
 
+/// Guards against boxes that give up the only other one that reaches the servers because it was slow once.
+#[test]
+fn box_that_works_is_asked_although_it_was_slow() {
+    let mut fleet = Fleet::new(6, 2, |index, _| index != 3);
+    let (now, only) = (Moment::default() + Duration::from_secs(60), fleet.boxes[3]);
+    let candidates = fleet.candidates(0);
+    let selector = &mut fleet.selectors[0];
+    selector.record_working(only, now);
+    for ip in fleet.boxes.iter().filter(|ip| **ip != only) {
+        selector.record_failure(*ip, RelayFailure::Unusable, now);
+    }
+    for _ in 0..3 {
+        selector.record_failure(only, RelayFailure::Silent, now);
+        assert_eq!(selector.select(&candidates, &mut fleet.rng, now), [only]);
+    }
+    // A box that has not carried anything and does not answer is probably gone.
+    selector.record_failure(fleet.boxes[4], RelayFailure::Silent, now);
+    assert_eq!(selector.select(&candidates, &mut fleet.rng, now), [only]);
+}
+
 /// Guards against bytes between halls where the own hall has boxes that work.
 #[test]
 fn boxes_of_the_own_hall_come_first() {
--- a/trackfrontd/src/serving/reach/mod.rs
+++ b/trackfrontd/src/serving/reach/mod.rs
@@ -78,8 +78,8 @@
         return match relayed.await {
             Ok(connection) => Ok(connection),
             Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
-            Err(RelayedError::NoBox) if node.is_cut_off() => Err(no_box()),
-            Err(RelayedError::NoBox) => unconfirmed(node, open_direct(node, server).await),
+            Err(_) if node.is_cut_off() => Err(not_reached()),
+            Err(_) => unconfirmed(node, open_direct(node, server).await),
         };
     }
     let direct = open_direct(node, server);
@@ -98,7 +98,9 @@
         },
         result = &mut relayed => match result {
             Ok(connection) => Ok(connection),
-            Err(_) => unconfirmed(node, direct.await),
+            Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
+            Err(RelayedError::ServerSilent) => Err(not_reached()),
+            Err(RelayedError::NoBox) => unconfirmed(node, direct.await),
         },
     }
 }
@@ -112,7 +114,7 @@
     match relayed {
         Ok(connection) => Ok(connection),
         Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
-        Err(RelayedError::NoBox) => unconfirmed(node, Err(error)),
+        Err(RelayedError::ServerSilent | RelayedError::NoBox) => unconfirmed(node, Err(error)),
     }
 }
 
@@ -120,8 +122,10 @@
     UpstreamError::ConnectionRefused("the server refuses connections of another box as well".into())
 }
 
-fn no_box() -> UpstreamError {
-    UpstreamError::NotSent("no box that reaches the server answered".into())
+fn not_reached() -> UpstreamError {
+    UpstreamError::NotSent(
+        "neither this box nor another one that answered reaches the server".into(),
+    )
 }
 
 /// Turns a refusal that no other box confirmed into a failure that says nothing about the server.
--- a/trackfrontd/src/serving/reach/relayed.rs
+++ b/trackfrontd/src/serving/reach/relayed.rs
@@ -28,14 +28,13 @@
 /// The timeout for opening a connection through any box.
 const RELAYED_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The number of boxes at which the server does not answer, after which no other box is asked.
-const MAX_SILENT: usize = 2;
-
 /// Why no connection was opened through another box.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RelayedError {
     /// The server refuses connections of another box: it has ended.
     ServerRefuses,
+    /// The server does not answer another box either.
+    ServerSilent,
     /// No box that reaches the server was found.
     NoBox,
 }
@@ -81,6 +80,7 @@
             ("opened", connection.map_err(|_| RelayedError::NoBox))
         }
         Err(RelayedError::ServerRefuses) => ("server_refuses", Err(RelayedError::ServerRefuses)),
+        Err(RelayedError::ServerSilent) => ("server_silent", Err(RelayedError::ServerSilent)),
         Err(RelayedError::NoBox) => {
             log::info!(request, server:% = id, asked, ms; "no other box carries the connection");
             ("no_box", Err(RelayedError::NoBox))
@@ -98,21 +98,17 @@
     boxes: Vec<Ipv4Addr>,
 ) -> Result<CarriedStream, RelayedError> {
     let mut asking = FuturesUnordered::new();
-    let mut silent = 0;
     for ip in boxes {
         asking.push(async move { (ip, ask(node, ip, server, purpose).await) });
         let Ok(Some((ip, answer))) = timeout(NEXT_BOX_DELAY, asking.next()).await else {
             continue;
         };
-        if let Some(result) = settle(node, server, ip, answer, &mut silent) {
+        if let Some(result) = settle(node, server, ip, answer) {
             return result;
         }
-        if silent >= MAX_SILENT {
-            return Err(RelayedError::NoBox);
-        }
     }
     while let Some((ip, answer)) = asking.next().await {
-        if let Some(result) = settle(node, server, ip, answer, &mut silent) {
+        if let Some(result) = settle(node, server, ip, answer) {
             return result;
         }
     }
@@ -125,7 +121,6 @@
     server: &ServerEntry,
     ip: Ipv4Addr,
     answer: Answer,
-    silent: &mut usize,
 ) -> Option<Result<CarriedStream, RelayedError>> {
     let now = node.now();
     match answer {
@@ -136,10 +131,8 @@
             Some(Ok((ip, stream)))
         }
         Answer::ServerRefuses => Some(Err(RelayedError::ServerRefuses)),
-        Answer::ServerSilent => {
-            *silent += 1;
-            None
-        }
+        // That box reaches another server, so this one does not answer anybody.
+        Answer::ServerSilent => Some(Err(RelayedError::ServerSilent)),
         Answer::Failed(failure, referral) => {
             let mut relays = node.relays.lock();
             relays.record_failure(ip, failure, now);
@@ -177,7 +170,7 @@
             let referral = headers.get(WORKING_BOX_HEADER).and_then(|ip| ip.to_str().ok());
             Answer::Failed(RelayFailure::Unusable, referral.and_then(|ip| ip.parse().ok()))
         }
-        Err(TunnelError::Unreachable(_)) => Answer::Failed(RelayFailure::Unusable, None),
+        Err(TunnelError::Unreachable(_)) => Answer::Failed(RelayFailure::Silent, None),
     }
 }
 
