--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -21,8 +21,9 @@
 use super::delegates::{CapacityClass, ListedBox};
 use super::exchange;
 use super::messages::{BoxListUpdate, Message};
-use super::node::{ServingNode, short_hall};
+use super::node::ServingNode;
 use super::peer_socket::PeerSocket;
+use super::short_names::short_hall;
 
 /// The prefix of the keys of box rows, followed by the hall and the address.
 const ROW_PREFIX: &str = "box/";
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -31,9 +31,10 @@
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::units::Moment;
 
-use super::node::{ServingNode, short_server};
+use super::node::ServingNode;
 use super::quota::box_id;
 use super::reach;
+use super::short_names::short_server;
 
 /// The delay after a broken connection before the server is probed; a process that ends no longer
 /// listens by then.
--- a/trackfrontd/src/serving/crashes/outbox.rs
+++ b/trackfrontd/src/serving/crashes/outbox.rs
@@ -19,8 +19,9 @@
 
 use super::coordinators_of;
 use crate::serving::messages::Message;
-use crate::serving::node::{ServingNode, short_server};
+use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
+use crate::serving::short_names::short_server;
 
 /// How many times each report is sent. Among boxes that lose a fifth of their datagrams, one in 600
 /// misses all four sends.
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -17,11 +17,12 @@
 use trackfront_core::units::Moment;
 
 use super::messages::{DemandReport, Digest, LeaseReport, Message, OverlayEntry, ServerLoadReport};
-use super::node::{ServingNode, short_hall, short_item, short_server};
+use super::node::ServingNode;
 use super::overlay::EntryKind;
 use super::peer::PEER_TIMEOUT;
 use super::peer_socket::{MAX_DATAGRAM, PeerSocket};
 use super::peer_tracker::MIN_DIGEST_INTERVAL;
+use super::short_names::{short_hall, short_item, short_server};
 use super::{
     boxes, config_freshness, crashes, feed_relay, missing_items, notices, permits, quota, room,
 };
--- a/trackfrontd/src/serving/missing_items.rs
+++ b/trackfrontd/src/serving/missing_items.rs
@@ -17,9 +17,10 @@
 use trackfront_core::units::Moment;
 
 use super::messages::Message;
-use super::node::{ServingNode, short_item, short_server};
+use super::node::ServingNode;
 use super::overlay::EntryKind;
 use super::peer_socket::PeerSocket;
+use super::short_names::{short_item, short_server};
 
 /// How long a box that needs an item is informed of orders for it, in case its request arrived
 /// before the order.
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -51,5 +51,6 @@
 pub mod room;
 pub mod run;
 pub mod settings;
+pub mod short_names;
 pub mod suspension;
 pub mod unusable_rows;
--- a/trackfrontd/src/serving/notices/broadcast.rs
+++ b/trackfrontd/src/serving/notices/broadcast.rs
@@ -15,8 +15,9 @@
 
 use super::{record, record_cold};
 use crate::serving::messages::{Message, NoticeBatch, NoticeKind, NoticeRecord};
-use crate::serving::node::{ServingNode, short_server};
+use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
+use crate::serving::short_names::short_server;
 use crate::serving::{boxes, exchange};
 
 /// How often each new notice is sent, since some datagrams are lost, and at which interval.
--- a/trackfrontd/src/serving/permits.rs
+++ b/trackfrontd/src/serving/permits.rs
@@ -18,9 +18,10 @@
 use trackfront_core::units::Moment;
 
 use super::messages::{Message, PermitReply, PermitRequest};
-use super::node::{ServingNode, short_server};
+use super::node::ServingNode;
 use super::peer_socket::PeerSocket;
 use super::quota::box_id;
+use super::short_names::short_server;
 
 /// The timeout for a coordinator's reply. A box that used up its share of a processor is paused
 /// for up to a tenth of a second.
--- a/trackfrontd/src/serving/reach/carry.rs
+++ b/trackfrontd/src/serving/reach/carry.rs
@@ -19,7 +19,8 @@
 use trackfront_core::units::Moment;
 
 use super::{open_bytes_direct, reaches_another};
-use crate::serving::node::{ServingNode, short_server};
+use crate::serving::node::ServingNode;
+use crate::serving::short_names::short_server;
 
 /// The path of a connection to a server, followed by the server's short name.
 const PATH: &str = "/tunnel/1/";
--- a/trackfrontd/src/serving/reach/relayed.rs
+++ b/trackfrontd/src/serving/reach/relayed.rs
@@ -17,7 +17,8 @@
 
 use super::carry::{self, REQUEST_HEADER, WORKING_BOX_HEADER};
 use super::{Purpose, record};
-use crate::serving::node::{ServingNode, short_hall};
+use crate::serving::node::ServingNode;
+use crate::serving::short_names::short_hall;
 
 /// The timeout for opening a connection through a box, of which that box has [`carry::CONNECT_TIMEOUT`].
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
--- a/trackfrontd/src/serving/room.rs
+++ b/trackfrontd/src/serving/room.rs
@@ -18,10 +18,11 @@
 };
 
 use super::messages::{Message, RoomRelease, RoomReply, RoomRequest};
-use super::node::{ServingNode, short_server};
+use super::node::ServingNode;
 use super::peer_socket::PeerSocket;
 use super::permits;
 use super::quota::box_id;
+use super::short_names::short_server;
 
 /// The timeout for a coordinator's reply, in addition to the wait in its queue.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::delegates::{CapacityClass, ListedBox};
-use super::node::short_hall;
+use super::short_names::short_hall;
 use serde::Deserialize;
 use thiserror::Error;
 use trackfront_core::ids::{HallName, RegionName};
