--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -28,6 +28,13 @@
 /// The maximum number of idle connections to a server.
 const MAX_IDLE: usize = 32;
 
+/// The age up to which a connection that another box carries is used for further requests: that box checks only when it
+/// opens one whether the server may be sent requests, and needs time to end them all before it stops.
+const CARRIED_MAX_AGE: Duration = Duration::from_millis(1_000);
+
+/// The maximum idle time of such a connection. It takes a place at the box that carries it.
+const CARRIED_MAX_IDLE: Duration = Duration::from_millis(200);
+
 /// The time before a server closes an idle connection in which it is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -64,8 +71,27 @@
     task: AbortHandle,
     /// Whether it was used for a request before.
     used: bool,
-    /// The box that carries it, if it is not direct. Such a connection serves a single request.
-    carried_by: Option<Ipv4Addr>,
+    /// How it is carried, if it is not direct.
+    carried: Option<Carried>,
+}
+
+/// How another box carries a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Carried {
+    /// The box.
+    pub by: Ipv4Addr,
+    /// Whether every request may pass that box, so that the connection can be used for further ones.
+    pub is_reusable: bool,
+    /// When it was opened.
+    pub opened_at: Moment,
+}
+
+impl Carried {
+    /// Returns until when the connection may be used for another request; `None` if not at all.
+    fn keep_until(self, now: Moment) -> Option<Moment> {
+        let until = (self.opened_at + CARRIED_MAX_AGE).min(now + CARRIED_MAX_IDLE);
+        (self.is_reusable && now < until).then_some(until)
+    }
 }
 
 impl Drop for Connection {
@@ -145,8 +171,8 @@
     }
 
     /// Sends a request over an idle connection, or one that `open` opens, and waits for the head of the answer.
-    /// Dropping the future or the body closes the connection. `build` creates the request right before it is sent, since its remaining time changes while the
-    /// connection opens. It returns `None` if the request may no longer be sent.
+    /// Dropping the future or the body closes the connection. `build` creates the request right before it is sent, since
+    /// its remaining time changes while the connection opens. It returns `None` if the request may no longer be sent.
     pub async fn send_over<F>(
         &self,
         address: &str,
@@ -177,10 +203,9 @@
                         idle: self.idle.clone(),
                         clock: self.clock.clone(),
                         address: address.to_owned(),
-                        keep_until: keep_until(&head.headers, self.clock.now())
-                            .filter(|_| connection.carried_by.is_none()),
+                        keep_until: keep_until(&head.headers, self.clock.now()),
                     };
-                    let carried_by = connection.carried_by;
+                    let carried_by = connection.carried.map(|carried| carried.by);
                     let body = UpstreamBody { body, held: Some((connection, origin)) };
                     return Ok(UpstreamAnswer { head, body, is_first: !was_used, carried_by });
                 }
@@ -260,13 +285,13 @@
         })
     }
 
-    /// Uses a connection that another box carries for a single request.
-    pub async fn use_once(
+    /// Uses a connection that another box carries.
+    pub async fn use_carried(
         &self,
         stream: Box<dyn ByteStream>,
-        carried_by: Ipv4Addr,
+        carried: Carried,
     ) -> Result<Connection, UpstreamError> {
-        handshake(stream, Some(carried_by)).await
+        handshake(stream, Some(carried)).await
     }
 
     fn take_idle(&self, address: &str, max_idle: Duration) -> Option<Connection> {
@@ -294,7 +319,7 @@
 
 async fn handshake(
     stream: Box<dyn ByteStream>,
-    carried_by: Option<Ipv4Addr>,
+    carried: Option<Carried>,
 ) -> Result<Connection, UpstreamError> {
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
@@ -303,7 +328,7 @@
             log::trace!("a connection to a server ended: {}", error_chain(&error));
         }
     });
-    Ok(Connection { sender, task: task.abort_handle(), used: false, carried_by })
+    Ok(Connection { sender, task: task.abort_handle(), used: false, carried })
 }
 
 /// Returns until when the connection of an answer may be reused. The outer `None` means not at all, the inner one without
@@ -324,6 +349,7 @@
 }
 
 /// The pool to which a connection returns after its answer.
+#[derive(Clone)]
 struct Origin {
     idle: IdleByAddress,
     clock: Arc<dyn Clock>,
@@ -384,10 +410,35 @@
             return;
         };
         let since = origin.clock.now();
-        let mut idle = origin.idle.lock();
-        let connections = idle.entry(origin.address).or_default();
+        let Some(carried) = connection.carried else {
+            return origin.keep(Idle { connection, since, until });
+        };
+        let Some(carried_until) = carried.keep_until(since) else {
+            return;
+        };
+        let until = until.map_or(carried_until, |until| until.min(carried_until));
+        let later = origin.clone();
+        origin.keep(Idle { connection, since, until: Some(until) });
+        tokio::spawn(async move {
+            tokio::time::sleep(until.since(since)).await;
+            later.close_expired();
+        });
+    }
+}
+
+impl Origin {
+    fn keep(self, connection: Idle) {
+        let mut idle = self.idle.lock();
+        let connections = idle.entry(self.address).or_default();
         if connections.len() < MAX_IDLE {
-            connections.push(Idle { connection, since, until });
+            connections.push(connection);
+        }
+    }
+
+    fn close_expired(&self) {
+        let now = self.clock.now();
+        if let Some(connections) = self.idle.lock().get_mut(&self.address) {
+            connections.retain(|pooled| pooled.until.is_none_or(|until| now < until));
         }
     }
 }
--- a/trackfrontd/src/serving/reach/relayed.rs
+++ b/trackfrontd/src/serving/reach/relayed.rs
@@ -10,7 +10,7 @@
 use trackfront_adapters::connect::ByteStream;
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_adapters::tunnel::TunnelError;
-use trackfront_adapters::upstream::Connection;
+use trackfront_adapters::upstream::{Carried, Connection};
 use trackfront_core::ids::HallName;
 use trackfront_core::serving::directory::ServerEntry;
 use trackfront_core::serving::relays::{RelayCandidates, RelayFailure};
@@ -65,10 +65,8 @@
     purpose: Purpose<'_>,
 ) -> Result<Connection, RelayedError> {
     let began = node.now();
-    let boxes = {
-        let candidates = candidates(node, purpose);
-        node.relays.lock().select(&candidates, &mut rand::rng(), node.now())
-    };
+    let candidates = candidates(node, purpose);
+    let boxes = node.relays.lock().select(&candidates, &mut rand::rng(), node.now());
     let asked = boxes.len();
     let asking = ask_all(node, server, purpose, boxes);
     let result = timeout(RELAYED_TIMEOUT, asking).await.unwrap_or(Err(RelayedError::NoBox));
@@ -77,7 +75,10 @@
     let (kind, result) = match result {
         Ok((ip, stream)) => {
             log::info!(request, server:% = id, by:% = ip, ms; "connection carried by another box");
-            let connection = node.pool.use_once(stream, ip).await;
+            // The next request may be restricted to regions that exclude a box elsewhere.
+            let is_reusable = !candidates.other_regions.contains(&ip);
+            let carried = Carried { by: ip, is_reusable, opened_at: node.now() };
+            let connection = node.pool.use_carried(stream, carried).await;
             ("opened", connection.map_err(|_| RelayedError::NoBox))
         }
         Err(RelayedError::ServerRefuses) => ("server_refuses", Err(RelayedError::ServerRefuses)),
