--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Forgets connections that broke since `since`, because this box lost its own links.
+    pub fn forget_breaks_since(&mut self, since: Moment) {
+        for breaks in self.breaks.values_mut() {
+            breaks.retain(|(_, at)| *at < since);
+        }
+    }
+
     /// Records that an incarnation of a server has ended, so that connections which broke there recently are crashes.
     /// Returns the changes.
     pub fn mark_ended(
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -399,9 +399,14 @@
         self.server(server).mark_ended(now);
     }
 
-    /// Forgets that servers could not be reached, since the fault lay with this box's own links.
-    pub fn clear_pauses(&mut self) {
-        self.servers.values_mut().for_each(ServerLoad::mark_reachable);
+    /// Forgets that servers failed since `since`: the fault lay with this box's own links.
+    pub fn forget_failures_since(&mut self, since: Moment) {
+        for load in self.servers.values_mut() {
+            load.mark_reachable();
+            if load.failure_rate_at >= since {
+                load.failure_rate = 0.0;
+            }
+        }
     }
 
     /// Applies a server's report of its load.
--- a/trackfront_core/src/serving/reach.rs
+++ b/trackfront_core/src/serving/reach.rs
@@ -38,6 +38,8 @@
     CutOff {
         /// The number of servers to which connections failed.
         failed_servers: usize,
+        /// When the first of them failed.
+        since: Moment,
     },
     /// It reaches servers again.
     Restored {
@@ -95,7 +97,7 @@
             .links
             .get(server)
             .is_some_and(|link| link.relayed_at.is_some_and(|at| now.since(at) < DETOUR_TTL));
-        match is_detour || self.cut_off_since.is_some() {
+        match is_detour || self.failing_since().is_some() {
             true => Path::Relayed,
             false => Path::Direct,
         }
@@ -155,8 +157,9 @@
         if failed_servers < MIN_FAILED_SERVERS || !answers_elsewhere {
             return None;
         }
-        self.cut_off_since = self.failing_since;
-        Some(ReachChange::CutOff { failed_servers })
+        let since = self.failing_since?;
+        self.cut_off_since = Some(since);
+        Some(ReachChange::CutOff { failed_servers, since })
     }
 
     fn forget_old(&mut self, now: Moment) {
--- a/trackfront_core/src/serving/relays.rs
+++ b/trackfront_core/src/serving/relays.rs
@@ -16,6 +16,10 @@
 /// The time for which a box counts as working after it carried a connection.
 const WORKING_TTL: Duration = Duration::from_secs(5);
 
+/// The time after it carried a connection for which a box is not checked and is named to other boxes. It may be cut off as
+/// well in the meantime.
+const CONFIRMED_TTL: Duration = Duration::from_secs(1);
+
 /// The time for which a box that is itself cut off, stopping or silent is not asked, or asked last if it works.
 const AVOID_TIME: Duration = Duration::from_millis(1_000);
 
@@ -114,9 +118,9 @@
         picked
     }
 
-    /// Returns a box that carried a connection lately, for other boxes.
+    /// Returns a box that carried a connection a moment ago, for other boxes. If there is none, one has to be looked for.
     pub fn working(&self, now: Moment) -> Option<Ipv4Addr> {
-        let recent = self.working.iter().filter(|(_, at)| now.since(**at) < WORKING_TTL);
+        let recent = self.working.iter().filter(|(_, at)| now.since(**at) < CONFIRMED_TTL);
         recent.max_by_key(|(_, at)| **at).map(|(ip, _)| *ip)
     }
 
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -89,6 +89,11 @@
         tracker.quarantined().map(|(report, since)| (report.clone(), since)).collect()
     }
 
+    /// Forgets connections that broke since `since`, because this box lost its own links.
+    pub fn forget_breaks_since(&self, since: Moment) {
+        self.tracker.lock().forget_breaks_since(since);
+    }
+
     /// Records that an incarnation of a server answered.
     pub fn record_alive(&self, server: &BackendId, now: Moment) {
         self.tracker.lock().mark_alive(incarnation_id(server), now);
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -419,6 +419,11 @@
         self.reach.lock().cut_off_since().is_some()
     }
 
+    /// Returns whether connections to several servers fail and none has opened since, so that this box may be cut off.
+    pub fn is_failing(&self) -> bool {
+        self.reach.lock().failing_since().is_some()
+    }
+
     /// Returns whether a server accepts new requests, according to its row and its notices.
     pub fn accepts_new(&self, server: &KnownServer) -> bool {
         server.is_ready() && self.notices.lock().leaving_since(&server.entry.id).is_none()
--- a/trackfrontd/src/serving/order_task/calls.rs
+++ b/trackfrontd/src/serving/order_task/calls.rs
@@ -121,6 +121,7 @@
             Ok(Err(error)) => {
                 log::info!(server:% = server.id, error:% = error; "engine report not read");
                 match error {
+                    UpstreamError::NotSent(_) if self.node.is_cut_off() => {}
                     UpstreamError::NotSent(_) => {
                         self.node.loads.lock().mark_unreachable(&server.id, self.node.now());
                     }
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -60,6 +60,8 @@
     has_own_end: bool,
     /// The room that the request takes, if the server is brittle.
     room: Option<RoomGrant>,
+    /// Whether this box knew that it was cut off when it sent the request, so that another box carries it.
+    was_cut_off: bool,
 }
 
 impl SendGuard {
@@ -74,6 +76,9 @@
     /// Records that the connection to the server broke while the request was in flight.
     pub fn record_broken_connection(&mut self) {
         self.finish(AttemptOutcome::Failed);
+        if self.has_lost_own_link() {
+            return;
+        }
         crashes::connection_broke(&self.node, &self.request, self.fingerprint, &self.server);
     }
 
@@ -90,6 +95,7 @@
     /// Records how the request ended at the server. Later calls have no effect.
     pub fn finish(&mut self, outcome: AttemptOutcome) {
         let now = self.node.now();
+        let outcome = self.attributable(outcome);
         if let Some(mut room) = self.room.take()
             && outcome == AttemptOutcome::Refused
         {
@@ -103,6 +109,21 @@
         }
     }
 
+    /// Returns whether this box was cut off from all servers after it had sent the request.
+    fn has_lost_own_link(&self) -> bool {
+        !self.was_cut_off && self.node.is_cut_off()
+    }
+
+    /// Returns what an outcome says of the server: nothing if the links of this box may be at fault.
+    fn attributable(&self, outcome: AttemptOutcome) -> AttemptOutcome {
+        let is_own_fault = match outcome {
+            AttemptOutcome::Unreachable => self.node.is_cut_off(),
+            AttemptOutcome::Failed => self.has_lost_own_link(),
+            _ => false,
+        };
+        if is_own_fault { AttemptOutcome::Abandoned } else { outcome }
+    }
+
     /// Returns the expected time to the first event, in milliseconds.
     pub fn expected_ms(&self) -> f64 {
         self.tracked.as_ref().map_or(0.0, TrackedRequest::expected_ms)
@@ -355,7 +376,7 @@
 
     fn begin_send(&self, choice: &Choice, room: Option<RoomGrant>) -> SendGuard {
         let node = self.node.clone();
-        let now = node.now();
+        let (now, was_cut_off) = (node.now(), node.is_cut_off());
         let id = &choice.server.entry.id;
         let model = self.info.model.as_ref().map(|item| &item.model);
         let work = self.info.work(choice.cached_tokens, self.rank);
@@ -378,6 +399,7 @@
             server: choice.server.clone(),
             has_own_end: false,
             room,
+            was_cut_off,
         }
     }
 
--- a/trackfrontd/src/serving/reach/carry.rs
+++ b/trackfrontd/src/serving/reach/carry.rs
@@ -163,7 +163,7 @@
     id: &str,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    if node.is_stopping() || node.is_cut_off() {
+    if node.is_stopping() || node.is_failing() {
         return Err(Refusal::Unable);
     }
     let server = named_server(node, request.uri().path()).ok_or(Refusal::NotUsed)?;
--- a/trackfrontd/src/serving/reach/mod.rs
+++ b/trackfrontd/src/serving/reach/mod.rs
@@ -20,6 +20,7 @@
 use trackfront_core::ids::{BackendId, RegionName};
 use trackfront_core::serving::directory::{KnownServer, ServerEntry};
 use trackfront_core::serving::reach::{Path, ReachChange};
+use trackfront_core::units::Moment;
 
 use super::node::ServingNode;
 
@@ -46,6 +47,9 @@
 /// does. In the largest fleet this opens 500 connections a second, to 10,000 servers.
 const MAX_UNCHECKED: Duration = Duration::from_millis(2_000);
 
+/// The longest time from the loss of this box's links, which breaks open connections, to the first one that does not open.
+const MAX_DETECTION_DELAY: Duration = Duration::from_millis(1_000);
+
 /// The name of the servers among the dependencies, in logs and metrics.
 const SERVERS: &str = "servers";
 
@@ -78,7 +82,7 @@
         return match relayed.await {
             Ok(connection) => Ok(connection),
             Err(RelayedError::ServerRefuses) => Err(refused_elsewhere()),
-            Err(_) if node.is_cut_off() => Err(not_reached()),
+            Err(_) if node.is_failing() => Err(not_reached()),
             Err(_) => unconfirmed(node, open_direct(node, server).await),
         };
     }
@@ -181,19 +185,20 @@
     record(node, change);
 }
 
-/// Logs a change of what this box believes about its links, and drops what it learned from failed connections.
+/// Logs a change of what this box believes about its links, and drops what it learned of servers from its own failures.
 fn record(node: &ServingNode, change: Option<ReachChange>) {
     match change {
         None => {}
-        Some(ReachChange::CutOff { failed_servers }) => {
+        Some(ReachChange::CutOff { failed_servers, since }) => {
             node.set_dependency(SERVERS, false);
-            node.loads.lock().clear_pauses();
+            let lost_since = Moment(since.0.saturating_sub(MAX_DETECTION_DELAY));
+            node.loads.lock().forget_failures_since(lost_since);
+            node.crashes.forget_breaks_since(lost_since);
             log::warn!(dependency = SERVERS, failed_servers; "cut off from all servers");
             node.servers_changed.notify_waiters();
         }
         Some(ReachChange::Restored { after }) => {
             node.set_dependency(SERVERS, true);
-            node.loads.lock().clear_pauses();
             let ms = after.as_millis() as u64;
             log::info!(dependency = SERVERS, ms; "servers reached again");
         }
@@ -210,8 +215,8 @@
     matches!(open_relayed(node, server, purpose).await, Err(RelayedError::ServerRefuses))
 }
 
-/// Finds out whether servers that are not reached are reached by other boxes, and whether a cut-off box reaches servers
-/// again, for as long as the node runs.
+/// Finds out whether servers that are not reached are reached by other boxes, and whether this box reaches servers again,
+/// for as long as the node runs.
 pub async fn watch(node: Arc<ServingNode>) {
     node.set_dependency(SERVERS, true);
     let mut round = 0u32;
@@ -219,17 +224,17 @@
         sleep(WATCH_INTERVAL).await;
         round = round.wrapping_add(1);
         node.tunnels.close_idle();
-        if !node.is_cut_off() {
+        let is_cut_off = node.is_cut_off();
+        if !node.is_failing() {
             check_links(&node).await;
-            check_failed_servers(&node).await;
-            continue;
-        }
-        if round.is_multiple_of(ATTEMPT_INTERVALS) {
+        } else if !is_cut_off || round.is_multiple_of(ATTEMPT_INTERVALS) {
             for server in random_servers(&node, 1, None) {
                 attempt_direct(&node, &server).await;
             }
         }
-        if node.relays.lock().working(node.now()).is_none() {
+        if !is_cut_off {
+            check_failed_servers(&node).await;
+        } else if node.relays.lock().working(node.now()).is_none() {
             search_box(&node).await;
         }
     }
