--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -1,13 +1,16 @@
 //! An HTTP/1.1 and HTTP/2 server with limits, for all listeners.
 
 use std::future::Future;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use futures::stream;
+use http::header::{self, HeaderValue};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -18,6 +21,7 @@
 use tokio::task::JoinSet;
 
 use crate::keep_alive;
+use crate::resettable::{Reset, ResettableStream};
 
 /// The maximum number of headers of a request, more than any client library sends.
 const MAX_HEADERS: usize = 64;
@@ -89,6 +93,19 @@
         .expect("a content type of ours is a valid header")
 }
 
+/// Makes a response state neither a length nor chunks, so that its body ends with the connection: for a body of which
+/// nobody knows whether it is complete. If it is known to have broken off, the connection is reset.
+pub fn end_with_connection(response: Response<Body>) -> Response<Body> {
+    let (mut head, mut body) = response.into_parts();
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    // For this version the HTTP library writes no chunks.
+    head.version = Version::HTTP_10;
+    // A stream, unlike a body of known size, gets no length.
+    let frames = stream::poll_fn(move |context| Pin::new(&mut body).poll_frame(context));
+    Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
+}
+
 /// Why a request's body was not read.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ReadBodyError {
@@ -182,7 +199,13 @@
 {
     let _ = stream.set_nodelay(true);
     keep_alive::enable(&stream);
-    let service = service_fn(handler);
+    let stream = ResettableStream::new(stream);
+    let reset = stream.reset();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (version, reset) = (request.version(), reset.clone());
+        let answering = handler(request);
+        async move { answering.await.map(|response| reset_if_broken(response, version, reset)) }
+    });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -200,3 +223,12 @@
         log::debug!("a connection ended early: {error}");
     }
 }
+
+/// Resets the connection if the body breaks off and would end with it, because it would look complete otherwise.
+fn reset_if_broken(response: Response<Body>, version: Version, reset: Reset) -> Response<Body> {
+    let ends_with_connection = [version, response.version()].contains(&Version::HTTP_10);
+    if !ends_with_connection {
+        return response;
+    }
+    response.map(|body| body.map_err(move |error| reset.request(error)).boxed_unsync())
+}
--- a/trackfront_adapters/src/lib.rs
+++ b/trackfront_adapters/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod plain;
 pub mod platform;
+pub mod resettable;
 pub mod serving_metrics;
 pub mod tunnel;
 pub mod upstream;
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -13,7 +13,7 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Request, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -94,6 +94,13 @@
     }
 }
 
+impl Connection {
+    /// Returns whether another box carries it.
+    pub fn is_carried(&self) -> bool {
+        self.carried.is_some()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -140,11 +147,33 @@
     pub carried_by: Option<Ipv4Addr>,
 }
 
+/// What the end of a body says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// The body states its length or is chunked, so a complete one differs from one that broke off.
+    Stated,
+    /// The body ends with its connection. A complete one looks like one whose sender has crashed.
+    WithConnection,
+}
+
 impl UpstreamAnswer {
-    /// Returns whether the answer states its length or is chunked, so its end differs from a lost connection.
-    pub fn has_own_end(&self) -> bool {
+    /// Returns what the end of the body says.
+    pub fn body_end(&self) -> BodyEnd {
         let headers = &self.head.headers;
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+        let codings = headers.get_all(TRANSFER_ENCODING).iter();
+        let last = codings.filter_map(|value| value.to_str().ok()).next_back();
+        let is_chunked = last.is_some_and(|value| {
+            value
+                .rsplit(',')
+                .next()
+                .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+        });
+        let has_length = last.is_none() && headers.contains_key(CONTENT_LENGTH);
+        // Answers that never have a body, such as 204, end at once.
+        match is_chunked || has_length || self.body.body.is_end_stream() {
+            true => BodyEnd::Stated,
+            false => BodyEnd::WithConnection,
+        }
     }
 }
 
@@ -240,6 +269,15 @@
         self.idle.lock().get(address).is_some_and(|pooled| !pooled.is_empty())
     }
 
+    /// Returns whether an idle connection to `address` is still open, so that the process that opened it still runs.
+    pub fn has_open_idle(&self, address: &str) -> bool {
+        let idle = self.idle.lock();
+        let mut connections = idle.get(address).into_iter().flatten();
+        connections.any(|pooled| {
+            pooled.connection.carried.is_none() && !pooled.connection.sender.is_closed()
+        })
+    }
+
     /// Closes the idle connections to `address`, for example after another one was lost.
     pub fn forget(&self, address: &str) {
         self.idle.lock().remove(address);
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -13,6 +13,7 @@
 pub mod decode_speed;
 pub mod demand;
 pub mod directory;
+pub mod events;
 pub mod fingerprint;
 pub mod forecast;
 pub mod halls;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -16,6 +16,7 @@
     mod directory_listed;
     mod directory_random;
     mod directory_restored;
+    mod events;
     mod forecast;
     mod halls;
     mod key_freshness;
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 pub use rows::{maintain_rows, snapshot};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_adapters::upstream::UpstreamError;
 use trackfront_core::ids::{BackendId, RequestId};
@@ -40,6 +40,13 @@
 /// listens by then.
 const PROBE_DELAY: Duration = Duration::from_millis(30);
 
+/// The delay after an answer that ended with its connection before the server is looked at. The answer, or its end, is
+/// held back for so long.
+const END_CHECK_DELAY: Duration = Duration::from_millis(10);
+
+/// The longest time that this look takes; the server counts as running then.
+const END_CHECK_TIME: Duration = Duration::from_millis(150);
+
 /// The number of boxes that count the crashes of one request. The count is lost if they are lost
 /// one after the other.
 const COORDINATORS: usize = 3;
@@ -170,6 +177,38 @@
     node.crashes.probing.lock().remove(id);
 }
 
+/// Returns whether a server has ended, after an answer of its ended with the connection as a crash would end it.
+pub async fn has_ended(node: &ServingNode, server: &ServerEntry) -> bool {
+    if is_known_to_have_ended(node, &server.id) {
+        return true;
+    }
+    sleep(END_CHECK_DELAY).await;
+    if is_known_to_have_ended(node, &server.id) {
+        return true;
+    }
+    if node.pool.has_open_idle(&server.address) {
+        return false;
+    }
+    let purpose = reach::Purpose::check("a server whose answer ended with its connection");
+    match timeout(END_CHECK_TIME, reach::open(node, server, purpose)).await {
+        Ok(Ok(connection)) => {
+            if !connection.is_carried() {
+                node.pool.add_spare(&server.address, connection);
+            }
+            false
+        }
+        Ok(Err(UpstreamError::ConnectionRefused(_))) => {
+            connection_refused(node, &server.id);
+            true
+        }
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
+
+fn is_known_to_have_ended(node: &ServingNode, server: &BackendId) -> bool {
+    node.crashes.tracker.lock().has_ended(incarnation_id(server), node.now())
+}
+
 /// Handles a refused connection: the server has ended, unless other boxes reach it.
 pub async fn verify_refused(node: &ServingNode, server: &ServerEntry) {
     if reach::is_refused_elsewhere(node, server).await {
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 use trackfront_adapters::interface::Attempt;
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_adapters::upstream::{UpstreamAnswer, UpstreamError};
+use trackfront_adapters::upstream::{BodyEnd, UpstreamAnswer, UpstreamError};
 use trackfront_core::ids::RequestId;
 use trackfront_core::serving::choice::Choice;
 use trackfront_core::serving::directory::KnownServer;
@@ -82,16 +82,25 @@
         crashes::connection_broke(&self.node, &self.request, self.fingerprint, &self.server);
     }
 
-    /// Records that the server's answer ended, whatever its status.
+    /// Records that the server's answer ended, whatever its status. Only an answer that states its end shows that the
+    /// server did not crash.
     pub fn record_answer(&mut self, outcome: AttemptOutcome) {
         self.finish(outcome);
         self.node.reach.lock().record_answer(self.node.now());
-        self.node.crashes.record_alive(&self.server.entry.id, self.node.now());
         if self.has_own_end {
+            self.node.crashes.record_alive(&self.server.entry.id, self.node.now());
             crashes::request_completed(&self.node, self.fingerprint);
         }
     }
 
+    /// Returns whether the server has ended, after its answer ended with the connection.
+    pub async fn has_server_ended(&self) -> bool {
+        let has_ended = crashes::has_ended(&self.node, &self.server.entry).await;
+        let (request, server) = (&self.request, &self.server.entry.id);
+        log::info!(request:%, server:%, has_ended; "answer ended with its connection");
+        has_ended
+    }
+
     /// Records how the request ended at the server. Later calls have no effect.
     pub fn finish(&mut self, outcome: AttemptOutcome) {
         let now = self.node.now();
@@ -361,7 +370,7 @@
             log::warn!(request:% = self.info.id, server:%; "answer lacks the server's signature");
             return ("unsigned", SendOutcome::Failed("the answer is not the server's"));
         }
-        guard.has_own_end = answer.has_own_end();
+        guard.has_own_end = answer.body_end() == BodyEnd::Stated;
         ("answered", SendOutcome::Answer(Box::new(answer), Box::new(guard)))
     }
 
--- a/trackfrontd/src/serving/pipeline/plain.rs
+++ b/trackfrontd/src/serving/pipeline/plain.rs
@@ -1,11 +1,11 @@
 //! Plain answers, which are read completely before they are forwarded.
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode, Version};
 use tokio::time::timeout_at;
-use trackfront_adapters::http_server::{Body, full};
+use trackfront_adapters::http_server::{Body, end_with_connection, full};
 use trackfront_adapters::interface::end_to_end;
-use trackfront_adapters::upstream::UpstreamAnswer;
+use trackfront_adapters::upstream::{BodyEnd, UpstreamAnswer};
 use trackfront_core::serving::config::RouteKind;
 
 use super::Job;
@@ -20,6 +20,8 @@
     Connection(&'static str),
     /// The server was too slow or fell silent.
     TimedOut(&'static str),
+    /// The answer ended, and neither this box knows whether it is complete nor can it leave that open to the client.
+    EndUnknown,
 }
 
 impl BrokenAnswer {
@@ -27,16 +29,19 @@
     pub fn cause(self) -> &'static str {
         match self {
             BrokenAnswer::Connection(cause) | BrokenAnswer::TimedOut(cause) => cause,
+            BrokenAnswer::EndUnknown => "nobody knows whether the answer is complete",
         }
     }
 }
 
-/// A server's complete answer.
+/// A server's answer, read to its end.
 pub struct PlainAnswer {
     /// The status and the headers.
     pub head: http::response::Parts,
-    /// The complete body.
+    /// The body.
     pub body: Bytes,
+    /// Whether the body is known to be complete.
+    pub end: BodyEnd,
 }
 
 impl Job {
@@ -50,9 +55,10 @@
 
     /// Reads a plain answer to its end.
     pub async fn read_plain(&self, answer: UpstreamAnswer) -> Result<PlainAnswer, BrokenAnswer> {
+        let end = answer.body_end();
         let UpstreamAnswer { head, body, .. } = answer;
         match timeout_at(self.timer(self.answer_by), body.read(MAX_ANSWER_BYTES)).await {
-            Ok(Ok(body)) => Ok(PlainAnswer { head, body }),
+            Ok(Ok(body)) => Ok(PlainAnswer { head, body, end }),
             Ok(Err(error)) => {
                 log::info!(request:% = self.info.id, error:% = error; "answer broke off");
                 Err(BrokenAnswer::Connection("the answer broke off"))
@@ -61,18 +67,26 @@
         }
     }
 
-    /// Builds the client's response from a server's complete answer.
+    /// Builds the client's response from a server's answer. It states the end of the body only if the server did.
     pub fn plain_response(&self, answer: PlainAnswer) -> Response<Body> {
-        let PlainAnswer { head, body } = answer;
+        let PlainAnswer { head, body, end } = answer;
         let length = body.len();
         let mut response = self.client_response(&head, full(body));
-        // Either the server stated this length, or it stated none.
-        if head.status != StatusCode::NO_CONTENT {
+        if end == BodyEnd::WithConnection {
+            return end_with_connection(response);
+        }
+        let has_body = head.status != StatusCode::NO_CONTENT && self.head.method != Method::HEAD;
+        if has_body {
             response.headers_mut().insert(http::header::CONTENT_LENGTH, length.into());
         }
         response
     }
 
+    /// Returns whether a response to the client can leave open whether it is complete, by ending with the connection.
+    pub fn can_leave_end_open(&self) -> bool {
+        self.head.version < Version::HTTP_2
+    }
+
     /// Returns whether the route's answers are streams.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -2,6 +2,9 @@
 //!
 //! An answer that breaks off is never ended as if it were complete: its connection is cut. A
 //! resumable stream is continued by another server after the last complete event.
+//!
+//! An answer that ends with its connection is broken off if its server has ended. Otherwise nobody knows, and
+//! the response ends with its connection as well.
 
 use std::sync::Arc;
 
@@ -11,10 +14,11 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
-use trackfront_adapters::http_server::{Body, BodyError};
+use trackfront_adapters::http_server::{Body, BodyError, end_with_connection};
 use trackfront_adapters::serving_metrics::KindLabel;
-use trackfront_adapters::upstream::{UpstreamAnswer, UpstreamBody};
+use trackfront_adapters::upstream::{BodyEnd, UpstreamAnswer, UpstreamBody};
 use trackfront_core::ids::BackendId;
+use trackfront_core::serving::events::EventScanner;
 use trackfront_core::serving::load::AttemptOutcome;
 
 use super::pipeline::{
@@ -24,6 +28,9 @@
 /// The multiple of the gap target for which a resumable stream may stay silent.
 const SILENCE_GAP_FACTOR: u32 = 4;
 
+/// Why an answer that ended with its connection is incomplete.
+const SERVER_ENDED: &str = "the server ended while it answered";
+
 /// The outcome of relaying an answer.
 pub enum RelayOutcome {
     /// The client's response, and whether it is a stream.
@@ -82,36 +89,63 @@
 }
 
 async fn relay_plain(job: &Job, answer: UpstreamAnswer, mut guard: SendGuard) -> RelayOutcome {
-    let status = answer.head.status;
     match job.read_plain(answer).await {
-        Ok(answer) => {
-            let kind = job.route.kind.name();
-            let took = job.arrived.elapsed().as_secs_f64();
-            job.node.metrics.first_event.get_or_create(&KindLabel { kind }).observe(took);
-            if status.is_server_error() {
-                guard.record_answer(AttemptOutcome::Failed);
-                RelayOutcome::Failure(answer)
-            } else {
-                guard.record_answer(AttemptOutcome::Answered);
-                RelayOutcome::Answer(job.plain_response(answer), false)
-            }
+        Ok(answer) if answer.end == BodyEnd::WithConnection => {
+            relay_unstated(job, answer, guard).await
         }
-        Err(BrokenAnswer::Connection(cause)) => {
-            guard.record_broken_connection();
-            RelayOutcome::Broken(cause)
-        }
-        Err(BrokenAnswer::TimedOut(cause)) => {
-            guard.finish(AttemptOutcome::Failed);
-            RelayOutcome::Broken(cause)
+        Ok(answer) => relay_whole(job, answer, guard),
+        Err(broken) => {
+            record_broken(&mut guard, broken);
+            RelayOutcome::Broken(broken.cause())
         }
     }
 }
 
+/// Relays a plain answer that ended with its connection, unless its server has ended.
+async fn relay_unstated(job: &Job, answer: PlainAnswer, mut guard: SendGuard) -> RelayOutcome {
+    let broken = if guard.has_server_ended().await {
+        BrokenAnswer::Connection(SERVER_ENDED)
+    } else if !job.can_leave_end_open() {
+        BrokenAnswer::EndUnknown
+    } else {
+        return relay_whole(job, answer, guard);
+    };
+    record_broken(&mut guard, broken);
+    RelayOutcome::Broken(broken.cause())
+}
+
+fn relay_whole(job: &Job, answer: PlainAnswer, mut guard: SendGuard) -> RelayOutcome {
+    let kind = job.route.kind.name();
+    let took = job.arrived.elapsed().as_secs_f64();
+    job.node.metrics.first_event.get_or_create(&KindLabel { kind }).observe(took);
+    if answer.head.status.is_server_error() {
+        guard.record_answer(AttemptOutcome::Failed);
+        return RelayOutcome::Failure(answer);
+    }
+    guard.record_answer(AttemptOutcome::Answered);
+    RelayOutcome::Answer(job.plain_response(answer), false)
+}
+
+/// Records at the server why its answer is incomplete.
+fn record_broken(guard: &mut SendGuard, broken: BrokenAnswer) {
+    match broken {
+        BrokenAnswer::Connection(_) => guard.record_broken_connection(),
+        BrokenAnswer::TimedOut(_) => guard.finish(AttemptOutcome::Failed),
+        BrokenAnswer::EndUnknown => guard.finish(AttemptOutcome::Answered),
+    }
+}
+
 /// A stream that is being relayed to the client.
 struct EventStream {
     job: Arc<Job>,
     body: UpstreamBody,
     guard: SendGuard,
+    /// What the end of `body` says.
+    body_end: BodyEnd,
+    /// What the end of the response says to the client.
+    response_end: BodyEnd,
+    /// Finds the ends of events in `body`.
+    scanner: EventScanner,
     /// The bytes received after the last complete event.
     partial: BytesMut,
     last_event: Option<String>,
@@ -133,11 +167,16 @@
     guard: SendGuard,
     attempts: &Attempts,
 ) -> RelayOutcome {
+    let body_end = answer.body_end();
+    let response_end = if job.can_leave_end_open() { body_end } else { BodyEnd::Stated };
     let UpstreamAnswer { head, body, .. } = answer;
     let mut events = EventStream {
         job: job.clone(),
         body,
         guard,
+        body_end,
+        response_end,
+        scanner: EventScanner::default(),
         partial: BytesMut::new(),
         last_event: None,
         tried: attempts.servers.clone(),
@@ -148,10 +187,11 @@
         Next::Piece(first) => first,
         Next::End => {
             events.guard.record_answer(AttemptOutcome::Answered);
-            return RelayOutcome::Answer(job.client_response(&head, empty()), false);
+            let response = job.client_response(&head, empty());
+            return RelayOutcome::Answer(with_end(response, response_end), false);
         }
         Next::Broken(broken) => {
-            events.record_broken(broken);
+            record_broken(&mut events.guard, broken);
             return RelayOutcome::Broken(broken.cause());
         }
     };
@@ -166,7 +206,16 @@
         let piece = events.next().await?;
         Some((piece.map(Frame::data), (None, events)))
     });
-    RelayOutcome::Answer(response.map(|_| StreamBody::new(pieces).boxed_unsync()), true)
+    let response = response.map(|_| StreamBody::new(pieces).boxed_unsync());
+    RelayOutcome::Answer(with_end(response, response_end), true)
+}
+
+/// Makes a response state its end, or leave open whether it is complete.
+fn with_end(response: Response<Body>, end: BodyEnd) -> Response<Body> {
+    match end {
+        BodyEnd::Stated => response,
+        BodyEnd::WithConnection => end_with_connection(response),
+    }
 }
 
 fn empty() -> Body {
@@ -201,7 +250,7 @@
                     return None;
                 }
                 Next::Broken(broken) => {
-                    self.record_broken(broken);
+                    record_broken(&mut self.guard, broken);
                     if !self.resume(broken.cause()).await {
                         self.ended = true;
                         return Some(Err(broken.cause().into()));
@@ -211,13 +260,6 @@
         }
     }
 
-    fn record_broken(&mut self, broken: BrokenAnswer) {
-        match broken {
-            BrokenAnswer::Connection(_) => self.guard.record_broken_connection(),
-            BrokenAnswer::TimedOut(_) => self.guard.finish(AttemptOutcome::Failed),
-        }
-    }
-
     /// Returns the time at which a silent stream counts as broken.
     fn silence_deadline(&self) -> Instant {
         let job = &self.job;
@@ -248,23 +290,42 @@
                     log::info!(request:%, error:% = error; "stream broke off");
                     return Next::Broken(BrokenAnswer::Connection("the stream broke off"));
                 }
-                Ok(None) if self.partial.is_empty() => return Next::End,
-                Ok(None) => return Next::Piece(self.partial.split().freeze()),
-                Ok(Some(Ok(piece))) if !self.job.route.resumable => return Next::Piece(piece),
+                Ok(None) => return self.end_of_body().await,
                 Ok(Some(Ok(piece))) => {
-                    self.partial.extend_from_slice(&piece);
-                    if let Some(events) = self.take_complete_events() {
-                        return Next::Piece(events);
+                    if let Some(piece) = self.take_piece(piece) {
+                        return Next::Piece(piece);
                     }
                 }
             }
         }
     }
 
-    /// Removes the complete events from the buffer, and records the identifier of the last one.
-    fn take_complete_events(&mut self) -> Option<Bytes> {
-        let end = self.partial.windows(2).rposition(|pair| pair == b"\n\n")? + 2;
-        let events = self.partial.split_to(end).freeze();
+    /// Returns what the end of the server's body means.
+    async fn end_of_body(&mut self) -> Next {
+        if !self.scanner.is_between_events() {
+            return Next::Broken(BrokenAnswer::Connection("the stream ended inside an event"));
+        }
+        if self.body_end == BodyEnd::Stated {
+            return Next::End;
+        }
+        if self.guard.has_server_ended().await {
+            return Next::Broken(BrokenAnswer::Connection(SERVER_ENDED));
+        }
+        match self.response_end {
+            BodyEnd::WithConnection => Next::End,
+            BodyEnd::Stated => Next::Broken(BrokenAnswer::EndUnknown),
+        }
+    }
+
+    /// Returns what may be forwarded after a piece arrived: all of it, or, for a resumable stream, complete events.
+    fn take_piece(&mut self, piece: Bytes) -> Option<Bytes> {
+        let complete = self.scanner.read(&piece);
+        if !self.job.route.resumable {
+            return Some(piece);
+        }
+        let before = self.partial.len();
+        self.partial.extend_from_slice(&piece);
+        let events = self.partial.split_to(before + complete?).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_event = Some(id);
         }
@@ -307,7 +368,9 @@
         }
         match sent {
             SendOutcome::Answer(answer, guard) if answer.head.status.is_success() => {
+                self.body_end = answer.body_end();
                 self.body = answer.body;
+                self.scanner = EventScanner::default();
                 self.guard = *guard;
                 true
             }
@@ -318,7 +381,7 @@
 
 /// Returns the identifier of the last event in `events` that has one.
 fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let id = std::str::from_utf8(ids.next()?).ok()?;
     Some(id.trim().to_owned())
