--- a/trackfront/src/commands/held_off.rs
+++ b/trackfront/src/commands/held_off.rs
@@ -54,11 +54,14 @@
     if as_json {
         return print_json(&all);
     }
-    println!("{} requests held off", all.len());
+    println!("{} requests and parts of prompts held off", all.len());
     for one in all {
         let written = if one.written_down { "" } else { ", not written down yet" };
         let seconds = one.held_ms / 1_000;
         let HeldOff { fingerprint, servers, .. } = one;
-        println!("  {fingerprint}: {servers} servers crashed under it, for {seconds} s{written}");
+        let kind = if one.is_part { "part of prompts" } else { "request" };
+        println!(
+            "  {kind} {fingerprint}: {servers} servers crashed under it, for {seconds} s{written}"
+        );
     }
 }
--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -30,8 +30,9 @@
 /// sent just before the server's end.
 const ANSWER_TRANSIT_TIME: Duration = Duration::from_millis(1_000);
 
-/// The most broken connections that are kept for one incarnation: more than the requests that run there at once.
-const MAX_BREAKS: usize = 512;
+/// The most broken connections that are kept for one incarnation: more than the requests that run there at once, with the
+/// parts of their prompts.
+const MAX_BREAKS: usize = 2_048;
 
 /// How long an ended incarnation is remembered, for broken connections that are noticed later.
 const ENDED_TTL: Duration = Duration::from_secs(30);
@@ -58,8 +59,15 @@
 /// at once, three of them may be running the same request before its next answer.
 const ANSWER_TTL: Duration = Duration::from_secs(60);
 
-/// The most complete answers that are remembered: a box answers some 15 requests a second, so 900 a minute.
-const MAX_ANSWERS: usize = 4_096;
+/// How long a complete answer clears a part of prompts. A part that begins to crash engines may have been sound before.
+const PART_ANSWER_TTL: Duration = Duration::from_secs(10);
+
+/// The interval at which a complete answer to the same request or part is recorded anew.
+const ANSWER_REFRESH: Duration = Duration::from_secs(1);
+
+/// The most complete answers that are remembered: a box answers some 15 requests a second, so 900 a minute, with a few
+/// parts each.
+const MAX_ANSWERS: usize = 8_192;
 
 /// The most requests that are suspected or quarantined, at about 200 bytes each; the one whose last crash is oldest is
 /// dropped first.
@@ -175,7 +183,8 @@
     }
 
     fn was_answered(&self, fingerprint: Fingerprint, now: Moment) -> bool {
-        self.answered.get(&fingerprint).is_some_and(|at| now.since(*at) < ANSWER_TTL)
+        let ttl = if fingerprint.is_part() { PART_ANSWER_TTL } else { ANSWER_TTL };
+        self.answered.get(&fingerprint).is_some_and(|at| now.since(*at) < ttl)
     }
 
     /// Applies the report of another box on a request. Its crashes are cleared if this box recently got a complete answer
@@ -210,7 +219,8 @@
                 let is_new = !report.is_quarantined();
                 let came_together = now.since(suspect.first_crash) < TOGETHER_WITHIN;
                 suspect.report.together |= is_new && came_together;
-                suspect.trials = if suspect.report.together { MAX_TRIALS } else { 0 };
+                let may_be_sound = suspect.report.together || fingerprint.is_part();
+                suspect.trials = if may_be_sound { MAX_TRIALS } else { 0 };
                 suspect.trial_at = now + TRIAL_DELAY;
                 SuspicionChange::Quarantined
             }
@@ -238,6 +248,10 @@
 
     /// Records a complete answer to a request, which one that crashes its servers never gets. Returns the change.
     pub fn mark_answered(&mut self, fingerprint: Fingerprint, now: Moment) -> SuspicionChange {
+        let last = self.answered.get(&fingerprint);
+        if last.is_some_and(|at| now.since(*at) < ANSWER_REFRESH) {
+            return self.clear_suspicion(fingerprint, now);
+        }
         self.answered.insert(fingerprint, now);
         self.answers.push_back((fingerprint, now));
         if self.answers.len() > MAX_ANSWERS
@@ -264,7 +278,17 @@
         self.suspects.get(&fingerprint).is_some_and(|suspect| suspect.quarantined_since.is_some())
     }
 
-    /// Starts a trial of a request that is quarantined for crashes which happened together; returns whether one is due.
+    /// Applies the report on a quarantined request to a box that has just started. It does not know which trials were made
+    /// before, so it makes none.
+    pub fn load(&mut self, report: &CrashReport, now: Moment) {
+        self.apply_report(&CrashReport { together: false, ..report.clone() }, now);
+        if let Some(suspect) = self.suspects.get_mut(&report.fingerprint) {
+            suspect.trials = 0;
+        }
+    }
+
+    /// Starts a trial of a request that is quarantined for crashes which happened together, or of one with a quarantined
+    /// part; returns whether one is due.
     /// Only one box may call this for a request.
     pub fn start_trial(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
@@ -279,7 +303,11 @@
     }
 
     /// Returns whether a request is suspected of crashing servers. Broken connections that may be crashes count as well.
+    /// A popular part is in most requests whose connections break, so recent answers clear it of those.
     pub fn is_suspect(&self, fingerprint: Fingerprint, now: Moment) -> bool {
+        if fingerprint.is_part() && self.was_answered(fingerprint, now) {
+            return false;
+        }
         let crashes = self.report(fingerprint).map_or(0, CrashReport::crashes);
         let has_broken = |breaks: &Vec<(Fingerprint, Moment)>| {
             let mut breaks = breaks.iter();
--- a/trackfront_core/src/serving/fingerprint.rs
+++ b/trackfront_core/src/serving/fingerprint.rs
@@ -1,7 +1,9 @@
-//! Fingerprints of requests, which identify a request across retries.
+//! Fingerprints of requests, which identify a request across retries, and of parts of their prompts.
 //!
 //! A client that retries, at any box, sends the same request under a new identifier. Its fingerprint stays the same: a
 //! hash over the parts of the request that a server gets.
+//!
+//! Both kinds are used alike, so the first bits tell a part's.
 
 use std::fmt;
 
@@ -9,7 +11,11 @@
 
 use crate::ids::AccountName;
 
-/// A hash of a request's method, path, client account and body.
+/// The bits that are set in the fingerprint of a part. In one of 65,536 requests' they are as well, which is then treated
+/// as a part's.
+const PART_BITS: u64 = 0xffff << 48;
+
+/// A hash of a request's method, path, client account and body, or of the identifier of a part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
@@ -25,9 +31,22 @@
             hasher.update(part.as_bytes());
         }
         hasher.update(body);
-        let hash = hasher.finalize();
-        Self(u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes")))
+        Self(first_bits(&hasher.finalize()))
+    }
+
+    /// Returns the fingerprint of a part of a prompt.
+    pub fn of_part(id: u64) -> Self {
+        Self(first_bits(&blake3::hash(&id.to_le_bytes())) | PART_BITS)
     }
+
+    /// Returns whether this is the fingerprint of a part of a prompt.
+    pub fn is_part(self) -> bool {
+        self.0 & PART_BITS == PART_BITS
+    }
+}
+
+fn first_bits(hash: &blake3::Hash) -> u64 {
+    u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes"))
 }
 
 impl fmt::Display for Fingerprint {
--- a/trackfront_core/src/serving/request.rs
+++ b/trackfront_core/src/serving/request.rs
@@ -138,6 +138,15 @@
         /// The number of crashed servers.
         servers: usize,
     },
+    /// Servers crashed under requests with a part of this one's prompt. This attempt was not sent to any server.
+    #[error(
+        "{servers} servers crashed that ran requests with a part of its prompt, which is held off; \
+         send it without that part, or ask the operators to let it go"
+    )]
+    QuarantinedPart {
+        /// The number of crashed servers.
+        servers: usize,
+    },
     /// A server failed; the request may have run.
     #[error("the server failed: {0}; the request may have run")]
     ServerFailed(&'static str),
@@ -160,14 +169,21 @@
             Refusal::NotReady { .. } => "not_ready",
             Refusal::NoServer { .. } => "no_server",
             Refusal::Quarantined { .. } => "held_off",
+            Refusal::QuarantinedPart { .. } => "part_held_off",
             Refusal::ServerFailed(_) => "failed",
             Refusal::TimedOut => "timed_out",
         }
     }
 
-    /// Returns whether the answer guarantees that the request has not run and never will. A
-    /// quarantined request ran before, and the guarantee would invite a retry.
+    /// Returns whether the answer guarantees that the request has not run and never will. For what is quarantined the
+    /// guarantee would invite a retry.
     pub fn guarantees_not_run(&self) -> bool {
-        !matches!(self, Refusal::Quarantined { .. } | Refusal::ServerFailed(_) | Refusal::TimedOut)
+        !matches!(
+            self,
+            Refusal::Quarantined { .. }
+                | Refusal::QuarantinedPart { .. }
+                | Refusal::ServerFailed(_)
+                | Refusal::TimedOut
+        )
     }
 }
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -1,4 +1,4 @@
-//! Requests that crash the servers that run them, and ended servers, shared among all boxes.
+//! Requests and parts of prompts that crash the servers that run them, and ended servers, shared among all boxes.
 //!
 //! What one box learns about either reaches the others before the client's next try does.
 //! [`outbox`] sends it, [`rows`] stores quarantined requests in the platform's table and provides
@@ -122,7 +122,8 @@
     let is_first = coordinators_of(node, fingerprint).first() == Some(&me);
     let is_trial = is_first && node.crashes.tracker.lock().start_trial(fingerprint, node.now());
     if is_trial {
-        log::info!(fingerprint:%; "quarantined request sent as a trial");
+        let is_part = fingerprint.is_part();
+        log::info!(fingerprint:%, is_part; "quarantined request sent as a trial");
     }
     is_trial
 }
@@ -137,11 +138,11 @@
 }
 
 /// Records that the connection to a server broke while a request was in flight, and probes the
-/// server.
+/// server. `suspects` are what of the request may have crashed it.
 pub fn connection_broke(
     node: &Arc<ServingNode>,
     request: &RequestId,
-    fingerprint: Fingerprint,
+    suspects: &[Fingerprint],
     server: &Arc<KnownServer>,
 ) {
     let id = &server.entry.id;
@@ -152,14 +153,11 @@
     }
     let now = node.now();
     let incarnation = incarnation_id(id);
-    let (change, has_ended) = {
-        let mut tracker = node.crashes.tracker.lock();
-        (
-            tracker.connection_broke(fingerprint, incarnation, now),
-            tracker.has_ended(incarnation, now),
-        )
-    };
-    record(node, fingerprint, change, request.as_str());
+    for fingerprint in suspects {
+        let change = node.crashes.tracker.lock().connection_broke(*fingerprint, incarnation, now);
+        record(node, *fingerprint, change, request.as_str());
+    }
+    let has_ended = node.crashes.tracker.lock().has_ended(incarnation, now);
     if !has_ended && node.crashes.probing.lock().insert(id.clone()) {
         tokio::spawn(probe(node.clone(), server.clone()));
     }
@@ -254,10 +252,12 @@
     }
 }
 
-/// Records that a request was answered completely.
-pub fn request_completed(node: &ServingNode, fingerprint: Fingerprint) {
-    let change = node.crashes.tracker.lock().mark_answered(fingerprint, node.now());
-    record(node, fingerprint, change, "it was answered whole");
+/// Records that a request was answered completely, or for so long that `suspects` did not crash its server.
+pub fn request_completed(node: &ServingNode, suspects: &[Fingerprint]) {
+    for fingerprint in suspects {
+        let change = node.crashes.tracker.lock().mark_answered(*fingerprint, node.now());
+        record(node, *fingerprint, change, "it was answered whole");
+    }
 }
 
 /// Releases a quarantined request at all boxes. Returns whether it was quarantined.
@@ -339,16 +339,24 @@
 fn log_change(node: &ServingNode, fingerprint: Fingerprint, change: SuspicionChange, by: &str) {
     let report = node.crashes.tracker.lock().report(fingerprint).cloned();
     let crashes = report.as_ref().map_or(0, CrashReport::crashes);
-    let kind = match change {
-        SuspicionChange::Unchanged => return,
-        SuspicionChange::Suspected(_) => "struck",
-        SuspicionChange::Quarantined => "held off",
-        SuspicionChange::Released => "let go",
+    let is_part = fingerprint.is_part();
+    let kind = match (change, is_part) {
+        (SuspicionChange::Unchanged, _) => return,
+        (SuspicionChange::Suspected(_), false) => "struck",
+        (SuspicionChange::Quarantined, false) => "held off",
+        (SuspicionChange::Released, false) => "let go",
+        (SuspicionChange::Suspected(_), true) => "part struck",
+        (SuspicionChange::Quarantined, true) => "part held off",
+        (SuspicionChange::Released, true) => "part let go",
     };
     node.metrics.crashes.get_or_create(&KindLabel { kind }).inc();
     match change {
-        SuspicionChange::Quarantined => log::warn!(fingerprint:%, crashes, by; "request held off"),
-        SuspicionChange::Released => log::warn!(fingerprint:%, crashes, by; "request let go"),
-        _ => log::info!(fingerprint:%, crashes, by; "servers crashed under request"),
+        SuspicionChange::Quarantined => {
+            log::warn!(fingerprint:%, is_part, crashes, by; "request held off");
+        }
+        SuspicionChange::Released => {
+            log::warn!(fingerprint:%, is_part, crashes, by; "request let go");
+        }
+        _ => log::info!(fingerprint:%, is_part, crashes, by; "servers crashed under request"),
     }
 }
--- a/trackfrontd/src/serving/crashes/operators.rs
+++ b/trackfrontd/src/serving/crashes/operators.rs
@@ -36,6 +36,7 @@
         .into_iter()
         .map(|(report, since)| HeldOff {
             fingerprint: report.fingerprint.to_string(),
+            is_part: report.fingerprint.is_part(),
             servers: report.crashes(),
             held_ms: now.since(since).as_millis() as u64,
             written_down: report.stored,
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -78,10 +78,7 @@
     let count = reports.len();
     {
         let mut tracker = node.crashes.tracker.lock();
-        // This box doesn't know which trials were made before it started, so it makes none.
-        for report in reports {
-            tracker.apply_report(&CrashReport { together: false, ..report }, now);
-        }
+        reports.iter().for_each(|report| tracker.load(report, now));
     }
     node.crashes.is_loaded.store(true, Ordering::Relaxed);
     log::info!(from, held_off = count; "crashes known");
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -14,14 +14,13 @@
 use trackfront_core::ids::RequestId;
 use trackfront_core::serving::choice::Choice;
 use trackfront_core::serving::directory::KnownServer;
-use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::load::{AttemptOutcome, TrackedRequest};
 use trackfront_core::serving::notices::NoticeSource;
 use trackfront_core::serving::permits::Permit;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
-use super::Job;
+use super::{Job, Suspects};
 use crate::serving::feed_relay::FeedKind;
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::EntryKind;
@@ -45,6 +44,9 @@
 /// tried.
 const HEAD_WAIT_TARGET_FACTOR: u32 = 4;
 
+/// The time after the first event of an answer until which a part of its prompt may be why its server crashed.
+const CRASH_AFTER_BEGIN: Duration = Duration::from_secs(1);
+
 /// The longest wait for room at one brittle server; another may have some.
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(150);
 
@@ -54,8 +56,10 @@
     tracked: Option<TrackedRequest>,
     item: Option<ModelRef>,
     request: RequestId,
-    fingerprint: Fingerprint,
+    suspects: Suspects,
     server: Arc<KnownServer>,
+    /// When the first event of the answer arrived.
+    first_event_at: Option<Moment>,
     /// Whether the answer's framing shows that it is complete.
     has_own_end: bool,
     /// The room that the request takes, if the server is brittle.
@@ -68,6 +72,7 @@
     /// Records the first event of the answer.
     pub fn record_first_event(&mut self) {
         let now = self.node.now();
+        self.first_event_at.get_or_insert(now);
         if let Some(tracked) = &mut self.tracked {
             self.node.loads.lock().first_event(tracked, now);
         }
@@ -79,7 +84,15 @@
         if self.has_lost_own_link() {
             return;
         }
-        crashes::connection_broke(&self.node, &self.request, self.fingerprint, &self.server);
+        let (request, parts) = self.suspects.split_at(1);
+        // A part crashes a server that begins to answer on it, so a longer run clears those of its prompt.
+        let has_run_long =
+            self.first_event_at.is_some_and(|at| self.node.now().since(at) >= CRASH_AFTER_BEGIN);
+        if has_run_long {
+            crashes::request_completed(&self.node, parts);
+        }
+        let suspects = if has_run_long { request } else { &self.suspects[..] };
+        crashes::connection_broke(&self.node, &self.request, suspects, &self.server);
     }
 
     /// Records that the server's answer ended, whatever its status. Only an answer that states its end shows that the
@@ -89,7 +102,7 @@
         self.node.reach.lock().record_answer(self.node.now());
         if self.has_own_end {
             self.node.crashes.record_alive(&self.server.entry.id, self.node.now());
-            crashes::request_completed(&self.node, self.fingerprint);
+            crashes::request_completed(&self.node, &self.suspects);
         }
     }
 
@@ -404,8 +417,9 @@
             tracked: Some(tracked),
             item,
             request: self.info.id.clone(),
-            fingerprint: self.fingerprint,
+            suspects: self.suspects.clone(),
             server: choice.server.clone(),
+            first_event_at: None,
             has_own_end: false,
             room,
             was_cut_off,
@@ -420,7 +434,8 @@
         let list_age = self.node.feed_state.lock().silence(FeedKind::Servers, now);
         log::info!(
             request:% = self.info.id,
-            fingerprint:% = self.fingerprint,
+            fingerprint:% = self.fingerprint(),
+            parts = self.logged_parts(),
             route = self.route.name,
             config = self.config.version,
             server:% = known.entry.id,
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -12,10 +12,11 @@
 mod limit;
 mod permit;
 mod plain;
+mod quarantine;
 mod retry_after;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 pub use attempt::{SendGuard, SendOutcome};
@@ -25,9 +26,12 @@
 use hyper::body::Incoming;
 pub use limit::QuotaUnits;
 use limit::UnitsTaken;
+use parking_lot::Mutex;
 pub use permit::Chosen;
 use permit::{MAX_PERMITS_REFUSED, log_no_permit};
 pub use plain::{BrokenAnswer, PlainAnswer};
+pub use quarantine::Suspects;
+use quarantine::suspects;
 use tokio::time::Instant;
 use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body};
 use trackfront_adapters::serving_metrics::KindLabel;
@@ -40,7 +44,6 @@
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 use trackfront_core::units::Moment;
 
-use super::crashes;
 use super::node::ServingNode;
 use super::response_relay::{self, RelayOutcome};
 
@@ -74,8 +77,8 @@
     pub account: Option<Arc<ClientAccount>>,
     /// The request's rank: that of its account, or else of its route.
     pub rank: u8,
-    /// Identifies equal requests, whatever their request identifiers.
-    pub fingerprint: Fingerprint,
+    /// What of the request may crash servers: itself, and parts of its prompt.
+    pub suspects: Suspects,
     /// The prefixes of the prompt.
     pub prefixes: Vec<Prefix>,
     /// The head as the client sent it.
@@ -96,8 +99,8 @@
     pub config: Arc<ServingConfig>,
     /// Whether a server that was sent the request fell silent.
     saw_silence: AtomicBool,
-    /// Whether the request is sent as a trial although it is quarantined.
-    is_trial: AtomicBool,
+    /// What of the request is quarantined, if it is sent as a trial of that.
+    trial: Mutex<Option<Fingerprint>>,
 }
 
 /// Answers a client's request.
@@ -172,9 +175,10 @@
     let service = route.service_for(short_hash(info.id.as_str())).clone();
     let prefixes = info.model.as_ref().map_or_else(Vec::new, |item| prefixes(item, &info.prompt));
     let fingerprint = fingerprint(&head, account.as_deref(), &body);
+    let suspects = suspects(fingerprint, &info.prompt);
     let job = Job {
         node: node.clone(),
-        fingerprint,
+        suspects,
         rank: account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority),
         account,
         route,
@@ -190,7 +194,7 @@
         answer_by,
         config,
         saw_silence: AtomicBool::new(false),
-        is_trial: AtomicBool::new(false),
+        trial: Mutex::new(None),
     };
     count_demand(&job);
     Ok(job)
@@ -381,34 +385,6 @@
         in_time && reachable && attempts_left && may_repeat
     }
 
-    /// Returns whether the request is suspected of having crashed the servers that ran it. It isn't
-    /// sent to another server in the same try; by the time the client retries, more is known.
-    pub fn may_crash_servers(&self) -> bool {
-        self.node.crashes.is_suspect(self.fingerprint, self.node.now())
-    }
-
-    /// Returns whether quarantine still allows the request to be sent.
-    fn may_pass_quarantine(&self) -> bool {
-        let is_trial = self.is_trial.load(Ordering::Relaxed);
-        is_trial || self.node.crashes.quarantined_crashes(self.fingerprint).is_none()
-    }
-
-    /// Refuses a quarantined request, also one that was quarantined between two sends.
-    fn check_quarantine(&self, attempts: &Attempts) -> Option<Refusal> {
-        if self.is_trial.load(Ordering::Relaxed) {
-            return None;
-        }
-        let servers = self.node.crashes.quarantined_crashes(self.fingerprint)?;
-        if attempts.servers.is_empty() && crashes::try_start_trial(&self.node, self.fingerprint) {
-            self.is_trial.store(true, Ordering::Relaxed);
-            return None;
-        }
-        Some(match attempts.may_have_run {
-            Some(cause) => Refusal::ServerFailed(cause),
-            None => Refusal::Quarantined { servers },
-        })
-    }
-
     fn give_up(&self, attempts: &Attempts, cause: &'static str) -> Refusal {
         match attempts.may_have_run {
             Some(_) if self.request_time() >= self.answer_by => Refusal::TimedOut,
--- /dev/null
+++ b/trackfrontd/src/serving/pipeline/quarantine.rs
@@ -0,0 +1,82 @@
+//! What of a request may crash servers: the request as such and the parts of its prompt.
+
+use std::sync::Arc;
+
+use trackfront_core::serving::fingerprint::Fingerprint;
+use trackfront_core::serving::request::{PromptPart, Refusal};
+
+use super::{Attempts, Job};
+use crate::serving::crashes;
+
+/// The most parts of a prompt that are tracked; of longer prompts the first ones.
+const MAX_PARTS: usize = 64;
+
+/// The most parts that a log line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// The fingerprints of what may crash the servers that run a request: the request, then the parts of its prompt.
+pub type Suspects = Arc<[Fingerprint]>;
+
+/// Returns what of a request may crash servers. The last part of a prompt belongs to the request alone or to its session.
+pub(super) fn suspects(request: Fingerprint, prompt: &[PromptPart]) -> Suspects {
+    let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
+    let mut suspects = vec![request];
+    for part in shared.iter().take(MAX_PARTS).map(|part| Fingerprint::of_part(part.id)) {
+        if !suspects.contains(&part) {
+            suspects.push(part);
+        }
+    }
+    suspects.into()
+}
+
+impl Job {
+    /// Returns the fingerprint of the request, which is the same at each of its client's tries.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        self.suspects[0]
+    }
+
+    /// Returns the fingerprints of the prompt's parts for a log line.
+    pub(super) fn logged_parts(&self) -> String {
+        let parts = self.suspects[1..].iter().take(MAX_LOGGED_PARTS).map(Fingerprint::to_string);
+        parts.collect::<Vec<_>>().join(",")
+    }
+
+    /// Returns whether the request is suspected of having crashed the servers that ran it. It isn't
+    /// sent to another server in the same try; by the time the client retries, more is known.
+    pub fn may_crash_servers(&self) -> bool {
+        let now = self.node.now();
+        self.suspects.iter().any(|suspect| self.node.crashes.is_suspect(*suspect, now))
+    }
+
+    /// Returns whether quarantine still allows the request to be sent.
+    pub(super) fn may_pass_quarantine(&self) -> bool {
+        let trial = *self.trial.lock();
+        self.quarantined().all(|(suspect, _)| Some(suspect) == trial)
+    }
+
+    /// Refuses a quarantined request, also one that was quarantined between two sends.
+    pub(super) fn check_quarantine(&self, attempts: &Attempts) -> Option<Refusal> {
+        if self.may_pass_quarantine() {
+            return None;
+        }
+        let mut quarantined = self.quarantined();
+        let (suspect, servers) = quarantined.next()?;
+        let may_try = attempts.servers.is_empty() && quarantined.next().is_none();
+        if may_try && crashes::try_start_trial(&self.node, suspect) {
+            *self.trial.lock() = Some(suspect);
+            return None;
+        }
+        Some(match attempts.may_have_run {
+            Some(cause) => Refusal::ServerFailed(cause),
+            None if suspect.is_part() => Refusal::QuarantinedPart { servers },
+            None => Refusal::Quarantined { servers },
+        })
+    }
+
+    /// Returns what of the request is quarantined, and how many servers each crashed.
+    fn quarantined(&self) -> impl Iterator<Item = (Fingerprint, usize)> {
+        self.suspects.iter().filter_map(|suspect| {
+            Some((*suspect, self.node.crashes.quarantined_crashes(*suspect)?))
+        })
+    }
+}
