--- a/trackfront_bench/src/serving_list.rs
+++ b/trackfront_bench/src/serving_list.rs
@@ -78,6 +78,7 @@
         sequence: version,
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
+        software: "v1".into(),
     };
     ServerChange::Set { version: version.into(), entry }
 }
--- a/trackfront_core/src/ids.rs
+++ b/trackfront_core/src/ids.rs
@@ -54,6 +54,10 @@
     /// The name of a hall (availability zone).
     HallName
 }
+name_type! {
+    /// The version of a server's software. Versions have no order.
+    SoftwareVersion
+}
 name_type! {
     /// The key of a server's entries, which all its incarnations share.
     ServerKey
--- a/trackfront_core/src/serving/choice.rs
+++ b/trackfront_core/src/serving/choice.rs
@@ -14,6 +14,7 @@
 use crate::serving::halls::AllowedHalls;
 use crate::serving::load::{LoadTracker, RANKS};
 use crate::serving::request::{ModelRef, RequestInfo};
+use crate::serving::stream_origins::SoftwareId;
 use crate::units::Moment;
 
 /// The cost of sending to another hall, in milliseconds; includes that of the traffic between halls.
@@ -55,6 +56,8 @@
     pub rank: u8,
     /// Servers that already got the request.
     pub tried: &'a [BackendId],
+    /// The software that must answer, because it began the stream that the request continues.
+    pub software: Option<SoftwareId>,
     /// The hall of this box.
     pub hall: &'a HallName,
     /// The halls and regions where the request may be served.
@@ -92,6 +95,8 @@
     NoServer,
     /// None of its servers is in a hall and region where the request may be served.
     NotAllowed,
+    /// None of them has the version of the software that began the stream.
+    NoSoftware,
     /// No engine has the model loaded.
     NoModel,
     /// Engines have the model loaded, but none has the adapter.
@@ -142,6 +147,7 @@
         match self {
             NoChoice::NoServer => "no server takes requests",
             NoChoice::NotAllowed => "no server stands where it may be served",
+            NoChoice::NoSoftware => "no engine has the software that began the stream",
             NoChoice::NoModel => "no engine holds the model",
             NoChoice::NoAdapter => "no engine holds the adapter",
             NoChoice::Unavailable(unavailable) => unavailable.cause.name(),
@@ -191,6 +197,10 @@
             reason = closer_reason(reason, NoChoice::NotAllowed);
             continue;
         }
+        if query.software.is_some_and(|software| software != server.entry.software_id()) {
+            reason = closer_reason(reason, NoChoice::NoSoftware);
+            continue;
+        }
         let cold_state = view.cold_state(server);
         let obstacle = match check_loaded(server, query.info.model.as_ref(), view) {
             Ok(()) if query.tried.contains(id) => Some(NoChoice::AllTried),
@@ -239,10 +249,11 @@
     let progress = |reason| match reason {
         NoChoice::NoServer => 0,
         NoChoice::NotAllowed => 1,
-        NoChoice::NoModel => 2,
-        NoChoice::NoAdapter => 3,
-        NoChoice::Unavailable(_) => 4,
-        NoChoice::AllTried => 5,
+        NoChoice::NoSoftware => 2,
+        NoChoice::NoModel => 3,
+        NoChoice::NoAdapter => 4,
+        NoChoice::Unavailable(_) => 5,
+        NoChoice::AllTried => 6,
     };
     match (a, b) {
         (NoChoice::Unavailable(first), NoChoice::Unavailable(other))
--- a/trackfront_core/src/serving/directory/entry.rs
+++ b/trackfront_core/src/serving/directory/entry.rs
@@ -5,7 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AdapterName, BackendId, HallName, ModelName, ServerKey, ServiceName};
+use crate::ids::{
+    AdapterName, BackendId, HallName, ModelName, ServerKey, ServiceName, SoftwareVersion,
+};
+use crate::serving::stream_origins::SoftwareId;
 use crate::store_version::StoreVersion;
 use crate::units::Moment;
 
@@ -63,6 +66,8 @@
     pub in_memory: BTreeSet<ModelName>,
     /// The models of which its disk has a copy.
     pub on_disk: BTreeSet<ModelName>,
+    /// The version of its software.
+    pub software: SoftwareVersion,
 }
 
 /// The box's record of a server.
@@ -88,6 +93,11 @@
 }
 
 impl ServerEntry {
+    /// Returns the short form of the version of its software.
+    pub fn software_id(&self) -> SoftwareId {
+        SoftwareId::of(&self.software)
+    }
+
     /// Returns whether this entry is from an earlier incarnation than the one that started at
     /// `other`.
     pub fn is_from_earlier_incarnation(&self, other: Option<u64>) -> bool {
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -32,3 +32,4 @@
 pub mod room;
 pub mod sampling;
 pub mod saturation;
+pub mod stream_origins;
--- a/trackfront_core/src/serving/request.rs
+++ b/trackfront_core/src/serving/request.rs
@@ -36,6 +36,15 @@
     pub tokens: u32,
 }
 
+/// The stream that a request continues, after an event that its client already has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Continued {
+    /// The one whose first event this attempt of the client brought.
+    Named(RequestId),
+    /// The client did not say which.
+    Unnamed,
+}
+
 /// The metadata of a request, without its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestInfo {
@@ -60,6 +69,8 @@
     pub prompt: Vec<PromptPart>,
     /// The hash of the key that the client sent, if any.
     pub key: Option<KeyHash>,
+    /// The stream that it continues, if any.
+    pub continues: Option<Continued>,
 }
 
 impl RequestInfo {
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -36,4 +36,5 @@
     mod sampling;
     mod saturation;
     mod store_version;
+    mod stream_origins;
 }
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -96,6 +96,7 @@
             prefixes: &found.unwrap_or_default(),
             rank: 1,
             tried: &self.tried,
+            software: None,
             hall: &"a".into(),
             allowed_halls: AllowedHalls {
                 evacuations: &self.evacuations,
--- a/trackfront_core/tests/serving/support.rs
+++ b/trackfront_core/tests/serving/support.rs
@@ -53,6 +53,7 @@
         sequence: 0,
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
+        software: "v1".into(),
     }
 }
 
@@ -78,6 +79,7 @@
         output_tokens: 10,
         max_total_tokens: None,
         key: None,
+        continues: None,
         prompt: Vec::new(),
     }
 }
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -47,7 +47,7 @@
 
 /// The path of the server list, followed by the bits of the version that the client knows, 0 for
 /// the whole list.
-const SERVERS_PATH: &str = "/copy/2/servers/";
+const SERVERS_PATH: &str = "/copy/3/servers/";
 
 /// The path of the list of boxes.
 const BOXES_PATH: &str = "/copy/1/boxes";
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -25,6 +25,7 @@
 use super::short_names::{short_hall, short_item, short_server};
 use super::{
     boxes, config_freshness, crashes, feed_relay, missing_items, notices, permits, quota, room,
+    stream_origins,
 };
 
 /// The shortest time between a digest and an early one.
@@ -224,6 +225,16 @@
             Ok((Message::RoomRequest(request), _)) => room::handle_request(&node, ip, &request),
             Ok((Message::RoomReply(reply), _)) => room::handle_reply(&node, reply),
             Ok((Message::RoomRelease(release), _)) => room::handle_release(&node, ip, release),
+            Ok((Message::StreamOrigins(origins), _)) => {
+                stream_origins::handle_origins(&node, &origins)
+            }
+            Ok((Message::StreamOriginRequest(request), _)) => {
+                stream_origins::handle_request(&node, &socket, ip, request)
+            }
+            Ok((Message::StreamOriginReply(reply), _)) => {
+                stream_origins::handle_reply(&node, reply)
+            }
+            Ok((Message::FormerFeedUpdate | Message::FormerPackedFeedUpdate, _)) => {}
             Err(error) => {
                 let now = node.now();
                 if now.since(warned_at) > PEER_TIMEOUT {
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -10,6 +10,7 @@
 use trackfront_core::quota::{QuotaReply, QuotaRequest};
 use trackfront_core::serving::crashes::CrashReport;
 use trackfront_core::serving::load::{InFlight, RankInFlight};
+use trackfront_core::serving::stream_origins::{SoftwareId, StreamId, StreamOrigin};
 use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
@@ -29,10 +30,11 @@
     Digest(Digest),
     /// The demand at a box, for the holder of the order lease.
     Demand(DemandReport),
-    /// An update from the platform's feeds, for the boxes of the sender's hall.
-    FeedUpdate(FeedUpdate),
-    /// A [`FeedUpdate`], compressed.
-    PackedFeedUpdate(Vec<u8>),
+    /// An update from the feeds in the form of earlier versions, whose servers have no software version. It is ignored;
+    /// the receiver learns of the changes from the store.
+    FormerFeedUpdate,
+    /// The same, compressed.
+    FormerPackedFeedUpdate,
     /// Items that engines are loading, for a box that is missing them.
     PendingItems(Vec<PendingItem>),
     /// The full list of boxes.
@@ -63,6 +65,34 @@
     RoomReply(RoomReply),
     /// The return of room at a brittle server.
     RoomRelease(RoomRelease),
+    /// The software that began streams, for a box that keeps that.
+    StreamOrigins(Vec<StreamOrigin>),
+    /// A question which software began a stream.
+    StreamOriginRequest(StreamOriginRequest),
+    /// The reply to a [`StreamOriginRequest`].
+    StreamOriginReply(StreamOriginReply),
+    /// An update from the platform's feeds, for the boxes of the sender's hall.
+    FeedUpdate(FeedUpdate),
+    /// A [`FeedUpdate`], compressed.
+    PackedFeedUpdate(Vec<u8>),
+}
+
+/// A question which software began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOriginRequest {
+    /// The number of the question, unique at the asking box.
+    pub number: u32,
+    /// The stream.
+    pub stream: StreamId,
+}
+
+/// The reply to a [`StreamOriginRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOriginReply {
+    /// The number of the question.
+    pub number: u32,
+    /// The software; `None` if the box does not know it.
+    pub software: Option<SoftwareId>,
 }
 
 /// The full list of boxes, as one box read it from the platform's table.
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -52,5 +52,6 @@
 pub mod run;
 pub mod settings;
 pub mod short_names;
+pub mod stream_origins;
 pub mod suspension;
 pub mod unusable_rows;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -49,6 +49,7 @@
 use super::room::ServerRoom;
 use super::settings::ServingSettings;
 use super::short_names::ShortNames;
+use super::stream_origins::StreamVersions;
 use super::suspension::Suspensions;
 use super::unusable_rows::UnusableRows;
 
@@ -118,6 +119,8 @@
     pub permits: ServerPermits,
     /// Room at brittle servers.
     pub room: ServerRoom,
+    /// Which software began the streams that clients may continue.
+    pub stream_versions: StreamVersions,
     /// Prompt prefixes that engines have cached.
     pub prompt_memory: Mutex<PrefixIndex>,
     /// Which servers this box reaches by itself.
@@ -210,6 +213,7 @@
             notice_outbox: NoticeOutbox::default(),
             permits: ServerPermits::new(rand::random()),
             room: ServerRoom::new(rand::random()),
+            stream_versions: StreamVersions::new(rand::random()),
             prompt_memory: Mutex::default(),
             reach: Mutex::default(),
             relays: Mutex::default(),
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -146,6 +146,11 @@
         if is_own_fault { AttemptOutcome::Abandoned } else { outcome }
     }
 
+    /// Returns the server.
+    pub fn server(&self) -> &KnownServer {
+        &self.server
+    }
+
     /// Returns the expected time to the first event, in milliseconds.
     pub fn expected_ms(&self) -> f64 {
         self.tracked.as_ref().map_or(0.0, TrackedRequest::expected_ms)
--- a/trackfrontd/src/serving/pipeline/choice.rs
+++ b/trackfrontd/src/serving/pipeline/choice.rs
@@ -37,6 +37,7 @@
             prefixes: &self.prefixes,
             rank: self.rank,
             tried,
+            software: *self.software.lock(),
             hall: &settings.node.hall,
             allowed_halls: self.allowed_halls(&evacuations, &settings),
             drain_grace: node.drain_grace(),
@@ -93,9 +94,12 @@
         };
         let added = overlay.added_to(item).filter_map(listed).filter(|known| !holds(known));
         match choose_among(&mut holders.chain(added)) {
-            Err(NoChoice::NoServer | NoChoice::NotAllowed | NoChoice::NoModel) => {
-                choose(&query, all, &mut loads, &memory, &view)
-            }
+            Err(
+                NoChoice::NoServer
+                | NoChoice::NotAllowed
+                | NoChoice::NoSoftware
+                | NoChoice::NoModel,
+            ) => choose(&query, all, &mut loads, &memory, &view),
             found => found,
         }
     }
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -91,6 +91,7 @@
             NoChoice::NoAdapter => Some(item.clone()),
             NoChoice::NoServer
             | NoChoice::NotAllowed
+            | NoChoice::NoSoftware
             | NoChoice::Unavailable(_)
             | NoChoice::AllTried => None,
         }
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -14,6 +14,7 @@
 mod plain;
 mod quarantine;
 mod retry_after;
+mod software;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -42,6 +43,7 @@
 use trackfront_core::serving::config::{Route, ServingConfig};
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
+use trackfront_core::serving::stream_origins::SoftwareId;
 use trackfront_core::units::Moment;
 
 use super::node::ServingNode;
@@ -99,6 +101,8 @@
     pub config: Arc<ServingConfig>,
     /// Whether a server that was sent the request fell silent.
     saw_silence: AtomicBool,
+    /// The software that must answer, because it began the stream that the request continues.
+    pub software: Mutex<Option<SoftwareId>>,
     /// What of the request is quarantined, if it is sent as a trial of that.
     trial: Mutex<Option<Fingerprint>>,
 }
@@ -194,6 +198,7 @@
         answer_by,
         config,
         saw_silence: AtomicBool::new(false),
+        software: Mutex::new(None),
         trial: Mutex::new(None),
     };
     count_demand(&job);
@@ -238,7 +243,11 @@
 async fn serve(job: Arc<Job>, mut end: EndLog) -> Response<Body> {
     let node = job.node.clone();
     let mut attempts = Attempts::default();
+    let unknown_origin = job.find_software().await;
     let refusal = loop {
+        if let Some(refusal) = unknown_origin {
+            break refusal;
+        }
         if let Some(refusal) = job.check_key(&attempts).or_else(|| job.check_quarantine(&attempts))
         {
             break refusal;
--- a/trackfrontd/src/serving/pipeline/retry_after.rs
+++ b/trackfrontd/src/serving/pipeline/retry_after.rs
@@ -29,7 +29,9 @@
     pub fn retry_after_for(&self, no_choice: NoChoice) -> Duration {
         let wait = match no_choice {
             NoChoice::AllTried => return self.retry_after_wait(self.unavailable_for()),
-            NoChoice::NoServer | NoChoice::NotAllowed => NO_SERVER_RETRY_AFTER,
+            NoChoice::NoServer | NoChoice::NotAllowed | NoChoice::NoSoftware => {
+                NO_SERVER_RETRY_AFTER
+            }
             NoChoice::Unavailable(unavailable) => {
                 unavailable.until.since(self.node.now()).max(MIN_RETRY_AFTER)
             }
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -227,6 +227,7 @@
         let expected_ms = self.guard.expected_ms();
         self.guard.record_first_event();
         let job = &self.job;
+        job.bind_software(self.guard.server());
         let took = job.arrived.elapsed().as_secs_f64();
         let kind = job.route.kind.name();
         job.node.metrics.first_event.get_or_create(&KindLabel { kind }).observe(took);
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -21,7 +21,7 @@
 use super::settings::ServingSettings;
 use super::{
     boxes, cold, config_freshness, crashes, follow, listeners, missing_items, notices, permits,
-    quota, reach, restoration, room, suspension,
+    quota, reach, restoration, room, stream_origins, suspension,
 };
 
 /// The timeout of a call to the platform's store, in addition to the time that the call asks the
@@ -90,6 +90,7 @@
     tasks.spawn(notices::broadcast(node.clone(), socket.clone()));
     tasks.spawn(permits::send_requests(node.clone(), socket.clone()));
     tasks.spawn(room::run(node.clone(), socket.clone()));
+    tasks.spawn(stream_origins::send_messages(node.clone(), socket.clone()));
     tasks.spawn(gossip::receive_messages(node.clone(), socket));
     tasks.spawn(sweep(node.clone()));
     tasks.spawn(suspension::watch(node.clone()));
@@ -181,6 +182,7 @@
         notices::sweep(&node, now);
         permits::sweep(&node, now);
         node.room.sweep(now);
+        stream_origins::look_at_services(&node);
     }
 }
 
--- a/trackfrontd/tests/messages.rs
+++ b/trackfrontd/tests/messages.rs
@@ -50,6 +50,7 @@
             on_disk: (0..5)
                 .map(|model| format!("daka{}", index * 5 + model).as_str().into())
                 .collect(),
+            software: "v1".into(),
         },
     };
     let changes: Vec<ServerChange> = names.iter().enumerate().map(change).collect();
--- a/trackfrontd/tests/order_tracker.rs
+++ b/trackfrontd/tests/order_tracker.rs
@@ -36,6 +36,7 @@
         sequence: 0,
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
+        software: "v1".into(),
     };
     let mut directory = Directory::new(Duration::from_secs(1));
     let id = entry.id.clone();
