--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,6 +50,9 @@
     pub connections: usize,
 }
 
+/// Decides whether a new connection is served. If not, it is reset before anything is read.
+pub type Admit = Arc<dyn Fn() -> bool + Send + Sync>;
+
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
@@ -142,13 +146,14 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<Body>, Abort>> + Send + 'static,
 {
-    serve_with(listener, ServerLimits::default, handler, stop).await;
+    serve_with(listener, ServerLimits::default, Arc::new(|| true), handler, stop).await;
 }
 
-/// Like [`serve`], with limits that are evaluated for each connection.
+/// Like [`serve`], with limits that are evaluated for each connection, of which `admit` refuses some.
 pub async fn serve_with<L, H, F>(
     listener: TcpListener,
     limits: L,
+    admit: Admit,
     handler: H,
     mut stop: watch::Receiver<bool>,
 ) where
@@ -167,6 +172,7 @@
             () = stopped(&mut stop) => break,
         };
         match accepted {
+            Ok((stream, _)) if !admit() => reset(stream),
             Ok((stream, _)) => {
                 let watcher = graceful.watcher();
                 connections.spawn(serve_connection(stream, limits(), handler.clone(), watcher));
@@ -182,6 +188,13 @@
     graceful.shutdown().await;
 }
 
+/// Resets a connection before anything is read from it.
+fn reset(stream: TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::debug!("a connection is closed rather than reset: {error}");
+    }
+}
+
 /// Waits until `stop` is true or its sender is dropped.
 pub async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -72,6 +72,8 @@
     pub estimate_ratio: Histogram,
     /// How long requests were held for an expected load or server, by whether it became available.
     pub held: Family<KindLabel, Histogram>,
+    /// New connections of clients, taken or refused.
+    pub client_connections: Family<KindLabel, Counter>,
     /// Events of requests that crash servers: crashes, quarantines and releases.
     pub crashes: Family<KindLabel, Counter>,
     /// New notices of servers in answers, by kind: leaves, limited, unlimited, backs off.
@@ -123,6 +125,7 @@
             first_event: Family::new_with_constructor(latency),
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             held: Family::new_with_constructor(latency),
+            client_connections: Family::default(),
             crashes: Family::default(),
             notices: Family::default(),
             noticed_servers: Family::default(),
@@ -173,6 +176,8 @@
         registry.register("estimate_ratio", "Time to the first event over its estimate", ratio);
         let held = "How long requests were held for what was to come";
         registry.register_with_unit("held", held, Unit::Seconds, self.held.clone());
+        let connections = self.client_connections.clone();
+        registry.register("client_connections", "New connections of clients", connections);
         let crashes = self.crashes.clone();
         registry.register("crashes", "Requests under which servers crashed", crashes);
         let notices = self.notices.clone();
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -22,6 +22,7 @@
 pub mod load;
 pub mod notices;
 pub mod orders;
+pub mod overload;
 pub mod permits;
 pub mod planner;
 pub mod reach;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -25,6 +25,7 @@
     mod notices;
     mod orders;
     mod orders_random;
+    mod overload;
     mod permits;
     mod planner;
     mod planner_random;
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -16,7 +16,7 @@
 use super::node::ServingNode;
 use super::pipeline;
 use super::reach::carry;
-use super::{crashes, exchange};
+use super::{crashes, exchange, overload};
 
 /// The maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -43,8 +43,9 @@
 ) {
     let owner = node.clone();
     let limits = move || client_limits(&owner);
+    let admit = overload::admit(node.clone());
     let handler = move |request| pipeline::answer(node.clone(), request);
-    serve_with(listener, limits, handler, stop).await;
+    serve_with(listener, limits, admit, handler, stop).await;
 }
 
 /// Returns the limits for clients by the configuration in force.
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -37,6 +37,7 @@
 pub mod order_task;
 pub mod order_tracker;
 pub mod overlay;
+pub mod overload;
 pub mod packing;
 mod peer;
 pub mod peer_socket;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -22,6 +22,7 @@
 use trackfront_core::serving::halls::Evacuations;
 use trackfront_core::serving::load::LoadTracker;
 use trackfront_core::serving::notices::NoticeTracker;
+use trackfront_core::serving::overload::ConnectionGate;
 use trackfront_core::serving::reach::ReachTracker;
 use trackfront_core::serving::refusal_retries::RefusalRetries;
 use trackfront_core::serving::relays::RelaySelector;
@@ -149,6 +150,8 @@
     pub quotas: Quotas,
     /// Requests that crash servers.
     pub crashes: Crashes,
+    /// Bounds the new connections of clients while this box has too much work.
+    pub connection_gate: Mutex<ConnectionGate>,
     /// The other boxes.
     pub peers: Mutex<PeerTracker>,
     /// The progress of the platform's feeds, as this box and its hall's reader see it.
@@ -214,6 +217,7 @@
             permits: ServerPermits::new(rand::random()),
             room: ServerRoom::new(rand::random()),
             stream_versions: StreamVersions::new(rand::random()),
+            connection_gate: Mutex::default(),
             prompt_memory: Mutex::default(),
             reach: Mutex::default(),
             relays: Mutex::default(),
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -20,8 +20,8 @@
 use super::placement::Placement;
 use super::settings::ServingSettings;
 use super::{
-    boxes, cold, config_freshness, crashes, follow, listeners, missing_items, notices, permits,
-    quota, reach, restoration, room, stream_origins, suspension,
+    boxes, cold, config_freshness, crashes, follow, listeners, missing_items, notices, overload,
+    permits, quota, reach, restoration, room, stream_origins, suspension,
 };
 
 /// The timeout of a call to the platform's store, in addition to the time that the call asks the
@@ -95,6 +95,7 @@
     tasks.spawn(sweep(node.clone()));
     tasks.spawn(suspension::watch(node.clone()));
     tasks.spawn(reach::watch(node.clone()));
+    tasks.spawn(overload::measure_lag(node.clone()));
     tasks.spawn(reload(node.clone(), path, hangup));
     tasks.spawn(listeners::serve_readiness(node.clone(), readiness, rest_stopped.clone()));
     let ports = BTreeSet::from([listen.peers, listen.metrics]);
