--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -11,6 +11,7 @@
     mod config;
     mod crashes;
     mod crashes_random;
+    mod crashing_parts;
     mod demand;
     mod directory;
     mod directory_listed;
