--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::body_end::BodyEnd;
 use crate::keep_alive;
 
 /// The timeout for opening a connection, several times the latency to the farthest hall.
@@ -72,6 +73,8 @@
     pub headers: http::HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Whether the body is known to be complete.
+    pub end: BodyEnd,
 }
 
 type Connections = Client<HttpConnector, Full<Bytes>>;
@@ -180,6 +183,7 @@
 /// Reads the rest of an answer. Returns `None` after a pause longer than [`MAX_PAUSE`].
 async fn read_large(response: Response<Incoming>) -> Option<Result<Answer, HttpError>> {
     let (parts, body) = response.into_parts();
+    let end = BodyEnd::of(&parts.headers, &body);
     let mut body = Limited::new(body, MAX_ANSWER_BYTES);
     let mut whole = BytesMut::new();
     while let Some(frame) = timeout(MAX_PAUSE, body.frame()).await.ok()? {
@@ -190,7 +194,8 @@
             Err(error) => return Some(Err(HttpError::Lost(error.to_string()))),
         }
     }
-    Some(Ok(Answer { status: parts.status, headers: parts.headers, body: whole.freeze() }))
+    let body = whole.freeze();
+    Some(Ok(Answer { status: parts.status, headers: parts.headers, body, end }))
 }
 
 fn new_connections(http2_only: bool) -> Connections {
@@ -209,9 +214,10 @@
 /// Reads the rest of an answer.
 pub async fn read_answer(response: Response<Incoming>) -> Result<Answer, HttpError> {
     let (parts, body) = response.into_parts();
+    let end = BodyEnd::of(&parts.headers, &body);
     let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let body = collected.map_err(|error| HttpError::Lost(error.to_string()))?.to_bytes();
-    Ok(Answer { status: parts.status, headers: parts.headers, body })
+    Ok(Answer { status: parts.status, headers: parts.headers, body, end })
 }
 
 /// Returns a request builder for a path on a server.
--- a/trackfront_adapters/src/lib.rs
+++ b/trackfront_adapters/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod audit;
 pub mod back_off;
+pub mod body_end;
 pub mod clock;
 pub mod connect;
 pub mod engine;
--- a/trackfront_adapters/src/plain.rs
+++ b/trackfront_adapters/src/plain.rs
@@ -8,6 +8,7 @@
 use trackfront_core::ports::plain::http_parts::Header;
 use trackfront_core::ports::{PlainCall, PlainError, PlainReply, PlainService};
 
+use crate::body_end::BodyEnd;
 use crate::http_client::{HttpClient, HttpError, request, with_body};
 use crate::interface::CONNECTION_HEADERS;
 use crate::wire::engine::REQUEST_ID_HEADER;
@@ -50,6 +51,7 @@
             status: answer.status.as_u16(),
             headers: forwarded_headers(&answer.headers),
             body: answer.body,
+            is_end_stated: answer.end == BodyEnd::Stated,
         })
     }
 }
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use http::header::{CONNECTION, HeaderMap};
 use http::{Request, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -22,6 +22,7 @@
 use trackfront_core::ports::Clock;
 use trackfront_core::units::Moment;
 
+use crate::body_end::BodyEnd;
 use crate::connect::{ByteStream, Connect};
 use crate::http_client::error_chain;
 
@@ -147,33 +148,10 @@
     pub carried_by: Option<Ipv4Addr>,
 }
 
-/// What the end of a body says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyEnd {
-    /// The body states its length or is chunked, so a complete one differs from one that broke off.
-    Stated,
-    /// The body ends with its connection. A complete one looks like one whose sender has crashed.
-    WithConnection,
-}
-
 impl UpstreamAnswer {
     /// Returns what the end of the body says.
     pub fn body_end(&self) -> BodyEnd {
-        let headers = &self.head.headers;
-        let codings = headers.get_all(TRANSFER_ENCODING).iter();
-        let last = codings.filter_map(|value| value.to_str().ok()).next_back();
-        let is_chunked = last.is_some_and(|value| {
-            value
-                .rsplit(',')
-                .next()
-                .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
-        });
-        let has_length = last.is_none() && headers.contains_key(CONTENT_LENGTH);
-        // Answers that never have a body, such as 204, end at once.
-        match is_chunked || has_length || self.body.body.is_end_stream() {
-            true => BodyEnd::Stated,
-            false => BodyEnd::WithConnection,
-        }
+        BodyEnd::of(&self.head.headers, &self.body.body)
     }
 }
 
--- a/trackfront_core/src/ports/plain.rs
+++ b/trackfront_core/src/ports/plain.rs
@@ -38,7 +38,7 @@
     pub body: Bytes,
 }
 
-/// A plain service's complete answer.
+/// A plain service's answer.
 #[derive(Clone, Debug)]
 pub struct PlainReply {
     /// The request that this answers, if the server states it.
@@ -49,6 +49,8 @@
     pub headers: Vec<Header>,
     /// The body.
     pub body: Bytes,
+    /// Whether the server stated where the body ends, so that it is known to be complete.
+    pub is_end_stated: bool,
 }
 
 /// An error of a call to a plain service.
--- a/trackfront_standin/src/plain.rs
+++ b/trackfront_standin/src/plain.rs
@@ -156,6 +156,7 @@
             status: StatusCode::OK.as_u16(),
             headers: Vec::new(),
             body: serde_json::to_vec(&answer).expect("our own types always encode").into(),
+            is_end_stated: true,
         })
     }
 }
--- a/trackfrontd/src/gateway/plain.rs
+++ b/trackfrontd/src/gateway/plain.rs
@@ -6,7 +6,7 @@
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::timeout;
-use trackfront_adapters::http_server::{Body, full};
+use trackfront_adapters::http_server::{Body, end_with_connection, full};
 use trackfront_adapters::plain::forwarded_headers;
 use trackfront_core::claims::RecordedAnswer;
 use trackfront_core::ids::{AccountName, HallName, RequestId, ServiceName};
@@ -107,9 +107,10 @@
     }
     let sent = send(shared, target, known, false).await;
     match &sent {
-        Ok(reply) => claimed.record_answer(shared, recorded(reply)),
+        Ok(reply) if reply.is_end_stated => claimed.record_answer(shared, recorded(reply)),
         Err(error) if error.outcome() == Outcome::NotRun => claimed.release(shared),
-        Err(_) => {}
+        // It ran, but there is no answer that is known to be complete.
+        Ok(_) | Err(_) => {}
     }
     sent.map(CallAnswer::New)
 }
@@ -236,6 +237,7 @@
 
 fn plain_response(reply: PlainReply) -> Result<Response<Body>, RequestError> {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let is_end_stated = reply.is_end_stated;
     let mut response = Response::new(full(reply.body));
     *response.status_mut() = status;
     for header in reply.headers {
@@ -245,5 +247,8 @@
             response.headers_mut().append(name, value);
         }
     }
-    Ok(response)
+    Ok(match is_end_stated {
+        true => response,
+        false => end_with_connection(response),
+    })
 }
--- a/trackfrontd/src/serving/pipeline/plain.rs
+++ b/trackfrontd/src/serving/pipeline/plain.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use http::{Method, Response, StatusCode, Version};
 use tokio::time::timeout_at;
+use trackfront_adapters::body_end::BodyEnd;
 use trackfront_adapters::http_server::{Body, end_with_connection, full};
 use trackfront_adapters::interface::end_to_end;
-use trackfront_adapters::upstream::{BodyEnd, UpstreamAnswer};
+use trackfront_adapters::upstream::UpstreamAnswer;
 use trackfront_core::serving::config::RouteKind;
 
 use super::Job;
