--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -302,13 +302,13 @@
         true
     }
 
-    /// Returns whether a request is suspected of crashing servers. Broken connections that may be crashes count as well.
-    /// A popular part is in most requests whose connections break, so recent answers clear it of those.
+    /// Returns whether a request is suspected of crashing servers. Broken connections that may be crashes count as well, but
+    /// not for a part of prompts: a popular one is in most requests whose connections break.
     pub fn is_suspect(&self, fingerprint: Fingerprint, now: Moment) -> bool {
-        if fingerprint.is_part() && self.was_answered(fingerprint, now) {
-            return false;
-        }
         let crashes = self.report(fingerprint).map_or(0, CrashReport::crashes);
+        if fingerprint.is_part() {
+            return crashes >= SUSPECT_AFTER_CRASHES && !self.was_answered(fingerprint, now);
+        }
         let has_broken = |breaks: &Vec<(Fingerprint, Moment)>| {
             let mut breaks = breaks.iter();
             breaks.any(|(broken, at)| *broken == fingerprint && now.since(*at) < BREAK_TTL)
--- a/trackfront_core/tests/serving/crashing_parts.rs
+++ b/trackfront_core/tests/serving/crashing_parts.rs
@@ -317,3 +317,17 @@
     }
     assert!(held_after.is_some_and(|ms| ms <= 12_000), "{held_after:?}");
 }
+
+/// Guards against streams that are not continued because links or live servers broke off two answers on a popular part.
+#[test]
+fn broken_connections_alone_make_no_part_suspect() {
+    let (mut tracker, part) = (CrashTracker::default(), Fingerprint::of_part(FIRST));
+    for incarnation in [1, 2, 3] {
+        tracker.connection_broke(part, IncarnationId(incarnation), at(1_000));
+    }
+    assert!(!tracker.is_suspect(part, at(1_010)));
+    for incarnation in [1, 2] {
+        tracker.mark_ended(IncarnationId(incarnation), at(1_030));
+    }
+    assert!(tracker.is_suspect(part, at(1_040)));
+}
