--- a/trackfrontd/src/serving/overload.rs
+++ b/trackfrontd/src/serving/overload.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use trackfront_adapters::http_server::Admit;
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::serving::overload::GateChange;
@@ -22,11 +22,12 @@
 /// Measures how long ready work waits for the processor. Runs as long as the box does.
 pub async fn measure_lag(node: Arc<ServingNode>) {
     loop {
-        let interval = node.connection_gate.lock().probe_interval(node.now());
-        let began = Instant::now();
+        let began = node.now();
+        let interval = node.connection_gate.lock().probe_interval(began);
         sleep(interval).await;
-        let lag = began.elapsed().saturating_sub(interval);
-        let change = node.connection_gate.lock().record_lag(lag, node.now());
+        let now = node.now();
+        let lag = now.since(began).saturating_sub(interval);
+        let change = node.connection_gate.lock().record_lag(lag, now);
         let lag_ms = lag.as_millis() as u64;
         match change {
             None => {}
