--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -393,6 +393,11 @@
         self.server(server).mark_unreachable(now);
     }
 
+    /// Records that a connection to a server opened.
+    pub fn mark_reachable(&mut self, server: &BackendId) {
+        self.server(server).mark_reachable();
+    }
+
     /// Records that this box or another found that a server has ended. While its row stays it is tried
     /// again after [`MAX_BACKOFF`], because some servers restart under the same identity.
     pub fn mark_ended(&mut self, server: &BackendId, now: Moment) {
--- a/trackfrontd/src/serving/placement.rs
+++ b/trackfrontd/src/serving/placement.rs
@@ -26,6 +26,7 @@
 use super::node::ServingNode;
 use super::order_task::OrderTask;
 use super::order_tracker::{OrderTracker, view};
+use super::reach;
 
 /// The maximum interval between two plans.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
@@ -178,7 +179,11 @@
             let load = loads.server(&server.entry.id);
             let unreachable_since = load.unreachable_since();
             let lost = unreachable_since.is_some_and(|since| now.since(since) > UNREACHABLE_GRACE);
-            if !lost && !load.is_replaced() {
+            if lost && !load.is_paused(now) {
+                // No request tries an engine that holds nothing, so the order holder does.
+                loads.mark_unreachable(&server.entry.id, now);
+                tokio::spawn(reach::check_again(self.node.clone(), server.clone()));
+            } else if !lost && !load.is_replaced() {
                 let engine_orders = tracker.engines.entry(server.entry.id.clone()).or_default();
                 let engine_view = view(server, engine_orders, now);
                 let busy = engine_view.busy
--- a/trackfrontd/src/serving/reach/mod.rs
+++ b/trackfrontd/src/serving/reach/mod.rs
@@ -264,6 +264,14 @@
     }
 }
 
+/// Looks whether a server that was not reached is reached again.
+pub async fn check_again(node: Arc<ServingNode>, server: Arc<KnownServer>) {
+    if attempt_direct(&node, &server).await {
+        node.loads.lock().mark_reachable(&server.entry.id);
+        log::info!(server:% = server.entry.id; "server reached again");
+    }
+}
+
 /// Opens a connection to a server, and keeps it for the next request there. Returns whether it opened.
 async fn attempt_direct(node: &ServingNode, server: &KnownServer) -> bool {
     let opened = open_direct(node, &server.entry).await;
