--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -35,3 +35,4 @@
 pub mod sampling;
 pub mod saturation;
 pub mod stream_origins;
+pub mod urgency;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -39,4 +39,5 @@
     mod saturation;
     mod store_version;
     mod stream_origins;
+    mod urgency;
 }
