--- /dev/null
+++ b/trackfront_core/src/serving/engine_speed.rs
@@ -0,0 +1,104 @@
+//! The speed of one engine against the usual speed of its models.
+//!
+//! It has two parts: a lasting one, learned from the times of first events, and a momentary one, the pace that the engine
+//! reports in its answers. Times are divided by the pace before the lasting part learns from them, so that no delay counts
+//! in both.
+
+use crate::serving::load::{PACE_BOUNDS, PACE_TTL};
+use crate::units::Moment;
+
+/// The bounds of the lasting slowness, as a factor on the usual time.
+const LASTING_BOUNDS: (f64, f64) = (0.2, 5.0);
+
+/// The most by which one measurement may differ from the slowness learned before, as a factor.
+const MAX_DEVIATION: f64 = 3.0;
+
+/// The shortest expected time from which the speed is learned, in milliseconds: below it, network and process wake-ups
+/// take a large part.
+const MIN_EXPECTED_MS: f64 = 20.0;
+
+/// The largest weight of one measurement, in milliseconds of expected time.
+const MAX_WEIGHT_MS: f64 = 500.0;
+
+/// The weight of the usual speed that is assumed before the first measurement, in milliseconds of expected time.
+const PRIOR_WEIGHT_MS: f64 = 200.0;
+
+/// The factor on the weight of earlier measurements with each new one: the last 30 or so count.
+const DECAY: f64 = 0.97;
+
+/// The speed of one engine.
+#[derive(Clone, Debug)]
+pub(super) struct EngineSpeed {
+    /// The decayed sum of the expected times of measurements.
+    expected_ms: f64,
+    /// The decayed sum of the times that they took.
+    took_ms: f64,
+    /// The latest pace as a factor on the usual time, and when it was reported.
+    pace: Option<(f64, Moment)>,
+    /// The time that has passed at a pace of 1, up to `paced_until`.
+    paced_ms: f64,
+    paced_until: Moment,
+}
+
+impl EngineSpeed {
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            expected_ms: PRIOR_WEIGHT_MS,
+            took_ms: PRIOR_WEIGHT_MS,
+            pace: None,
+            paced_ms: 0.0,
+            paced_until: now,
+        }
+    }
+
+    /// Returns the time that work takes, as a factor on the usual time.
+    pub(super) fn slowness(&self, now: Moment) -> f64 {
+        self.lasting() * self.pace(now).unwrap_or(1.0)
+    }
+
+    /// Returns the time that work takes at a pace of 1, as a factor on the usual time.
+    pub(super) fn lasting(&self) -> f64 {
+        let (low, high) = LASTING_BOUNDS;
+        (self.took_ms / self.expected_ms).clamp(low, high)
+    }
+
+    /// Returns a clock in milliseconds that runs slower by the pace: the engine does the same work in each of them.
+    pub(super) fn paced_ms(&self, now: Moment) -> f64 {
+        let elapsed_ms = now.since(self.paced_until).as_secs_f64() * 1_000.0;
+        self.paced_ms + elapsed_ms / self.pace(now).unwrap_or(1.0)
+    }
+
+    /// Fixes the clock of [`Self::paced_ms`] up to `now`, so that later reports change it only from there on.
+    pub(super) fn advance(&mut self, now: Moment) {
+        self.paced_ms = self.paced_ms(now);
+        self.paced_until = self.paced_until.max(now);
+    }
+
+    /// Applies a pace that the engine reported, in percent of the usual time. One half of the time since the last one is
+    /// taken to have passed at the former pace, the other at this one.
+    pub(super) fn report_pace(&mut self, percent: u32, now: Moment) {
+        let (low, high) = PACE_BOUNDS;
+        let pace = (f64::from(percent) / 100.0).clamp(low, high);
+        let before = self.pace(now).unwrap_or(pace);
+        let harmonic_mean = 2.0 / (1.0 / before + 1.0 / pace);
+        self.pace = Some((harmonic_mean, now));
+        self.advance(now);
+        self.pace = Some((pace, now));
+    }
+
+    /// Learns from work that took `took_ms` by [`Self::paced_ms`] and takes `expected_ms` at the usual speed.
+    pub(super) fn learn(&mut self, expected_ms: f64, took_ms: f64) {
+        if expected_ms < MIN_EXPECTED_MS {
+            return;
+        }
+        let lasting = self.lasting();
+        let ratio = (took_ms / expected_ms).clamp(lasting / MAX_DEVIATION, lasting * MAX_DEVIATION);
+        let weight_ms = expected_ms.min(MAX_WEIGHT_MS);
+        self.expected_ms = self.expected_ms * DECAY + weight_ms;
+        self.took_ms = self.took_ms * DECAY + weight_ms * ratio;
+    }
+
+    fn pace(&self, now: Moment) -> Option<f64> {
+        self.pace.filter(|(_, at)| now.since(*at) < PACE_TTL).map(|(pace, _)| pace)
+    }
+}
