--- a/trackfront_core/src/serving/choice.rs
+++ b/trackfront_core/src/serving/choice.rs
@@ -12,7 +12,8 @@
 use crate::serving::cold::ColdState;
 use crate::serving::directory::KnownServer;
 use crate::serving::halls::AllowedHalls;
-use crate::serving::load::{LoadTracker, RANKS};
+use crate::serving::in_flight::LEAST_URGENT;
+use crate::serving::load::LoadTracker;
 use crate::serving::request::{ModelRef, RequestInfo};
 use crate::serving::stream_origins::SoftwareId;
 use crate::units::Moment;
@@ -42,9 +43,6 @@
 /// The extra cost of a server that was just unreachable, in milliseconds.
 const PAUSED_COST_MS: f64 = 1_000_000.0;
 
-/// The least urgent rank.
-const LEAST_URGENT: u8 = RANKS as u8 - 1;
-
 /// A request and the conditions under which its server is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
--- a/trackfront_core/src/serving/in_flight.rs
+++ b/trackfront_core/src/serving/in_flight.rs
@@ -3,6 +3,9 @@
 /// The number of ranks of requests; rank 0 is the most urgent.
 pub const RANKS: usize = 10;
 
+/// The least urgent rank.
+pub const LEAST_URGENT: u8 = RANKS as u8 - 1;
+
 /// The fraction of less urgent prefill that a more urgent request still waits for: an engine finishes
 /// the prompt chunk that it is processing.
 const LESS_URGENT_PREFILL_FRACTION: f64 = 0.2;
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod cold;
 pub mod config;
 pub mod coordinated_load;
+mod counted_engine;
 pub mod crashes;
 pub mod decode_speed;
 pub mod demand;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -9,6 +9,7 @@
     mod choice;
     mod cold;
     mod config;
+    mod coordinated_load;
     mod crashes;
     mod crashes_random;
     mod crashing_parts;
@@ -18,6 +19,7 @@
     mod directory_random;
     mod directory_restored;
     mod events;
+    mod fair_share;
     mod forecast;
     mod halls;
     mod key_freshness;
