--- a/trackfront_core/src/serving/coordinated_load.rs
+++ b/trackfront_core/src/serving/coordinated_load.rs
@@ -6,8 +6,31 @@
 //!
 //! Nothing here sends or waits.
 
+use std::collections::HashMap;
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+use crate::serving::counted_engine::CountedEngine;
+use crate::serving::in_flight::LEAST_URGENT;
+use crate::serving::room::GrantId;
+use crate::units::Moment;
+
+/// How long the state of an idle engine is kept, for its speed.
+const IDLE_TTL: Duration = Duration::from_secs(300);
+
+/// The engines whose state is kept.
+const MAX_ENGINES: usize = 8_192;
+
+/// The longest prefill of one request that is counted, in milliseconds: that of a prompt of a million tokens.
+const MAX_PREFILL_MS: u32 = 100_000;
+
+/// The most tokens of one request that are counted.
+const MAX_TOKENS: u32 = 2_000_000;
+
+/// The longest time for which a request is counted, in milliseconds.
+const MAX_TIME_MS: u32 = 3_600_000;
+
 /// The work of a request at an engine, as declared by the box that sends it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeclaredWork {
@@ -58,3 +81,76 @@
     /// For how long the coordinator has counted the requests at this engine, in milliseconds.
     pub counted_ms: u32,
 }
+
+impl DeclaredWork {
+    /// Bounds the values: they come from another box.
+    fn bounded(self) -> Self {
+        Self {
+            prefill_ms: self.prefill_ms.min(MAX_PREFILL_MS).min(self.max_time_ms),
+            tokens: self.tokens.min(MAX_TOKENS),
+            rank: self.rank.min(LEAST_URGENT),
+            // A target of 0 means that there is none.
+            max_gap_ms: self.max_gap_ms.filter(|gap_ms| *gap_ms > 0),
+            max_time_ms: self.max_time_ms.min(MAX_TIME_MS),
+            ..self
+        }
+    }
+}
+
+/// Counts the requests at engines as their coordinator, by the hashes of the engines' short names.
+///
+/// The state is kept in memory only and bounded, whatever other boxes send.
+#[derive(Debug, Default)]
+pub struct LoadCoordinator {
+    engines: HashMap<u32, CountedEngine>,
+}
+
+impl LoadCoordinator {
+    /// Counts a request that a box is about to send to an engine. It replaces one with the same `id`.
+    pub fn begin(&mut self, engine: u32, id: GrantId, work: DeclaredWork, now: Moment) {
+        if let Some(engine) = self.hear(engine, now) {
+            engine.begin(id, work.bounded(), now);
+        }
+    }
+
+    /// Notes the first event of an answer, which ends the prefill, and the pace that the engine reported with it, in
+    /// percent of the usual time. Of unknown requests only the pace counts.
+    pub fn first_event(&mut self, engine: u32, id: GrantId, pace: Option<u32>, now: Moment) {
+        if let Some(engine) = self.hear(engine, now) {
+            engine.first_event(id, pace, now);
+        }
+    }
+
+    /// Removes a request that has ended at an engine. Unknown ones are ignored.
+    pub fn end(&mut self, engine: u32, id: GrantId, now: Moment) {
+        if let Some(engine) = self.hear(engine, now) {
+            engine.end(id, now);
+        }
+    }
+
+    /// Returns the load of an engine.
+    pub fn load(&mut self, engine: u32, question: LoadQuestion, now: Moment) -> EngineLoad {
+        match self.hear(engine, now) {
+            Some(engine) => engine.load(question, now),
+            None => EngineLoad { slowness: 1.0, ..EngineLoad::default() },
+        }
+    }
+
+    /// Drops expired requests, and the state of engines that have been idle for some minutes.
+    pub fn forget_old(&mut self, now: Moment) {
+        self.engines.retain(|_, engine| {
+            engine.forget_old(now);
+            engine.idle_time(now) < IDLE_TTL
+        });
+    }
+
+    /// Returns the state of an engine that a message is about, or `None` if there is no room for another.
+    fn hear(&mut self, engine: u32, now: Moment) -> Option<&mut CountedEngine> {
+        if !self.engines.contains_key(&engine) && self.engines.len() >= MAX_ENGINES {
+            return None;
+        }
+        let engine = self.engines.entry(engine).or_insert_with(|| CountedEngine::new(now));
+        engine.hear(now);
+        Some(engine)
+    }
+}
