--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -72,6 +72,10 @@
     pub estimate_ratio: Histogram,
     /// How long requests were held for an expected load or server, by whether it became available.
     pub held: Family<KindLabel, Histogram>,
+    /// Questions for the load of engines, by result.
+    pub load_questions: Family<KindLabel, Counter>,
+    /// Questions of other boxes for the load of engines that were answered.
+    pub loads_answered: Counter,
     /// New connections of clients, taken or refused.
     pub client_connections: Family<KindLabel, Counter>,
     /// Events of requests that crash servers: crashes, quarantines and releases.
@@ -125,6 +129,8 @@
             first_event: Family::new_with_constructor(latency),
             estimate_ratio: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             held: Family::new_with_constructor(latency),
+            load_questions: Family::default(),
+            loads_answered: Counter::default(),
             client_connections: Family::default(),
             crashes: Family::default(),
             notices: Family::default(),
@@ -176,6 +182,10 @@
         registry.register("estimate_ratio", "Time to the first event over its estimate", ratio);
         let held = "How long requests were held for what was to come";
         registry.register_with_unit("held", held, Unit::Seconds, self.held.clone());
+        let questions = self.load_questions.clone();
+        registry.register("load_questions", "Questions for loads of engines by result", questions);
+        let answered = self.loads_answered.clone();
+        registry.register("loads_answered", "Answers on loads of engines to other boxes", answered);
         let connections = self.client_connections.clone();
         registry.register("client_connections", "New connections of clients", connections);
         let crashes = self.crashes.clone();
--- a/trackfront_core/src/quota/mod.rs
+++ b/trackfront_core/src/quota/mod.rs
@@ -38,6 +38,11 @@
         Self::hashed(format!("{name}\0requests").as_bytes())
     }
 
+    /// Returns the lower half of the hash, enough to tell the accounts at one server apart.
+    pub fn short(self) -> u32 {
+        self.0 as u32
+    }
+
     fn hashed(bytes: &[u8]) -> Self {
         let hash = blake3::hash(bytes);
         Self(u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes")))
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -24,8 +24,8 @@
 use super::peer_tracker::MIN_DIGEST_INTERVAL;
 use super::short_names::{short_hall, short_item, short_server};
 use super::{
-    boxes, config_freshness, crashes, feed_relay, missing_items, notices, permits, quota, room,
-    stream_origins,
+    boxes, config_freshness, crashes, engine_loads, feed_relay, missing_items, notices, permits,
+    quota, room, stream_origins,
 };
 
 /// The shortest time between a digest and an early one.
@@ -234,6 +234,11 @@
             Ok((Message::StreamOriginReply(reply), _)) => {
                 stream_origins::handle_reply(&node, reply)
             }
+            Ok((Message::LoadRequest(request), _)) => {
+                engine_loads::handle_request(&node, &socket, ip, &request)
+            }
+            Ok((Message::LoadReply(reply), _)) => engine_loads::handle_reply(&node, &reply),
+            Ok((Message::LoadChange(change), _)) => engine_loads::handle_change(&node, ip, &change),
             Ok((Message::FormerFeedUpdate | Message::FormerPackedFeedUpdate, _)) => {}
             Err(error) => {
                 let now = node.now();
--- a/trackfrontd/src/serving/log_queue.rs
+++ b/trackfrontd/src/serving/log_queue.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use log::kv::{Error, Key, Value, VisitSource};
+use log::kv::{Error, Key, Value, VisitSource, VisitValue};
 use log::{LevelFilter, Record};
 use serde_json::{Map, Value as Json};
 
@@ -115,11 +115,31 @@
     }
 }
 
-/// The collected fields of a record.
+/// Whether a value is that of an `Option` without one.
+#[derive(Default)]
+struct IsNull(bool);
+
+impl<'v> VisitValue<'v> for IsNull {
+    fn visit_any(&mut self, _: Value<'_>) -> Result<(), Error> {
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), Error> {
+        self.0 = true;
+        Ok(())
+    }
+}
+
+/// The collected fields of a record; those without a value are left out.
 struct Fields(Map<String, Json>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let mut is_null = IsNull::default();
+        value.visit(&mut is_null)?;
+        if is_null.0 {
+            return Ok(());
+        }
         let json = if let Some(number) = value.to_u64() {
             Json::from(number)
         } else if let Some(number) = value.to_f64() {
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use trackfront_core::lease::LeaseAnnouncement;
 use trackfront_core::quota::{QuotaReply, QuotaRequest};
+use trackfront_core::serving::coordinated_load::{DeclaredWork, EngineLoad, LoadQuestion};
 use trackfront_core::serving::crashes::CrashReport;
 use trackfront_core::serving::load::{InFlight, RankInFlight};
 use trackfront_core::serving::stream_origins::{SoftwareId, StreamId, StreamOrigin};
@@ -75,6 +76,57 @@
     FeedUpdate(FeedUpdate),
     /// A [`FeedUpdate`], compressed.
     PackedFeedUpdate(Vec<u8>),
+    /// A question to the coordinator of an engine's load.
+    LoadRequest(LoadRequest),
+    /// The reply to a [`LoadRequest`].
+    LoadReply(LoadReply),
+    /// How a request at an engine goes on, for the coordinator of its load.
+    LoadChange(LoadChange),
+}
+
+/// A question to the coordinator of an engine's load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadRequest {
+    /// The number of the question, unique at the asking box.
+    pub number: u32,
+    /// The engine's short name.
+    pub server: u32,
+    /// For which request it is asked.
+    pub question: LoadQuestion,
+}
+
+/// The reply to a [`LoadRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadReply {
+    /// The number of the question.
+    pub number: u32,
+    /// The load of the engine.
+    pub load: EngineLoad,
+}
+
+/// How a request at an engine goes on, for the coordinator of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadChange {
+    /// The number of the request, unique at the box that sends it.
+    pub number: u32,
+    /// The engine's short name.
+    pub server: u32,
+    /// What happened.
+    pub kind: LoadChangeKind,
+}
+
+/// What happened to a request at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LoadChangeKind {
+    /// It is being sent.
+    Begun(DeclaredWork),
+    /// The first event of its answer arrived.
+    FirstEvent {
+        /// How long work takes at the engine, in percent of the usual time, if the engine reported that.
+        pace: Option<u32>,
+    },
+    /// It ended, however that was.
+    Ended,
 }
 
 /// A question which software began a stream.
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -6,7 +6,7 @@
 //!   [`peer_tracker`] tracks which are alive.
 //! - [`listeners`] accepts connections; [`pipeline`] and [`response_relay`] answer requests.
 //! - [`cold`] bounds the load on cold servers, [`notices`] collects the notices of servers, and
-//!   [`permits`] enforces the limits that servers name.
+//!   [`permits`] enforces the limits that servers name. [`engine_loads`] shares the load of engines.
 //! - [`config_freshness`] tracks whether the configuration is the newest, [`quota`] enforces the
 //!   limits of client accounts together with other boxes, and [`crashes`] quarantines requests that
 //!   crash servers.
@@ -22,6 +22,7 @@
 pub mod config_rows;
 pub mod crashes;
 pub mod delegates;
+pub mod engine_loads;
 pub mod exchange;
 pub mod feed_relay;
 pub mod follow;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -37,6 +37,7 @@
 use super::config_freshness::ConfigFreshness;
 use super::config_rows::{ConfigOutcome, ConfigRows};
 use super::crashes::Crashes;
+use super::engine_loads::EngineLoads;
 use super::exchange::Exchange;
 use super::feed_relay::FeedState;
 use super::missing_items::MissingItems;
@@ -120,6 +121,8 @@
     pub permits: ServerPermits,
     /// Room at brittle servers.
     pub room: ServerRoom,
+    /// The load of engines, as their coordinators know it.
+    pub engine_loads: EngineLoads,
     /// Which software began the streams that clients may continue.
     pub stream_versions: StreamVersions,
     /// Prompt prefixes that engines have cached.
@@ -216,6 +219,7 @@
             notice_outbox: NoticeOutbox::default(),
             permits: ServerPermits::new(rand::random()),
             room: ServerRoom::new(rand::random()),
+            engine_loads: EngineLoads::new(rand::random()),
             stream_versions: StreamVersions::new(rand::random()),
             connection_gate: Mutex::default(),
             prompt_memory: Mutex::default(),
--- a/trackfrontd/src/serving/peer_tracker.rs
+++ b/trackfrontd/src/serving/peer_tracker.rs
@@ -315,8 +315,13 @@
 
     /// Returns the reachable other boxes of this hall.
     pub fn reachable_in_hall(&self, now: Moment) -> Vec<Ipv4Addr> {
+        self.reachable_in(self.me.hall, now)
+    }
+
+    /// Returns the reachable other boxes of a hall.
+    pub fn reachable_in(&self, hall: u32, now: Moment) -> Vec<Ipv4Addr> {
         let sources = self.digest_sources();
-        let hall_peers = self.halls.boxes_in(self.me.hall).iter().map(|listed| listed.ip);
+        let hall_peers = self.halls.boxes_in(hall).iter().map(|listed| listed.ip);
         let is_reachable =
             |ip: &Ipv4Addr| self.peers.get(ip).is_some_and(|peer| sources.is_reachable(peer, now));
         hall_peers.filter(is_reachable).collect()
@@ -446,6 +451,11 @@
         self.halls.is_small_fleet()
     }
 
+    /// Returns the number of known boxes, this one included.
+    pub fn box_count(&self) -> usize {
+        self.peers.len() + 1
+    }
+
     /// Returns the number of boxes that share budgets, this one included.
     pub fn budget_box_count(&self, now: Moment) -> usize {
         let is_small_fleet = self.halls.is_small_fleet();
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -21,7 +21,8 @@
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
-use super::{Job, Suspects};
+use super::{Chosen, Job, Suspects};
+use crate::serving::engine_loads::DeclaredRequest;
 use crate::serving::feed_relay::FeedKind;
 use crate::serving::node::ServingNode;
 use crate::serving::overlay::EntryKind;
@@ -65,6 +66,10 @@
     has_own_end: bool,
     /// The room that the request takes, if the server is brittle.
     room: Option<RoomGrant>,
+    /// The request as the coordinator of the engine's load knows it, if it is told.
+    declared: Option<DeclaredRequest>,
+    /// How long work takes at the server, in percent of the usual time, if the head of its answer said so.
+    pace: Option<u32>,
     /// Whether this box knew that it was cut off when it sent the request, so that another box carries it.
     was_cut_off: bool,
 }
@@ -77,6 +82,14 @@
         if let Some(tracked) = &mut self.tracked {
             self.node.loads.lock().first_event(tracked, now);
         }
+        self.declare_event();
+    }
+
+    /// Declares that the answer has begun, unless that was declared already.
+    pub fn declare_event(&mut self) {
+        if let Some(declared) = &mut self.declared {
+            declared.first_event(self.pace);
+        }
     }
 
     /// Records that the connection to the server broke while the request was in flight.
@@ -119,6 +132,7 @@
     pub fn finish(&mut self, outcome: AttemptOutcome) {
         let now = self.node.now();
         let outcome = self.attributable(outcome);
+        self.declared = None;
         if let Some(mut room) = self.room.take()
             && outcome == AttemptOutcome::Refused
         {
@@ -195,13 +209,9 @@
     }
 
     /// Sends the request to a server and waits for the head of its answer.
-    pub async fn send(
-        &self,
-        choice: &Choice,
-        permit: Option<Permit>,
-        after_event: Option<&str>,
-    ) -> SendOutcome {
+    pub async fn send(&self, chosen: &Chosen, after_event: Option<&str>) -> SendOutcome {
         let node = &self.node;
+        let (choice, permit) = (&chosen.choice, chosen.permit);
         let server = &choice.server.entry;
         let (max_wait, max_time) = self.room_times(choice);
         let Ok(room) = room::acquire(node, server, max_wait, max_time).await else {
@@ -209,7 +219,7 @@
             return SendOutcome::NoRoom;
         };
         let mut guard = self.begin_send(choice, room);
-        self.log_send(choice, guard.expected_ms(), after_event.is_some());
+        self.log_send(chosen, guard.expected_ms(), after_event.is_some());
         let purpose = self.purpose();
         let open = || reach::open(node, server, purpose);
         let build = || self.build_request(choice, permit, after_event);
@@ -358,6 +368,7 @@
             return ("other_request", SendOutcome::Failed("the server answered another request"));
         }
         if let Some(load) = head.load {
+            guard.pace = load.pace;
             node.loads.lock().apply_report(server, load, node.now());
         }
         if head.not_run || head.misdirected {
@@ -428,11 +439,14 @@
             first_event_at: None,
             has_own_end: false,
             room,
+            declared: self.declare(choice),
+            pace: None,
             was_cut_off,
         }
     }
 
-    fn log_send(&self, choice: &Choice, expected_ms: f64, resumes: bool) {
+    fn log_send(&self, chosen: &Chosen, expected_ms: f64, resumes: bool) {
+        let Chosen { choice, load, .. } = chosen;
         let known = &choice.server;
         let now = self.node.now();
         let age = |moment: Moment| now.since(moment).as_millis() as u64;
@@ -453,6 +467,9 @@
             requests = choice.requests,
             waiting = choice.waiting,
             cached = choice.cached_tokens,
+            counted_ms = load.map(|load| load.counted_ms),
+            prefill_ahead_ms = load.map(|load| load.prefill_ahead_ms),
+            slowness = load.map(|load| f64::from(load.slowness)),
             resumes;
             "request sent"
         );
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -46,7 +46,7 @@
             let no_choice = match self.choose(&attempts.servers) {
                 Ok(choice) => {
                     self.finish_hold(held_for, began, true);
-                    return Ok(Chosen { choice, permit: None });
+                    return Ok(Chosen::new(choice, None));
                 }
                 Err(no_choice) => no_choice,
             };
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod attempt;
 mod choice;
+mod coordinated;
 mod end_log;
 mod hold;
 mod key;
@@ -252,25 +253,25 @@
         {
             break refusal;
         }
-        let Chosen { choice, permit } = match job.choose_or_wait(&attempts).await {
+        let chosen = match job.choose_or_wait(&attempts).await {
             Ok(chosen) => chosen,
             Err(refusal) => break refusal,
         };
-        if let Some(refusal) = job.check_choice(&choice, &mut attempts) {
+        let mut chosen = job.choose_coordinated(chosen, &attempts.servers).await;
+        if let Some(refusal) = job.check_choice(&chosen.choice, &mut attempts) {
             break refusal;
         }
-        let permit = match permit {
-            Some(permit) => Some(permit),
-            None => match job.acquire_permit(&choice, Duration::ZERO).await {
+        if chosen.permit.is_none() {
+            chosen.permit = match job.acquire_permit(&chosen.choice, Duration::ZERO).await {
                 Ok(permit) => permit,
                 Err(no_permit) if attempts.permits_refused < MAX_PERMITS_REFUSED => {
                     attempts.permits_refused += 1;
-                    log_no_permit(&job, &choice, no_permit);
+                    log_no_permit(&job, &chosen.choice, no_permit);
                     continue;
                 }
                 Err(_) => break job.give_up(&attempts, UnavailableCause::Limited.name()),
-            },
-        };
+            };
+        }
         match job.acquire_units(&mut attempts).await {
             Ok(UnitsTaken::Immediate(units)) => attempts.units = units,
             Ok(UnitsTaken::AfterWait(units)) => {
@@ -282,8 +283,8 @@
             }
             Err(refusal) => break refusal,
         }
-        let server = choice.server.entry.id.clone();
-        let sent = job.send(&choice, permit, None).await;
+        let server = chosen.choice.server.entry.id.clone();
+        let sent = job.send(&chosen, None).await;
         if matches!(sent, SendOutcome::NoRoom) {
             // Nothing more is sent there for a moment, so another server is chosen, or the request waits.
             continue;
--- a/trackfrontd/src/serving/pipeline/permit.rs
+++ b/trackfrontd/src/serving/pipeline/permit.rs
@@ -5,6 +5,7 @@
 
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::choice::{Choice, NoChoice, Unavailable, UnavailableCause};
+use trackfront_core::serving::coordinated_load::EngineLoad;
 use trackfront_core::serving::permits::Permit;
 
 use super::{Attempts, Job};
@@ -22,6 +23,15 @@
     pub choice: Choice,
     /// The permit, if it was already obtained.
     pub permit: Option<Permit>,
+    /// The server's load as its coordinator knows it, if the choice was made by that.
+    pub load: Option<EngineLoad>,
+}
+
+impl Chosen {
+    /// Creates a choice that was made without the load that a coordinator knows.
+    pub fn new(choice: Choice, permit: Option<Permit>) -> Self {
+        Self { choice, permit, load: None }
+    }
 }
 
 /// Logs that the chosen server had no permit.
@@ -45,9 +55,10 @@
     pub async fn choose_with_permit(&self, tried: &[BackendId]) -> Option<Chosen> {
         for _ in 0..MAX_PERMITS_REFUSED {
             let choice = self.choose(tried).ok()?;
-            match self.acquire_permit(&choice, Duration::ZERO).await {
-                Ok(permit) => return Some(Chosen { choice, permit }),
-                Err(no_permit) => log_no_permit(self, &choice, no_permit),
+            let chosen = self.choose_coordinated(Chosen::new(choice, None), tried).await;
+            match self.acquire_permit(&chosen.choice, Duration::ZERO).await {
+                Ok(permit) => return Some(Chosen { permit, ..chosen }),
+                Err(no_permit) => log_no_permit(self, &chosen.choice, no_permit),
             }
         }
         None
@@ -81,6 +92,6 @@
         // The choice counts as made now, if the server still exists.
         let server = self.node.directory.lock().get(&choice.server.entry.id).cloned()?;
         choice.at = self.node.now();
-        Some(Chosen { choice: Choice { server, ..choice }, permit })
+        Some(Chosen::new(Choice { server, ..choice }, permit))
     }
 }
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -23,7 +23,7 @@
 use trackfront_core::serving::load::AttemptOutcome;
 
 use super::pipeline::{
-    Attempts, BrokenAnswer, Chosen, EndLog, Job, PlainAnswer, QuotaUnits, SendGuard, SendOutcome,
+    Attempts, BrokenAnswer, EndLog, Job, PlainAnswer, QuotaUnits, SendGuard, SendOutcome,
 };
 
 /// The multiple of the gap target for which a resumable stream may stay silent.
@@ -245,7 +245,11 @@
         }
         loop {
             match self.next_piece().await {
-                Next::Piece(piece) => return Some(Ok(piece)),
+                Next::Piece(piece) => {
+                    // It may be the first one of a server that continues the stream.
+                    self.guard.declare_event();
+                    return Some(Ok(piece));
+                }
                 Next::End => {
                     self.ended = true;
                     self.guard.record_answer(AttemptOutcome::Answered);
@@ -354,17 +358,17 @@
             return false;
         };
         // A permit expires soon, so it is requested last.
-        let Some(Chosen { choice, permit }) = job.choose_with_permit(&self.tried).await else {
+        let Some(chosen) = job.choose_with_permit(&self.tried).await else {
             return false;
         };
-        self.tried.push(choice.server.entry.id.clone());
+        self.tried.push(chosen.choice.server.entry.id.clone());
         self.sends += 1;
         let after = self.last_event.clone();
         let request = &job.info.id;
-        let server = &choice.server.entry.id;
+        let server = &chosen.choice.server.entry.id;
         let after_event = after.as_deref().unwrap_or_default();
         log::info!(request:%, server:%, cause, after_event; "stream resumed");
-        let sent = job.send(&choice, permit, after.as_deref()).await;
+        let sent = job.send(&chosen, after.as_deref()).await;
         if matches!(sent, SendOutcome::Answer(..) | SendOutcome::Failed(_)) {
             units.into_iter().for_each(QuotaUnits::consume);
         }
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -20,8 +20,8 @@
 use super::placement::Placement;
 use super::settings::ServingSettings;
 use super::{
-    boxes, cold, config_freshness, crashes, follow, listeners, missing_items, notices, overload,
-    permits, quota, reach, restoration, room, stream_origins, suspension,
+    boxes, cold, config_freshness, crashes, engine_loads, follow, listeners, missing_items,
+    notices, overload, permits, quota, reach, restoration, room, stream_origins, suspension,
 };
 
 /// The timeout of a call to the platform's store, in addition to the time that the call asks the
@@ -90,6 +90,7 @@
     tasks.spawn(notices::broadcast(node.clone(), socket.clone()));
     tasks.spawn(permits::send_requests(node.clone(), socket.clone()));
     tasks.spawn(room::run(node.clone(), socket.clone()));
+    tasks.spawn(engine_loads::send_messages(node.clone(), socket.clone()));
     tasks.spawn(stream_origins::send_messages(node.clone(), socket.clone()));
     tasks.spawn(gossip::receive_messages(node.clone(), socket));
     tasks.spawn(sweep(node.clone()));
@@ -183,6 +184,7 @@
         notices::sweep(&node, now);
         permits::sweep(&node, now);
         node.room.sweep(now);
+        node.engine_loads.sweep(now);
         stream_origins::look_at_services(&node);
     }
 }
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -51,6 +51,9 @@
     /// The guarantees of the deployment that the node upholds.
     #[serde(default)]
     pub promises: PromiseSettings,
+    /// How requests are balanced over engines.
+    #[serde(default)]
+    pub balancing: BalancingSettings,
     /// The region of each hall that may contain servers.
     #[serde(default)]
     pub halls: BTreeMap<HallName, RegionName>,
@@ -137,6 +140,31 @@
     100.0
 }
 
+/// How requests are balanced over engines. Missing keys are false.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BalancingSettings {
+    /// Whether one box for each engine knows its load, and the others ask that box.
+    pub coordinated_loads: bool,
+    /// Whether requests avoid engines where they would delay the streams of others beyond their gap targets. Needs
+    /// `coordinated_loads`.
+    pub bound_pauses: bool,
+    /// Whether client accounts share engines evenly where these are short. Needs `coordinated_loads`.
+    pub fair_shares: bool,
+}
+
+impl BalancingSettings {
+    /// Returns whether requests declare the targets for the gaps of their streams.
+    pub fn bounds_pauses(self) -> bool {
+        self.coordinated_loads && self.bound_pauses
+    }
+
+    /// Returns whether requests declare their client accounts.
+    pub fn shares_fairly(self) -> bool {
+        self.coordinated_loads && self.fair_shares
+    }
+}
+
 /// The guarantees of the deployment that the node upholds. Missing keys have default values.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/trackfrontd/tests/serving.rs
+++ b/trackfrontd/tests/serving.rs
@@ -8,7 +8,7 @@
 
 use trackfrontd::serving::feed_relay::{reader_timeout, successor_delay};
 use trackfrontd::serving::log_queue;
-use trackfrontd::serving::settings::ServingSettings;
+use trackfrontd::serving::settings::{BalancingSettings, ServingSettings};
 
 const SETTINGS: &str = r#"
 [node]
@@ -37,6 +37,25 @@
     assert_eq!(settings.promises.grace(), Duration::from_secs(3));
 }
 
+/// Guards against a deployment that was not asked and balances in another way after an upgrade.
+#[test]
+fn balancing_is_off_unless_given() {
+    let settings = ServingSettings::parse(SETTINGS).expect("valid");
+    assert_eq!(settings.balancing, BalancingSettings::default());
+    assert!(!BalancingSettings::default().coordinated_loads);
+    let given = format!("{SETTINGS}[balancing]\ncoordinated_loads = true\nbound_pauses = true\n");
+    let balancing = ServingSettings::parse(&given).expect("valid").balancing;
+    assert!(balancing.coordinated_loads && balancing.bounds_pauses() && !balancing.shares_fairly());
+}
+
+/// Guards against requests that declare what nobody asks for.
+#[test]
+fn pauses_and_shares_need_coordinated_loads() {
+    let given = format!("{SETTINGS}[balancing]\nbound_pauses = true\nfair_shares = true\n");
+    let balancing = ServingSettings::parse(&given).expect("valid").balancing;
+    assert!(!balancing.bounds_pauses() && !balancing.shares_fairly());
+}
+
 #[test]
 fn errors_in_settings_name_the_key() {
     let cases = [
@@ -48,6 +67,7 @@
         (format!("{SETTINGS}[promises]\nretry_ratio = -1\n"), "promises.retry_ratio"),
         (format!("{SETTINGS}[promises]\nretry_window_s = 0\n"), "promises.retry_window_s"),
         (format!("{SETTINGS}[promises]\ngrace_s = inf\n"), "promises.grace_s"),
+        (format!("{SETTINGS}[balancing]\ncoordinated_load = true\n"), "coordinated_load"),
         (SETTINGS.replace("address = \"127.0.0.1:5\"", "address = \"store\""), "address"),
     ];
     for (text, key) in cases {
@@ -86,8 +106,9 @@
     let output = BlockedOutput::default();
     let lines = log_queue::start("n", log::LevelFilter::Info, output.clone()).expect("first");
     let start = Instant::now();
+    let absent: Option<u64> = None;
     for number in 0..20_000u64 {
-        log::info!(number, text = "x"; "event");
+        log::info!(number, text = "x", absent; "event");
     }
     // The queue holds four thousand of the twenty thousand lines, so the callers did not wait for
     // the output.
@@ -104,6 +125,7 @@
     let first: serde_json::Value =
         serde_json::from_str(text.lines().next().expect("a line")).expect("JSON");
     assert_eq!(first["number"], 0);
+    assert_eq!(first.get("absent"), None, "fields without a value are left out");
     assert_eq!((first["event"].as_str(), first["node"].as_str()), (Some("event"), Some("n")));
     assert!(text.contains("log lines dropped"));
 }
