Choose among engines by what their coordinators say

A box of a large fleet knows the load of engines too late, and no box knows what a prompt does to the streams of an engine. choose() moves into a module with its checks and its cost apart; shortlist() shares them and lists the cheapest server and up to two random ones. choose_coordinated() estimates each anew by the figures of its coordinator and adds the pauses and the overflow of the KV cache that the request would bring about.

--- /dev/null
+++ b/trackfront_core/src/serving/coordinated_choice.rs
@@ -0,0 +1,187 @@
+//! Choice among the engines of a shortlist by what their coordinators know.
+//!
+//! The time to the first event is estimated anew for each engine whose coordinator answered. Beside that time counts the
+//! harm that the request would do there: pauses of streams that have a target for their gaps, and an overflow of the KV
+//! cache.
+//!
+//! Figures of another box may be wrong in any way: all costs are finite, and there is always a choice.
+
+use std::time::Duration;
+
+use crate::serving::choice::cost::BATCHED_REQUEST_MS;
+use crate::serving::choice::{Candidate, Choice};
+use crate::serving::coordinated_load::EngineLoad;
+use crate::serving::load::PACE_BOUNDS;
+
+/// The share of a stream's gap target that prompts may take up: the rest is for the engine's own steps.
+const GAP_MARGIN: f64 = 0.9;
+
+/// The share of the KV cache that may be taken up: the lengths of answers are only expected ones.
+const KV_MARGIN: f64 = 0.95;
+
+/// How long a coordinator must have counted for its figures to stand alone: most requests that began before have ended
+/// by then.
+const FULL_COUNT_MS: u32 = 5_000;
+
+/// After how much of an answer the prompts that an engine has now are expected there again, in milliseconds.
+const PAUSE_INTERVAL_MS: f64 = 1_000.0;
+
+/// The longest estimate and the highest cost, in milliseconds.
+const MAX_MS: f64 = 3_600_000.0;
+
+/// What a request needs at any engine.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestNeeds {
+    /// The time for the whole answer after the first event at the usual speed of the model, in milliseconds.
+    pub decode_ms: f64,
+    /// The tokens of the KV cache that it needs at its end: its prompt and its expected answer.
+    pub tokens: u32,
+    /// The target for the longest gap between two events of its answer, if there is one.
+    pub event_gap_target: Option<Duration>,
+    /// Whether pauses of streams count.
+    pub bound_pauses: bool,
+}
+
+/// What an engine of the service can bear.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineLimits {
+    /// The requests that it runs at once, if its row does not say so.
+    pub slots: u32,
+    /// The tokens that fit its KV cache; 0 if that is not known.
+    pub kv_tokens: u64,
+}
+
+/// Chooses the candidate with the lowest cost. `loads` are the answers of the coordinators in the order of the
+/// candidates; a candidate without an answer counts with its local estimate and cost.
+///
+/// # Panics
+///
+/// If there are no candidates.
+pub fn choose_coordinated(
+    candidates: Vec<Candidate>,
+    loads: &[Option<EngineLoad>],
+    needs: &RequestNeeds,
+    limits: EngineLimits,
+) -> Choice {
+    let loads = loads.iter().copied().chain(std::iter::repeat(None));
+    let costs = candidates.into_iter().zip(loads).map(|(candidate, load)| match load {
+        Some(load) => Placement { candidate: &candidate, load, needs, limits }.evaluate(),
+        None => (candidate.cost_ms, candidate.choice),
+    });
+    let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.expect("a shortlist has candidates").1
+}
+
+/// A request at an engine whose coordinator answered.
+struct Placement<'a> {
+    candidate: &'a Candidate,
+    load: EngineLoad,
+    needs: &'a RequestNeeds,
+    limits: EngineLimits,
+}
+
+impl Placement<'_> {
+    /// Returns the cost in milliseconds, and the choice that this would be.
+    ///
+    /// Until a coordinator has counted for a while its figures are lower bounds, and so are the local ones.
+    fn evaluate(&self) -> (f64, Choice) {
+        let local = &self.candidate.choice;
+        let mut estimate_ms = self.estimate_ms().min(MAX_MS);
+        let mut cost_ms = estimate_ms + self.candidate.fixed_cost_ms + self.harm_ms().min(MAX_MS);
+        let mut requests = self.load.requests;
+        if self.load.counted_ms < FULL_COUNT_MS {
+            estimate_ms = estimate_ms.max(local.estimate.as_secs_f64() * 1_000.0);
+            cost_ms = cost_ms.max(self.candidate.cost_ms);
+            requests = requests.max(local.requests);
+        }
+        let estimate = Duration::from_secs_f64(estimate_ms / 1_000.0);
+        (cost_ms, Choice { estimate, requests, ..local.clone() })
+    }
+
+    /// Returns the time to the first event.
+    fn estimate_ms(&self) -> f64 {
+        f64::from(self.load.prefill_ahead_ms)
+            + self.own_prefill_ms()
+            + f64::from(self.load.requests) * BATCHED_REQUEST_MS
+            + self.slot_wait_ms()
+    }
+
+    /// Returns the factor on the usual time of the model. What no engine can have counts as the slowest.
+    fn slowness(&self) -> f64 {
+        let (low, high) = PACE_BOUNDS;
+        let slowness = f64::from(self.load.slowness);
+        if (low..=high).contains(&slowness) { slowness } else { high }
+    }
+
+    fn own_prefill_ms(&self) -> f64 {
+        self.candidate.own_prefill_ms * self.slowness()
+    }
+
+    /// Returns the wait for a slot, if answers of the requests there last as long as that of this one.
+    fn slot_wait_ms(&self) -> f64 {
+        let slots = match self.candidate.slots {
+            0 => self.limits.slots.max(1),
+            slots => slots,
+        };
+        if self.load.requests < slots {
+            return 0.0;
+        }
+        let over = f64::from(self.load.requests - slots) + 1.0;
+        self.needs.decode_ms * self.slowness() * over / f64::from(slots)
+    }
+
+    /// Returns what the request costs others and the rest of its own answer.
+    fn harm_ms(&self) -> f64 {
+        let pauses_ms = match self.needs.bound_pauses {
+            true => self.caused_pauses_ms() + self.own_pauses_ms(),
+            false => 0.0,
+        };
+        pauses_ms + self.overflow_ms()
+    }
+
+    /// Returns the cost of the pauses that the prompt brings about.
+    ///
+    /// All streams of an engine stand still until it has read its prompts. If that was within their target without this
+    /// prompt and is not with it, each of them is late because of it, which costs the target. Streams that are late anyway
+    /// stand still for longer, which costs the time for this prompt, and no more than the target.
+    fn caused_pauses_ms(&self) -> f64 {
+        let target_ms = f64::from(self.load.min_gap_ms);
+        let bound_ms = target_ms * GAP_MARGIN;
+        let before_ms = f64::from(self.load.prefill_ms);
+        let own_ms = self.own_prefill_ms();
+        let streams = f64::from(self.load.paced_streams);
+        if before_ms + own_ms <= bound_ms {
+            0.0
+        } else if before_ms <= bound_ms {
+            streams * target_ms
+        } else {
+            streams * own_ms.min(target_ms)
+        }
+    }
+
+    /// Returns the cost of the pauses that the answer itself is likely to have, if it has a target for its gaps.
+    ///
+    /// The prompts there now are the only hint of those to come: as much is expected again for each
+    /// [`PAUSE_INTERVAL_MS`] of the answer, so that long answers go where little is read. A pause costs its length, and
+    /// no more than the target.
+    fn own_pauses_ms(&self) -> f64 {
+        let Some(target) = self.needs.event_gap_target else {
+            return 0.0;
+        };
+        let pause_ms = f64::from(self.load.prefill_ms).min(target.as_secs_f64() * 1_000.0);
+        pause_ms * self.needs.decode_ms / PAUSE_INTERVAL_MS
+    }
+
+    /// Returns the cost of an overflow of the KV cache: a running request is put back, its tokens are read anew, and its
+    /// stream is late.
+    fn overflow_ms(&self) -> f64 {
+        let tokens = f64::from(self.load.tokens) + f64::from(self.needs.tokens);
+        let kv_tokens = self.limits.kv_tokens as f64;
+        if kv_tokens == 0.0 || tokens <= kv_tokens * KV_MARGIN {
+            return 0.0;
+        }
+        let displaced_tokens = f64::from(self.load.tokens) / f64::from(self.load.requests.max(1));
+        let read_ms = displaced_tokens * self.candidate.prefill_ms_per_token * self.slowness();
+        read_ms + f64::from(self.load.min_gap_ms)
+    }
+}
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -25,7 +25,7 @@
 const PACE_TTL: Duration = Duration::from_millis(400);
 
 /// The bounds of a pace, as a factor on the usual time.
-const PACE_BOUNDS: (f64, f64) = (0.2, 10.0);
+pub(super) const PACE_BOUNDS: (f64, f64) = (0.2, 10.0);
 
 /// The prefill time of one token until the first measurements replace it: ten tokens in a
 /// millisecond.
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -9,6 +9,7 @@
 pub mod choice;
 pub mod cold;
 pub mod config;
+pub mod coordinated_choice;
 pub mod coordinated_load;
 pub mod crashes;
 pub mod decode_speed;
--- a/trackfront_core/src/serving/sampling.rs
+++ b/trackfront_core/src/serving/sampling.rs
@@ -23,8 +23,18 @@
     rng: &mut impl Rng,
 ) -> Vec<&'a Arc<KnownServer>> {
     let usable: Vec<&Arc<KnownServer>> = servers.filter(|server| usable(server)).collect();
-    let in_hall: Vec<&Arc<KnownServer>> =
-        usable.iter().filter(|server| server.entry.hall == *hall).copied().collect();
-    let candidates = if in_hall.is_empty() { usable } else { in_hall };
+    let sample = sample_in_hall(&usable, |server| &server.entry.hall, hall, rng);
+    sample.into_iter().copied().collect()
+}
+
+/// Returns a random sample of `items`, only of those in `hall` if any is there.
+pub(super) fn sample_in_hall<'a, T>(
+    items: &'a [T],
+    hall_of: impl Fn(&T) -> &HallName,
+    hall: &HallName,
+    rng: &mut impl Rng,
+) -> Vec<&'a T> {
+    let in_hall: Vec<&T> = items.iter().filter(|item| hall_of(item) == hall).collect();
+    let candidates = if in_hall.is_empty() { items.iter().collect() } else { in_hall };
     candidates.sample(rng, SAMPLE_SIZE).copied().collect()
 }
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -9,6 +9,7 @@
     mod choice;
     mod cold;
     mod config;
+    mod coordinated_choice;
     mod crashes;
     mod crashes_random;
     mod crashing_parts;
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use trackfront_core::ids::{BackendId, HallName, RegionName};
 use trackfront_core::serving::affinity::{PrefixIndex, prefixes};
 use trackfront_core::serving::choice::{
-    Choice, NoChoice, Query, ServerView, Unavailable, UnavailableCause, choose,
+    Candidate, Choice, NoChoice, Query, ServerView, Unavailable, UnavailableCause, choose,
+    shortlist,
 };
 use trackfront_core::serving::cold::ColdState;
 use trackfront_core::serving::directory::{KnownServer, ServerEntry, ServerState};
@@ -90,6 +93,20 @@
     }
 
     pub fn choose_among(&mut self, servers: &[Arc<KnownServer>]) -> Result<Choice, NoChoice> {
+        self.decide(|query, loads, cached, view| choose(query, servers, loads, cached, view))
+    }
+
+    pub fn shortlist(&mut self, rng: &mut impl Rng) -> Result<Vec<Candidate>, NoChoice> {
+        let servers = known(self.servers.clone());
+        self.decide(|query, loads, cached, view| {
+            shortlist(query, &servers, loads, cached, view, rng)
+        })
+    }
+
+    fn decide<T>(
+        &mut self,
+        decision: impl FnOnce(&Query<'_>, &mut LoadTracker, &PrefixIndex, &TestView) -> T,
+    ) -> T {
         let found = self.info.model.as_ref().map(|model| prefixes(model, &self.info.prompt));
         let query = Query {
             info: &self.info,
@@ -107,7 +124,7 @@
             drain_end: Duration::from_millis(2_000),
             now: at(self.now),
         };
-        choose(&query, servers, &mut self.loads, &self.cached_prefixes, &self.view)
+        decision(&query, &mut self.loads, &self.cached_prefixes, &self.view)
     }
 
     fn chosen(&mut self) -> String {
@@ -389,3 +406,88 @@
     case.now = 1_000;
     assert_eq!(case.chosen(), "x", "the report has expired");
 }
+
+/// Returns the identifiers of 200 shortlists.
+fn shortlists(case: &mut Case) -> Vec<Vec<String>> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let id = |candidate: &Candidate| candidate.choice.server.entry.id.to_string();
+    let ids = |listed: Vec<Candidate>| listed.iter().map(id).collect();
+    (0..200).map(|_| ids(case.shortlist(&mut rng).expect("a server"))).collect()
+}
+
+fn idle_engines(count: usize) -> Case {
+    let servers = (0..count).map(|number| in_hall(&format!("s{number}"), "a"));
+    case(servers.collect(), info(Some(item("m", None)), 1_000))
+}
+
+#[test]
+fn shortlist_begins_with_the_engine_that_has_the_prompt() {
+    let mut case = idle_engines(8);
+    case.info.prompt = vec![PromptPart { id: 1, tokens: 900 }];
+    let found = prefixes(&item("m", None), &case.info.prompt);
+    case.cached_prefixes.record_prefill(&found, &"s5".into(), at(0));
+    assert!(shortlists(&mut case).iter().all(|ids| ids.len() == 3 && ids[0] == "s5"));
+}
+
+/// Boxes that know nothing of the load would else all ask for the same engines.
+#[test]
+fn shortlists_of_boxes_that_know_the_same_differ() {
+    let mut firsts: HashMap<String, usize> = HashMap::new();
+    let mut others: HashMap<String, usize> = HashMap::new();
+    for ids in shortlists(&mut idle_engines(8)) {
+        assert_eq!(ids.iter().collect::<HashSet<_>>().len(), 3, "no server twice");
+        *firsts.entry(ids[0].clone()).or_default() += 1;
+        ids[1..].iter().for_each(|id| *others.entry(id.clone()).or_default() += 1);
+    }
+    // An even share of 200 would be 25, and 50 of the others.
+    assert!(firsts.len() == 8 && firsts.values().all(|&count| count < 50), "{firsts:?}");
+    assert!(others.len() == 8 && others.values().all(|&count| count < 100), "{others:?}");
+}
+
+#[test]
+fn shortlist_stays_in_the_own_hall_while_it_has_others() {
+    let mut case = idle_engines(3);
+    case.servers.extend(["far1", "far2", "far3"].map(|id| in_hall(id, "b")));
+    let near = |id: &String| id.starts_with('s');
+    assert!(shortlists(&mut case).iter().all(|ids| ids.len() == 3 && ids.iter().all(near)));
+    case.servers.drain(1..3);
+    let lists = shortlists(&mut case);
+    assert!(
+        lists.iter().all(|ids| ids.len() == 3 && ids.iter().filter(|id| near(id)).count() == 1)
+    );
+}
+
+#[test]
+fn shortlist_has_servers_that_leave_or_do_not_answer_only_if_no_other_can() {
+    let mut case = idle_engines(3);
+    case.view.leaving.insert("s0".into(), at(0));
+    case.loads.mark_unreachable(&"s1".into(), at(0));
+    assert!(shortlists(&mut case).iter().all(|ids| *ids == ["s2"]));
+    case.tried.push("s2".into());
+    assert!(shortlists(&mut case).iter().all(|ids| *ids == ["s0", "s1"]));
+}
+
+#[test]
+fn shortlist_has_no_server_that_may_get_nothing_now() {
+    let mut case = idle_engines(3);
+    let full = Unavailable { until: at(400), cause: UnavailableCause::Full };
+    case.view.cold_states.insert("s0".into(), ColdState::Blocked(at(900)));
+    case.view.unavailable.insert("s1".into(), full);
+    assert!(shortlists(&mut case).iter().all(|ids| *ids == ["s2"]));
+    case.tried.push("s2".into());
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    assert_eq!(case.shortlist(&mut rng).unwrap_err(), case.choose().unwrap_err());
+    assert_eq!(case.choose().unwrap_err(), NoChoice::AllTried);
+}
+
+#[test]
+fn first_of_shortlist_is_what_choose_finds() {
+    let mut case = idle_engines(4);
+    for (number, tokens) in [3_000, 2_000, 500, 900].into_iter().enumerate() {
+        case.add_load(&format!("s{number}"), tokens);
+    }
+    let chosen = case.choose().expect("a server");
+    let first = case.shortlist(&mut ChaCha8Rng::seed_from_u64(7)).expect("a server").remove(0);
+    assert_eq!(first.choice.server.entry.id, chosen.server.entry.id);
+    assert_eq!((first.choice.estimate, first.choice.requests), (chosen.estimate, chosen.requests));
+}
