--- a/trackfront_core/src/serving/urgency.rs
+++ b/trackfront_core/src/serving/urgency.rs
@@ -4,14 +4,11 @@
 //! answer that can no longer be in time should not delay one that can, and an account that uses more than its share
 //! should not delay the others. Engines read the prompts of lower ranks first, so such requests get what is left.
 
-use crate::serving::in_flight::RANKS;
+use crate::serving::in_flight::LEAST_URGENT;
 
 /// The number of ranks that routes and accounts use; the others are for requests that go behind them.
 const RANKS_OF_ROUTES: u8 = 4;
 
-/// The least urgent rank.
-const LEAST_URGENT: u8 = RANKS as u8 - 1;
-
 /// What a request's rank depends on beside its kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
