--- a/trackfrontd/src/serving/engine_loads/mod.rs
+++ b/trackfrontd/src/serving/engine_loads/mod.rs
@@ -6,7 +6,7 @@
 mod coordinators;
 mod declared;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 use trackfront_adapters::serving_metrics::KindLabel;
+use trackfront_core::ids::ServiceName;
 use trackfront_core::quota::BoxId;
 use trackfront_core::serving::coordinated_load::{EngineLoad, LoadCoordinator, LoadQuestion};
 use trackfront_core::serving::directory::{KnownServer, ServerEntry};
@@ -47,6 +48,8 @@
     last_number: AtomicU32,
     outgoing: Mutex<Vec<(Ipv4Addr, Message)>>,
     wake: Notify,
+    /// The services whose engines say how long work takes there.
+    uneven_services: Mutex<HashSet<ServiceName>>,
 }
 
 impl EngineLoads {
@@ -60,9 +63,23 @@
             last_number: AtomicU32::new(number),
             outgoing: Mutex::default(),
             wake: Notify::new(),
+            uneven_services: Mutex::default(),
         }
     }
 
+    /// Records that an engine of a service said how long work takes there.
+    pub fn mark_uneven(&self, service: &ServiceName) {
+        let mut services = self.uneven_services.lock();
+        if !services.contains(service) {
+            services.insert(service.clone());
+        }
+    }
+
+    /// Returns whether engines of a service say how long work takes there.
+    pub fn are_uneven(&self, service: &ServiceName) -> bool {
+        self.uneven_services.lock().contains(service)
+    }
+
     fn next_number(&self) -> u32 {
         self.last_number.fetch_add(1, Ordering::Relaxed)
     }
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -21,6 +21,10 @@
 /// in 100. At a share of 0.2, more got no answer.
 const RETRY_TARGET_SHARE: f64 = 0.4;
 
+/// The share of the time left within which an answer must be likely for a late request that engines serve after all
+/// others: it delays nobody, and the rest of its answer takes time as well.
+const LATE_DEADLINE_SHARE: f64 = 0.5;
+
 impl Job {
     /// Refuses a request that is unlikely to be answered in time, and a retry that the retry budget
     /// doesn't allow.
@@ -67,10 +71,14 @@
     pub(super) fn admission_time(&self, now: Instant) -> Duration {
         let spent = self.since_first_try + now.saturating_duration_since(self.arrived);
         let left = self.route.latency_target.saturating_sub(spent);
-        match self.since_first_try.is_zero() {
-            true => left,
-            false => left.max(self.route.latency_target.mul_f64(RETRY_TARGET_SHARE)),
+        if self.since_first_try.is_zero() {
+            return left;
         }
+        let granted = match self.goes_last_when_late() {
+            true => self.answer_by.saturating_duration_since(now).mul_f64(LATE_DEADLINE_SHARE),
+            false => self.route.latency_target.mul_f64(RETRY_TARGET_SHARE),
+        };
+        left.max(granted)
     }
 
     /// Returns the expected time to the first event on an idle engine.
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -293,7 +293,7 @@
             time_left: self
                 .deadline
                 .map(|deadline| deadline.saturating_duration_since(request_time)),
-            priority: self.rank,
+            priority: self.rank(),
             account: self.account.as_ref().map(|account| &account.name),
             after_event,
         };
@@ -369,6 +369,9 @@
         }
         if let Some(load) = head.load {
             guard.pace = load.pace;
+            if load.pace.is_some() {
+                node.engine_loads.mark_uneven(&self.service);
+            }
             node.loads.lock().apply_report(server, load, node.now());
         }
         if head.not_run || head.misdirected {
@@ -418,7 +421,7 @@
         let (now, was_cut_off) = (node.now(), node.is_cut_off());
         let id = &choice.server.entry.id;
         let model = self.info.model.as_ref().map(|item| &item.model);
-        let work = self.info.work(choice.cached_tokens, self.rank);
+        let work = self.info.work(choice.cached_tokens, self.rank());
         let slots = choice.server.entry.slots.max(1);
         let mut tracked = node.loads.lock().begin(id, slots, model, work, now);
         tracked.set_estimate(choice.estimate);
--- a/trackfrontd/src/serving/pipeline/choice.rs
+++ b/trackfrontd/src/serving/pipeline/choice.rs
@@ -3,10 +3,14 @@
 use std::sync::Arc;
 
 use trackfront_core::ids::BackendId;
-use trackfront_core::serving::choice::{Choice, NoChoice, Query, choose};
+use trackfront_core::serving::affinity::PrefixIndex;
+use trackfront_core::serving::choice::{
+    Candidate, Choice, NoChoice, Query, ServerView, choose, shortlist,
+};
 use trackfront_core::serving::cold::ColdStart;
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::halls::{AllowedHalls, Evacuations};
+use trackfront_core::serving::load::LoadTracker;
 use trackfront_core::serving::sampling::sample_servers;
 
 use super::Job;
@@ -15,6 +19,13 @@
 use crate::serving::overlay::NodeView;
 use crate::serving::settings::ServingSettings;
 
+/// What this box knows of servers beside their rows.
+struct Known<'a> {
+    loads: &'a mut LoadTracker,
+    cached_prefixes: &'a PrefixIndex,
+    view: &'a dyn ServerView,
+}
+
 impl Job {
     /// Chooses a server that is not in `tried`.
     pub fn choose(&self, tried: &[BackendId]) -> Result<Choice, NoChoice> {
@@ -28,6 +39,38 @@
         tried: &[BackendId],
         heed_gates: bool,
     ) -> Result<Choice, NoChoice> {
+        self.select(tried, heed_gates, |query, servers, known| {
+            choose(query, servers.iter().copied(), known.loads, known.cached_prefixes, known.view)
+        })
+    }
+
+    /// Returns the engines whose coordinators are asked for their load.
+    pub(super) fn shortlist(&self, tried: &[BackendId]) -> Result<Vec<Candidate>, NoChoice> {
+        self.select(tried, true, |query, servers, known| {
+            let Known { loads, cached_prefixes, view } = known;
+            shortlist(
+                query,
+                servers.iter().copied(),
+                loads,
+                cached_prefixes,
+                *view,
+                &mut rand::rng(),
+            )
+        })
+    }
+
+    /// Selects among the servers that may get the request, or else among all of the service, to find out why
+    /// there is none.
+    fn select<T>(
+        &self,
+        tried: &[BackendId],
+        heed_gates: bool,
+        mut selection: impl FnMut(
+            &Query<'_>,
+            &[&Arc<KnownServer>],
+            &mut Known<'_>,
+        ) -> Result<T, NoChoice>,
+    ) -> Result<T, NoChoice> {
         let node = &self.node;
         follow::drop_expired_rows(node);
         let settings = node.settings.load();
@@ -35,7 +78,7 @@
         let query = Query {
             info: &self.info,
             prefixes: &self.prefixes,
-            rank: self.rank,
+            rank: self.rank(),
             tried,
             software: *self.software.lock(),
             hall: &settings.node.hall,
@@ -63,26 +106,26 @@
         let all = directory.of_service(&self.service);
         let is_candidate = |known: &&Arc<KnownServer>| known.entry.service == self.service;
         let knows_loads = node.peers.lock().is_small_fleet();
-        let mut choose_among = |servers: &mut dyn Iterator<Item = &Arc<KnownServer>>| {
+        let mut select_among = |servers: Vec<&Arc<KnownServer>>| {
+            let mut known = Known { loads: &mut loads, cached_prefixes: &memory, view: &view };
             if knows_loads {
-                return choose(&query, servers, &mut loads, &memory, &view);
+                return selection(&query, &servers, &mut known);
             }
-            let servers: Vec<&Arc<KnownServer>> = servers.collect();
-            let usable = |known: &KnownServer| {
-                let id = &known.entry.id;
-                known.is_ready()
+            let usable = |server: &KnownServer| {
+                let id = &server.entry.id;
+                server.is_ready()
                     && notices.leaving_since(id).is_none()
-                    && query.allowed_halls.allow(&known.entry.hall)
+                    && query.allowed_halls.allow(&server.entry.hall)
                     && !tried.contains(id)
-                    && !loads.is_paused(id, query.now)
+                    && !known.loads.is_paused(id, query.now)
             };
-            let some = servers.iter().copied();
-            let some = sample_servers(some, query.hall, usable, &mut rand::rng());
-            let found = choose(&query, some, &mut loads, &memory, &view);
-            found.or_else(|_| choose(&query, servers, &mut loads, &memory, &view))
+            let some =
+                sample_servers(servers.iter().copied(), query.hall, usable, &mut rand::rng());
+            let found = selection(&query, &some, &mut known);
+            found.or_else(|_| selection(&query, &servers, &mut known))
         };
         let Some(item) = &self.info.model else {
-            return choose_among(&mut all.iter());
+            return select_among(all.iter().collect());
         };
         // Few of thousands of engines hold the model. The others are only needed to find out why
         // there is no choice.
@@ -93,13 +136,17 @@
             Some(&all[index])
         };
         let added = overlay.added_to(item).filter_map(listed).filter(|known| !holds(known));
-        match choose_among(&mut holders.chain(added)) {
+        match select_among(holders.chain(added).collect()) {
             Err(
                 NoChoice::NoServer
                 | NoChoice::NotAllowed
                 | NoChoice::NoSoftware
                 | NoChoice::NoModel,
-            ) => choose(&query, all, &mut loads, &memory, &view),
+            ) => {
+                let all: Vec<&Arc<KnownServer>> = all.iter().collect();
+                let mut known = Known { loads: &mut loads, cached_prefixes: &memory, view: &view };
+                selection(&query, &all, &mut known)
+            }
             found => found,
         }
     }
--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -1,31 +1,74 @@
 //! What the pipeline asks the coordinators of engines, and declares to them.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use trackfront_core::ids::BackendId;
 use trackfront_core::quota::AccountId;
 use trackfront_core::serving::choice::Choice;
-use trackfront_core::serving::coordinated_load::{DeclaredWork, LoadQuestion};
+use trackfront_core::serving::coordinated_choice::{
+    EngineLimits, RequestNeeds, choose_coordinated,
+};
+use trackfront_core::serving::coordinated_load::{DeclaredWork, EngineLoad, LoadQuestion};
 
 use super::{Chosen, Job};
 use crate::serving::engine_loads::{self, DeclaredRequest};
 
 impl Job {
-    /// Asks the coordinator of the chosen engine for its load. A server with a permit stays chosen, since the permit is for
-    /// that server alone.
+    /// Chooses again among some engines by what their coordinators know. A server with a permit stays chosen, since the
+    /// permit is for that server alone.
     pub async fn choose_coordinated(&self, chosen: Chosen, tried: &[BackendId]) -> Chosen {
         if chosen.permit.is_some() || !self.has_coordinated_engines() {
             return chosen;
         }
-        let server = chosen.choice.server.clone();
-        let loads = engine_loads::query(&self.node, &[server], self.load_question()).await;
-        for load in loads.into_iter().flatten() {
-            let (request, server) = (&self.info.id, &chosen.choice.server.entry.id);
-            let (requests, prefill_ms, counted_ms) =
-                (load.requests, load.prefill_ms, load.counted_ms);
-            log::debug!(request:%, server:%, tried = tried.len(), requests, prefill_ms, counted_ms; "load of an engine");
+        let (Ok(candidates), Some(needs)) = (self.shortlist(tried), self.needs()) else {
+            return chosen;
+        };
+        let servers: Vec<_> =
+            candidates.iter().map(|candidate| candidate.choice.server.clone()).collect();
+        let loads = engine_loads::query(&self.node, &servers, self.load_question()).await;
+        let mut choice = choose_coordinated(candidates, &loads, &needs, self.engine_limits());
+        choice.at = self.node.now();
+        let index = servers.iter().position(|server| server.entry.id == choice.server.entry.id);
+        let load = index.and_then(|index| loads[index]);
+        if let Some(load) = load {
+            self.apply_share(&mut choice, &load);
+        }
+        Chosen { choice, permit: None, load }
+    }
+
+    /// Sends the request behind others if its account uses more than its share of the engine, which lengthens its wait.
+    fn apply_share(&self, choice: &mut Choice, load: &EngineLoad) {
+        let was_over = self.is_over_share.swap(load.is_over_share, Ordering::Relaxed);
+        if load.is_over_share {
+            let behind_ms = load.prefill_ms.saturating_sub(load.prefill_ahead_ms);
+            choice.estimate += Duration::from_millis(behind_ms.into());
+        }
+        if load.is_over_share && !was_over {
+            let (request, server) = (&self.info.id, &choice.server.entry.id);
+            let account = self.account.as_ref().map_or("", |account| account.name.as_str());
+            log::info!(request:%, server:%, account, rank = self.rank(), counted_ms = load.counted_ms; "account over its share");
         }
-        chosen
+    }
+
+    /// Returns what the request needs at any engine; `None` if it names no model.
+    fn needs(&self) -> Option<RequestNeeds> {
+        let model = &self.info.model.as_ref()?.model;
+        Some(RequestNeeds {
+            decode_ms: self.node.loads.lock().decode_ms(model, self.info.output_tokens),
+            tokens: self.info.prompt_tokens.saturating_add(self.info.output_tokens),
+            event_gap_target: self.route.event_gap_target,
+            bound_pauses: self.node.settings.load().balancing.bounds_pauses(),
+        })
+    }
+
+    /// Returns what an engine of the service can bear.
+    fn engine_limits(&self) -> EngineLimits {
+        let spec = self.config.services.get(&self.service).and_then(|spec| spec.engine.as_ref());
+        spec.map_or(EngineLimits { slots: 1, kv_tokens: 0 }, |engine| EngineLimits {
+            slots: engine.slots,
+            kv_tokens: engine.kv_tokens,
+        })
     }
 
     /// Declares the request to the coordinator of the engine that it is being sent to.
@@ -36,19 +79,27 @@
         engine_loads::declare(&self.node, &choice.server.entry, self.declared_work(choice)?)
     }
 
-    /// Returns whether the request is for an engine whose load is coordinated.
+    /// Returns whether the request is for an engine whose load is coordinated: only engines that say how long work takes
+    /// there are uneven enough.
     fn has_coordinated_engines(&self) -> bool {
-        self.info.model.is_some() && engine_loads::is_enabled(&self.node)
+        self.info.model.is_some()
+            && engine_loads::is_enabled(&self.node)
+            && self.node.engine_loads.are_uneven(&self.service)
+    }
+
+    /// Returns whether an engine would serve the request after all others if it is late.
+    pub(super) fn goes_last_when_late(&self) -> bool {
+        self.node.settings.load().balancing.serves_late_last() && self.has_coordinated_engines()
     }
 
     fn load_question(&self) -> LoadQuestion {
-        LoadQuestion { rank: self.rank, account: self.declared_account() }
+        LoadQuestion { rank: self.rank(), account: self.declared_account() }
     }
 
     /// Returns the work of the request at an engine; `None` if it names no model.
     fn declared_work(&self, choice: &Choice) -> Option<DeclaredWork> {
         let model = &self.info.model.as_ref()?.model;
-        let work = self.info.work(choice.cached_tokens, self.rank);
+        let work = self.info.work(choice.cached_tokens, self.rank());
         let (prefill_ms, decode_ms) = {
             let loads = self.node.loads.lock();
             let prefill_ms = f64::from(work.prompt_tokens) * loads.prefill_ms_per_token(model);
@@ -60,7 +111,7 @@
             prefill_ms: prefill_ms.round() as u32,
             decode_ms: decode_ms.round() as u32,
             tokens: self.info.prompt_tokens.saturating_add(self.info.output_tokens),
-            rank: self.rank,
+            rank: self.rank(),
             max_gap_ms: max_gap.map(whole_ms),
             account: self.declared_account(),
             max_time_ms: whole_ms(self.answer_by.saturating_duration_since(self.request_time())),
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -18,7 +18,7 @@
 mod software;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 pub use attempt::{SendGuard, SendOutcome};
@@ -45,6 +45,7 @@
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 use trackfront_core::serving::stream_origins::SoftwareId;
+use trackfront_core::serving::urgency::{Standing, rank};
 use trackfront_core::units::Moment;
 
 use super::node::ServingNode;
@@ -78,8 +79,10 @@
     pub info: RequestInfo,
     /// The client account, if the request carries a key.
     pub account: Option<Arc<ClientAccount>>,
-    /// The request's rank: that of its account, or else of its route.
-    pub rank: u8,
+    /// The rank of the request's kind: that of its account, or else of its route.
+    kind_rank: u8,
+    /// Whether its account uses more than its share of the chosen engine.
+    is_over_share: AtomicBool,
     /// What of the request may crash servers: itself, and parts of its prompt.
     pub suspects: Suspects,
     /// The prefixes of the prompt.
@@ -184,7 +187,8 @@
     let job = Job {
         node: node.clone(),
         suspects,
-        rank: account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority),
+        kind_rank: account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority),
+        is_over_share: AtomicBool::new(false),
         account,
         route,
         service,
@@ -368,6 +372,15 @@
         self.node.retry_budgets.lock().try_take(&self.service, nodes, now)
     }
 
+    /// Returns the request's rank at servers.
+    pub fn rank(&self) -> u8 {
+        let standing = Standing {
+            is_late: self.goes_last_when_late() && !self.since_first_try.is_zero(),
+            is_over_share: self.is_over_share.load(Ordering::Relaxed),
+        };
+        rank(self.kind_rank, standing)
+    }
+
     /// Returns the present on the request's time line, which advances while the machine is
     /// suspended. Timers don't, and would grant a server time that has already passed for the
     /// client.
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -151,6 +151,8 @@
     pub bound_pauses: bool,
     /// Whether client accounts share engines evenly where these are short. Needs `coordinated_loads`.
     pub fair_shares: bool,
+    /// Whether engines serve requests whose clients were refused before after all others. Needs `coordinated_loads`.
+    pub late_last: bool,
 }
 
 impl BalancingSettings {
@@ -159,6 +161,11 @@
         self.coordinated_loads && self.bound_pauses
     }
 
+    /// Returns whether engines serve late requests last.
+    pub fn serves_late_last(self) -> bool {
+        self.coordinated_loads && self.late_last
+    }
+
     /// Returns whether requests declare their client accounts.
     pub fn shares_fairly(self) -> bool {
         self.coordinated_loads && self.fair_shares
