--- a/trackfront_core/src/serving/coordinated_load.rs
+++ b/trackfront_core/src/serving/coordinated_load.rs
@@ -36,8 +36,8 @@
 pub struct DeclaredWork {
     /// The time for the prefill of its uncached tokens at the usual speed of the model, in milliseconds.
     pub prefill_ms: u32,
-    /// The time for the whole answer after the first event at the usual speed of the model, in milliseconds.
-    pub decode_ms: u32,
+    /// The requests that the engine runs at once.
+    pub slots: u32,
     /// The tokens of the KV cache that it needs at its end.
     pub tokens: u32,
     /// The urgency; 0 is the most urgent.
--- a/trackfront_core/src/serving/counted_engine.rs
+++ b/trackfront_core/src/serving/counted_engine.rs
@@ -24,6 +24,9 @@
 /// read in order of ranks and arrival, so the first event of an earlier one was lost.
 const MAX_OVERTAKING: Duration = Duration::from_secs(1);
 
+/// The longest time for which a prompt of any rank waits to be read; after it, its first event was lost.
+const MAX_UNREAD: Duration = Duration::from_secs(10);
+
 /// The requests that are counted at one engine; engines run a few hundred at once.
 const MAX_REQUESTS: usize = 2_048;
 
@@ -35,6 +38,8 @@
     expires: Moment,
     /// Whether its prompt has been read.
     is_read: bool,
+    /// Whether it had a slot at once, so that the time to its first event is that of reading.
+    had_slot: bool,
     /// The time to its first event that is expected at the usual speed, in milliseconds.
     expected_ms: f64,
     /// [`EngineSpeed::paced_ms`] when it began.
@@ -78,6 +83,8 @@
     /// Notes that a message about the engine arrived.
     pub(super) fn hear(&mut self, now: Moment) {
         if now.since(self.heard_at) >= MAX_SILENCE {
+            // Ends may have been lost meanwhile. Without the requests from before, the figures are lower bounds.
+            self.requests.clear();
             self.counted_since = now;
             self.learns_since = self.learns_since.max(now);
         }
@@ -112,7 +119,7 @@
             rank.prefill_ms += f64::from(request.work.prefill_ms);
         }
         let read_paced_ms = self.speed.paced_ms(now) - self.reading_since_paced_ms;
-        let mut read_ms = read_paced_ms / self.speed.lasting();
+        let mut read_ms = read_paced_ms / self.speed.lasting(now);
         for rank in &mut outstanding.by_rank {
             let of_rank_ms = read_ms.clamp(0.0, rank.prefill_ms);
             rank.prefill_ms -= of_rank_ms;
@@ -126,6 +133,7 @@
         if self.requests.len() >= MAX_REQUESTS {
             return;
         }
+        let had_slot = self.requests.len() < work.slots as usize;
         self.speed.advance(now);
         let began_paced_ms = self.speed.paced_ms(now);
         if self.unread().next().is_none() {
@@ -141,6 +149,7 @@
             began: now,
             expires: now + Duration::from_millis(work.max_time_ms.into()),
             is_read: false,
+            had_slot,
             expected_ms: ahead_ms + prefill_ms,
             began_paced_ms,
         };
@@ -162,17 +171,18 @@
         request.is_read = true;
         let read = *request;
         self.reading_since_paced_ms = paced_ms;
-        if read.began >= self.learns_since {
-            self.speed.learn(read.expected_ms, paced_ms - read.began_paced_ms);
+        if read.began >= self.learns_since && read.had_slot {
+            self.speed.learn(read.expected_ms, paced_ms - read.began_paced_ms, now);
         }
-        self.mark_overtaken(&read);
+        self.mark_overtaken(&read, now);
     }
 
     /// Marks requests as read whose first events must have been lost, since that of `read` came.
-    fn mark_overtaken(&mut self, read: &CountedRequest) {
+    fn mark_overtaken(&mut self, read: &CountedRequest, now: Moment) {
         for request in self.requests.values_mut() {
             let is_earlier = read.began.since(request.began) > MAX_OVERTAKING;
-            request.is_read |= is_earlier && request.work.rank <= read.work.rank;
+            let is_overtaken = is_earlier && request.work.rank <= read.work.rank;
+            request.is_read |= is_overtaken || now.since(request.began) > MAX_UNREAD;
         }
     }
 
--- a/trackfront_core/src/serving/engine_speed.rs
+++ b/trackfront_core/src/serving/engine_speed.rs
@@ -4,6 +4,8 @@
 //! reports in its answers. Times are divided by the pace before the lasting part learns from them, so that no delay counts
 //! in both.
 
+use std::time::Duration;
+
 use crate::serving::load::{PACE_BOUNDS, PACE_TTL};
 use crate::units::Moment;
 
@@ -20,12 +22,15 @@
 /// The largest weight of one measurement, in milliseconds of expected time.
 const MAX_WEIGHT_MS: f64 = 500.0;
 
-/// The weight of the usual speed that is assumed before the first measurement, in milliseconds of expected time.
+/// The weight of the usual speed beside the measurements, in milliseconds of expected time.
 const PRIOR_WEIGHT_MS: f64 = 200.0;
 
 /// The factor on the weight of earlier measurements with each new one: the last 30 or so count.
 const DECAY: f64 = 0.97;
 
+/// The time in which measurements lose half of their weight: an engine that is avoided for its speed gets another chance.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+
 /// The speed of one engine.
 #[derive(Clone, Debug)]
 pub(super) struct EngineSpeed {
@@ -33,6 +38,8 @@
     expected_ms: f64,
     /// The decayed sum of the times that they took.
     took_ms: f64,
+    /// When the last measurement was made.
+    learned_at: Moment,
     /// The latest pace as a factor on the usual time, and when it was reported.
     pace: Option<(f64, Moment)>,
     /// The time that has passed at a pace of 1, up to `paced_until`.
@@ -43,8 +50,9 @@
 impl EngineSpeed {
     pub(super) fn new(now: Moment) -> Self {
         Self {
-            expected_ms: PRIOR_WEIGHT_MS,
-            took_ms: PRIOR_WEIGHT_MS,
+            expected_ms: 0.0,
+            took_ms: 0.0,
+            learned_at: now,
             pace: None,
             paced_ms: 0.0,
             paced_until: now,
@@ -53,13 +61,17 @@
 
     /// Returns the time that work takes, as a factor on the usual time.
     pub(super) fn slowness(&self, now: Moment) -> f64 {
-        self.lasting() * self.pace(now).unwrap_or(1.0)
+        self.lasting(now) * self.pace(now).unwrap_or(1.0)
     }
 
     /// Returns the time that work takes at a pace of 1, as a factor on the usual time.
-    pub(super) fn lasting(&self) -> f64 {
+    pub(super) fn lasting(&self, now: Moment) -> f64 {
         let (low, high) = LASTING_BOUNDS;
-        (self.took_ms / self.expected_ms).clamp(low, high)
+        let half_lives = now.since(self.learned_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let weight = 0.5f64.powf(half_lives);
+        let took_ms = self.took_ms * weight + PRIOR_WEIGHT_MS;
+        let expected_ms = self.expected_ms * weight + PRIOR_WEIGHT_MS;
+        (took_ms / expected_ms).clamp(low, high)
     }
 
     /// Returns a clock in milliseconds that runs slower by the pace: the engine does the same work in each of them.
@@ -87,15 +99,16 @@
     }
 
     /// Learns from work that took `took_ms` by [`Self::paced_ms`] and takes `expected_ms` at the usual speed.
-    pub(super) fn learn(&mut self, expected_ms: f64, took_ms: f64) {
+    pub(super) fn learn(&mut self, expected_ms: f64, took_ms: f64, now: Moment) {
         if expected_ms < MIN_EXPECTED_MS {
             return;
         }
-        let lasting = self.lasting();
+        let lasting = self.lasting(now);
         let ratio = (took_ms / expected_ms).clamp(lasting / MAX_DEVIATION, lasting * MAX_DEVIATION);
         let weight_ms = expected_ms.min(MAX_WEIGHT_MS);
         self.expected_ms = self.expected_ms * DECAY + weight_ms;
         self.took_ms = self.took_ms * DECAY + weight_ms * ratio;
+        self.learned_at = now;
     }
 
     fn pace(&self, now: Moment) -> Option<f64> {
--- a/trackfront_core/src/serving/urgency.rs
+++ b/trackfront_core/src/serving/urgency.rs
@@ -18,12 +18,12 @@
     pub is_over_share: bool,
 }
 
-/// Returns the rank of a request whose route or account has the rank `base`. A request that goes behind others stays
-/// more urgent than one of a less urgent kind that does so as well.
+/// Returns the rank of a request whose route or account has the rank `base`. Among the late ones the kinds keep their
+/// order.
 pub fn rank(base: u8, standing: Standing) -> u8 {
     if !standing.is_late && !standing.is_over_share {
         return base;
     }
-    (base.min(RANKS_OF_ROUTES) + RANKS_OF_ROUTES + u8::from(standing.is_over_share))
-        .min(LEAST_URGENT)
+    let behind = base.min(RANKS_OF_ROUTES) + RANKS_OF_ROUTES + u8::from(standing.is_over_share);
+    behind.max(base).min(LEAST_URGENT)
 }
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -42,5 +42,6 @@
     mod saturation;
     mod store_version;
     mod stream_origins;
+    mod stream_pauses;
     mod urgency;
 }
--- a/trackfront_core/tests/serving/urgency.rs
+++ b/trackfront_core/tests/serving/urgency.rs
@@ -35,6 +35,7 @@
     for base in 0..=u8::MAX {
         let both = Standing { is_late: true, is_over_share: true };
         assert!(rank(base, both) <= 9);
+        assert!(rank(base, both) >= base.min(9), "never more urgent");
     }
 }
 
--- a/trackfrontd/src/serving/engine_loads/declared.rs
+++ b/trackfrontd/src/serving/engine_loads/declared.rs
@@ -27,7 +27,7 @@
     server: &ServerEntry,
     work: DeclaredWork,
 ) -> Option<DeclaredRequest> {
-    let coordinator = coordinator(node, server, node.now())?;
+    let coordinator = coordinator(node, server, node.now())?.id;
     let request = DeclaredRequest {
         node: node.clone(),
         coordinator,
--- a/trackfrontd/src/serving/engine_loads/mod.rs
+++ b/trackfrontd/src/serving/engine_loads/mod.rs
@@ -20,6 +20,7 @@
 use trackfront_core::quota::BoxId;
 use trackfront_core::serving::coordinated_load::{EngineLoad, LoadCoordinator, LoadQuestion};
 use trackfront_core::serving::directory::{KnownServer, ServerEntry};
+use trackfront_core::serving::permits::Coordinator;
 use trackfront_core::serving::room::GrantId;
 use trackfront_core::units::Moment;
 
@@ -105,10 +106,10 @@
 
 /// Returns the box that coordinates the load of an engine: one of the engine's hall if any is reachable, so that most
 /// messages stay within a hall.
-pub fn coordinator(node: &ServingNode, server: &ServerEntry, now: Moment) -> Option<BoxId> {
+pub fn coordinator(node: &ServingNode, server: &ServerEntry, now: Moment) -> Option<Coordinator> {
     let engine = short_server(&server.id);
-    if let Some(id) = node.engine_loads.coordinators.lock().cached(engine, now) {
-        return Some(id);
+    if let Some(cached) = node.engine_loads.coordinators.lock().cached(engine, now) {
+        return Some(cached);
     }
     let boxes = candidate_coordinators(node, server, now);
     node.engine_loads.coordinators.lock().find(engine, boxes.into_iter().map(box_id), now)
@@ -161,7 +162,7 @@
 struct PendingQuestion<'a> {
     node: &'a ServingNode,
     server: &'a KnownServer,
-    coordinator: BoxId,
+    coordinator: Coordinator,
     number: u32,
     asked_at: Moment,
     receiver: oneshot::Receiver<EngineLoad>,
@@ -180,7 +181,7 @@
         match timeout(REPLY_TIMEOUT.saturating_sub(waited), &mut self.receiver).await {
             Ok(Ok(load)) => {
                 count_question(self.node, "answered");
-                Some(load)
+                Some(known_by(self.coordinator, load))
             }
             Ok(Err(_)) => None,
             Err(_) => {
@@ -199,8 +200,8 @@
             return;
         }
         let loads = &self.node.engine_loads;
-        if loads.coordinators.lock().mark_unresponsive(self.coordinator, now) {
-            let coordinator = Ipv4Addr::from_bits(self.coordinator.0);
+        if loads.coordinators.lock().mark_unresponsive(self.coordinator.id, now) {
+            let coordinator = Ipv4Addr::from_bits(self.coordinator.id.0);
             let (server, ms) = (&self.server.entry.id, waited.as_millis() as u64);
             log::info!(server:%, coordinator:%, ms; "no reply to a question for the load");
         }
@@ -218,17 +219,28 @@
     };
     let engine = short_server(&server.entry.id);
     let loads = &node.engine_loads;
-    if coordinator == own_id(node) {
+    if coordinator.id == own_id(node) {
         count_question(node, "own");
-        return Asked::Own(Some(loads.coordinator.lock().load(engine, question, now)));
+        let load = loads.coordinator.lock().load(engine, question, now);
+        return Asked::Own(Some(known_by(coordinator, load)));
     }
     let number = loads.next_number();
     let (sender, receiver) = oneshot::channel();
     loads.pending.lock().insert(number, sender);
-    loads.send(coordinator, Message::LoadRequest(LoadRequest { number, server: engine, question }));
+    loads.send(
+        coordinator.id,
+        Message::LoadRequest(LoadRequest { number, server: engine, question }),
+    );
     Asked::Peer(PendingQuestion { node, server, coordinator, number, asked_at: now, receiver })
 }
 
+/// Returns what a load is worth that `coordinator` knows: other boxes still declare requests to the box for which a standby
+/// answers, so its count is not complete, however long it has counted.
+fn known_by(coordinator: Coordinator, load: EngineLoad) -> EngineLoad {
+    let counted_ms = if coordinator.is_standby { 0 } else { load.counted_ms };
+    EngineLoad { counted_ms, ..load }
+}
+
 fn own_id(node: &ServingNode) -> BoxId {
     box_id(node.settings.load().node.ip)
 }
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -22,9 +22,13 @@
 const RETRY_TARGET_SHARE: f64 = 0.4;
 
 /// The share of the time left within which an answer must be likely for a late request that engines serve after all
-/// others: it delays nobody, and the rest of its answer takes time as well.
+/// others, since the rest of its answer takes time as well.
 const LATE_DEADLINE_SHARE: f64 = 0.5;
 
+/// The same as a multiple of its target. Whether a request is late follows from the deadline that its client states, which
+/// must not bring a client much more time than others get.
+const LATE_TARGETS: u32 = 3;
+
 impl Job {
     /// Refuses a request that is unlikely to be answered in time, and a retry that the retry budget
     /// doesn't allow.
@@ -58,7 +62,8 @@
     /// Returns whether the chosen server is more likely than not to answer in time, by the errors
     /// of recent estimates.
     fn is_likely_in_time(&self, choice: &Choice, now: Instant) -> bool {
-        let left = self.admission_time(now).min(self.answer_by - now);
+        let granted = self.admission_time(now).max(self.late_admission_time(now));
+        let left = granted.min(self.answer_by - now);
         let has_slot = choice.requests < choice.server.entry.slots;
         let mut loads = self.node.loads.lock();
         loads.probability_within(self.info.model.is_some(), has_slot, choice.estimate, left)
@@ -71,14 +76,20 @@
     pub(super) fn admission_time(&self, now: Instant) -> Duration {
         let spent = self.since_first_try + now.saturating_duration_since(self.arrived);
         let left = self.route.latency_target.saturating_sub(spent);
-        if self.since_first_try.is_zero() {
-            return left;
+        match self.since_first_try.is_zero() {
+            true => left,
+            false => left.max(self.route.latency_target.mul_f64(RETRY_TARGET_SHARE)),
         }
-        let granted = match self.goes_last_when_late() {
-            true => self.answer_by.saturating_duration_since(now).mul_f64(LATE_DEADLINE_SHARE),
-            false => self.route.latency_target.mul_f64(RETRY_TARGET_SHARE),
-        };
-        left.max(granted)
+    }
+
+    /// Returns the time within which an answer must be likely for a late request that engines serve after all others;
+    /// zero for any other request.
+    fn late_admission_time(&self, now: Instant) -> Duration {
+        if self.since_first_try.is_zero() || !self.goes_last_when_late() {
+            return Duration::ZERO;
+        }
+        let time_left = self.answer_by.saturating_duration_since(now);
+        time_left.mul_f64(LATE_DEADLINE_SHARE).min(self.route.latency_target * LATE_TARGETS)
     }
 
     /// Returns the expected time to the first event on an idle engine.
--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -18,6 +18,8 @@
     /// Chooses again among some engines by what their coordinators know. A server with a permit stays chosen, since the
     /// permit is for that server alone.
     pub async fn choose_coordinated(&self, chosen: Chosen, tried: &[BackendId]) -> Chosen {
+        // Without an answer of a coordinator, no account is over its share.
+        self.is_over_share.store(false, Ordering::Relaxed);
         if chosen.permit.is_some() || !self.has_coordinated_engines() {
             return chosen;
         }
@@ -28,7 +30,6 @@
             candidates.iter().map(|candidate| candidate.choice.server.clone()).collect();
         let loads = engine_loads::query(&self.node, &servers, self.load_question()).await;
         let mut choice = choose_coordinated(candidates, &loads, &needs, self.engine_limits());
-        choice.at = self.node.now();
         let index = servers.iter().position(|server| server.entry.id == choice.server.entry.id);
         let load = index.and_then(|index| loads[index]);
         if let Some(load) = load {
@@ -39,16 +40,15 @@
 
     /// Sends the request behind others if its account uses more than its share of the engine, which lengthens its wait.
     fn apply_share(&self, choice: &mut Choice, load: &EngineLoad) {
-        let was_over = self.is_over_share.swap(load.is_over_share, Ordering::Relaxed);
-        if load.is_over_share {
-            let behind_ms = load.prefill_ms.saturating_sub(load.prefill_ahead_ms);
-            choice.estimate += Duration::from_millis(behind_ms.into());
-        }
-        if load.is_over_share && !was_over {
-            let (request, server) = (&self.info.id, &choice.server.entry.id);
-            let account = self.account.as_ref().map_or("", |account| account.name.as_str());
-            log::info!(request:%, server:%, account, rank = self.rank(), counted_ms = load.counted_ms; "account over its share");
+        if !load.is_over_share {
+            return;
         }
+        self.is_over_share.store(true, Ordering::Relaxed);
+        let behind_ms = load.prefill_ms.saturating_sub(load.prefill_ahead_ms);
+        choice.estimate += Duration::from_millis(behind_ms.into());
+        let (request, server) = (&self.info.id, &choice.server.entry.id);
+        let account = self.account.as_ref().map_or("", |account| account.name.as_str());
+        log::info!(request:%, server:%, account, rank = self.rank(), counted_ms = load.counted_ms; "account over its share");
     }
 
     /// Returns what the request needs at any engine; `None` if it names no model.
@@ -100,16 +100,13 @@
     fn declared_work(&self, choice: &Choice) -> Option<DeclaredWork> {
         let model = &self.info.model.as_ref()?.model;
         let work = self.info.work(choice.cached_tokens, self.rank());
-        let (prefill_ms, decode_ms) = {
-            let loads = self.node.loads.lock();
-            let prefill_ms = f64::from(work.prompt_tokens) * loads.prefill_ms_per_token(model);
-            (prefill_ms, loads.decode_ms(model, work.output_tokens))
-        };
+        let ms_per_token = self.node.loads.lock().prefill_ms_per_token(model);
+        let prefill_ms = f64::from(work.prompt_tokens) * ms_per_token;
         let bounds_pauses = self.node.settings.load().balancing.bounds_pauses();
         let max_gap = self.route.event_gap_target.filter(|_| bounds_pauses);
         Some(DeclaredWork {
             prefill_ms: prefill_ms.round() as u32,
-            decode_ms: decode_ms.round() as u32,
+            slots: choice.server.entry.slots,
             tokens: self.info.prompt_tokens.saturating_add(self.info.output_tokens),
             rank: self.rank(),
             max_gap_ms: max_gap.map(whole_ms),
