--- a/trackfront_core/src/serving/coordinated_choice.rs
+++ b/trackfront_core/src/serving/coordinated_choice.rs
@@ -23,9 +23,13 @@
 /// by then.
 const FULL_COUNT_MS: u32 = 5_000;
 
-/// After how much of an answer the prompts that an engine has now are expected there again, in milliseconds.
+/// The part of an answer in which it meets about as many prompts as its engine has now, in milliseconds.
 const PAUSE_INTERVAL_MS: f64 = 1_000.0;
 
+/// The prompts that reach an engine without paced streams in each [`PAUSE_INTERVAL_MS`], beside those there now, as a
+/// share of the gap target.
+const NEW_PROMPTS_SHARE: f64 = 0.125;
+
 /// The longest estimate and the highest cost, in milliseconds.
 const MAX_MS: f64 = 3_600_000.0;
 
@@ -161,15 +165,18 @@
 
     /// Returns the cost of the pauses that the answer itself is likely to have, if it has a target for its gaps.
     ///
-    /// The prompts there now are the only hint of those to come: as much is expected again for each
-    /// [`PAUSE_INTERVAL_MS`] of the answer, so that long answers go where little is read. A pause costs its length, and
-    /// no more than the target.
+    /// For each [`PAUSE_INTERVAL_MS`] of the answer, as much is expected to be read as is queued now, and some new prompts;
+    /// these keep away from an engine the more paced streams it has. So long answers go where little is read, and where
+    /// others are. A pause costs its length, and no more than the target.
     fn own_pauses_ms(&self) -> f64 {
         let Some(target) = self.needs.event_gap_target else {
             return 0.0;
         };
-        let pause_ms = f64::from(self.load.prefill_ms).min(target.as_secs_f64() * 1_000.0);
-        pause_ms * self.needs.decode_ms / PAUSE_INTERVAL_MS
+        let target_ms = target.as_secs_f64() * 1_000.0;
+        let queued_ms = f64::from(self.load.prefill_ms);
+        let streams = f64::from(self.load.paced_streams);
+        let new_ms = target_ms * NEW_PROMPTS_SHARE / (streams + 1.0);
+        (queued_ms + new_ms).min(target_ms) * self.needs.decode_ms / PAUSE_INTERVAL_MS
     }
 
     /// Returns the cost of an overflow of the KV cache: a running request is put back, its tokens are read anew, and its
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -40,4 +40,5 @@
     mod saturation;
     mod store_version;
     mod stream_origins;
+    mod stream_pauses;
 }
--- a/trackfront_core/tests/serving/coordinated_choice.rs
+++ b/trackfront_core/tests/serving/coordinated_choice.rs
@@ -114,6 +114,14 @@
     assert_eq!(choose_for(&short_answer()), "a");
 }
 
+/// Prompts keep away from the engine that writes such answers.
+#[test]
+fn long_answer_joins_others() {
+    let loads = [Some(idle()), Some(EngineLoad { requests: 3, ..streaming(3, 0) })];
+    assert_eq!(chosen(100.0, &long_answer(), &loads), "b");
+    assert_eq!(chosen(100.0, &short_answer(), &loads), "a");
+}
+
 #[test]
 fn slower_engine_of_a_kind_gets_less() {
     let slow = EngineLoad { slowness: 2.4, ..reading(0) };
