--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -79,12 +79,12 @@
         engine_loads::declare(&self.node, &choice.server.entry, self.declared_work(choice)?)
     }
 
-    /// Returns whether the request is for an engine whose load is coordinated: only engines that say how long work takes
-    /// there are uneven enough.
+    /// Returns whether the request is for an engine whose load is coordinated: one that says how long work takes there, or
+    /// one for which client accounts compete.
     fn has_coordinated_engines(&self) -> bool {
         self.info.model.is_some()
             && engine_loads::is_enabled(&self.node)
-            && self.node.engine_loads.are_uneven(&self.service)
+            && (self.config.accounts.is_some() || self.node.engine_loads.are_uneven(&self.service))
     }
 
     /// Returns whether an engine would serve the request after all others if it is late.
