--- a/trackfront_core/src/serving/coordinated_choice.rs
+++ b/trackfront_core/src/serving/coordinated_choice.rs
@@ -16,6 +16,15 @@
 /// The share of a stream's gap target that prompts may take up: the rest is for the engine's own steps.
 const GAP_MARGIN: f64 = 0.9;
 
+/// The part of the time for prompts that requests of each rank leave to more urgent ones.
+const SHARE_LEFT_BY_RANK: f64 = 0.15;
+
+/// The least share of the time for prompts that any rank may use.
+const MIN_RANK_SHARE: f64 = 0.3;
+
+/// The unread prompts beside which a request of any size is sent, in milliseconds: it could not get in otherwise.
+const NEARLY_IDLE_MS: f64 = 40.0;
+
 /// The share of the KV cache that may be taken up: the lengths of answers are only expected ones.
 const KV_MARGIN: f64 = 0.95;
 
@@ -44,6 +53,18 @@
     pub event_gap_target: Option<Duration>,
     /// Whether pauses of streams count.
     pub bound_pauses: bool,
+    /// The rank of the request.
+    pub rank: u8,
+}
+
+/// The choice among a shortlist.
+#[derive(Clone, Debug)]
+pub struct CoordinatedChoice {
+    /// The server with the lowest cost.
+    pub choice: Choice,
+    /// Whether the request has to wait before it is sent there: the prompts at the engine would keep its streams waiting for
+    /// longer than their targets allow.
+    pub must_wait: bool,
 }
 
 /// What an engine of the service can bear.
@@ -55,7 +76,7 @@
     pub kv_tokens: u64,
 }
 
-/// Chooses the candidate with the lowest cost. `loads` are the answers of the coordinators in the order of the
+/// Chooses the candidate with the lowest cost, if there is one where the request need not wait. `loads` are the answers of the coordinators in the order of the
 /// candidates; a candidate without an answer counts with its local estimate and cost.
 ///
 /// # Panics
@@ -66,13 +87,18 @@
     loads: &[Option<EngineLoad>],
     needs: &RequestNeeds,
     limits: EngineLimits,
-) -> Choice {
+) -> CoordinatedChoice {
     let loads = loads.iter().copied().chain(std::iter::repeat(None));
     let costs = candidates.into_iter().zip(loads).map(|(candidate, load)| match load {
         Some(load) => Placement { candidate: &candidate, load, needs, limits }.evaluate(),
-        None => (candidate.cost_ms, candidate.choice),
+        None => {
+            let choice = candidate.choice;
+            (candidate.cost_ms, CoordinatedChoice { choice, must_wait: false })
+        }
+    });
+    let best = costs.min_by(|(a_cost, a), (b_cost, b)| {
+        a.must_wait.cmp(&b.must_wait).then(a_cost.total_cmp(b_cost))
     });
-    let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
     best.expect("a shortlist has candidates").1
 }
 
@@ -88,7 +114,7 @@
     /// Returns the cost in milliseconds, and the choice that this would be.
     ///
     /// Until a coordinator has counted for a while its figures are lower bounds, and so are the local ones.
-    fn evaluate(&self) -> (f64, Choice) {
+    fn evaluate(&self) -> (f64, CoordinatedChoice) {
         let local = &self.candidate.choice;
         let mut estimate_ms = self.estimate_ms().min(MAX_MS);
         let mut cost_ms = estimate_ms + self.candidate.fixed_cost_ms + self.harm_ms().min(MAX_MS);
@@ -99,7 +125,31 @@
             requests = requests.max(local.requests);
         }
         let estimate = Duration::from_secs_f64(estimate_ms / 1_000.0);
-        (cost_ms, Choice { estimate, requests, ..local.clone() })
+        let choice = Choice { estimate, requests, ..local.clone() };
+        (cost_ms, CoordinatedChoice { choice, must_wait: self.must_wait() })
+    }
+
+    /// Returns whether the prompts at the engine would take longer with this one than the gap targets there allow.
+    ///
+    /// An engine that reads all the time serves as many requests with few prompts in its queue as with many, but its streams
+    /// stand still for as long as the queue is. Less urgent requests leave a part of the time to more urgent ones.
+    fn must_wait(&self) -> bool {
+        if !self.needs.bound_pauses {
+            return false;
+        }
+        let there_ms = f64::from(self.load.min_gap_ms);
+        let own_target_ms =
+            self.needs.event_gap_target.map(|target| target.as_secs_f64() * 1_000.0);
+        let target_ms = match own_target_ms {
+            Some(own_ms) if there_ms > 0.0 => own_ms.min(there_ms),
+            Some(own_ms) => own_ms,
+            None if there_ms > 0.0 => there_ms,
+            None => return false,
+        };
+        let rank_share = 1.0 - SHARE_LEFT_BY_RANK * f64::from(self.needs.rank);
+        let bound_ms = target_ms * GAP_MARGIN * rank_share.max(MIN_RANK_SHARE);
+        let before_ms = f64::from(self.load.prefill_ms);
+        before_ms > NEARLY_IDLE_MS && before_ms + self.own_prefill_ms() > bound_ms
     }
 
     /// Returns the time to the first event.
--- a/trackfront_core/tests/serving/coordinated_choice.rs
+++ b/trackfront_core/tests/serving/coordinated_choice.rs
@@ -52,7 +52,13 @@
 
 /// Returns the needs of a request with a short answer and no target for its gaps.
 fn short_answer() -> RequestNeeds {
-    RequestNeeds { decode_ms: 100.0, tokens: 1_000, event_gap_target: None, bound_pauses: true }
+    RequestNeeds {
+        decode_ms: 100.0,
+        tokens: 1_000,
+        event_gap_target: None,
+        bound_pauses: true,
+        rank: 0,
+    }
 }
 
 fn long_answer() -> RequestNeeds {
@@ -60,11 +66,21 @@
     RequestNeeds { decode_ms: 3_000.0, event_gap_target, ..short_answer() }
 }
 
+/// Returns the choice among candidates, without whether it has to wait.
+fn choice_among(
+    candidates: Vec<Candidate>,
+    loads: &[Option<EngineLoad>],
+    needs: &RequestNeeds,
+    limits: EngineLimits,
+) -> Choice {
+    choose_coordinated(candidates, loads, needs, limits).choice
+}
+
 /// Returns the choice among the engines a, b and so on for a prompt of `own_prefill_ms`.
 fn choose(own_prefill_ms: f64, needs: &RequestNeeds, loads: &[Option<EngineLoad>]) -> Choice {
     let ids = ["a", "b", "c"].into_iter().take(loads.len());
     let candidates = ids.map(|id| candidate(id, own_prefill_ms)).collect();
-    choose_coordinated(candidates, loads, needs, LIMITS)
+    choice_among(candidates, loads, needs, LIMITS)
 }
 
 fn chosen(own_prefill_ms: f64, needs: &RequestNeeds, loads: &[Option<EngineLoad>]) -> String {
@@ -106,8 +122,7 @@
     // The first would answer sooner, if only because the prompt is cached there.
     let choose_for = |needs: &RequestNeeds| {
         let candidates = vec![candidate("a", 10.0), candidate("b", 250.0)];
-        let choice =
-            choose_coordinated(candidates, &[Some(reading(200)), Some(idle())], needs, LIMITS);
+        let choice = choice_among(candidates, &[Some(reading(200)), Some(idle())], needs, LIMITS);
         choice.server.entry.id.to_string()
     };
     assert_eq!(choose_for(&long_answer()), "b");
@@ -136,8 +151,7 @@
     assert_eq!(chosen(100.0, &short_answer(), &[Some(full), Some(free)]), "b");
     let unknown = EngineLimits { kv_tokens: 0, ..LIMITS };
     let candidates = vec![candidate("a", 100.0), candidate("b", 100.0)];
-    let choice =
-        choose_coordinated(candidates, &[Some(full), Some(free)], &short_answer(), unknown);
+    let choice = choice_among(candidates, &[Some(full), Some(free)], &short_answer(), unknown);
     assert_eq!(choice.server.entry.id, "a".into());
 }
 
@@ -156,7 +170,7 @@
     let choose_after = |counted_ms| {
         let started = EngineLoad { counted_ms, ..idle() };
         let loads = [Some(started), Some(reading(300))];
-        let choice = choose_coordinated(candidates.clone(), &loads, &short_answer(), LIMITS);
+        let choice = choice_among(candidates.clone(), &loads, &short_answer(), LIMITS);
         choice.server.entry.id.to_string()
     };
     assert_eq!(choose_after(50), "b");
@@ -167,13 +181,13 @@
 fn local_cost_decides_if_no_coordinator_answers() {
     let mut candidates = vec![candidate("a", 100.0), candidate("b", 90.0)];
     for loads in [&[None, None][..], &[]] {
-        let choice = choose_coordinated(candidates.clone(), loads, &short_answer(), LIMITS);
+        let choice = choice_among(candidates.clone(), loads, &short_answer(), LIMITS);
         assert_eq!(choice.server.entry.id, "b".into());
         assert_eq!(choice.estimate, Duration::from_millis(90));
     }
     candidates[1].fixed_cost_ms = 20.0;
     candidates[1].cost_ms += 20.0;
-    let choice = choose_coordinated(candidates, &[None, None], &short_answer(), LIMITS);
+    let choice = choice_among(candidates, &[None, None], &short_answer(), LIMITS);
     assert_eq!(choice.server.entry.id, "a".into());
 }
 
@@ -219,3 +233,40 @@
     assert_eq!(chosen(200.0, &short_answer(), &loads), "b");
     assert_eq!(chosen(200.0, &long_answer(), &loads), "b");
 }
+
+/// Returns whether a prompt has to wait beside others that take `unread_ms`, at an engine that writes a stream.
+fn must_wait(own_prefill_ms: f64, unread_ms: u32, rank: u8) -> bool {
+    let load = EngineLoad { paced_streams: 1, min_gap_ms: GAP_TARGET_MS, ..reading(unread_ms) };
+    let candidates = vec![candidate("a", own_prefill_ms)];
+    let needs = RequestNeeds { rank, ..short_answer() };
+    choose_coordinated(candidates, &[Some(load)], &needs, LIMITS).must_wait
+}
+
+/// Load: more prompts come to a model than its engines read. All streams there would pause for as long as the queue is.
+#[test]
+fn prompt_waits_while_those_at_the_engine_take_longer_than_the_gap_target() {
+    assert!(!must_wait(50.0, GAP_TARGET_MS / 2, 0));
+    assert!(must_wait(50.0, GAP_TARGET_MS, 0));
+}
+
+/// Load: the same, with urgent and less urgent kinds of requests, which would leave no room for the urgent ones.
+#[test]
+fn less_urgent_prompts_leave_room_for_urgent_ones() {
+    let fits = |rank| !must_wait(50.0, GAP_TARGET_MS * 6 / 10, rank);
+    assert_eq!([fits(0), fits(1), fits(2), fits(9)], [true, true, false, false]);
+    assert!(!must_wait(50.0, GAP_TARGET_MS / 10, 9), "some room is left for all");
+}
+
+/// Load: a prompt whose reading alone takes longer than a gap target would never be sent.
+#[test]
+fn long_prompt_is_sent_to_an_engine_that_reads_nothing_else() {
+    assert!(!must_wait(2.0 * f64::from(GAP_TARGET_MS), 0, 9));
+}
+
+/// Load: short answers without a target, at engines that write no stream with one.
+#[test]
+fn prompt_does_not_wait_where_no_target_is_set() {
+    let candidates = vec![candidate("a", 50.0)];
+    let found = choose_coordinated(candidates, &[Some(reading(5_000))], &short_answer(), LIMITS);
+    assert!(!found.must_wait);
+}
--- a/trackfront_core/tests/serving/stream_pauses.rs
+++ b/trackfront_core/tests/serving/stream_pauses.rs
@@ -144,10 +144,11 @@
                 tokens: 0,
                 event_gap_target: prompt.begins_stream.then_some(gap_target),
                 bound_pauses: true,
+                rank: 0,
             };
             let loads: Vec<_> = candidates.iter().map(|one| Some(load(one))).collect();
             let limits = EngineLimits { slots: SLOTS, kv_tokens: 0 };
-            choose_coordinated(candidates, &loads, &needs, limits)
+            choose_coordinated(candidates, &loads, &needs, limits).choice
         }
     };
     chosen.server.entry.id.clone()
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -62,8 +62,7 @@
     /// Returns whether the chosen server is more likely than not to answer in time, by the errors
     /// of recent estimates.
     fn is_likely_in_time(&self, choice: &Choice, now: Instant) -> bool {
-        let granted = self.admission_time(now).max(self.late_admission_time(now));
-        let left = granted.min(self.answer_by - now);
+        let left = self.time_for_first_event(now).min(self.answer_by - now);
         let has_slot = choice.requests < choice.server.entry.slots;
         let mut loads = self.node.loads.lock();
         loads.probability_within(self.info.model.is_some(), has_slot, choice.estimate, left)
@@ -82,6 +81,11 @@
         }
     }
 
+    /// Returns the time within which the first event must be likely.
+    pub(super) fn time_for_first_event(&self, now: Instant) -> Duration {
+        self.admission_time(now).max(self.late_admission_time(now))
+    }
+
     /// Returns the time within which an answer must be likely for a late request that engines serve after all others;
     /// zero for any other request.
     fn late_admission_time(&self, now: Instant) -> Duration {
--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -3,17 +3,25 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::time::sleep;
+use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::BackendId;
 use trackfront_core::quota::AccountId;
 use trackfront_core::serving::choice::Choice;
 use trackfront_core::serving::coordinated_choice::{
-    EngineLimits, RequestNeeds, choose_coordinated,
+    CoordinatedChoice, EngineLimits, RequestNeeds, choose_coordinated,
 };
 use trackfront_core::serving::coordinated_load::{DeclaredWork, EngineLoad, LoadQuestion};
 
-use super::{Chosen, Job};
+use super::{Attempts, Chosen, Job};
+use trackfront_core::serving::request::Refusal;
+
 use crate::serving::engine_loads::{self, DeclaredRequest};
 
+/// The mean interval at which a request asks again whether an engine has read enough of its prompts. A prompt takes about
+/// as long.
+const POLL_INTERVAL: Duration = Duration::from_millis(80);
+
 impl Job {
     /// Chooses again among some engines by what their coordinators know. A server with a permit stays chosen, since the
     /// permit is for that server alone.
@@ -29,13 +37,43 @@
         let servers: Vec<_> =
             candidates.iter().map(|candidate| candidate.choice.server.clone()).collect();
         let loads = engine_loads::query(&self.node, &servers, self.load_question()).await;
-        let mut choice = choose_coordinated(candidates, &loads, &needs, self.engine_limits());
+        let CoordinatedChoice { mut choice, must_wait } =
+            choose_coordinated(candidates, &loads, &needs, self.engine_limits());
         let index = servers.iter().position(|server| server.entry.id == choice.server.entry.id);
         let load = index.and_then(|index| loads[index]);
         if let Some(load) = load {
             self.apply_share(&mut choice, &load);
         }
-        Chosen { choice, permit: None, load }
+        Chosen { choice, permit: None, load, must_wait }
+    }
+
+    /// Waits a moment for an engine where the request would make streams pause for too long, or returns the refusal if the
+    /// answer could not be in time after that.
+    pub(super) async fn wait_for_pause_bound(
+        &self,
+        chosen: &Chosen,
+        attempts: &Attempts,
+    ) -> Result<(), Refusal> {
+        let now = self.request_time();
+        let wait = POLL_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
+        if attempts.servers.is_empty() && !self.node.is_stopping() {
+            let left = self.time_for_first_event(now).min(self.answer_by - now);
+            if chosen.choice.estimate + wait <= left {
+                sleep(wait).await;
+                return Ok(());
+            }
+        }
+        let (request, server) = (&self.info.id, &chosen.choice.server.entry.id);
+        let prefill_ms = chosen.load.map(|load| load.prefill_ms);
+        let paced_streams = chosen.load.map(|load| load.paced_streams);
+        let held_ms = now.saturating_duration_since(self.arrived).as_millis() as u64;
+        log::info!(request:%, server:%, prefill_ms, paced_streams, held_ms; "streams would pause for too long");
+        self.node
+            .metrics
+            .held
+            .get_or_create(&KindLabel { kind: "pauses" })
+            .observe(held_ms as f64 / 1_000.0);
+        Err(self.give_up(attempts, "its prompt would make streams pause for too long"))
     }
 
     /// Sends the request behind others if its account uses more than its share of the engine, which lengthens its wait.
@@ -59,6 +97,7 @@
             tokens: self.info.prompt_tokens.saturating_add(self.info.output_tokens),
             event_gap_target: self.route.event_gap_target,
             bound_pauses: self.node.settings.load().balancing.bounds_pauses(),
+            rank: self.rank(),
         })
     }
 
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -262,6 +262,12 @@
             Err(refusal) => break refusal,
         };
         let mut chosen = job.choose_coordinated(chosen, &attempts.servers).await;
+        if chosen.must_wait {
+            match job.wait_for_pause_bound(&chosen, &attempts).await {
+                Ok(()) => continue,
+                Err(refusal) => break refusal,
+            }
+        }
         if let Some(refusal) = job.check_choice(&chosen.choice, &mut attempts) {
             break refusal;
         }
--- a/trackfrontd/src/serving/pipeline/permit.rs
+++ b/trackfrontd/src/serving/pipeline/permit.rs
@@ -25,12 +25,14 @@
     pub permit: Option<Permit>,
     /// The server's load as its coordinator knows it, if the choice was made by that.
     pub load: Option<EngineLoad>,
+    /// Whether the request has to wait before it is sent there, so that streams do not pause for too long.
+    pub must_wait: bool,
 }
 
 impl Chosen {
     /// Creates a choice that was made without the load that a coordinator knows.
     pub fn new(choice: Choice, permit: Option<Permit>) -> Self {
-        Self { choice, permit, load: None }
+        Self { choice, permit, load: None, must_wait: false }
     }
 }
 
