Refuse a request that found no room within a quarter of its target (68)

Cause: where more comes than the engines of a model read, requests waited at the box until their first event would have been late, and were refused then; what cannot be served is to be refused early. Change: a request waits for a quarter of its target at most.

--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -18,6 +18,10 @@
 
 use crate::serving::engine_loads::{self, DeclaredRequest};
 
+/// The share of its target for which a request waits for room at an engine. A client that is refused then can still come
+/// back while its answer is of use.
+const MAX_HELD_SHARE: f64 = 0.25;
+
 /// The mean interval at which a request asks again whether an engine has read enough of its prompts. A prompt takes about
 /// as long.
 const POLL_INTERVAL: Duration = Duration::from_millis(80);
@@ -56,7 +60,9 @@
     ) -> Result<(), Refusal> {
         let now = self.request_time();
         let wait = POLL_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
-        if attempts.servers.is_empty() && !self.node.is_stopping() {
+        let max_held = self.route.latency_target.mul_f64(MAX_HELD_SHARE);
+        let is_held_long = now + wait > self.arrived + max_held;
+        if attempts.servers.is_empty() && !is_held_long && !self.node.is_stopping() {
             let left = self.time_for_first_event(now).min(self.answer_by - now);
             if chosen.choice.estimate + wait <= left {
                 sleep(wait).await;
