--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -70,7 +70,7 @@
     pub first_event: Family<KindLabel, Histogram>,
     /// The ratio of the time to the first event to its estimate.
     pub estimate_ratio: Histogram,
-    /// How long requests were held for an expected load or server, by whether it became available.
+    /// How long requests were held, by how it ended.
     pub held: Family<KindLabel, Histogram>,
     /// Questions for the load of engines, by result.
     pub load_questions: Family<KindLabel, Counter>,
--- a/trackfront_core/src/serving/coordinated_choice.rs
+++ b/trackfront_core/src/serving/coordinated_choice.rs
@@ -32,11 +32,11 @@
 /// by then.
 const FULL_COUNT_MS: u32 = 5_000;
 
-/// The part of an answer in which it meets about as many prompts as its engine has now, in milliseconds.
+/// The interval in which an engine is expected to read as many prompts as are queued there now, in milliseconds.
 const PAUSE_INTERVAL_MS: f64 = 1_000.0;
 
-/// The prompts that reach an engine without paced streams in each [`PAUSE_INTERVAL_MS`], beside those there now, as a
-/// share of the gap target.
+/// The prompts expected to arrive within one interval at an engine that writes no streams with gap targets, as a share of
+/// the gap target.
 const NEW_PROMPTS_SHARE: f64 = 0.125;
 
 /// The longest estimate and the highest cost, in milliseconds.
@@ -76,8 +76,9 @@
     pub kv_tokens: u64,
 }
 
-/// Chooses the candidate with the lowest cost, if there is one where the request need not wait. `loads` are the answers of the coordinators in the order of the
-/// candidates; a candidate without an answer counts with its local estimate and cost.
+/// Chooses the candidate with the lowest cost, preferring those where the request need not wait. `loads` are the answers of
+/// the coordinators, in the order of the candidates. A candidate without an answer counts with its local estimate and cost,
+/// and the request need not wait there.
 ///
 /// # Panics
 ///
--- a/trackfront_core/src/serving/coordinated_load.rs
+++ b/trackfront_core/src/serving/coordinated_load.rs
@@ -86,6 +86,7 @@
     /// Bounds the values: they come from another box.
     fn bounded(self) -> Self {
         Self {
+            // A prompt is not read for longer than its request is there.
             prefill_ms: self.prefill_ms.min(MAX_PREFILL_MS).min(self.max_time_ms),
             tokens: self.tokens.min(MAX_TOKENS),
             rank: self.rank.min(LEAST_URGENT),
@@ -108,7 +109,7 @@
 impl LoadCoordinator {
     /// Counts a request that a box is about to send to an engine. It replaces one with the same `id`.
     pub fn begin(&mut self, engine: u32, id: GrantId, work: DeclaredWork, now: Moment) {
-        if let Some(engine) = self.hear(engine, now) {
+        if let Some(engine) = self.engine_heard(engine, now) {
             engine.begin(id, work.bounded(), now);
         }
     }
@@ -116,21 +117,21 @@
     /// Notes the first event of an answer, which ends the prefill, and the pace that the engine reported with it, in
     /// percent of the usual time. Of unknown requests only the pace counts.
     pub fn first_event(&mut self, engine: u32, id: GrantId, pace: Option<u32>, now: Moment) {
-        if let Some(engine) = self.hear(engine, now) {
+        if let Some(engine) = self.engine_heard(engine, now) {
             engine.first_event(id, pace, now);
         }
     }
 
     /// Removes a request that has ended at an engine. Unknown ones are ignored.
     pub fn end(&mut self, engine: u32, id: GrantId, now: Moment) {
-        if let Some(engine) = self.hear(engine, now) {
+        if let Some(engine) = self.engine_heard(engine, now) {
             engine.end(id, now);
         }
     }
 
     /// Returns the load of an engine.
     pub fn load(&mut self, engine: u32, question: LoadQuestion, now: Moment) -> EngineLoad {
-        match self.hear(engine, now) {
+        match self.engine_heard(engine, now) {
             Some(engine) => engine.load(question, now),
             None => EngineLoad { slowness: 1.0, ..EngineLoad::default() },
         }
@@ -145,12 +146,12 @@
     }
 
     /// Returns the state of an engine that a message is about, or `None` if there is no room for another.
-    fn hear(&mut self, engine: u32, now: Moment) -> Option<&mut CountedEngine> {
+    fn engine_heard(&mut self, engine: u32, now: Moment) -> Option<&mut CountedEngine> {
         if !self.engines.contains_key(&engine) && self.engines.len() >= MAX_ENGINES {
             return None;
         }
         let engine = self.engines.entry(engine).or_insert_with(|| CountedEngine::new(now));
-        engine.hear(now);
+        engine.note_message(now);
         Some(engine)
     }
 }
--- a/trackfront_core/src/serving/counted_engine.rs
+++ b/trackfront_core/src/serving/counted_engine.rs
@@ -17,7 +17,7 @@
 /// this time, so the coordinator was cut off, was frozen, or another one was in its place.
 const MAX_SILENCE: Duration = Duration::from_secs(3);
 
-/// How long a coordinator that starts counting learns no speed: requests that it doesn't know of are still being read.
+/// How long after its first message a coordinator learns no speed: requests that it doesn't know of are still being read.
 const UNKNOWN_READ_TIME: Duration = Duration::from_secs(2);
 
 /// The time by which a request may have begun before another whose first event came, and still wait to be read. Engines
@@ -42,8 +42,8 @@
     had_slot: bool,
     /// The time to its first event that is expected at the usual speed, in milliseconds.
     expected_ms: f64,
-    /// [`EngineSpeed::paced_ms`] when it began.
-    began_paced_ms: f64,
+    /// [`EngineSpeed::work_clock_ms`] when it began.
+    began_clock_ms: f64,
 }
 
 impl CountedRequest {
@@ -59,8 +59,8 @@
     requests: HashMap<GrantId, CountedRequest>,
     speed: EngineSpeed,
     share: FairShare,
-    /// [`EngineSpeed::paced_ms`] since when the engine reads the first of the unread prompts.
-    reading_since_paced_ms: f64,
+    /// [`EngineSpeed::work_clock_ms`] since when the engine reads the first of the unread prompts.
+    reading_since_clock_ms: f64,
     counted_since: Moment,
     /// The speed is learned from requests that began later.
     learns_since: Moment,
@@ -73,7 +73,7 @@
             requests: HashMap::new(),
             speed: EngineSpeed::new(now),
             share: FairShare::default(),
-            reading_since_paced_ms: 0.0,
+            reading_since_clock_ms: 0.0,
             counted_since: now,
             learns_since: now + UNKNOWN_READ_TIME,
             heard_at: now,
@@ -81,7 +81,7 @@
     }
 
     /// Notes that a message about the engine arrived.
-    pub(super) fn hear(&mut self, now: Moment) {
+    pub(super) fn note_message(&mut self, now: Moment) {
         if now.since(self.heard_at) >= MAX_SILENCE {
             // Ends may have been lost meanwhile. Without the requests from before, the figures are lower bounds.
             self.requests.clear();
@@ -118,8 +118,8 @@
             let rank = &mut outstanding.by_rank[usize::from(request.work.rank)];
             rank.prefill_ms += f64::from(request.work.prefill_ms);
         }
-        let read_paced_ms = self.speed.paced_ms(now) - self.reading_since_paced_ms;
-        let mut read_ms = read_paced_ms / self.speed.lasting(now);
+        let read_clock_ms = self.speed.work_clock_ms(now) - self.reading_since_clock_ms;
+        let mut read_ms = read_clock_ms / self.speed.lasting_slowness(now);
         for rank in &mut outstanding.by_rank {
             let of_rank_ms = read_ms.clamp(0.0, rank.prefill_ms);
             rank.prefill_ms -= of_rank_ms;
@@ -135,9 +135,9 @@
         }
         let had_slot = self.requests.len() < work.slots as usize;
         self.speed.advance(now);
-        let began_paced_ms = self.speed.paced_ms(now);
+        let began_clock_ms = self.speed.work_clock_ms(now);
         if self.unread().next().is_none() {
-            self.reading_since_paced_ms = began_paced_ms;
+            self.reading_since_clock_ms = began_clock_ms;
         }
         let prefill_ms = f64::from(work.prefill_ms);
         let ahead_ms = self.outstanding(now).prefill_ahead_ms(work.rank);
@@ -151,7 +151,7 @@
             is_read: false,
             had_slot,
             expected_ms: ahead_ms + prefill_ms,
-            began_paced_ms,
+            began_clock_ms,
         };
         self.requests.insert(id, request);
         if let Some(account) = work.account {
@@ -164,15 +164,15 @@
             self.speed.report_pace(percent, now);
         }
         self.speed.advance(now);
-        let paced_ms = self.speed.paced_ms(now);
+        let work_clock_ms = self.speed.work_clock_ms(now);
         let Some(request) = self.requests.get_mut(&id).filter(|request| !request.is_read) else {
             return;
         };
         request.is_read = true;
         let read = *request;
-        self.reading_since_paced_ms = paced_ms;
+        self.reading_since_clock_ms = work_clock_ms;
         if read.began >= self.learns_since && read.had_slot {
-            self.speed.learn(read.expected_ms, paced_ms - read.began_paced_ms, now);
+            self.speed.learn(read.expected_ms, work_clock_ms - read.began_clock_ms, now);
         }
         self.mark_overtaken(&read, now);
     }
@@ -193,7 +193,7 @@
         };
         // The engine gave up the prompt that it was reading, and begins with the next one.
         if !ended.is_read && first == Some(ended.reading_order()) {
-            self.reading_since_paced_ms = self.speed.paced_ms(now);
+            self.reading_since_clock_ms = self.speed.work_clock_ms(now);
         }
     }
 
--- a/trackfront_core/src/serving/engine_speed.rs
+++ b/trackfront_core/src/serving/engine_speed.rs
@@ -42,9 +42,9 @@
     learned_at: Moment,
     /// The latest pace as a factor on the usual time, and when it was reported.
     pace: Option<(f64, Moment)>,
-    /// The time that has passed at a pace of 1, up to `paced_until`.
-    paced_ms: f64,
-    paced_until: Moment,
+    /// The time that has passed at a pace of 1, up to `work_clock_until`.
+    work_clock_ms: f64,
+    work_clock_until: Moment,
 }
 
 impl EngineSpeed {
@@ -54,18 +54,18 @@
             took_ms: 0.0,
             learned_at: now,
             pace: None,
-            paced_ms: 0.0,
-            paced_until: now,
+            work_clock_ms: 0.0,
+            work_clock_until: now,
         }
     }
 
     /// Returns the time that work takes, as a factor on the usual time.
     pub(super) fn slowness(&self, now: Moment) -> f64 {
-        self.lasting(now) * self.pace(now).unwrap_or(1.0)
+        self.lasting_slowness(now) * self.pace(now).unwrap_or(1.0)
     }
 
     /// Returns the time that work takes at a pace of 1, as a factor on the usual time.
-    pub(super) fn lasting(&self, now: Moment) -> f64 {
+    pub(super) fn lasting_slowness(&self, now: Moment) -> f64 {
         let (low, high) = LASTING_BOUNDS;
         let half_lives = now.since(self.learned_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let weight = 0.5f64.powf(half_lives);
@@ -74,16 +74,16 @@
         (took_ms / expected_ms).clamp(low, high)
     }
 
-    /// Returns a clock in milliseconds that runs slower by the pace: the engine does the same work in each of them.
-    pub(super) fn paced_ms(&self, now: Moment) -> f64 {
-        let elapsed_ms = now.since(self.paced_until).as_secs_f64() * 1_000.0;
-        self.paced_ms + elapsed_ms / self.pace(now).unwrap_or(1.0)
+    /// Returns the engine's work clock in milliseconds. At a pace of 2 it advances by one half of the time that passes.
+    pub(super) fn work_clock_ms(&self, now: Moment) -> f64 {
+        let elapsed_ms = now.since(self.work_clock_until).as_secs_f64() * 1_000.0;
+        self.work_clock_ms + elapsed_ms / self.pace(now).unwrap_or(1.0)
     }
 
-    /// Fixes the clock of [`Self::paced_ms`] up to `now`, so that later reports change it only from there on.
+    /// Fixes the clock of [`Self::work_clock_ms`] up to `now`, so that later reports change it only from there on.
     pub(super) fn advance(&mut self, now: Moment) {
-        self.paced_ms = self.paced_ms(now);
-        self.paced_until = self.paced_until.max(now);
+        self.work_clock_ms = self.work_clock_ms(now);
+        self.work_clock_until = self.work_clock_until.max(now);
     }
 
     /// Applies a pace that the engine reported, in percent of the usual time. One half of the time since the last one is
@@ -98,12 +98,12 @@
         self.pace = Some((pace, now));
     }
 
-    /// Learns from work that took `took_ms` by [`Self::paced_ms`] and takes `expected_ms` at the usual speed.
+    /// Learns from work that took `took_ms` by [`Self::work_clock_ms`] and takes `expected_ms` at the usual speed.
     pub(super) fn learn(&mut self, expected_ms: f64, took_ms: f64, now: Moment) {
         if expected_ms < MIN_EXPECTED_MS {
             return;
         }
-        let lasting = self.lasting(now);
+        let lasting = self.lasting_slowness(now);
         let ratio = (took_ms / expected_ms).clamp(lasting / MAX_DEVIATION, lasting * MAX_DEVIATION);
         let weight_ms = expected_ms.min(MAX_WEIGHT_MS);
         self.expected_ms = self.expected_ms * DECAY + weight_ms;
--- a/trackfrontd/src/serving/engine_loads/coordinators.rs
+++ b/trackfrontd/src/serving/engine_loads/coordinators.rs
@@ -42,8 +42,8 @@
         now: Moment,
     ) -> Option<Coordinator> {
         let answers = |(_, id): &(usize, BoxId)| !self.is_unresponsive(*id, now);
-        let ranked = rank_coordinators(engine as usize, boxes).into_iter().enumerate();
-        let (rank, id) = { ranked }.find(answers)?;
+        let mut ranked = rank_coordinators(engine as usize, boxes).into_iter().enumerate();
+        let (rank, id) = ranked.find(answers)?;
         let coordinator = Coordinator { id, is_standby: rank > 0 };
         self.cached.insert(engine, CachedCoordinator { coordinator, expires_at: now + CACHE_TIME });
         Some(coordinator)
--- a/trackfrontd/src/serving/engine_loads/mod.rs
+++ b/trackfrontd/src/serving/engine_loads/mod.rs
@@ -41,12 +41,12 @@
 /// The most boxes that know each other's requests well enough by their digests.
 const MAX_BOXES_WITH_DIGESTS: usize = 16;
 
-/// The load of engines, as one box coordinates and asks for it.
+/// The loads that this box counts as a coordinator, and its questions to other coordinators.
 pub struct EngineLoads {
     coordinator: Mutex<LoadCoordinator>,
     coordinators: Mutex<Coordinators>,
     pending: Mutex<HashMap<u32, oneshot::Sender<EngineLoad>>>,
-    last_number: AtomicU32,
+    next_number: AtomicU32,
     outgoing: Mutex<Vec<(Ipv4Addr, Message)>>,
     wake: Notify,
     /// The services whose engines say how long work takes there.
@@ -61,7 +61,7 @@
             coordinator: Mutex::default(),
             coordinators: Mutex::default(),
             pending: Mutex::default(),
-            last_number: AtomicU32::new(number),
+            next_number: AtomicU32::new(number),
             outgoing: Mutex::default(),
             wake: Notify::new(),
             uneven_services: Mutex::default(),
@@ -82,7 +82,7 @@
     }
 
     fn next_number(&self) -> u32 {
-        self.last_number.fetch_add(1, Ordering::Relaxed)
+        self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
     fn send(&self, to: BoxId, message: Message) {
@@ -111,11 +111,11 @@
     if let Some(cached) = node.engine_loads.coordinators.lock().cached(engine, now) {
         return Some(cached);
     }
-    let boxes = candidate_coordinators(node, server, now);
+    let boxes = eligible_boxes(node, server, now);
     node.engine_loads.coordinators.lock().find(engine, boxes.into_iter().map(box_id), now)
 }
 
-fn candidate_coordinators(node: &ServingNode, server: &ServerEntry, now: Moment) -> Vec<Ipv4Addr> {
+fn eligible_boxes(node: &ServingNode, server: &ServerEntry, now: Moment) -> Vec<Ipv4Addr> {
     let settings = node.settings.load();
     let me = settings.node.ip;
     let peers = node.peers.lock();
@@ -181,7 +181,7 @@
         match timeout(REPLY_TIMEOUT.saturating_sub(waited), &mut self.receiver).await {
             Ok(Ok(load)) => {
                 count_question(self.node, "answered");
-                Some(known_by(self.coordinator, load))
+                Some(bounded_by_standby(self.coordinator, load))
             }
             Ok(Err(_)) => None,
             Err(_) => {
@@ -222,7 +222,7 @@
     if coordinator.id == own_id(node) {
         count_question(node, "own");
         let load = loads.coordinator.lock().load(engine, question, now);
-        return Asked::Own(Some(known_by(coordinator, load)));
+        return Asked::Own(Some(bounded_by_standby(coordinator, load)));
     }
     let number = loads.next_number();
     let (sender, receiver) = oneshot::channel();
@@ -234,9 +234,9 @@
     Asked::Peer(PendingQuestion { node, server, coordinator, number, asked_at: now, receiver })
 }
 
-/// Returns what a load is worth that `coordinator` knows: other boxes still declare requests to the box for which a standby
-/// answers, so its count is not complete, however long it has counted.
-fn known_by(coordinator: Coordinator, load: EngineLoad) -> EngineLoad {
+/// Returns the load with a `counted_ms` of 0 if a standby told it: other boxes may still declare requests to the first
+/// coordinator, so the standby has counted only a part.
+fn bounded_by_standby(coordinator: Coordinator, load: EngineLoad) -> EngineLoad {
     let counted_ms = if coordinator.is_standby { 0 } else { load.counted_ms };
     EngineLoad { counted_ms, ..load }
 }
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -25,8 +25,8 @@
 /// others, since the rest of its answer takes time as well.
 const LATE_DEADLINE_SHARE: f64 = 0.5;
 
-/// The same as a multiple of its target. Whether a request is late follows from the deadline that its client states, which
-/// must not bring a client much more time than others get.
+/// The most time within which an answer must be likely for such a request, as a multiple of its target: clients state their
+/// own deadlines, so a far one must not gain them much time.
 const LATE_TARGETS: u32 = 3;
 
 impl Job {
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -82,11 +82,11 @@
         if let Some(tracked) = &mut self.tracked {
             self.node.loads.lock().first_event(tracked, now);
         }
-        self.declare_event();
+        self.declare_first_event();
     }
 
     /// Declares that the answer has begun, unless that was declared already.
-    pub fn declare_event(&mut self) {
+    pub fn declare_first_event(&mut self) {
         if let Some(declared) = &mut self.declared {
             declared.first_event(self.pace);
         }
--- a/trackfrontd/src/serving/pipeline/choice.rs
+++ b/trackfrontd/src/serving/pipeline/choice.rs
@@ -59,7 +59,7 @@
         })
     }
 
-    /// Selects among the servers that may get the request, or else among all of the service, to find out why
+    /// Selects among the servers that may get the request, in a large fleet among two random ones first, or else among all of the service, to find out why
     /// there is none.
     fn select<T>(
         &self,
@@ -104,7 +104,7 @@
         };
         let memory = node.prompt_memory.lock();
         let all = directory.of_service(&self.service);
-        let is_candidate = |known: &&Arc<KnownServer>| known.entry.service == self.service;
+        let is_of_service = |known: &&Arc<KnownServer>| known.entry.service == self.service;
         let knows_loads = node.peers.lock().is_small_fleet();
         let mut select_among = |servers: Vec<&Arc<KnownServer>>| {
             let mut known = Known { loads: &mut loads, cached_prefixes: &memory, view: &view };
@@ -129,7 +129,7 @@
         };
         // Few of thousands of engines hold the model. The others are only needed to find out why
         // there is no choice.
-        let holders = directory.holding(&item.model).iter().filter(is_candidate);
+        let holders = directory.holding(&item.model).iter().filter(is_of_service);
         let holds = |known: &&Arc<KnownServer>| known.entry.models.contains_key(&item.model);
         let listed = |id: &BackendId| {
             let index = all.binary_search_by(|known| known.entry.id.cmp(id)).ok()?;
--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -12,10 +12,9 @@
     CoordinatedChoice, EngineLimits, RequestNeeds, choose_coordinated,
 };
 use trackfront_core::serving::coordinated_load::{DeclaredWork, EngineLoad, LoadQuestion};
-
-use super::{Attempts, Chosen, Job};
 use trackfront_core::serving::request::Refusal;
 
+use super::{Attempts, Chosen, Job};
 use crate::serving::engine_loads::{self, DeclaredRequest};
 
 /// The share of its target for which a request waits for room at an engine. A client that is refused then can still come
@@ -46,13 +45,14 @@
         let index = servers.iter().position(|server| server.entry.id == choice.server.entry.id);
         let load = index.and_then(|index| loads[index]);
         if let Some(load) = load {
-            self.apply_share(&mut choice, &load);
+            self.note_share(&mut choice, &load);
         }
         Chosen { choice, permit: None, load, must_wait }
     }
 
-    /// Waits a moment for an engine where the request would make streams pause for too long, or returns the refusal if the
-    /// answer could not be in time after that.
+    /// Waits a moment for an engine where the request would make streams pause for too long, or returns the refusal if it has
+    /// waited for long or would be late after that. A request that was sent to another server before, or is at a stopping
+    /// box, is refused at once.
     pub(super) async fn wait_for_pause_bound(
         &self,
         chosen: &Chosen,
@@ -77,13 +77,14 @@
         self.node
             .metrics
             .held
-            .get_or_create(&KindLabel { kind: "pauses" })
+            .get_or_create(&KindLabel { kind: "refused for pauses" })
             .observe(held_ms as f64 / 1_000.0);
         Err(self.give_up(attempts, "its prompt would make streams pause for too long"))
     }
 
-    /// Sends the request behind others if its account uses more than its share of the engine, which lengthens its wait.
-    fn apply_share(&self, choice: &mut Choice, load: &EngineLoad) {
+    /// Notes whether the account uses more than its share of the engine. If so, the request goes behind others there, which
+    /// lengthens the estimate.
+    fn note_share(&self, choice: &mut Choice, load: &EngineLoad) {
         if !load.is_over_share {
             return;
         }
--- a/trackfrontd/src/serving/pipeline/permit.rs
+++ b/trackfrontd/src/serving/pipeline/permit.rs
@@ -17,7 +17,7 @@
 /// The multiple of the estimated answer time that must be left after the wait for a permit.
 const MIN_ESTIMATES_LEFT: u32 = 2;
 
-/// A chosen server, and the permit for it if one had to be awaited.
+/// A chosen server, with what is known about sending there.
 pub struct Chosen {
     /// The chosen server.
     pub choice: Choice,
@@ -57,6 +57,7 @@
     pub async fn choose_with_permit(&self, tried: &[BackendId]) -> Option<Chosen> {
         for _ in 0..MAX_PERMITS_REFUSED {
             let choice = self.choose(tried).ok()?;
+            // A resumed stream is not held for the pauses of others: its client waits in the midst of an answer.
             let chosen = self.choose_coordinated(Chosen::new(choice, None), tried).await;
             match self.acquire_permit(&chosen.choice, Duration::ZERO).await {
                 Ok(permit) => return Some(Chosen { permit, ..chosen }),
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -247,7 +247,7 @@
             match self.next_piece().await {
                 Next::Piece(piece) => {
                     // It may be the first one of a server that continues the stream.
-                    self.guard.declare_event();
+                    self.guard.declare_first_event();
                     return Some(Ok(piece));
                 }
                 Next::End => {
