--- a/trackfront_core/src/serving/forecast.rs
+++ b/trackfront_core/src/serving/forecast.rs
@@ -4,6 +4,10 @@
 //! times gives the fraction of admitted requests that will be in time; without it, the risk of an
 //! estimate just under the limit would be a guess.
 
+use std::time::Duration;
+
+use crate::units::Moment;
+
 /// The resolution: a quarter of a doubling.
 const BINS_PER_DOUBLING: f64 = 4.0;
 
@@ -27,13 +31,25 @@
 #[derive(Clone, Debug)]
 pub struct Forecast {
     bins: [f64; BINS],
+    recorded_at: Option<Moment>,
+}
+
+/// The probability of an answer in time, and the evidence on which it rests.
+#[derive(Clone, Copy, Debug)]
+pub struct Chance {
+    /// The probability, from 0 to 1.
+    pub probability: f64,
+    /// The weight of the answers that it was learned from, in answers.
+    pub answers: f64,
+    /// The time since the last of them; `None` before the first.
+    pub age: Option<Duration>,
 }
 
 impl Default for Forecast {
     fn default() -> Self {
         let mut bins = [0.0; BINS];
         bins[bin(0.0, 0.0)] = PRIOR_WEIGHT;
-        Self { bins }
+        Self { bins, recorded_at: None }
     }
 }
 
@@ -46,20 +62,23 @@
 
 impl Forecast {
     /// Records that an answer expected after `expected_ms` came after `actual_ms`.
-    pub fn record(&mut self, expected_ms: f64, actual_ms: f64) {
+    pub fn record(&mut self, expected_ms: f64, actual_ms: f64, now: Moment) {
+        self.recorded_at = Some(now);
         for count in &mut self.bins {
             *count *= DECAY_PER_ANSWER;
         }
         self.bins[bin(expected_ms, actual_ms)] += 1.0;
     }
 
-    /// Returns the probability, from 0 to 1, that an answer expected after `expected_ms` comes within
-    /// `limit_ms`.
-    pub fn within(&self, expected_ms: f64, limit_ms: f64) -> f64 {
+    /// Returns the chance that an answer expected after `expected_ms` comes within `limit_ms`.
+    pub fn within(&self, expected_ms: f64, limit_ms: f64, now: Moment) -> Chance {
         let last = bin(expected_ms, limit_ms);
         let within: f64 = self.bins[..last].iter().sum();
+        let all: f64 = self.bins.iter().sum();
         // Half of the limit's own bin counts as within.
-        (within + self.bins[last] / 2.0) / self.bins.iter().sum::<f64>()
+        let probability = (within + self.bins[last] / 2.0) / all;
+        let age = self.recorded_at.map(|at| now.since(at));
+        Chance { probability, answers: all, age }
     }
 }
 
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -10,7 +10,7 @@
 
 use crate::ids::{BackendId, ModelName};
 use crate::serving::decode_speed::DecodeSpeeds;
-use crate::serving::forecast::Forecasts;
+use crate::serving::forecast::{Chance, Forecasts};
 pub use crate::serving::in_flight::{InFlight, RANKS, RankInFlight};
 use crate::units::Moment;
 
@@ -287,17 +287,18 @@
         self.decode_speeds.token_ms(model) * f64::from(tokens)
     }
 
-    /// Returns the probability, from 0 to 1, that an answer expected after `estimate` arrives within
-    /// `limit`. With `of_model` this is the answer's first event, else the whole answer of a plain service.
-    pub fn probability_within(
+    /// Returns the chance that an answer expected after `estimate` arrives within `limit`. With `of_model`
+    /// this is the answer's first event, else the whole answer of a plain service.
+    pub fn chance_within(
         &mut self,
         of_model: bool,
         has_slot: bool,
         estimate: Duration,
         limit: Duration,
-    ) -> f64 {
+        now: Moment,
+    ) -> Chance {
         let forecast = self.forecasts.of(of_model, has_slot);
-        forecast.within(estimate.as_secs_f64() * 1_000.0, limit.as_secs_f64() * 1_000.0)
+        forecast.within(estimate.as_secs_f64() * 1_000.0, limit.as_secs_f64() * 1_000.0, now)
     }
 
     /// Counts a request in flight at a server that runs `slots` requests at once.
@@ -339,7 +340,7 @@
         tracked.first_event = Some(now);
         self.server(&tracked.server.clone()).mark_reachable();
         let took_ms = now.since(tracked.began).as_secs_f64() * 1_000.0;
-        self.forecasts.of(true, tracked.had_slot).record(tracked.expected_ms, took_ms);
+        self.forecasts.of(true, tracked.had_slot).record(tracked.expected_ms, took_ms, now);
         // With a wait for a slot, the time to the first event says nothing about the prefill speed.
         let Some(model) = tracked.model.as_ref().filter(|_| tracked.had_slot) else {
             return;
@@ -357,7 +358,7 @@
         let took_ms = now.since(tracked.began).as_secs_f64() * 1_000.0;
         let plain = tracked.model.is_none();
         if plain && outcome == AttemptOutcome::Answered {
-            self.forecasts.of(false, tracked.had_slot).record(tracked.expected_ms, took_ms);
+            self.forecasts.of(false, tracked.had_slot).record(tracked.expected_ms, took_ms, now);
         }
         if outcome == AttemptOutcome::Answered
             && let (Some(model), Some(first)) = (&tracked.model, tracked.first_event)
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 use trackfront_core::serving::choice::Choice;
+use trackfront_core::serving::forecast::Chance;
 use trackfront_core::serving::request::Refusal;
 
 use super::{Attempts, Job};
@@ -64,9 +65,39 @@
     fn is_likely_in_time(&self, choice: &Choice, now: Instant) -> bool {
         let left = self.time_for_first_event(now).min(self.answer_by - now);
         let has_slot = choice.requests < choice.server.entry.slots;
+        let of_model = self.info.model.is_some();
         let mut loads = self.node.loads.lock();
-        loads.probability_within(self.info.model.is_some(), has_slot, choice.estimate, left)
-            >= MIN_CHANCE_IN_TIME
+        let chance =
+            loads.chance_within(of_model, has_slot, choice.estimate, left, self.node.now());
+        let call_ms = loads.server(&choice.server.entry.id).mean_call_ms();
+        drop(loads);
+        let is_likely = chance.probability >= MIN_CHANCE_IN_TIME;
+        if !is_likely {
+            self.log_unlikely(choice, left, call_ms, chance);
+        }
+        is_likely
+    }
+
+    fn log_unlikely(&self, choice: &Choice, left: Duration, call_ms: f64, chance: Chance) {
+        let work_ms = match self.info.model {
+            Some(_) => self.prefill_time().as_millis() as u64,
+            None => call_ms as u64,
+        };
+        let (request, server) = (&self.info.id, &choice.server.entry.id);
+        log::info!(
+            request:%,
+            server:%,
+            estimate_ms = choice.estimate.as_millis() as u64,
+            left_ms = left.as_millis() as u64,
+            requests = choice.requests,
+            waiting = choice.waiting,
+            slots = choice.server.entry.slots,
+            work_ms,
+            chance = (chance.probability * 100.0).round() / 100.0,
+            answers = chance.answers.round() as u64,
+            newest_ms = chance.age.map_or(-1, |age| age.as_millis() as i64);
+            "not likely in time"
+        );
     }
 
     /// Returns the time within which an answer must be likely: what is left of the target since the
