--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -52,6 +52,33 @@
 /// The time in which the failure rate halves without requests.
 const FAILURE_RATE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// The minimum probability of an answer in time for a request to be admitted. A request that is
+/// more likely to be late would also delay those queued behind it, and its client is better off
+/// retrying later.
+const MIN_CHANCE_IN_TIME: f64 = 0.5;
+
+/// A request that is admitted if its answer is likely in time.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionQuestion {
+    /// Whether the time is that to the first event of an engine's answer, else to the whole answer of a plain service.
+    pub of_model: bool,
+    /// Whether the chosen server has a free slot, as far as known.
+    pub has_slot: bool,
+    /// The estimated time.
+    pub estimate: Duration,
+    /// The time that is left for it.
+    pub limit: Duration,
+}
+
+/// Whether a request is admitted, and why.
+#[derive(Clone, Copy, Debug)]
+pub struct Admission {
+    /// Whether it is.
+    pub is_admitted: bool,
+    /// The chance of an answer in time.
+    pub chance: Chance,
+}
+
 /// The work that a request means for an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
@@ -287,18 +314,12 @@
         self.decode_speeds.token_ms(model) * f64::from(tokens)
     }
 
-    /// Returns the chance that an answer expected after `estimate` arrives within `limit`. With `of_model`
-    /// this is the answer's first event, else the whole answer of a plain service.
-    pub fn chance_within(
-        &mut self,
-        of_model: bool,
-        has_slot: bool,
-        estimate: Duration,
-        limit: Duration,
-        now: Moment,
-    ) -> Chance {
-        let forecast = self.forecasts.of(of_model, has_slot);
-        forecast.within(estimate.as_secs_f64() * 1_000.0, limit.as_secs_f64() * 1_000.0, now)
+    /// Decides whether a request is admitted, by the chance of an answer in time.
+    pub fn admit(&mut self, question: &AdmissionQuestion, now: Moment) -> Admission {
+        let forecast = self.forecasts.of(question.of_model, question.has_slot);
+        let (estimate, limit) = (as_ms(question.estimate), as_ms(question.limit));
+        let chance = forecast.within(estimate, limit, now);
+        Admission { is_admitted: chance.probability >= MIN_CHANCE_IN_TIME, chance }
     }
 
     /// Counts a request in flight at a server that runs `slots` requests at once.
@@ -470,3 +491,7 @@
         own.subtract(&RankInFlight { prefill_ms, ..RankInFlight::default() });
     }
 }
+
+fn as_ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -23,7 +23,7 @@
 
 /// State of servers beside their rows, and open connections.
 #[derive(Default)]
-struct TestView {
+pub struct TestView {
     withdrawn: HashSet<(String, ModelRef)>,
     added: HashSet<(String, ModelRef)>,
     connected: HashSet<String>,
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -5,15 +5,11 @@
 use tokio::time::Instant;
 use trackfront_core::serving::choice::Choice;
 use trackfront_core::serving::forecast::Chance;
+use trackfront_core::serving::load::AdmissionQuestion;
 use trackfront_core::serving::request::Refusal;
 
 use super::{Attempts, Job};
 
-/// The minimum probability of an answer in time for a request to be admitted. A request that is
-/// more likely to be late would also delay those queued behind it, and its client is better off
-/// retrying later.
-const MIN_CHANCE_IN_TIME: f64 = 0.5;
-
 /// The share of the target within which an answer must be likely for a retried request that is
 /// already late. In four pairs of days of 90 boxes with bursts, 4 to 12 in 100 more of
 /// the owed plain calls were answered in time, and 2 to 4 in 100 more of the streams with a target
@@ -63,19 +59,20 @@
     /// Returns whether the chosen server is more likely than not to answer in time, by the errors
     /// of recent estimates.
     fn is_likely_in_time(&self, choice: &Choice, now: Instant) -> bool {
-        let left = self.time_for_first_event(now).min(self.answer_by - now);
-        let has_slot = choice.requests < choice.server.entry.slots;
-        let of_model = self.info.model.is_some();
+        let question = AdmissionQuestion {
+            of_model: self.info.model.is_some(),
+            has_slot: choice.requests < choice.server.entry.slots,
+            estimate: choice.estimate,
+            limit: self.time_for_first_event(now).min(self.answer_by - now),
+        };
         let mut loads = self.node.loads.lock();
-        let chance =
-            loads.chance_within(of_model, has_slot, choice.estimate, left, self.node.now());
+        let admission = loads.admit(&question, self.node.now());
         let call_ms = loads.server(&choice.server.entry.id).mean_call_ms();
         drop(loads);
-        let is_likely = chance.probability >= MIN_CHANCE_IN_TIME;
-        if !is_likely {
-            self.log_unlikely(choice, left, call_ms, chance);
+        if !admission.is_admitted {
+            self.log_unlikely(choice, question.limit, call_ms, admission.chance);
         }
-        is_likely
+        admission.is_admitted
     }
 
     fn log_unlikely(&self, choice: &Choice, left: Duration, call_ms: f64, chance: Chance) {
