--- a/trackfront_core/tests/serving/admission.rs
+++ b/trackfront_core/tests/serving/admission.rs
@@ -320,9 +320,8 @@
                 reading.push_back((tracked, now, read_until));
             }
         }
-        while let Some((mut tracked, sent_at, _)) =
-            reading.pop_front_if(|(_, _, ends)| *ends <= now)
-        {
+        while reading.front().is_some_and(|(_, _, ends)| *ends <= now) {
+            let (mut tracked, sent_at, _) = reading.pop_front().expect("there is one");
             loads.first_event(&mut tracked, at(now));
             loads.end(tracked, AttemptOutcome::Answered, at(now));
             in_time += u32::from(now - sent_at <= FIRST_EVENT_TARGET.as_millis() as u64);
