--- a/trackfront_core/src/serving/forecast.rs
+++ b/trackfront_core/src/serving/forecast.rs
@@ -4,6 +4,7 @@
 //! times gives the fraction of admitted requests that will be in time; without it, the risk of an
 //! estimate just under the limit would be a guess.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::units::Moment;
@@ -20,7 +21,11 @@
 /// The factor on the weight of earlier answers with each new one: the last 200 or so count.
 const DECAY_PER_ANSWER: f64 = 0.995;
 
-/// The weight of exact estimates that are assumed before the first answer.
+/// The time in which answers lose half of their weight: the errors come mostly from load that a box does not know of,
+/// and that load changes.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// The weight of exact estimates that is assumed beside the answers.
 const PRIOR_WEIGHT: f64 = 10.0;
 
 /// Added to both times, in milliseconds, because smaller differences are no error of the estimate:
@@ -30,6 +35,7 @@
 /// The ratios of actual to expected times, the latest with the most weight.
 #[derive(Clone, Debug)]
 pub struct Forecast {
+    /// The weight of the answers by ratio, as of `recorded_at`.
     bins: [f64; BINS],
     recorded_at: Option<Moment>,
 }
@@ -47,9 +53,7 @@
 
 impl Default for Forecast {
     fn default() -> Self {
-        let mut bins = [0.0; BINS];
-        bins[bin(0.0, 0.0)] = PRIOR_WEIGHT;
-        Self { bins, recorded_at: None }
+        Self { bins: [0.0; BINS], recorded_at: None }
     }
 }
 
@@ -61,24 +65,37 @@
 }
 
 impl Forecast {
-    /// Records that an answer expected after `expected_ms` came after `actual_ms`.
-    pub fn record(&mut self, expected_ms: f64, actual_ms: f64, now: Moment) {
-        self.recorded_at = Some(now);
+    /// Records that an answer expected after `expected_ms` came after `actual_ms`. It counts as `weight` answers.
+    pub fn record(&mut self, expected_ms: f64, actual_ms: f64, weight: f64, now: Moment) {
+        let remaining = DECAY_PER_ANSWER.powf(weight) * self.aging(now);
         for count in &mut self.bins {
-            *count *= DECAY_PER_ANSWER;
+            *count *= remaining;
         }
-        self.bins[bin(expected_ms, actual_ms)] += 1.0;
+        self.bins[bin(expected_ms, actual_ms)] += weight;
+        self.recorded_at = Some(now);
     }
 
     /// Returns the chance that an answer expected after `expected_ms` comes within `limit_ms`.
     pub fn within(&self, expected_ms: f64, limit_ms: f64, now: Moment) -> Chance {
         let last = bin(expected_ms, limit_ms);
-        let within: f64 = self.bins[..last].iter().sum();
-        let all: f64 = self.bins.iter().sum();
+        let aging = self.aging(now);
+        let answers = self.bins.iter().sum::<f64>() * aging;
         // Half of the limit's own bin counts as within.
-        let probability = (within + self.bins[last] / 2.0) / all;
+        let within = (self.bins[..last].iter().sum::<f64>() + self.bins[last] / 2.0) * aging;
+        let exact = match last.cmp(&bin(0.0, 0.0)) {
+            Ordering::Less => 0.0,
+            Ordering::Equal => PRIOR_WEIGHT / 2.0,
+            Ordering::Greater => PRIOR_WEIGHT,
+        };
+        let probability = (within + exact) / (answers + PRIOR_WEIGHT);
         let age = self.recorded_at.map(|at| now.since(at));
-        Chance { probability, answers: all, age }
+        Chance { probability, answers, age }
+    }
+
+    /// Returns the share of their weight that the answers have kept since the last one.
+    fn aging(&self, now: Moment) -> f64 {
+        let elapsed = self.recorded_at.map_or(Duration::ZERO, |at| now.since(at));
+        0.5f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 }
 
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -9,8 +9,11 @@
 use std::time::Duration;
 
 use crate::ids::{BackendId, ModelName};
+use crate::serving::admission::{
+    Admission, AdmissionQuestion, MIN_CHANCE_IN_TIME, TRIAL_WEIGHT, Trials,
+};
 use crate::serving::decode_speed::DecodeSpeeds;
-use crate::serving::forecast::{Chance, Forecasts};
+use crate::serving::forecast::Forecasts;
 pub use crate::serving::in_flight::{InFlight, RANKS, RankInFlight};
 use crate::units::Moment;
 
@@ -52,33 +55,6 @@
 /// The time in which the failure rate halves without requests.
 const FAILURE_RATE_HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// The minimum probability of an answer in time for a request to be admitted. A request that is
-/// more likely to be late would also delay those queued behind it, and its client is better off
-/// retrying later.
-const MIN_CHANCE_IN_TIME: f64 = 0.5;
-
-/// A request that is admitted if its answer is likely in time.
-#[derive(Clone, Copy, Debug)]
-pub struct AdmissionQuestion {
-    /// Whether the time is that to the first event of an engine's answer, else to the whole answer of a plain service.
-    pub of_model: bool,
-    /// Whether the chosen server has a free slot, as far as known.
-    pub has_slot: bool,
-    /// The estimated time.
-    pub estimate: Duration,
-    /// The time that is left for it.
-    pub limit: Duration,
-}
-
-/// Whether a request is admitted, and why.
-#[derive(Clone, Copy, Debug)]
-pub struct Admission {
-    /// Whether it is.
-    pub is_admitted: bool,
-    /// The chance of an answer in time.
-    pub chance: Chance,
-}
-
 /// The work that a request means for an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
@@ -135,6 +111,7 @@
     failure_rate: f64,
     failure_rate_at: Moment,
     mean_call_ms: Option<f64>,
+    trials: Trials,
 }
 
 impl ServerLoad {
@@ -242,6 +219,8 @@
     expected_prefill_ms: f64,
     /// The time to the first event as estimated when the server was chosen, which considers more.
     expected_ms: f64,
+    /// The number of requests for which its answer counts.
+    weight: f64,
     /// Whether a slot was free, so that the time to the first event is the prefill time.
     had_slot: bool,
     began: Moment,
@@ -259,9 +238,11 @@
         self.expected_ms
     }
 
-    /// Sets the time to the first event that was estimated when the server was chosen.
-    pub fn set_estimate(&mut self, estimate: Duration) {
-        self.expected_ms = estimate.as_secs_f64() * 1_000.0;
+    /// Sets the time to the first event that was estimated when the server was chosen, and the number of requests for
+    /// which the answer counts.
+    pub fn set_estimate(&mut self, estimate: Duration, weight: f64) {
+        self.expected_ms = as_ms(estimate);
+        self.weight = weight;
     }
 }
 
@@ -315,11 +296,19 @@
     }
 
     /// Decides whether a request is admitted, by the chance of an answer in time.
-    pub fn admit(&mut self, question: &AdmissionQuestion, now: Moment) -> Admission {
+    pub fn admit(&mut self, question: &AdmissionQuestion<'_>, now: Moment) -> Admission {
         let forecast = self.forecasts.of(question.of_model, question.has_slot);
         let (estimate, limit) = (as_ms(question.estimate), as_ms(question.limit));
         let chance = forecast.within(estimate, limit, now);
-        Admission { is_admitted: chance.probability >= MIN_CHANCE_IN_TIME, chance }
+        if chance.probability >= MIN_CHANCE_IN_TIME {
+            return Admission { is_likely: true, is_admitted: true, answer_weight: 1.0, chance };
+        }
+        let server = self.server(question.server);
+        // Otherwise answers to this box's own requests are on their way.
+        let is_untested = question.has_slot || server.own.requests() == 0;
+        let may_be_trial = question.may_be_trial && is_untested;
+        let is_admitted = may_be_trial && server.trials.take(question.boxes, now);
+        Admission { is_likely: false, is_admitted, answer_weight: TRIAL_WEIGHT, chance }
     }
 
     /// Counts a request in flight at a server that runs `slots` requests at once.
@@ -349,6 +338,7 @@
             output_tokens: work.output_tokens,
             expected_prefill_ms,
             expected_ms: expected_prefill_ms,
+            weight: 1.0,
             had_slot: total.requests() < slots,
             began: now,
             first_event: None,
@@ -361,14 +351,20 @@
         tracked.first_event = Some(now);
         self.server(&tracked.server.clone()).mark_reachable();
         let took_ms = now.since(tracked.began).as_secs_f64() * 1_000.0;
-        self.forecasts.of(true, tracked.had_slot).record(tracked.expected_ms, took_ms, now);
+        self.forecasts.of(true, tracked.had_slot).record(
+            tracked.expected_ms,
+            took_ms,
+            tracked.weight,
+            now,
+        );
         // With a wait for a slot, the time to the first event says nothing about the prefill speed.
         let Some(model) = tracked.model.as_ref().filter(|_| tracked.had_slot) else {
             return;
         };
         let (low, high) = RATIO_BOUNDS;
         let ratio = (took_ms / tracked.expected_prefill_ms.max(1.0)).clamp(low, high);
-        let ms_per_token = self.prefill_ms_per_token(model) * (1.0 + MEAN_WEIGHT * (ratio - 1.0));
+        let ms_per_token =
+            self.prefill_ms_per_token(model) * (1.0 + mean_weight(tracked.weight) * (ratio - 1.0));
         let (low, high) = PREFILL_MS_PER_TOKEN_BOUNDS;
         self.prefill_ms_per_token.insert(model.clone(), ms_per_token.clamp(low, high));
     }
@@ -379,7 +375,12 @@
         let took_ms = now.since(tracked.began).as_secs_f64() * 1_000.0;
         let plain = tracked.model.is_none();
         if plain && outcome == AttemptOutcome::Answered {
-            self.forecasts.of(false, tracked.had_slot).record(tracked.expected_ms, took_ms, now);
+            self.forecasts.of(false, tracked.had_slot).record(
+                tracked.expected_ms,
+                took_ms,
+                tracked.weight,
+                now,
+            );
         }
         if outcome == AttemptOutcome::Answered
             && let (Some(model), Some(first)) = (&tracked.model, tracked.first_event)
@@ -396,9 +397,10 @@
                 load.mark_reachable();
                 load.record_result(false, now);
                 if plain {
+                    let weight = mean_weight(tracked.weight);
                     let mean = load
                         .mean_call_ms
-                        .map_or(took_ms, |before| before + MEAN_WEIGHT * (took_ms - before));
+                        .map_or(took_ms, |before| before + weight * (took_ms - before));
                     load.mean_call_ms = Some(mean);
                 }
             }
@@ -495,3 +497,8 @@
 fn as_ms(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
+
+/// Returns the weight in a running mean of a measurement that counts as so many.
+fn mean_weight(measurements: f64) -> f64 {
+    1.0 - (1.0 - MEAN_WEIGHT).powf(measurements)
+}
--- a/trackfront_core/tests/serving/admission.rs
+++ b/trackfront_core/tests/serving/admission.rs
@@ -10,12 +10,13 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use trackfront_core::serving::admission::AdmissionQuestion;
 use trackfront_core::serving::affinity::PrefixIndex;
 use trackfront_core::serving::choice::{Choice, Query, choose};
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::halls::{AllowedHalls, Evacuations};
 use trackfront_core::serving::load::{
-    AdmissionQuestion, AttemptOutcome, LoadTracker, ReportedLoad, TrackedRequest, Work,
+    AttemptOutcome, LoadTracker, ReportedLoad, TrackedRequest, Work,
 };
 use trackfront_core::serving::request::RequestInfo;
 use trackfront_core::serving::sampling::sample_servers;
@@ -68,8 +69,12 @@
 }
 
 impl Second {
+    /// Returns the share that was in time: all, if no request came.
     fn share_in_time(self) -> f64 {
-        f64::from(self.in_time) / f64::from(self.read.max(1))
+        if self.read == 0 {
+            return 1.0;
+        }
+        f64::from(self.in_time) / f64::from(self.read)
     }
 }
 
@@ -174,18 +179,22 @@
         self.seconds.last_mut().expect("a second").read += 1;
         let choice = self.choose(from);
         let question = AdmissionQuestion {
+            server: &choice.server.entry.id,
+            boxes: self.boxes.len(),
+            may_be_trial: true,
             of_model: false,
             has_slot: choice.requests < choice.server.entry.slots,
             estimate: choice.estimate,
             limit: TARGET,
         };
         let loads = &mut self.boxes[from];
-        if !loads.admit(&question, now).is_admitted {
+        let admission = loads.admit(&question, now);
+        if !admission.is_admitted {
             return;
         }
         let id = &choice.server.entry.id;
         let mut tracked = loads.begin(id, SLOTS as u32, None, Work::default(), now);
-        tracked.set_estimate(choice.estimate);
+        tracked.set_estimate(choice.estimate, admission.answer_weight);
         let index = self.known.iter().position(|known| known.entry.id == *id).expect("the server");
         let call = Call { from, tracked, sent: self.now, ends: None };
         if self.servers[index].waiting.len() >= MAX_QUEUED {
@@ -307,15 +316,19 @@
             sent += 1;
             let choice = choose_among(&servers, &request, loads, at(now));
             let question = AdmissionQuestion {
+                server: &choice.server.entry.id,
+                boxes: 1,
+                may_be_trial: true,
                 of_model: true,
                 has_slot: true,
                 estimate: choice.estimate,
                 limit: FIRST_EVENT_TARGET,
             };
-            if loads.admit(&question, at(now)).is_admitted {
+            let admission = loads.admit(&question, at(now));
+            if admission.is_admitted {
                 let id = &servers[0].entry.id;
                 let mut tracked = loads.begin(id, ENGINE_SLOTS, Some(&model), work, at(now));
-                tracked.set_estimate(choice.estimate);
+                tracked.set_estimate(choice.estimate, admission.answer_weight);
                 read_until = read_until.max(now) + PREFILL_MS * slowness;
                 reading.push_back((tracked, now, read_until));
             }
--- a/trackfront_core/tests/serving/forecast.rs
+++ b/trackfront_core/tests/serving/forecast.rs
@@ -21,7 +21,7 @@
 fn systematic_delay_is_expected_again() {
     let mut forecast = Forecast::default();
     for _ in 0..2_000 {
-        forecast.record(100.0, 200.0, NOW);
+        forecast.record(100.0, 200.0, 1.0, NOW);
     }
     assert!(within(&forecast, 100.0, 120.0) < 0.05);
     assert!(within(&forecast, 100.0, 300.0) > 0.95);
@@ -31,7 +31,7 @@
 fn probability_is_the_fraction_that_was_in_time() {
     let mut forecast = Forecast::default();
     for round in 0..4_000 {
-        forecast.record(100.0, if round % 4 == 0 { 600.0 } else { 80.0 }, NOW);
+        forecast.record(100.0, if round % 4 == 0 { 600.0 } else { 80.0 }, 1.0, NOW);
     }
     let probability = within(&forecast, 100.0, 200.0);
     assert!((probability - 0.75).abs() < 0.05, "{probability}");
@@ -41,7 +41,7 @@
 fn few_milliseconds_on_an_idle_server_are_no_error() {
     let mut forecast = Forecast::default();
     for _ in 0..2_000 {
-        forecast.record(1.0, 6.0, NOW);
+        forecast.record(1.0, 6.0, 1.0, NOW);
     }
     assert!(within(&forecast, 100.0, 130.0) > 0.4);
 }
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use trackfront_core::serving::admission::{Admission, AdmissionQuestion};
 use trackfront_core::serving::choice::Choice;
-use trackfront_core::serving::forecast::Chance;
-use trackfront_core::serving::load::AdmissionQuestion;
 use trackfront_core::serving::request::Refusal;
 
-use super::{Attempts, Job};
+use super::{Attempts, Chosen, Job};
 
 /// The share of the target within which an answer must be likely for a retried request that is
 /// already late. In four pairs of days of 90 boxes with bursts, 4 to 12 in 100 more of
@@ -29,7 +28,11 @@
 impl Job {
     /// Refuses a request that is unlikely to be answered in time, and a retry that the retry budget
     /// doesn't allow.
-    pub(super) fn check_choice(&self, choice: &Choice, attempts: &mut Attempts) -> Option<Refusal> {
+    pub(super) fn check_choice(
+        &self,
+        chosen: &mut Chosen,
+        attempts: &mut Attempts,
+    ) -> Option<Refusal> {
         let now = self.request_time();
         if now >= self.answer_by {
             return Some(self.give_up(attempts, "its time ran out"));
@@ -37,10 +40,11 @@
         // A request that may have run is retried as long as there is time, since its client cannot
         // retry it.
         let has_not_run = attempts.may_have_run.is_none() && attempts.failure.is_none();
-        if has_not_run && !self.is_likely_in_time(choice, now) {
+        if has_not_run && !self.is_admitted(chosen, now) {
             self.count_saturation(true);
+            let estimate = chosen.choice.estimate;
             let retry_after =
-                self.retry_after_wait(choice.estimate.saturating_sub(self.route.latency_target));
+                self.retry_after_wait(estimate.saturating_sub(self.route.latency_target));
             return Some(Refusal::NoServer { cause: "none is free in time", retry_after });
         }
         if attempts.servers.is_empty() {
@@ -56,43 +60,59 @@
         None
     }
 
-    /// Returns whether the chosen server is more likely than not to answer in time, by the errors
-    /// of recent estimates.
-    fn is_likely_in_time(&self, choice: &Choice, now: Instant) -> bool {
+    /// Returns whether the request is sent to the chosen server: its answer is more likely than not to be in time, by the
+    /// errors of recent estimates, or it is a trial of that.
+    fn is_admitted(&self, chosen: &mut Chosen, now: Instant) -> bool {
+        let choice = &chosen.choice;
+        let server = &choice.server.entry;
+        let checked_at = self.node.now();
+        let boxes = self.node.peers.lock().budget_box_count(checked_at);
         let question = AdmissionQuestion {
+            server: &server.id,
+            boxes,
+            may_be_trial: self.since_first_try.is_zero(),
             of_model: self.info.model.is_some(),
-            has_slot: choice.requests < choice.server.entry.slots,
+            has_slot: choice.requests < server.slots.max(1),
             estimate: choice.estimate,
             limit: self.time_for_first_event(now).min(self.answer_by - now),
         };
         let mut loads = self.node.loads.lock();
-        let admission = loads.admit(&question, self.node.now());
-        let call_ms = loads.server(&choice.server.entry.id).mean_call_ms();
+        let admission = loads.admit(&question, checked_at);
+        let call_ms = loads.server(&server.id).mean_call_ms();
         drop(loads);
-        if !admission.is_admitted {
-            self.log_unlikely(choice, question.limit, call_ms, admission.chance);
+        if !admission.is_likely {
+            self.log_unlikely(&question, choice, call_ms, &admission);
         }
+        chosen.answer_weight = admission.answer_weight;
         admission.is_admitted
     }
 
-    fn log_unlikely(&self, choice: &Choice, left: Duration, call_ms: f64, chance: Chance) {
+    fn log_unlikely(
+        &self,
+        question: &AdmissionQuestion<'_>,
+        choice: &Choice,
+        call_ms: f64,
+        admission: &Admission,
+    ) {
         let work_ms = match self.info.model {
             Some(_) => self.prefill_time().as_millis() as u64,
             None => call_ms as u64,
         };
-        let (request, server) = (&self.info.id, &choice.server.entry.id);
+        let (request, server) = (&self.info.id, question.server);
+        let chance = &admission.chance;
         log::info!(
             request:%,
             server:%,
-            estimate_ms = choice.estimate.as_millis() as u64,
-            left_ms = left.as_millis() as u64,
+            estimate_ms = question.estimate.as_millis() as u64,
+            left_ms = question.limit.as_millis() as u64,
             requests = choice.requests,
             waiting = choice.waiting,
             slots = choice.server.entry.slots,
             work_ms,
             chance = (chance.probability * 100.0).round() / 100.0,
             answers = chance.answers.round() as u64,
-            newest_ms = chance.age.map_or(-1, |age| age.as_millis() as i64);
+            newest_ms = chance.age.map_or(-1, |age| age.as_millis() as i64),
+            is_trial = admission.is_admitted;
             "not likely in time"
         );
     }
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -218,7 +218,7 @@
             log::info!(request:% = self.info.id, server:% = server.id; "no room at brittle server");
             return SendOutcome::NoRoom;
         };
-        let mut guard = self.begin_send(choice, room);
+        let mut guard = self.begin_send(chosen, room);
         self.log_send(chosen, guard.expected_ms(), after_event.is_some());
         let purpose = self.purpose();
         let open = || reach::open(node, server, purpose);
@@ -416,7 +416,8 @@
         self.node.overlay.lock().record(server, item, EntryKind::Withdrawn, now);
     }
 
-    fn begin_send(&self, choice: &Choice, room: Option<RoomGrant>) -> SendGuard {
+    fn begin_send(&self, chosen: &Chosen, room: Option<RoomGrant>) -> SendGuard {
+        let choice = &chosen.choice;
         let node = self.node.clone();
         let (now, was_cut_off) = (node.now(), node.is_cut_off());
         let id = &choice.server.entry.id;
@@ -424,7 +425,7 @@
         let work = self.info.work(choice.cached_tokens, self.rank());
         let slots = choice.server.entry.slots.max(1);
         let mut tracked = node.loads.lock().begin(id, slots, model, work, now);
-        tracked.set_estimate(choice.estimate);
+        tracked.set_estimate(choice.estimate, chosen.answer_weight);
         if !self.prefixes.is_empty() {
             node.prompt_memory.lock().record_prefill(&self.prefixes, id, now);
         }
--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -47,7 +47,7 @@
         if let Some(load) = load {
             self.note_share(&mut choice, &load);
         }
-        Chosen { choice, permit: None, load, must_wait }
+        Chosen { load, must_wait, ..Chosen::new(choice, None) }
     }
 
     /// Waits a moment for an engine where the request would make streams pause for too long, or returns the refusal if it has
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -268,7 +268,7 @@
                 Err(refusal) => break refusal,
             }
         }
-        if let Some(refusal) = job.check_choice(&chosen.choice, &mut attempts) {
+        if let Some(refusal) = job.check_choice(&mut chosen, &mut attempts) {
             break refusal;
         }
         if chosen.permit.is_none() {
--- a/trackfrontd/src/serving/pipeline/permit.rs
+++ b/trackfrontd/src/serving/pipeline/permit.rs
@@ -27,12 +27,14 @@
     pub load: Option<EngineLoad>,
     /// Whether the request has to wait before it is sent there, so that streams do not pause for too long.
     pub must_wait: bool,
+    /// The number of requests for which the answer counts as evidence of the time that answers take.
+    pub answer_weight: f64,
 }
 
 impl Chosen {
     /// Creates a choice that was made without the load that a coordinator knows.
     pub fn new(choice: Choice, permit: Option<Permit>) -> Self {
-        Self { choice, permit, load: None, must_wait: false }
+        Self { choice, permit, load: None, must_wait: false, answer_weight: 1.0 }
     }
 }
 
