--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 //! [`crate::units`], [`crate::lease`] and, for the order of coordinators, [`crate::quota`].
 
 pub mod adapter_use;
+pub mod adapter_wait;
 pub mod admission;
 pub mod affinity;
 pub mod choice;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -5,6 +5,7 @@
 
     mod accounts;
     mod adapter_use;
+    mod adapter_wait;
     mod admission;
     mod affinity;
     mod choice;
--- a/trackfrontd/src/serving/missing_items.rs
+++ b/trackfrontd/src/serving/missing_items.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use trackfront_core::ids::BackendId;
+use trackfront_core::serving::adapter_wait::AdapterWait;
 use trackfront_core::serving::request::ModelRef;
 use trackfront_core::units::Moment;
 
@@ -26,16 +27,6 @@
 /// before the order.
 const REQUEST_TTL: Duration = Duration::from_secs(5);
 
-/// The assumed time until a requested adapter is loaded, before any measurement: an order, the
-/// load, and the messages of both.
-const INITIAL_ADAPTER_WAIT: Duration = Duration::from_millis(150);
-
-/// The weight of one measurement in the moving average of these times.
-const ADAPTER_WAIT_WEIGHT: f64 = 0.1;
-
-/// The multiple of the average for which an adapter is awaited.
-const ADAPTER_WAIT_FACTOR: f64 = 2.0;
-
 /// An item that is expected at an engine, in so many milliseconds from now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingItem {
@@ -45,7 +36,7 @@
 }
 
 /// The items that this box needs, and the boxes that need items from this one.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct MissingItems {
     /// The items missing at this box since it last reported them.
     missing_here: Mutex<BTreeSet<ModelRef>>,
@@ -55,19 +46,7 @@
     item_ordered: Notify,
     /// The items that were ordered since the requesting boxes were last informed.
     ordered: Mutex<BTreeSet<ModelRef>>,
-    adapter_wait_ms: Mutex<f64>,
-}
-
-impl Default for MissingItems {
-    fn default() -> Self {
-        Self {
-            missing_here: Mutex::default(),
-            requesters: Mutex::default(),
-            item_ordered: Notify::new(),
-            ordered: Mutex::default(),
-            adapter_wait_ms: Mutex::new(INITIAL_ADAPTER_WAIT.as_secs_f64() * 1_000.0),
-        }
-    }
+    adapter_wait: Mutex<AdapterWait>,
 }
 
 impl MissingItems {
@@ -82,14 +61,13 @@
     }
 
     /// Returns how long a request waits for an adapter that this box has just requested.
-    pub fn adapter_wait(&self) -> Duration {
-        Duration::from_secs_f64(*self.adapter_wait_ms.lock() * ADAPTER_WAIT_FACTOR / 1_000.0)
+    pub fn adapter_wait(&self, now: Moment) -> Duration {
+        self.adapter_wait.lock().longest(now)
     }
 
     /// Records how long an adapter took, or how long it was awaited in vain.
-    pub fn record_adapter_wait(&self, took: Duration) {
-        let mut mean = self.adapter_wait_ms.lock();
-        *mean += ADAPTER_WAIT_WEIGHT * (took.as_secs_f64() * 1_000.0 - *mean);
+    pub fn record_adapter_wait(&self, took: Duration, now: Moment) {
+        self.adapter_wait.lock().record(took, now);
     }
 }
 
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -116,7 +116,7 @@
                 (expected, expected + LOAD_REPORT_SLACK)
             }
             None if no_choice == NoChoice::NoAdapter => {
-                let until = self.arrived + self.node.missing_items.adapter_wait();
+                let until = self.arrived + self.node.missing_items.adapter_wait(self.node.now());
                 (until, until)
             }
             None => {
@@ -153,7 +153,7 @@
         };
         let took = began.elapsed();
         if no_choice == NoChoice::NoAdapter {
-            self.node.missing_items.record_adapter_wait(took);
+            self.node.missing_items.record_adapter_wait(took, self.node.now());
         }
         let kind = if succeeded { "came" } else { "did not come" };
         self.node.metrics.held.get_or_create(&KindLabel { kind }).observe(took.as_secs_f64());
