--- a/trackfront_core/src/serving/engine_speed.rs
+++ b/trackfront_core/src/serving/engine_speed.rs
@@ -28,7 +28,11 @@
 /// The factor on the weight of earlier measurements with each new one: the last 30 or so count.
 const DECAY: f64 = 0.97;
 
-/// The time in which measurements lose half of their weight: an engine that is avoided for its speed gets another chance.
+/// The time without measurements after which they begin to age.
+const AGES_AFTER: Duration = Duration::from_secs(2);
+
+/// The further time in which the lasting slowness comes down to its square root, and earlier measurements lose
+/// half of their weight: an engine that is avoided for its speed gets another chance.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// The speed of one engine.
@@ -67,11 +71,26 @@
     /// Returns the time that work takes at a pace of 1, as a factor on the usual time.
     pub(super) fn lasting_slowness(&self, now: Moment) -> f64 {
         let (low, high) = LASTING_BOUNDS;
-        let half_lives = now.since(self.learned_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let weight = 0.5f64.powf(half_lives);
-        let took_ms = self.took_ms * weight + PRIOR_WEIGHT_MS;
-        let expected_ms = self.expected_ms * weight + PRIOR_WEIGHT_MS;
-        (took_ms / expected_ms).clamp(low, high)
+        let took_ms = self.took_ms + PRIOR_WEIGHT_MS;
+        let expected_ms = self.expected_ms + PRIOR_WEIGHT_MS;
+        (took_ms / expected_ms).clamp(low, high).powf(self.kept(now))
+    }
+
+    /// Ages the measurements made so far, so that the next one does not make them count in full again.
+    fn age(&mut self, now: Moment) {
+        if self.expected_ms > 0.0 {
+            let kept = self.kept(now);
+            let slowness = (self.took_ms / self.expected_ms).powf(kept);
+            self.expected_ms *= kept;
+            self.took_ms = self.expected_ms * slowness;
+        }
+        self.learned_at = now;
+    }
+
+    /// Returns the share of their weight that measurements have kept since the last one.
+    fn kept(&self, now: Moment) -> f64 {
+        let aging = now.since(self.learned_at).saturating_sub(AGES_AFTER);
+        0.5f64.powf(aging.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 
     /// Returns the engine's work clock in milliseconds. At a pace of 2 it advances by one half of the time that passes.
@@ -106,9 +125,9 @@
         let lasting = self.lasting_slowness(now);
         let ratio = (took_ms / expected_ms).clamp(lasting / MAX_DEVIATION, lasting * MAX_DEVIATION);
         let weight_ms = expected_ms.min(MAX_WEIGHT_MS);
+        self.age(now);
         self.expected_ms = self.expected_ms * DECAY + weight_ms;
         self.took_ms = self.took_ms * DECAY + weight_ms * ratio;
-        self.learned_at = now;
     }
 
     fn pace(&self, now: Moment) -> Option<f64> {
--- a/trackfront_core/tests/serving/coordinated_load.rs
+++ b/trackfront_core/tests/serving/coordinated_load.rs
@@ -375,6 +375,19 @@
     assert!((slowness(600_000) - 1.0).abs() < 0.01);
 }
 
+/// Guards against an engine that is refused for a slowness that ended long ago: boxes send it nothing, so nothing is measured.
+#[test]
+fn engine_that_was_slow_long_ago_counts_as_less_so() {
+    let mut coordinator = LoadCoordinator::default();
+    let end = read(&mut coordinator, WARM_UP_MS, 100, 500);
+    assert!(load(&mut coordinator, end).slowness > 4.0);
+    let after_pause = load(&mut coordinator, end + 12_000).slowness;
+    assert!(after_pause < 2.5, "{after_pause}");
+    let end = read(&mut coordinator, end + 12_000, 1, 100);
+    let after_trial = load(&mut coordinator, end).slowness;
+    assert!(after_trial <= after_pause, "{after_trial}");
+}
+
 /// The times that the eight engines of one hall take, as factors on the usual time.
 const SLOWNESS: [f64; 8] = [0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7, 0.7];
 
