--- a/trackfront_core/src/serving/admission.rs
+++ b/trackfront_core/src/serving/admission.rs
@@ -2,7 +2,7 @@
 //!
 //! A request whose answer is not likely in time is refused. What makes an answer unlikely was learned from earlier answers,
 //! and a box that refuses everything gets none, so what it learned would stay as it is. So a part of what would be refused
-//! is sent as a trial, unless answers to other requests of this box are on their way. The answer to a trial counts
+//! for that is sent as a trial. The answer to a trial counts
 //! for all requests that it stands for: evidence comes as fast as if all had been sent.
 
 use std::time::Duration;
@@ -16,8 +16,7 @@
 /// retrying later.
 pub(super) const MIN_CHANCE_IN_TIME: f64 = 0.5;
 
-/// The share of the requests for a server with a free slot that are sent as trials although their answers are not likely
-/// in time.
+/// The share of the requests that would be refused that are sent as trials.
 ///
 /// Only answers show that a server has become faster, or that it has less to do than this box learned. A box that
 /// refused all requests would get none.
@@ -26,6 +25,10 @@
 /// The number of requests for which the answer to a trial counts: it stands for those that were refused beside it.
 pub(super) const TRIAL_WEIGHT: f64 = 1.0 / TRIAL_SHARE;
 
+/// The largest part of the limit that the known wait at an engine may take for a trial: behind a long queue of prompts a
+/// trial shows only what is known, and makes others wait.
+const MAX_WAIT_SHARE: f64 = 0.25;
+
 /// The trials a second of all boxes together at a server, beside that share: boxes with few requests learn soon, too.
 const TRIALS_PER_S: f64 = 4.0;
 
@@ -45,10 +48,23 @@
     pub has_slot: bool,
     /// The estimated time.
     pub estimate: Duration,
+    /// The part of it that is known to be spent on other requests.
+    pub wait: Duration,
     /// The time that is left for it.
     pub limit: Duration,
 }
 
+impl AdmissionQuestion<'_> {
+    /// Returns whether the request would be refused for what was learned, rather than for a load that is known now. `own`
+    /// is the number of this box's requests under way at the server: their answers will show what it can do.
+    pub(super) fn rests_on_old_evidence(&self, own: u32) -> bool {
+        match self.of_model {
+            true => self.wait <= self.limit.mul_f64(MAX_WAIT_SHARE),
+            false => self.has_slot || own == 0,
+        }
+    }
+}
+
 /// Whether a request is admitted, and why.
 #[derive(Clone, Copy, Debug)]
 pub struct Admission {
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -304,9 +304,8 @@
             return Admission { is_likely: true, is_admitted: true, answer_weight: 1.0, chance };
         }
         let server = self.server(question.server);
-        // Otherwise answers to this box's own requests are on their way.
-        let is_untested = question.has_slot || server.own.requests() == 0;
-        let may_be_trial = question.may_be_trial && is_untested;
+        let may_be_trial =
+            question.may_be_trial && question.rests_on_old_evidence(server.own.requests());
         let is_admitted = may_be_trial && server.trials.take(question.boxes, now);
         Admission { is_likely: false, is_admitted, answer_weight: TRIAL_WEIGHT, chance }
     }
--- a/trackfront_core/tests/serving/admission.rs
+++ b/trackfront_core/tests/serving/admission.rs
@@ -185,6 +185,7 @@
             of_model: false,
             has_slot: choice.requests < choice.server.entry.slots,
             estimate: choice.estimate,
+            wait: Duration::ZERO,
             limit: TARGET,
         };
         let loads = &mut self.boxes[from];
@@ -315,6 +316,8 @@
         if now < end && now % REQUEST_INTERVAL_MS == 0 {
             sent += 1;
             let choice = choose_among(&servers, &request, loads, at(now));
+            let own_ms = loads.prefill_ms_per_token(&model) * f64::from(PROMPT_TOKENS);
+            let own_prefill = Duration::from_secs_f64(own_ms / 1_000.0);
             let question = AdmissionQuestion {
                 server: &choice.server.entry.id,
                 boxes: 1,
@@ -322,6 +325,7 @@
                 of_model: true,
                 has_slot: true,
                 estimate: choice.estimate,
+                wait: choice.estimate.saturating_sub(own_prefill),
                 limit: FIRST_EVENT_TARGET,
             };
             let admission = loads.admit(&question, at(now));
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -74,6 +74,7 @@
             of_model: self.info.model.is_some(),
             has_slot: choice.requests < server.slots.max(1),
             estimate: choice.estimate,
+            wait: choice.estimate.saturating_sub(self.prefill_time(choice.cached_tokens)),
             limit: self.time_for_first_event(now).min(self.answer_by - now),
         };
         let mut loads = self.node.loads.lock();
@@ -95,7 +96,7 @@
         admission: &Admission,
     ) {
         let work_ms = match self.info.model {
-            Some(_) => self.prefill_time().as_millis() as u64,
+            Some(_) => self.prefill_time(choice.cached_tokens).as_millis() as u64,
             None => call_ms as u64,
         };
         let (request, server) = (&self.info.id, question.server);
@@ -144,15 +145,15 @@
         time_left.mul_f64(LATE_DEADLINE_SHARE).min(self.route.latency_target * LATE_TARGETS)
     }
 
-    /// Returns the expected time to the first event on an idle engine.
-    pub(super) fn prefill_time(&self) -> Duration {
+    /// Returns the expected time to the first event on an idle engine with so many tokens of the prompt in its cache; zero
+    /// for a plain service.
+    pub(super) fn prefill_time(&self, cached_tokens: u32) -> Duration {
         let Some(item) = &self.info.model else {
             return Duration::ZERO;
         };
-        let loads = self.node.loads.lock();
-        let prefill_ms =
-            f64::from(self.info.prompt_tokens) * loads.prefill_ms_per_token(&item.model);
-        Duration::from_secs_f64(prefill_ms / 1_000.0)
+        let tokens = self.info.work(cached_tokens, self.rank()).prompt_tokens;
+        let ms_per_token = self.node.loads.lock().prefill_ms_per_token(&item.model);
+        Duration::from_secs_f64(f64::from(tokens) * ms_per_token / 1_000.0)
     }
 
     /// Counts whether a server was free when the request arrived.
--- a/trackfrontd/src/serving/pipeline/hold.rs
+++ b/trackfrontd/src/serving/pipeline/hold.rs
@@ -129,7 +129,7 @@
             }
         };
         let latest = (self.arrived + self.route.latency_target).min(self.answer_by);
-        match expected + self.prefill_time() <= latest {
+        match expected + self.prefill_time(0) <= latest {
             true => Wait::For { expected, until: until.min(latest) },
             false => Wait::Nothing,
         }
@@ -140,7 +140,7 @@
     fn wait_until(&self, until: Moment) -> Wait {
         let expected = self.request_time() + self.spread(until.since(self.node.now()));
         let latest = (self.arrived + self.route.latency_target).min(self.answer_by);
-        match expected + self.prefill_time() <= latest {
+        match expected + self.prefill_time(0) <= latest {
             true => Wait::For { expected, until: expected },
             false => Wait::Nothing,
         }
