--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -62,8 +62,8 @@
     outbox_changed: Notify,
     /// Notified when a request is quarantined.
     quarantine_changed: Notify,
-    /// Requests that were released at this box, whose rows are to be removed.
-    rows_to_remove: Mutex<Vec<Fingerprint>>,
+    /// Requests that are no longer quarantined, whose rows may still be in the platform's table.
+    rows_to_remove: Mutex<HashSet<Fingerprint>>,
     /// Whether this box has loaded the requests that were quarantined before it started.
     is_loaded: AtomicBool,
 }
@@ -260,11 +260,30 @@
     }
 }
 
-/// Releases a quarantined request at all boxes. Returns whether it was quarantined.
-pub fn release(node: &ServingNode, fingerprint: Fingerprint) -> bool {
+/// What became of an operator's release of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReleaseOutcome {
+    /// It was not quarantined.
+    NotQuarantined,
+    /// It is released at the boxes, but its row may still be in the platform's table.
+    RowMayRemain,
+    /// It is released, and its row is gone.
+    Released,
+}
+
+/// Releases a quarantined request at all boxes, and waits until its row is removed: boxes have no disks, so a release
+/// that only they know of is lost if all lose power.
+pub async fn release(node: &ServingNode, fingerprint: Fingerprint) -> ReleaseOutcome {
     let change = node.crashes.tracker.lock().clear_suspicion(fingerprint, node.now());
     record(node, fingerprint, change, "an operator let it go");
-    change == SuspicionChange::Released
+    let is_pending = node.crashes.rows_to_remove.lock().contains(&fingerprint);
+    if change != SuspicionChange::Released && !is_pending {
+        return ReleaseOutcome::NotQuarantined;
+    }
+    match rows::remove_released(node, fingerprint).await {
+        true => ReleaseOutcome::Released,
+        false => ReleaseOutcome::RowMayRemain,
+    }
 }
 
 /// Merges the crash reports of another box.
@@ -320,7 +339,7 @@
     match change {
         SuspicionChange::Quarantined => broadcast_report(node, fingerprint),
         SuspicionChange::Released => {
-            node.crashes.rows_to_remove.lock().push(fingerprint);
+            node.crashes.rows_to_remove.lock().insert(fingerprint);
             broadcast_report(node, fingerprint);
         }
         _ => {
--- a/trackfrontd/src/serving/crashes/operators.rs
+++ b/trackfrontd/src/serving/crashes/operators.rs
@@ -5,11 +5,14 @@
 use trackfront_adapters::wire::held_off::{HELD_OFF_PATH, HeldOff, LET_GO_PATH};
 use trackfront_core::serving::fingerprint::Fingerprint;
 
-use super::release;
+use super::{ReleaseOutcome, release};
 use crate::serving::node::ServingNode;
 
+const ROW_MAY_REMAIN: &str = "it is let go at the boxes, but the platform's table did not remove its row: if all boxes \
+                              end before it does, it is held off again; call once more";
+
 /// Answers an operator's call; returns `None` if the path belongs to another interface.
-pub fn answer(node: &ServingNode, method: &Method, path: &str) -> Option<Response<Body>> {
+pub async fn answer(node: &ServingNode, method: &Method, path: &str) -> Option<Response<Body>> {
     if path == HELD_OFF_PATH {
         return Some(json(StatusCode::OK, &list(node)));
     }
@@ -17,10 +20,15 @@
     if method != Method::POST {
         return Some(refused(StatusCode::METHOD_NOT_ALLOWED, "letting go takes POST"));
     }
-    Some(match u64::from_str_radix(fingerprint, 16) {
-        Ok(number) if release(node, Fingerprint(number)) => json(StatusCode::OK, &list(node)),
-        Ok(_) => refused(StatusCode::NOT_FOUND, "no such request is held off; list them"),
-        Err(_) => refused(StatusCode::BAD_REQUEST, "a fingerprint has 16 hexadecimal digits"),
+    let Ok(number) = u64::from_str_radix(fingerprint, 16) else {
+        return Some(refused(StatusCode::BAD_REQUEST, "a fingerprint has 16 hexadecimal digits"));
+    };
+    Some(match release(node, Fingerprint(number)).await {
+        ReleaseOutcome::Released => json(StatusCode::OK, &list(node)),
+        ReleaseOutcome::RowMayRemain => refused(StatusCode::SERVICE_UNAVAILABLE, ROW_MAY_REMAIN),
+        ReleaseOutcome::NotQuarantined => {
+            refused(StatusCode::NOT_FOUND, "no such request is held off; list them")
+        }
     })
 }
 
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -36,6 +36,9 @@
 /// The version of a row that was written once, without the era.
 const FIRST_COUNT: u64 = 1;
 
+/// The maximum time that the removal of a row takes; an operator's call waits for it.
+const REMOVAL_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// The additional delay before each further box that counts a request's crashes writes the row.
 const WRITER_DELAY: Duration = Duration::from_millis(2_000);
 
@@ -45,7 +48,8 @@
     loop {
         let _ = timeout(CHECK_INTERVAL, node.crashes.quarantine_changed.notified()).await;
         write_rows(&node).await;
-        forget_expired(&node).await;
+        forget_expired(&node);
+        remove_rows(&node).await;
     }
 }
 
@@ -122,36 +126,58 @@
             log::info!(fingerprint:%; "held off request written down");
             node.crashes.tracker.lock().set_stored(fingerprint);
             node.crashes.outbox.lock().add_report(fingerprint, true, node.now());
+            if !node.crashes.tracker.lock().is_quarantined(fingerprint) {
+                // It was released while the row was being written.
+                node.crashes.rows_to_remove.lock().insert(fingerprint);
+            }
         }
     }
 }
 
-/// Forgets requests whose quarantine expired, and removes their rows and those of released
-/// requests.
-async fn forget_expired(node: &ServingNode) {
+/// Forgets requests whose quarantine expired. The first of the boxes that count a request's crashes removes its row.
+fn forget_expired(node: &ServingNode) {
     let me = node.settings.load().node.ip;
     let expired = node.crashes.tracker.lock().forget_old(node.now());
     for report in expired {
         let fingerprint = report.fingerprint;
         log::info!(fingerprint:%; "request quarantine expired");
         if report.stored && coordinators_of(node, fingerprint).first() == Some(&me) {
-            remove_row(node, fingerprint).await;
+            node.crashes.rows_to_remove.lock().insert(fingerprint);
         }
     }
-    let released = std::mem::take(&mut *node.crashes.rows_to_remove.lock());
+}
+
+/// Removes the rows of requests that are no longer quarantined, up to the first that the table does not remove.
+async fn remove_rows(node: &ServingNode) {
+    let released: Vec<_> = node.crashes.rows_to_remove.lock().iter().copied().collect();
     for fingerprint in released {
-        remove_row(node, fingerprint).await;
+        if node.crashes.tracker.lock().is_quarantined(fingerprint) {
+            node.crashes.rows_to_remove.lock().remove(&fingerprint);
+        } else if !remove_released(node, fingerprint).await {
+            return;
+        }
+    }
+}
+
+/// Removes the row of a released request. Returns whether it is certain to be gone; otherwise it is removed later.
+pub(super) async fn remove_released(node: &ServingNode, fingerprint: Fingerprint) -> bool {
+    let removal = timeout(REMOVAL_TIMEOUT, remove_row(node, fingerprint)).await;
+    let is_removed = removal.unwrap_or(false);
+    if is_removed {
+        node.crashes.rows_to_remove.lock().remove(&fingerprint);
     }
+    is_removed
 }
 
 /// Removes the row of a request that is no longer quarantined. If it stayed, starting boxes would
-/// load it.
-async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) {
+/// load it. Returns whether it is certain to be gone.
+async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) -> bool {
     let version = StoreVersion::new(node.ports.table.era().unwrap_or(0), FIRST_COUNT);
     let removed = commit(node, fingerprint, Expect::Version(version), None).await;
     if !removed {
         log::warn!(fingerprint:%; "quarantine row not removed");
     }
+    removed
 }
 
 /// Writes or removes a row. Returns whether the row is certain to exist, or to be gone.
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -96,8 +96,10 @@
                 return Ok(carry::handle_request(node, request).await);
             }
             let (method, path) = (request.method(), request.uri().path());
-            let held_off = || crashes::operators::answer(&node, method, path);
-            let answer = exchange::handle_request(&node, path).or_else(held_off);
+            if let Some(answer) = exchange::handle_request(&node, path) {
+                return Ok(answer);
+            }
+            let answer = crashes::operators::answer(&node, method, path).await;
             Ok(answer.unwrap_or_else(|| metrics_text(&node, &log_queue)))
         }
     };
