--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -10,11 +10,13 @@
 //! all earlier crashes.
 
 mod report;
+mod suspect;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-pub use report::{CrashReport, IncarnationId, MAX_CRASHES};
+pub use report::{BreakTimes, CrashReport, IncarnationId, MAX_CRASHES};
+use suspect::Suspect;
 
 use crate::serving::fingerprint::Fingerprint;
 use crate::units::Moment;
@@ -41,17 +43,6 @@
 /// again, and a cause crashes at most three servers in this time.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
-/// The time within which all crashes happened if they may have had another cause: a hall that loses power takes down
-/// many servers at once, and a request that all clients send ran on each of them.
-const TOGETHER_WITHIN: Duration = Duration::from_millis(250);
-
-/// The delay after such crashes before one box alone tries the request again.
-const TRIAL_DELAY: Duration = Duration::from_millis(2_000);
-
-/// The most trials of a request after such crashes. A cause may still reach three servers by then, and trials count
-/// among them.
-const MAX_TRIALS: u32 = 2;
-
 /// How long crashes count of a request that is not quarantined.
 const SUSPICION_TTL: Duration = Duration::from_secs(600);
 
@@ -69,23 +60,10 @@
 /// parts each.
 const MAX_ANSWERS: usize = 8_192;
 
-/// The most requests that are suspected or quarantined, at about 200 bytes each; the one whose last crash is oldest is
+/// The most requests that are suspected or quarantined, at about 300 bytes each; the one whose last crash is oldest is
 /// dropped first.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// A request under which servers crashed.
-#[derive(Clone, Debug)]
-struct Suspect {
-    report: CrashReport,
-    /// When this box learned of the first and of the last crash.
-    first_crash: Moment,
-    last_crash: Moment,
-    quarantined_since: Option<Moment>,
-    /// When the next trial may start, and how many are left.
-    trial_at: Moment,
-    trials: u32,
-}
-
 /// Tracks requests that crash servers, as one box knows them.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
@@ -122,7 +100,7 @@
         now: Moment,
     ) -> SuspicionChange {
         if self.has_ended(incarnation, now) {
-            return self.record_crash(fingerprint, incarnation, now);
+            return self.record_crash(fingerprint, incarnation, now, now);
         }
         let breaks = self.breaks.entry(incarnation).or_default();
         if breaks.len() < MAX_BREAKS {
@@ -161,10 +139,10 @@
         self.ended.insert(incarnation, now);
         let breaks = self.breaks.remove(&incarnation).unwrap_or_default();
         let recent = breaks.into_iter().filter(|(_, at)| now.since(*at) < BREAK_TTL);
-        let recent: Vec<_> = recent.collect();
-        let change =
-            |(fingerprint, _)| (fingerprint, self.record_crash(fingerprint, incarnation, now));
-        let changes = recent.into_iter().map(change);
+        let change = |(fingerprint, broke_at)| {
+            (fingerprint, self.record_crash(fingerprint, incarnation, broke_at, now))
+        };
+        let changes = recent.map(change);
         changes.filter(|(_, change)| *change != SuspicionChange::Unchanged).collect()
     }
 
@@ -172,11 +150,13 @@
         &mut self,
         fingerprint: Fingerprint,
         incarnation: IncarnationId,
+        broke_at: Moment,
         now: Moment,
     ) -> SuspicionChange {
         if self.was_answered(fingerprint, now) {
             return SuspicionChange::Unchanged;
         }
+        self.suspect(fingerprint, now).add_break(incarnation, broke_at);
         let mut report = CrashReport::new(fingerprint);
         report.crashed.insert(incarnation);
         self.apply_report(&report, now)
@@ -192,36 +172,29 @@
     pub fn apply_report(&mut self, report: &CrashReport, now: Moment) -> SuspicionChange {
         let fingerprint = report.fingerprint;
         let is_cleared = self.was_answered(fingerprint, now);
-        if !self.suspects.contains_key(&fingerprint) {
-            self.evict_oldest();
-        }
-        let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
-            report: CrashReport::new(fingerprint),
-            first_crash: now,
-            last_crash: now,
-            quarantined_since: None,
-            trial_at: now,
-            trials: 0,
-        });
+        let own_breaks = self.own_breaks(report);
+        let suspect = self.suspect(fingerprint, now);
         let crashes = suspect.report.crashes();
-        if !suspect.report.merge(report) {
+        let was_quarantined = suspect.quarantined_since.is_some();
+        let was_together = suspect.report.together;
+        let is_changed = suspect.report.merge(report);
+        own_breaks.into_iter().for_each(|(incarnation, at)| suspect.add_break(incarnation, at));
+        suspect.note_together();
+        if was_quarantined && suspect.report.together && !was_together {
+            suspect.allow_trials(now);
+        }
+        if !is_changed {
             return SuspicionChange::Unchanged;
         }
         if is_cleared {
             suspect.report.excused = suspect.report.crashed.clone();
         }
         suspect.last_crash = now;
-        let was_quarantined = suspect.quarantined_since.is_some();
         let is_quarantined = suspect.report.is_quarantined();
         match (was_quarantined, is_quarantined) {
             (false, true) => {
                 suspect.quarantined_since = Some(now);
-                let is_new = !report.is_quarantined();
-                let came_together = now.since(suspect.first_crash) < TOGETHER_WITHIN;
-                suspect.report.together |= is_new && came_together;
-                let may_be_sound = suspect.report.together || fingerprint.is_part();
-                suspect.trials = if may_be_sound { MAX_TRIALS } else { 0 };
-                suspect.trial_at = now + TRIAL_DELAY;
+                suspect.allow_trials(now);
                 SuspicionChange::Quarantined
             }
             (true, false) => {
@@ -235,6 +208,50 @@
         }
     }
 
+    /// Returns when connections of this box broke at incarnations that another box reports as crashed.
+    fn own_breaks(&self, report: &CrashReport) -> Vec<(IncarnationId, Moment)> {
+        let first_break = |incarnation: &IncarnationId| {
+            let mut breaks = self.breaks.get(incarnation)?.iter();
+            breaks
+                .find(|(broken, _)| *broken == report.fingerprint)
+                .map(|(_, at)| (*incarnation, *at))
+        };
+        report.crashed.iter().filter_map(first_break).collect()
+    }
+
+    /// Returns how long ago connections broke under a request, as far as this box knows.
+    pub fn break_times(&self, fingerprint: Fingerprint, now: Moment) -> Option<BreakTimes> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        let age = |at: Moment| now.since(at).as_millis() as u32;
+        let ages_ms = suspect.breaks().map(|(incarnation, at)| (incarnation, age(at))).collect();
+        Some(BreakTimes { fingerprint, ages_ms })
+    }
+
+    /// Applies what another box knows of when connections broke under a request. Returns whether that shows that the
+    /// crashes of a quarantined request happened together.
+    pub fn apply_break_times(&mut self, times: &BreakTimes, now: Moment) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&times.fingerprint) else {
+            return false;
+        };
+        for (incarnation, age_ms) in &times.ages_ms {
+            let age = Duration::from_millis(u64::from(*age_ms));
+            suspect.add_break(*incarnation, Moment(now.0.saturating_sub(age)));
+        }
+        let is_news = suspect.note_together() && suspect.quarantined_since.is_some();
+        if is_news {
+            suspect.allow_trials(now);
+        }
+        is_news
+    }
+
+    /// Returns what is known of a request, which is suspected from now on.
+    fn suspect(&mut self, fingerprint: Fingerprint, now: Moment) -> &mut Suspect {
+        if !self.suspects.contains_key(&fingerprint) {
+            self.evict_oldest();
+        }
+        self.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(fingerprint, now))
+    }
+
     /// Drops the suspect whose last crash is the oldest if there are as many as are kept.
     fn evict_oldest(&mut self) {
         if self.suspects.len() < MAX_SUSPECTS {
@@ -281,25 +298,34 @@
     /// Applies the report on a quarantined request to a box that has just started. It does not know which trials were made
     /// before, so it makes none.
     pub fn load(&mut self, report: &CrashReport, now: Moment) {
-        self.apply_report(&CrashReport { together: false, ..report.clone() }, now);
+        self.apply_report(report, now);
         if let Some(suspect) = self.suspects.get_mut(&report.fingerprint) {
-            suspect.trials = 0;
+            suspect.allow_no_trials();
         }
     }
 
     /// Starts a trial of a request that is quarantined for crashes which happened together, or of one with a quarantined
-    /// part; returns whether one is due.
-    /// Only one box may call this for a request.
+    /// part; returns whether one is due. Only one box grants the trials of a request.
     pub fn start_trial(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return false;
         };
-        if suspect.trials == 0 || now < suspect.trial_at {
-            return false;
+        suspect.start_trial(now)
+    }
+
+    /// Takes back a trial that was granted but not sent to a server.
+    pub fn return_trial(&mut self, fingerprint: Fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.return_trial();
         }
-        suspect.trials -= 1;
-        suspect.trial_at = now + TRIAL_DELAY;
-        true
+    }
+
+    /// Returns whether this box should ask the one that grants the trials of a quarantined request for one.
+    pub fn should_ask_for_trial(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return false;
+        };
+        suspect.should_ask_for_trial(now)
     }
 
     /// Returns whether a request is suspected of crashing servers. Broken connections that may be crashes count as well, but
--- a/trackfront_core/src/serving/crashes/report.rs
+++ b/trackfront_core/src/serving/crashes/report.rs
@@ -12,7 +12,7 @@
 pub const MAX_CRASHES: usize = 3;
 
 /// The most incarnations that are kept for a request: enough for the bound above and some that are cleared.
-const MAX_INCARNATIONS: usize = 16;
+pub(super) const MAX_INCARNATIONS: usize = 16;
 
 /// An incarnation of a server, by its short name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -34,6 +34,15 @@
     pub together: bool,
 }
 
+/// How long ago connections broke under a request at incarnations that have ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BreakTimes {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The incarnations, and the milliseconds since the first connection broke there.
+    pub ages_ms: Vec<(IncarnationId, u32)>,
+}
+
 impl CrashReport {
     /// Returns the number of incarnations that count.
     pub fn crashes(&self) -> usize {
--- a/trackfront_core/tests/serving/crashes.rs
+++ b/trackfront_core/tests/serving/crashes.rs
@@ -4,7 +4,7 @@
 
 use trackfront_core::ids::AccountName;
 use trackfront_core::serving::crashes::{
-    CrashReport, CrashTracker, IncarnationId, MAX_CRASHES, SuspicionChange,
+    BreakTimes, CrashReport, CrashTracker, IncarnationId, MAX_CRASHES, SuspicionChange,
 };
 use trackfront_core::serving::fingerprint::Fingerprint;
 
@@ -181,6 +181,108 @@
     assert!(tracker.is_quarantined(CAUSE));
 }
 
+/// Guards against a quarantine without trials because of a crash that a complete answer cleared long before.
+#[test]
+fn cleared_crash_does_not_make_later_simultaneous_ones_successive() {
+    let mut tracker = CrashTracker::default();
+    crash(&mut tracker, CAUSE, 1, 1_000);
+    tracker.mark_answered(CAUSE, at(2_000));
+    (2..5).for_each(|incarnation| _ = crash(&mut tracker, CAUSE, incarnation, 70_000));
+    assert!(tracker.is_quarantined(CAUSE));
+    assert!(tracker.start_trial(CAUSE, at(72_100)));
+}
+
+/// Guards against a quarantine without trials because a busy box learns of simultaneous crashes one after the other: the
+/// third was known 275 ms after the first, while all connections had broken at once.
+#[test]
+fn simultaneous_crashes_that_are_learned_late_get_trials() {
+    let mut tracker = CrashTracker::default();
+    for incarnation in 1..4 {
+        tracker.connection_broke(CAUSE, IncarnationId(incarnation), at(1_000));
+    }
+    tracker.mark_ended(IncarnationId(1), at(1_050));
+    tracker.apply_report(&report(&[1, 2]), at(1_320));
+    tracker.mark_ended(IncarnationId(3), at(2_000));
+    assert!(tracker.is_quarantined(CAUSE));
+    assert!(tracker.start_trial(CAUSE, at(4_100)));
+}
+
+/// Guards against a quarantine without trials at boxes that had no connections to the servers: they learned of the crashes
+/// from several boxes, up to 300 ms apart, as these found out that the servers had ended.
+#[test]
+fn simultaneous_crashes_that_several_boxes_saw_get_trials() {
+    let mut counting = CrashTracker::default();
+    let mut learn = |incarnation: u32, ended_ms: u64| {
+        let mut other = CrashTracker::default();
+        other.connection_broke(CAUSE, IncarnationId(incarnation), at(1_000));
+        other.mark_ended(IncarnationId(incarnation), at(ended_ms));
+        let report = other.report(CAUSE).expect("it is suspected").clone();
+        counting.apply_report(&report, at(ended_ms + 20));
+        let times = other.break_times(CAUSE, at(ended_ms)).expect("it is suspected");
+        counting.apply_break_times(&times, at(ended_ms + 20))
+    };
+    assert!(!learn(1, 1_050));
+    assert!(!learn(2, 1_300));
+    assert!(learn(3, 3_000));
+    assert!(counting.is_quarantined(CAUSE));
+    assert!(!counting.start_trial(CAUSE, at(5_000)));
+    assert!(counting.start_trial(CAUSE, at(5_100)));
+}
+
+/// Guards against crashes that count as simultaneous because a box learned of all of them from one report.
+#[test]
+fn crashes_of_unknown_times_get_no_trials() {
+    let mut tracker = CrashTracker::default();
+    tracker.apply_report(&report(&[1, 2, 3]), at(1_000));
+    let some = BreakTimes {
+        fingerprint: CAUSE,
+        ages_ms: vec![(IncarnationId(1), 10), (IncarnationId(2), 10)],
+    };
+    assert!(!tracker.apply_break_times(&some, at(1_010)));
+    assert!(!tracker.start_trial(CAUSE, at(60_000)));
+}
+
+/// Guards against a quarantine without trials at a box that learns only afterwards that the crashes happened together.
+#[test]
+fn trials_follow_from_what_another_box_saw() {
+    let mut tracker = CrashTracker::default();
+    tracker.apply_report(&report(&[1]), at(1_000));
+    tracker.apply_report(&report(&[1, 2, 3]), at(1_400));
+    assert!(!tracker.start_trial(CAUSE, at(3_500)));
+    let seen_together = CrashReport { together: true, ..report(&[1, 2, 3]) };
+    tracker.apply_report(&seen_together, at(3_600));
+    assert!(tracker.start_trial(CAUSE, at(5_700)));
+    tracker.apply_report(&seen_together, at(5_800));
+    assert!(tracker.start_trial(CAUSE, at(7_800)));
+    assert!(!tracker.start_trial(CAUSE, at(60_000)));
+}
+
+/// Guards against trials that are used up although no server got them, as while all servers restart.
+#[test]
+fn returned_trial_is_granted_again() {
+    let mut tracker = CrashTracker::default();
+    (1..4).for_each(|incarnation| _ = crash(&mut tracker, CAUSE, incarnation, 1_000));
+    for ms in [4_000, 7_000, 10_000] {
+        assert!(tracker.start_trial(CAUSE, at(ms)));
+        tracker.return_trial(CAUSE);
+    }
+    assert!(tracker.start_trial(CAUSE, at(13_000)));
+    assert!(tracker.start_trial(CAUSE, at(16_000)));
+    assert!(!tracker.start_trial(CAUSE, at(60_000)));
+}
+
+#[test]
+fn boxes_ask_for_trials_at_growing_intervals() {
+    let mut tracker = CrashTracker::default();
+    let together = CrashReport { together: true, ..report(&[1, 2, 3]) };
+    tracker.load(&together, at(1_000));
+    let asks = (0..120_000).filter(|ms| tracker.should_ask_for_trial(CAUSE, at(1_000 + ms)));
+    let asks: Vec<_> = asks.collect();
+    assert_eq!(asks[..5], [2_000, 4_000, 8_000, 16_000, 32_000]);
+    assert_eq!(asks[5] - asks[4], 16_000);
+    assert!(!tracker.start_trial(CAUSE, at(200_000)));
+}
+
 #[test]
 fn quarantine_for_successive_crashes_gets_no_trial() {
     let mut tracker = CrashTracker::default();
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -7,6 +7,7 @@
 pub mod operators;
 pub mod outbox;
 mod rows;
+pub mod trials;
 
 use std::collections::HashSet;
 use std::net::Ipv4Addr;
@@ -25,7 +26,7 @@
 use trackfront_core::ids::{BackendId, RequestId};
 use trackfront_core::quota::{BoxId, rank_coordinators};
 use trackfront_core::serving::crashes::{
-    CrashReport, CrashTracker, IncarnationId, SuspicionChange,
+    BreakTimes, CrashReport, CrashTracker, IncarnationId, SuspicionChange,
 };
 use trackfront_core::serving::directory::{KnownServer, ServerEntry};
 use trackfront_core::serving::fingerprint::Fingerprint;
@@ -115,19 +116,6 @@
     IncarnationId(short_server(server))
 }
 
-/// Starts a trial of a quarantined request, to find out whether it really crashes servers. Returns
-/// whether it may be sent.
-pub fn try_start_trial(node: &ServingNode, fingerprint: Fingerprint) -> bool {
-    let me = node.settings.load().node.ip;
-    let is_first = coordinators_of(node, fingerprint).first() == Some(&me);
-    let is_trial = is_first && node.crashes.tracker.lock().start_trial(fingerprint, node.now());
-    if is_trial {
-        let is_part = fingerprint.is_part();
-        log::info!(fingerprint:%, is_part; "quarantined request sent as a trial");
-    }
-    is_trial
-}
-
 /// Returns the boxes that count the crashes of a request; this box may be one of them.
 fn coordinators_of(node: &ServingNode, fingerprint: Fingerprint) -> Vec<Ipv4Addr> {
     let me = node.settings.load().node.ip;
@@ -311,6 +299,16 @@
     }
 }
 
+/// Merges when connections broke, as another box knows it.
+pub fn merge_break_times(node: &ServingNode, from: Ipv4Addr, times: &[BreakTimes]) {
+    for times in times {
+        let fingerprint = times.fingerprint;
+        if node.crashes.tracker.lock().apply_break_times(times, node.now()) {
+            log::info!(fingerprint:%, by:% = from; "crashes happened together, trials are due");
+        }
+    }
+}
+
 /// Returns whether this box also informs all others of a quarantine that another box decided: the
 /// boxes that count the request's crashes do.
 fn must_forward(node: &ServingNode, change: SuspicionChange, fingerprint: Fingerprint) -> bool {
--- a/trackfrontd/src/serving/crashes/outbox.rs
+++ b/trackfrontd/src/serving/crashes/outbox.rs
@@ -189,12 +189,27 @@
         others.for_each(|ip| for_coordinators.entry(ip).or_default().push(report.clone()));
     }
     let all = node.peers.lock().reachable(now);
-    for chunk in for_all.chunks(REPORTS_PER_MESSAGE) {
-        socket.send(&Message::CrashReports(chunk.to_vec()), &all).await;
-    }
+    send_reports(node, socket, &for_all, &all).await;
     for (ip, reports) in for_coordinators {
-        for chunk in reports.chunks(REPORTS_PER_MESSAGE) {
-            socket.send(&Message::CrashReports(chunk.to_vec()), &[ip]).await;
+        send_reports(node, socket, &reports, &[ip]).await;
+    }
+}
+
+/// Sends reports, and when the connections broke. Parts of prompts get trials whenever that was.
+async fn send_reports(
+    node: &ServingNode,
+    socket: &PeerSocket,
+    reports: &[CrashReport],
+    to: &[Ipv4Addr],
+) {
+    for chunk in reports.chunks(REPORTS_PER_MESSAGE) {
+        socket.send(&Message::CrashReports(chunk.to_vec()), to).await;
+        let requests = chunk.iter().map(|report| report.fingerprint);
+        let requests = requests.filter(|fingerprint| !fingerprint.is_part());
+        let times = |fingerprint| node.crashes.tracker.lock().break_times(fingerprint, node.now());
+        let times: Vec<_> = requests.filter_map(times).collect();
+        if !times.is_empty() {
+            socket.send(&Message::BreakTimes(times), to).await;
         }
     }
 }
--- /dev/null
+++ b/trackfrontd/src/serving/crashes/trials.rs
@@ -0,0 +1,124 @@
+//! Trials of quarantined requests, which find out whether these really crash servers.
+//!
+//! One box grants the trials of a request: the first of those that count its crashes. Clients may be connected to any
+//! other, so a box that is asked for the request asks the granting box. A trial that no server got is returned.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Response, StatusCode};
+use trackfront_adapters::http_client::{HttpError, request, with_body};
+use trackfront_adapters::http_server::{Body, response};
+use trackfront_core::serving::fingerprint::Fingerprint;
+
+use super::coordinators_of;
+use crate::serving::node::ServingNode;
+
+/// The path under which boxes ask for a trial, followed by the fingerprint.
+const GRANT_PATH: &str = "/copy/1/trial/grant/";
+
+/// The path under which boxes return a trial, followed by the fingerprint.
+const RETURN_PATH: &str = "/copy/1/trial/return/";
+
+/// The status of a granted trial. Boxes of earlier versions answer 200 to paths that they do not know.
+const GRANTED: StatusCode = StatusCode::CREATED;
+
+/// The maximum time that a request waits for a box to grant its trial.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A trial that was granted to this box. It is returned when it is dropped before a server got the request.
+pub struct Trial {
+    node: Arc<ServingNode>,
+    fingerprint: Fingerprint,
+    granted_by: Ipv4Addr,
+    is_sent: bool,
+}
+
+impl Trial {
+    /// Asks for a trial of a quarantined request. Returns `None` if none is due.
+    pub async fn start(node: &Arc<ServingNode>, fingerprint: Fingerprint) -> Option<Self> {
+        let granted_by = *coordinators_of(node, fingerprint).first()?;
+        let is_granted = if granted_by == node.settings.load().node.ip {
+            node.crashes.tracker.lock().start_trial(fingerprint, node.now())
+        } else {
+            node.crashes.tracker.lock().should_ask_for_trial(fingerprint, node.now())
+                && ask(node, granted_by, fingerprint).await
+        };
+        is_granted.then(|| {
+            let is_part = fingerprint.is_part();
+            log::info!(fingerprint:%, is_part, granted_by:%; "quarantined request sent as a trial");
+            Self { node: node.clone(), fingerprint, granted_by, is_sent: false }
+        })
+    }
+
+    /// Returns what is tried.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
+    /// Records that the request is being sent to a server.
+    pub fn mark_sent(&mut self) {
+        self.is_sent = true;
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if self.is_sent {
+            return;
+        }
+        let (fingerprint, granted_by) = (self.fingerprint, self.granted_by);
+        log::info!(fingerprint:%, granted_by:%; "trial returned, no server got it");
+        if granted_by == self.node.settings.load().node.ip {
+            self.node.crashes.tracker.lock().return_trial(fingerprint);
+        } else {
+            tokio::spawn(give_back(self.node.clone(), granted_by, fingerprint));
+        }
+    }
+}
+
+async fn ask(node: &ServingNode, granting_box: Ipv4Addr, fingerprint: Fingerprint) -> bool {
+    let answer = call(node, granting_box, GRANT_PATH, fingerprint).await;
+    let outcome = match &answer {
+        Ok(GRANTED) => "granted".to_owned(),
+        Ok(_) => "none is due".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    log::info!(fingerprint:%, of:% = granting_box, outcome; "trial asked for");
+    answer.is_ok_and(|status| status == GRANTED)
+}
+
+async fn give_back(node: Arc<ServingNode>, granting_box: Ipv4Addr, fingerprint: Fingerprint) {
+    if let Err(error) = call(&node, granting_box, RETURN_PATH, fingerprint).await {
+        log::info!(fingerprint:%, of:% = granting_box, error:%; "trial not returned");
+    }
+}
+
+async fn call(
+    node: &ServingNode,
+    ip: Ipv4Addr,
+    path: &str,
+    fingerprint: Fingerprint,
+) -> Result<StatusCode, HttpError> {
+    let address = format!("{ip}:{}", node.settings.load().listen.peers);
+    let request = with_body(request(Method::POST, &address, &format!("{path}{fingerprint}")), "")?;
+    let answer = node.exchange.client().fetch(request, GRANT_TIMEOUT).await?;
+    Ok(answer.status)
+}
+
+/// Answers a box that asks for a trial or returns one; returns `None` if the path is another.
+pub fn answer(node: &ServingNode, path: &str) -> Option<Response<Body>> {
+    let parse = |prefix| u64::from_str_radix(path.strip_prefix(prefix)?, 16).ok().map(Fingerprint);
+    let mut tracker = node.crashes.tracker.lock();
+    let status = match (parse(GRANT_PATH), parse(RETURN_PATH)) {
+        (Some(fingerprint), _) if tracker.start_trial(fingerprint, node.now()) => GRANTED,
+        (Some(_), _) => StatusCode::NO_CONTENT,
+        (None, Some(fingerprint)) => {
+            tracker.return_trial(fingerprint);
+            StatusCode::NO_CONTENT
+        }
+        (None, None) => return None,
+    };
+    Some(response(status, "text/plain", ""))
+}
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -141,6 +141,11 @@
 }
 
 impl Exchange {
+    /// Returns the client for calls to other boxes.
+    pub fn client(&self) -> &HttpClient {
+        &self.client
+    }
+
     /// Drops the open connections to other boxes.
     pub fn forget_connections(&self) {
         self.client.forget_connections();
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -214,6 +214,7 @@
             }
             Ok((Message::QuotaReply(reply), _)) => quota::handle_reply(&node, ip, &reply),
             Ok((Message::CrashReports(reports), _)) => crashes::merge_reports(&node, ip, &reports),
+            Ok((Message::BreakTimes(times), _)) => crashes::merge_break_times(&node, ip, &times),
             Ok((Message::ServersEnded(servers), _)) => crashes::merge_ended(&node, &servers),
             Ok((Message::Notices(batch), _)) => {
                 notices::handle_batch(&node, &socket, ip, batch).await
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -81,8 +81,8 @@
     serve(listener, handler, stop).await;
 }
 
-/// Serves snapshots and connections to servers for other boxes, operators' calls about quarantined
-/// requests, and the metrics on any other path.
+/// Serves snapshots, trials of quarantined requests and connections to servers for other boxes,
+/// operators' calls about quarantined requests, and the metrics on any other path.
 pub async fn serve_boxes(
     node: Arc<ServingNode>,
     log_queue: LogQueue,
@@ -96,7 +96,8 @@
                 return Ok(carry::handle_request(node, request).await);
             }
             let (method, path) = (request.method(), request.uri().path());
-            if let Some(answer) = exchange::handle_request(&node, path) {
+            let of_trial = || crashes::trials::answer(&node, path);
+            if let Some(answer) = exchange::handle_request(&node, path).or_else(of_trial) {
                 return Ok(answer);
             }
             let answer = crashes::operators::answer(&node, method, path).await;
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -9,7 +9,7 @@
 use trackfront_core::lease::LeaseAnnouncement;
 use trackfront_core::quota::{QuotaReply, QuotaRequest};
 use trackfront_core::serving::coordinated_load::{DeclaredWork, EngineLoad, LoadQuestion};
-use trackfront_core::serving::crashes::CrashReport;
+use trackfront_core::serving::crashes::{BreakTimes, CrashReport};
 use trackfront_core::serving::load::{InFlight, RankInFlight};
 use trackfront_core::serving::stream_origins::{SoftwareId, StreamId, StreamOrigin};
 use trackfront_core::store_version::StoreVersion;
@@ -82,6 +82,8 @@
     LoadReply(LoadReply),
     /// How a request at an engine goes on, for the coordinator of its load.
     LoadChange(LoadChange),
+    /// When connections broke under the requests of [`Message::CrashReports`], which are sent before.
+    BreakTimes(Vec<BreakTimes>),
 }
 
 /// A question to the coordinator of an engine's load.
--- a/trackfrontd/src/serving/pipeline/attempt.rs
+++ b/trackfrontd/src/serving/pipeline/attempt.rs
@@ -288,6 +288,9 @@
         {
             return None;
         }
+        if let Some(trial) = self.trial.lock().as_mut() {
+            trial.mark_sent();
+        }
         let attempt = Attempt {
             server: &choice.server.entry,
             time_left: self
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -48,6 +48,7 @@
 use trackfront_core::serving::urgency::{Standing, rank};
 use trackfront_core::units::Moment;
 
+use super::crashes::trials::Trial;
 use super::node::ServingNode;
 use super::response_relay::{self, RelayOutcome};
 
@@ -107,8 +108,8 @@
     saw_silence: AtomicBool,
     /// The software that must answer, because it began the stream that the request continues.
     pub software: Mutex<Option<SoftwareId>>,
-    /// What of the request is quarantined, if it is sent as a trial of that.
-    trial: Mutex<Option<Fingerprint>>,
+    /// The trial of what of the request is quarantined, if one was granted.
+    trial: Mutex<Option<Trial>>,
 }
 
 /// Answers a client's request.
@@ -253,8 +254,10 @@
         if let Some(refusal) = unknown_origin {
             break refusal;
         }
-        if let Some(refusal) = job.check_key(&attempts).or_else(|| job.check_quarantine(&attempts))
-        {
+        if let Some(refusal) = job.check_key(&attempts) {
+            break refusal;
+        }
+        if let Some(refusal) = job.check_quarantine(&attempts).await {
             break refusal;
         }
         let chosen = match job.choose_or_wait(&attempts).await {
--- a/trackfrontd/src/serving/pipeline/quarantine.rs
+++ b/trackfrontd/src/serving/pipeline/quarantine.rs
@@ -6,7 +6,7 @@
 use trackfront_core::serving::request::{PromptPart, Refusal};
 
 use super::{Attempts, Job};
-use crate::serving::crashes;
+use crate::serving::crashes::trials::Trial;
 
 /// The most parts of a prompt that are tracked; of longer prompts the first ones.
 const MAX_PARTS: usize = 64;
@@ -50,20 +50,20 @@
 
     /// Returns whether quarantine still allows the request to be sent.
     pub(super) fn may_pass_quarantine(&self) -> bool {
-        let trial = *self.trial.lock();
+        let trial = self.trial.lock().as_ref().map(Trial::fingerprint);
         self.quarantined().all(|(suspect, _)| Some(suspect) == trial)
     }
 
     /// Refuses a quarantined request, also one that was quarantined between two sends.
-    pub(super) fn check_quarantine(&self, attempts: &Attempts) -> Option<Refusal> {
+    pub(super) async fn check_quarantine(&self, attempts: &Attempts) -> Option<Refusal> {
         if self.may_pass_quarantine() {
             return None;
         }
         let mut quarantined = self.quarantined();
         let (suspect, servers) = quarantined.next()?;
         let may_try = attempts.servers.is_empty() && quarantined.next().is_none();
-        if may_try && crashes::try_start_trial(&self.node, suspect) {
-            *self.trial.lock() = Some(suspect);
+        if may_try && let Some(trial) = Trial::start(&self.node, suspect).await {
+            *self.trial.lock() = Some(trial);
             return None;
         }
         Some(match attempts.may_have_run {
