Trials of quarantined requests outlast the boxes (71)

Callers: a popular, sound request or part of prompts, quarantined because all servers of its service had crashed at once, was refused for ten minutes if all boxes lost power before its trial.

Cause: a box that loads a quarantine doesn't know which trials were made, so it granted none; after a loss of power all boxes are such. Again refusals that stop the evidence which would correct them.

Change: the granting box writes a row of the table for each trial, and a restarted one reads them before it grants: two trials, however often boxes lose power. Without the table a restarted box grants none.

--- a/trackfront_core/src/serving/admission.rs
+++ b/trackfront_core/src/serving/admission.rs
@@ -2,8 +2,8 @@
 //!
 //! A request whose answer is not likely in time is refused. What makes an answer unlikely was learned from earlier answers,
 //! and a box that refuses everything gets none, so what it learned would stay as it is. So a part of what would be refused
-//! for that is sent as a trial. The answer to a trial counts
-//! for all requests that it stands for: evidence comes as fast as if all had been sent.
+//! for that is sent as a trial. The answer to a trial counts for all requests that it stands for: evidence comes as fast as
+//! if all had been sent.
 
 use std::time::Duration;
 
--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 pub use report::{BreakTimes, CrashReport, IncarnationId, MAX_CRASHES};
+pub use suspect::MAX_TRIALS;
 use suspect::Suspect;
 
 use crate::serving::fingerprint::Fingerprint;
@@ -295,12 +296,12 @@
         self.suspects.get(&fingerprint).is_some_and(|suspect| suspect.quarantined_since.is_some())
     }
 
-    /// Applies the report on a quarantined request to a box that has just started. It does not know which trials were made
-    /// before, so it makes none.
+    /// Applies the report on a quarantined request to a box that has just started. No trial starts until it is known how
+    /// many were made.
     pub fn load(&mut self, report: &CrashReport, now: Moment) {
         self.apply_report(report, now);
         if let Some(suspect) = self.suspects.get_mut(&report.fingerprint) {
-            suspect.allow_no_trials();
+            suspect.await_trial_count();
         }
     }
 
@@ -313,6 +314,24 @@
         suspect.start_trial(now)
     }
 
+    /// Returns whether a trial of a request may be due that was quarantined before this box started, so that it needs
+    /// to know how many were made.
+    pub fn needs_trial_count(&self, fingerprint: Fingerprint, now: Moment) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|suspect| suspect.needs_trial_count(now))
+    }
+
+    /// Records how many trials of a request were made before this box started.
+    pub fn set_trials_made(&mut self, fingerprint: Fingerprint, made: u32) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.set_trials_made(made);
+        }
+    }
+
+    /// Returns how many trials of a request were made.
+    pub fn trials_made(&self, fingerprint: Fingerprint) -> u32 {
+        self.suspects.get(&fingerprint).map_or(0, Suspect::trials_made)
+    }
+
     /// Takes back a trial that was granted but not sent to a server.
     pub fn return_trial(&mut self, fingerprint: Fingerprint) {
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
--- a/trackfront_core/src/serving/crashes/report.rs
+++ b/trackfront_core/src/serving/crashes/report.rs
@@ -54,7 +54,8 @@
         self.crashes() >= MAX_CRASHES
     }
 
-    pub(super) fn new(fingerprint: Fingerprint) -> Self {
+    /// Creates the report on a request without crashes.
+    pub fn new(fingerprint: Fingerprint) -> Self {
         let (crashed, excused) = (BTreeSet::new(), BTreeSet::new());
         Self { fingerprint, crashed, excused, stored: false, together: false }
     }
--- a/trackfront_core/src/serving/crashes/suspect.rs
+++ b/trackfront_core/src/serving/crashes/suspect.rs
@@ -16,7 +16,7 @@
 
 /// The most trials of a request after such crashes. A cause may still reach three servers by then, and trials count
 /// among them.
-const MAX_TRIALS: u32 = 2;
+pub const MAX_TRIALS: u32 = 2;
 
 /// The longest interval at which a box asks the one that grants trials. The interval doubles with each time.
 const MAX_ASK_INTERVAL: Duration = Duration::from_secs(16);
@@ -33,6 +33,8 @@
     /// When the next trial may start or be asked for, and how many are left if this box grants them.
     trial_at: Moment,
     trials: u32,
+    /// Whether it is not known how many trials were made, because the quarantine is from before this box started.
+    are_trials_unknown: bool,
     /// The interval until this box asks for a trial again.
     ask_interval: Duration,
 }
@@ -46,6 +48,7 @@
             broke_at: BTreeMap::new(),
             trial_at: now,
             trials: 0,
+            are_trials_unknown: false,
             ask_interval: TRIAL_DELAY,
         }
     }
@@ -92,13 +95,31 @@
     }
 
     pub fn allow_trials(&mut self, now: Moment) {
-        self.trials = if self.may_be_sound() { MAX_TRIALS } else { 0 };
+        self.set_trials_made(0);
         self.trial_at = now + TRIAL_DELAY;
         self.ask_interval = TRIAL_DELAY;
     }
 
-    pub fn allow_no_trials(&mut self) {
+    /// Allows no trial until it is known how many were made.
+    pub fn await_trial_count(&mut self) {
         self.trials = 0;
+        self.are_trials_unknown = true;
+    }
+
+    /// Returns whether a trial is due if not all were made, and it isn't known how many were.
+    pub fn needs_trial_count(&self, now: Moment) -> bool {
+        self.are_trials_unknown && self.may_be_sound() && now >= self.trial_at
+    }
+
+    /// Records how many trials were made before this box started.
+    pub fn set_trials_made(&mut self, made: u32) {
+        self.trials = if self.may_be_sound() { MAX_TRIALS.saturating_sub(made) } else { 0 };
+        self.are_trials_unknown = false;
+    }
+
+    /// Returns how many trials were made.
+    pub fn trials_made(&self) -> u32 {
+        MAX_TRIALS - self.trials
     }
 
     pub fn start_trial(&mut self, now: Moment) -> bool {
--- a/trackfront_core/tests/serving/crashes.rs
+++ b/trackfront_core/tests/serving/crashes.rs
@@ -271,6 +271,25 @@
     assert!(!tracker.start_trial(CAUSE, at(60_000)));
 }
 
+/// Guards against a quarantine without trials after all boxes were restarted, and against trials beyond those allowed.
+#[test]
+fn restarted_box_grants_the_trials_that_were_not_made() {
+    let together = CrashReport { together: true, ..report(&[1, 2, 3]) };
+    for (made, left) in [(0, 2), (1, 1), (2, 0), (3, 0)] {
+        let mut tracker = CrashTracker::default();
+        tracker.load(&together, at(1_000));
+        assert!(!tracker.needs_trial_count(CAUSE, at(2_000)));
+        assert!(tracker.needs_trial_count(CAUSE, at(3_000)));
+        tracker.set_trials_made(CAUSE, made);
+        assert!(!tracker.needs_trial_count(CAUSE, at(4_000)));
+        let granted = (4..60).filter(|s| tracker.start_trial(CAUSE, at(s * 1_000))).count();
+        assert_eq!(granted, left, "{made} made");
+    }
+    let mut tracker = CrashTracker::default();
+    tracker.load(&report(&[1, 2, 3]), at(1_000));
+    assert!(!tracker.needs_trial_count(CAUSE, at(60_000)));
+}
+
 #[test]
 fn boxes_ask_for_trials_at_growing_intervals() {
     let mut tracker = CrashTracker::default();
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -13,7 +13,7 @@
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::{TxnId, draw_id};
 use trackfront_core::ports::{CommitOutcome, Expect, RowKey, TableError, Transaction, Write};
-use trackfront_core::serving::crashes::CrashReport;
+use trackfront_core::serving::crashes::{CrashReport, MAX_TRIALS};
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::store_version::StoreVersion;
 
@@ -21,9 +21,12 @@
 use crate::serving::node::ServingNode;
 use crate::serving::{boxes, exchange, feed_relay};
 
-/// The prefix of the rows' keys.
+/// The prefix of the rows' keys, which is followed by the fingerprint.
 const ROW_PREFIX: &str = "crashes/";
 
+/// What the keys of trials have after the fingerprint, followed by the number of the trial.
+const TRIAL_SUFFIX: &str = ".trial-";
+
 /// The interval at which a starting box asks other boxes for quarantined requests, and the number
 /// of rounds after which it reads the rows even if it isn't the feed reader of its hall. If every
 /// box read them at once, a start of all boxes would cost as many calls as there are boxes.
@@ -99,7 +102,8 @@
     node.metrics.store_calls.get_or_create(&KindLabel { kind: "read_crashes" }).inc();
     let rows = node.ports.table.scan(ROW_PREFIX).await?;
     let read = |value: &Bytes| serde_json::from_slice::<CrashReport>(value);
-    let reports = rows.iter().filter_map(|row| match read(&row.value) {
+    let rows = rows.iter().filter(|row| !row.key.0.contains(TRIAL_SUFFIX));
+    let reports = rows.filter_map(|row| match read(&row.value) {
         Ok(report) => Some(CrashReport { stored: true, ..report }),
         Err(error) => {
             log::warn!(row = row.key.0, error:% = error; "invalid quarantine row");
@@ -109,6 +113,33 @@
     Ok(reports.collect())
 }
 
+/// Returns how many trials of a request were made, by the rows of [`write_trial`].
+pub(super) async fn count_trials(
+    node: &ServingNode,
+    fingerprint: Fingerprint,
+) -> Result<u32, TableError> {
+    node.metrics.store_calls.get_or_create(&KindLabel { kind: "read_crashes" }).inc();
+    let rows = node.ports.table.scan(&format!("{ROW_PREFIX}{fingerprint}{TRIAL_SUFFIX}")).await?;
+    Ok(rows.len() as u32)
+}
+
+/// Stores that a trial of a request is made, so that boxes which start later know it. Returns whether the row is certain to
+/// exist.
+pub(super) async fn write_trial(node: &ServingNode, fingerprint: Fingerprint, number: u32) -> bool {
+    // Boxes of earlier versions read it as a report on a request without crashes.
+    let report = CrashReport::new(fingerprint);
+    let value = serde_json::to_vec(&report).expect("our own types always encode");
+    commit(node, trial_key(fingerprint, number), Expect::Absent, Some(value.into())).await
+}
+
+fn row_key(fingerprint: Fingerprint) -> RowKey {
+    RowKey(format!("{ROW_PREFIX}{fingerprint}"))
+}
+
+fn trial_key(fingerprint: Fingerprint, number: u32) -> RowKey {
+    RowKey(format!("{ROW_PREFIX}{fingerprint}{TRIAL_SUFFIX}{number}"))
+}
+
 /// Writes missing rows. The boxes that count a request's crashes try one after the other, until one
 /// has succeeded.
 async fn write_rows(node: &ServingNode) {
@@ -122,7 +153,7 @@
             continue;
         }
         let value = serde_json::to_vec(&report).expect("our own types always encode");
-        if commit(node, fingerprint, Expect::Absent, Some(value.into())).await {
+        if commit(node, row_key(fingerprint), Expect::Absent, Some(value.into())).await {
             log::info!(fingerprint:%; "held off request written down");
             node.crashes.tracker.lock().set_stored(fingerprint);
             node.crashes.outbox.lock().add_report(fingerprint, true, node.now());
@@ -169,11 +200,15 @@
     is_removed
 }
 
-/// Removes the row of a request that is no longer quarantined. If it stayed, starting boxes would
-/// load it. Returns whether it is certain to be gone.
+/// Removes the row of a request that is no longer quarantined, and those of its trials. If they stayed, starting boxes
+/// would load them. Returns whether all are certain to be gone.
 async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) -> bool {
     let version = StoreVersion::new(node.ports.table.era().unwrap_or(0), FIRST_COUNT);
-    let removed = commit(node, fingerprint, Expect::Version(version), None).await;
+    let trials = (1..=MAX_TRIALS).map(|number| trial_key(fingerprint, number));
+    let mut removed = true;
+    for key in trials.chain([row_key(fingerprint)]) {
+        removed &= commit(node, key, Expect::Version(version), None).await;
+    }
     if !removed {
         log::warn!(fingerprint:%; "quarantine row not removed");
     }
@@ -181,20 +216,15 @@
 }
 
 /// Writes or removes a row. Returns whether the row is certain to exist, or to be gone.
-async fn commit(
-    node: &ServingNode,
-    fingerprint: Fingerprint,
-    expect: Expect,
-    value: Option<Bytes>,
-) -> bool {
+async fn commit(node: &ServingNode, key: RowKey, expect: Expect, value: Option<Bytes>) -> bool {
     node.metrics.store_calls.get_or_create(&KindLabel { kind: "write_crashes" }).inc();
-    let key = RowKey(format!("{ROW_PREFIX}{fingerprint}"));
+    let row = key.0.clone();
     let id = TxnId::from(draw_id("crashes", &mut rand::rng()));
     let transaction = Transaction { id, writes: vec![Write { key, expect, value }] };
     match node.ports.table.commit(&transaction).await {
         CommitOutcome::Applied | CommitOutcome::Conflict { .. } => true,
         CommitOutcome::NotApplied(error) | CommitOutcome::Unknown(error) => {
-            log::info!(fingerprint:%, error:% = error; "quarantine row not written");
+            log::info!(row, error:% = error; "quarantine row not written");
             false
         }
     }
--- a/trackfrontd/src/serving/crashes/trials.rs
+++ b/trackfrontd/src/serving/crashes/trials.rs
@@ -1,18 +1,20 @@
 //! Trials of quarantined requests, which find out whether these really crash servers.
 //!
 //! One box grants the trials of a request: the first of those that count its crashes. Clients may be connected to any
-//! other, so a box that is asked for the request asks the granting box. A trial that no server got is returned.
+//! other, so a box that is asked for the request asks the granting box. A trial that no server got is returned. The store
+//! has a row for each trial, so that there are no more of them after boxes were restarted.
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Method, Response, StatusCode};
+use tokio::time::timeout;
 use trackfront_adapters::http_client::{HttpError, request, with_body};
 use trackfront_adapters::http_server::{Body, response};
 use trackfront_core::serving::fingerprint::Fingerprint;
 
-use super::coordinators_of;
+use super::{coordinators_of, rows};
 use crate::serving::node::ServingNode;
 
 /// The path under which boxes ask for a trial, followed by the fingerprint.
@@ -25,7 +27,10 @@
 const GRANTED: StatusCode = StatusCode::CREATED;
 
 /// The maximum time that a request waits for a box to grant its trial.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
+const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The maximum time that the granting box waits for each of its calls to the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A trial that was granted to this box. It is returned when it is dropped before a server got the request.
 pub struct Trial {
@@ -40,7 +45,7 @@
     pub async fn start(node: &Arc<ServingNode>, fingerprint: Fingerprint) -> Option<Self> {
         let granted_by = *coordinators_of(node, fingerprint).first()?;
         let is_granted = if granted_by == node.settings.load().node.ip {
-            node.crashes.tracker.lock().start_trial(fingerprint, node.now())
+            grant(node, fingerprint).await
         } else {
             node.crashes.tracker.lock().should_ask_for_trial(fingerprint, node.now())
                 && ask(node, granted_by, fingerprint).await
@@ -78,6 +83,31 @@
     }
 }
 
+/// Grants a trial if one is due, and stores that. If the store does not answer, the trial is granted nevertheless: only a
+/// box that starts would grant too many then.
+async fn grant(node: &ServingNode, fingerprint: Fingerprint) -> bool {
+    let needs_count = node.crashes.tracker.lock().needs_trial_count(fingerprint, node.now());
+    if needs_count {
+        let Ok(Ok(made)) = timeout(STORE_TIMEOUT, rows::count_trials(node, fingerprint)).await
+        else {
+            log::info!(fingerprint:%; "no trial, it is not known how many were made");
+            return false;
+        };
+        node.crashes.tracker.lock().set_trials_made(fingerprint, made);
+    }
+    let number = {
+        let mut tracker = node.crashes.tracker.lock();
+        if !tracker.start_trial(fingerprint, node.now()) {
+            return false;
+        }
+        tracker.trials_made(fingerprint)
+    };
+    let written = timeout(STORE_TIMEOUT, rows::write_trial(node, fingerprint, number)).await;
+    let is_stored = written.unwrap_or(false);
+    log::info!(fingerprint:%, number, is_stored; "trial granted");
+    true
+}
+
 async fn ask(node: &ServingNode, granting_box: Ipv4Addr, fingerprint: Fingerprint) -> bool {
     let answer = call(node, granting_box, GRANT_PATH, fingerprint).await;
     let outcome = match &answer {
@@ -108,14 +138,13 @@
 }
 
 /// Answers a box that asks for a trial or returns one; returns `None` if the path is another.
-pub fn answer(node: &ServingNode, path: &str) -> Option<Response<Body>> {
+pub async fn answer(node: &ServingNode, path: &str) -> Option<Response<Body>> {
     let parse = |prefix| u64::from_str_radix(path.strip_prefix(prefix)?, 16).ok().map(Fingerprint);
-    let mut tracker = node.crashes.tracker.lock();
     let status = match (parse(GRANT_PATH), parse(RETURN_PATH)) {
-        (Some(fingerprint), _) if tracker.start_trial(fingerprint, node.now()) => GRANTED,
+        (Some(fingerprint), _) if grant(node, fingerprint).await => GRANTED,
         (Some(_), _) => StatusCode::NO_CONTENT,
         (None, Some(fingerprint)) => {
-            tracker.return_trial(fingerprint);
+            node.crashes.tracker.lock().return_trial(fingerprint);
             StatusCode::NO_CONTENT
         }
         (None, None) => return None,
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -96,8 +96,10 @@
                 return Ok(carry::handle_request(node, request).await);
             }
             let (method, path) = (request.method(), request.uri().path());
-            let of_trial = || crashes::trials::answer(&node, path);
-            if let Some(answer) = exchange::handle_request(&node, path).or_else(of_trial) {
+            if let Some(answer) = exchange::handle_request(&node, path) {
+                return Ok(answer);
+            }
+            if let Some(answer) = crashes::trials::answer(&node, path).await {
                 return Ok(answer);
             }
             let answer = crashes::operators::answer(&node, method, path).await;
