--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -320,10 +320,10 @@
         self.suspects.get(&fingerprint).is_some_and(|suspect| suspect.needs_trial_count(now))
     }
 
-    /// Records how many trials of a request were made before this box started.
+    /// Records how many trials of a request were made before this box started, unless that is known already.
     pub fn set_trials_made(&mut self, fingerprint: Fingerprint, made: u32) {
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.set_trials_made(made);
+            suspect.count_trials(made);
         }
     }
 
--- a/trackfront_core/src/serving/crashes/suspect.rs
+++ b/trackfront_core/src/serving/crashes/suspect.rs
@@ -111,8 +111,14 @@
         self.are_trials_unknown && self.may_be_sound() && now >= self.trial_at
     }
 
-    /// Records how many trials were made before this box started.
-    pub fn set_trials_made(&mut self, made: u32) {
+    /// Records how many trials were made before this box started, unless that is known already.
+    pub fn count_trials(&mut self, made: u32) {
+        if self.are_trials_unknown {
+            self.set_trials_made(made);
+        }
+    }
+
+    fn set_trials_made(&mut self, made: u32) {
         self.trials = if self.may_be_sound() { MAX_TRIALS.saturating_sub(made) } else { 0 };
         self.are_trials_unknown = false;
     }
--- a/trackfront_core/tests/serving/crashes.rs
+++ b/trackfront_core/tests/serving/crashes.rs
@@ -290,6 +290,17 @@
     assert!(!tracker.needs_trial_count(CAUSE, at(60_000)));
 }
 
+/// Guards against one trial more if two boxes ask for one while the trials that were made are counted.
+#[test]
+fn trials_are_counted_once() {
+    let mut tracker = CrashTracker::default();
+    tracker.load(&CrashReport { together: true, ..report(&[1, 2, 3]) }, at(1_000));
+    tracker.set_trials_made(CAUSE, 1);
+    assert!(tracker.start_trial(CAUSE, at(4_000)));
+    tracker.set_trials_made(CAUSE, 1);
+    assert!(!tracker.start_trial(CAUSE, at(60_000)));
+}
+
 #[test]
 fn boxes_ask_for_trials_at_growing_intervals() {
     let mut tracker = CrashTracker::default();
