--- a/review/standin/boxes.rs
+++ b/review/standin/boxes.rs
@@ -10,6 +10,7 @@
 
 use crate::http::{connect, read_head};
 use crate::json::Json;
+use crate::names;
 use std::io::Write;
 
 const SIGTERM: i32 = 15;
@@ -109,7 +110,7 @@
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let mut words = self.program.split(' ');
         let mut command = Command::new(words.next().unwrap_or_default());
-        command.args(words).env_clear().env("TRACKFRONT_BOOT", &self.settings);
+        command.args(words).env_clear().env(names::SETTINGS_VARIABLE, &self.settings);
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = std::env::var_os(name) {
                 command.env(name, value);
@@ -144,6 +145,15 @@
         }
     }
 
+    /// Returns the memory of the process that no file backs, in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kb = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1024
+    }
+
     /// Returns how the process ended, if it did so by itself.
     pub fn own_end(&mut self) -> Option<ExitStatus> {
         self.child.as_mut()?.try_wait().ok()?
@@ -176,9 +186,9 @@
 
     fn is_ready(&self) -> io::Result<bool> {
         let mut reader = connect(&format!("{}:{}", self.ip, self.ports.ready))?;
-        let text =
-            b"GET /trackfront/readiness HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n";
-        reader.get_mut().write_all(text)?;
+        let path = format!("/trackfront/{}", "readiness");
+        let text = format!("GET {path} HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n");
+        reader.get_mut().write_all(text.as_bytes())?;
         reader.get_mut().set_read_timeout(Some(Duration::from_secs(1)))?;
         Ok(read_head(&mut reader)?.is_some_and(|head| head.status() == 200))
     }
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{connect, read_chunk, read_head};
+use crate::names;
 use crate::record::Record;
 use std::io::Write;
 
@@ -109,23 +110,24 @@
             return End::Refused;
         };
         let Ask { path, model, tokens: (prompt, most), hint } = self.ask;
-        let mut text = format!(
-            "POST {path} HTTP/1.1\r\nHost: host.example\r\nX-Trackfront-Attempt-Id: {id}\r\n\
-             X-Trackfront-Model: {model}\r\nX-Trackfront-Token-Counts: {prompt},{most}\r\n\
-             X-Trackfront-Prompt-Prefix: 5c1e07a2:300,{:x}:{}\r\n\
-             X-Trackfront-Deadline-Ms: {}\r\nContent-Length: 0\r\n",
-            short_hash(&self.name),
-            prompt - 300,
-            self.time_left().as_millis()
-        );
+        let deadline_ms = self.time_left().as_millis();
+        let prompt_parts = format!("5c1e07a2:300,{:x}:{}", short_hash(&self.name), prompt - 300);
+        let mut text = format!("POST {path} HTTP/1.1\r\nHost: host.example\r\n");
+        let mut add = |name: &str, value: &str| text.push_str(&format!("{name}: {value}\r\n"));
+        add(names::ATTEMPT_ID, id);
+        add(names::MODEL, model);
+        add(names::TOKEN_COUNTS, &format!("{prompt},{most}"));
+        add(names::PROMPT_PREFIX, &prompt_parts);
+        add(names::DEADLINE_MS, &deadline_ms.to_string());
+        add("Content-Length", "0");
         if let Some(hint) = hint {
-            text.push_str(&format!("X-Trackfront-Length-Hint: {hint}\r\n"));
+            add(names::LENGTH_HINT, &hint.to_string());
         }
         if let Some(event) = self.events.last() {
-            text.push_str(&format!("Last-Event-Id: {}\r\n", event.number));
+            add(names::LAST_EVENT_ID, &event.number.to_string());
         }
         if let Some(first) = &self.first_attempt {
-            text.push_str(&format!("Resumes: {first}\r\n"));
+            add(names::RESUMES[0], first);
         }
         text.push_str("\r\n");
         if reader.get_mut().write_all(text.as_bytes()).is_err() {
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -7,6 +7,7 @@
 
 use crate::boxes::{BoxProcess, Network};
 use crate::engine::{Engine, EngineSpec};
+use crate::json::kebab;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -17,19 +18,23 @@
 const GRACE: Duration = Duration::from_secs(8);
 
 /// The pause of an ended process until its next start.
-const RESTART_DELAY: Duration = Duration::from_millis(500);
+pub const RESTART_DELAY: Duration = Duration::from_millis(500);
 
+/// The configuration, with underscores in the names of its fields.
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"resume","host":"host.example",
-"path-prefix":"/resume/","kind":"streaming","timeout-ms":20000,"target-latency-ms":8000,
-"priority":2,"service":"text","max-attempts":2,"sticky":true,"resumable":true,
-"target-gap-ms":400}],"services":[{"name":"text","health-path":"/health","connection-limit":360,
-"protocol":"h1","tls":false,"engine":{"slots":64,"kv-cache-tokens":132029,"kv-token-bytes":163840,
-"link-mbps":280000.0,"models":[{"name":"m1","weight-size-mb":65100.0,"load-time-s":9.0,
-"adapters":0,"adapter-size-mb":12.0,"warm-up-s":0.76,"disk-load-s":2.0},{"name":"m2",
-"weight-size-mb":65100.0,"load-time-s":9.0,"adapters":0,"adapter-size-mb":12.0,"warm-up-s":0.76,
-"disk-load-s":2.0}],"weight-size-mb":220000.0,"adapter-slots":8,"loads-per-s":1.4}}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
-"idle-timeout-ms":15000}}"#;
+"path_prefix":"/resume/","kind":"streaming","timeout_ms":20000,"target_latency_ms":8000,
+"priority":2,"service":"text","max_attempts":2,"sticky":true,"resumable":true,
+"target_gap_ms":400},{"name":"uploads","host":"host.example","path_prefix":"/uploads/",
+"kind":"unsafe","timeout_ms":20000,"target_latency_ms":8000,"priority":1,"service":"uploads",
+"max_attempts":1,"sticky":false,"resumable":false}],"services":[{"name":"uploads",
+"health_path":"/health","connection_limit":360,"protocol":"h1","tls":false},{"name":"text","health_path":"/health","connection_limit":360,
+"protocol":"h1","tls":false,"engine":{"slots":64,"kv_cache_tokens":132029,"kv_token_bytes":163840,
+"link_mbps":280000.0,"models":[{"name":"m1","weight_size_mb":65100.0,"load_time_s":9.0,
+"adapters":0,"adapter_size_mb":12.0,"warm_up_s":0.76,"disk_load_s":2.0},{"name":"m2",
+"weight_size_mb":65100.0,"load_time_s":9.0,"adapters":0,"adapter_size_mb":12.0,"warm_up_s":0.76,
+"disk_load_s":2.0}],"weight_size_mb":220000.0,"adapter_slots":8,"loads_per_s":1.4}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+"idle_timeout_ms":15000}}"#;
 
 /// What an engine of the deployment is like.
 #[derive(Clone, Copy)]
@@ -48,7 +53,7 @@
 /// A small deployment.
 pub struct Deployment {
     network: Network,
-    store: Arc<Store>,
+    pub store: Arc<Store>,
     pub engines: Vec<Arc<Engine>>,
     pub boxes: Vec<BoxProcess>,
     folder: PathBuf,
@@ -63,7 +68,7 @@
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let address = format!("{}:8142", network.ip(200));
         let store = Store::start(&address);
-        store.put("op", "config", Some(CONFIG));
+        store.put("op", "config", Some(&kebab(CONFIG)));
         let record = record.clone();
         let mut started =
             Deployment { network, store, engines: vec![], boxes: vec![], folder, record };
@@ -106,6 +111,11 @@
         engine
     }
 
+    /// Returns an address of this deployment's network.
+    pub fn address_of(&self, last: usize, port: u16) -> String {
+        format!("{}:{port}", self.network.ip(last))
+    }
+
     pub fn addresses(&self) -> Vec<String> {
         self.boxes.iter().map(BoxProcess::address).collect()
     }
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -11,6 +11,7 @@
 
 use crate::http::{Head, read_body, read_head, respond};
 use crate::json::Json;
+use crate::names;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -170,13 +171,13 @@
         head: &Head,
         body: &[u8],
     ) -> std::io::Result<()> {
-        let own = [("X-Trackfront-Instance-Id", self.id.clone())];
-        if head.header("x-trackfront-expected-instance").is_some_and(|id| id != self.id) {
+        let own = [(names::INSTANCE_ID, self.id.clone())];
+        if head.header(names::EXPECTED_INSTANCE).is_some_and(|id| id != self.id) {
             return respond(stream, "421 Misdirected Request", &own, b"");
         }
         match head.target() {
             "/health" => respond(stream, "200 OK", &own, b""),
-            "/trackfront/report" => {
+            names::REPORT_PATH => {
                 let (sequence, running) =
                     (self.sequence.load(Ordering::SeqCst), self.running.load(Ordering::SeqCst));
                 let report = format!(
@@ -188,7 +189,7 @@
                 );
                 respond(stream, "200 OK", &own, report.as_bytes())
             }
-            "/trackfront/order" => {
+            names::ORDER_PATH => {
                 let status = self.take_order(&String::from_utf8_lossy(body));
                 respond(stream, status, &own, b"{}")
             }
@@ -198,12 +199,17 @@
 
     /// Takes an order to load or unload a model; there are no adapters.
     fn take_order(self: &Arc<Self>, text: &str) -> &'static str {
-        self.record.note(format!("engine {} gets the order {text}", self.id));
         let Some(order) = Json::parse(text) else {
             return "400 Bad Request";
         };
+        let operation = order.get("operation").str();
+        self.record.note(format!(
+            "engine {} gets the order to {operation} {}",
+            self.id,
+            order.get("model").str()
+        ));
         let model = order.get("model").str().to_owned();
-        let is_load = order.get("operation").str() == "load";
+        let is_load = operation == "load";
         if self.models.lock().unwrap().contains(&model) == is_load {
             return "200 OK";
         }
@@ -230,13 +236,13 @@
 
     /// Runs a request: writes the events after the last one that the client has.
     fn run(&self, stream: &mut TcpStream, head: &Head) -> std::io::Result<()> {
-        let Some(id) = head.header("x-trackfront-attempt-id") else {
-            let headers = [("X-Trackfront-Not-Executed", "1".to_owned())];
+        let Some(id) = head.header(names::ATTEMPT_ID) else {
+            let headers = [(names::NOT_EXECUTED, "1".to_owned())];
             return respond(stream, "400 Bad Request", &headers, b"");
         };
-        let model = head.header("x-trackfront-model").unwrap_or_default();
+        let model = head.header(names::MODEL).unwrap_or_default();
         if !self.models.lock().unwrap().contains(model) {
-            let headers = [("X-Trackfront-Attempt-Id", id.to_owned())];
+            let headers = [(names::ATTEMPT_ID, id.to_owned())];
             return respond(stream, "421 Misdirected Request", &headers, b"");
         }
         let first = head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0) + 1;
@@ -262,11 +268,12 @@
         events: RangeInclusive<u64>,
     ) -> std::io::Result<()> {
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Trackfront-Attempt-Id: {id}\r\n\
-             X-Trackfront-Response-Signature: {}.{id}\r\n\
-             X-Trackfront-Server-Load: {},0,{SLOTS}\r\n\
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {}.{id}\r\n{}: {},0,{SLOTS}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            names::ATTEMPT_ID,
+            names::RESPONSE_SIGNATURE,
             self.id,
+            names::SERVER_LOAD,
             self.running.load(Ordering::SeqCst)
         );
         stream.write_all(head.as_bytes())?;
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -219,3 +219,8 @@
     }
     out
 }
+
+/// Returns a name as the platform spells it.
+pub fn kebab(name: &str) -> String {
+    name.replace('_', "-")
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,7 @@
 //! Stand-ins for the platform, its engines and its clients, and the cases that run the project's program between them.
 //!
+//! The names of the platform's headers and paths are those of the project's own adapter.
+//!
 //! Usage: standin CASE FOLDER, at the root of the repository. With TROUBLE=0 in the environment, without the disruption.
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
@@ -10,8 +12,12 @@
 mod hints;
 mod http;
 mod json;
+#[allow(dead_code)]
+#[path = "../../platform/src/names.rs"]
+mod names;
 mod record;
 mod store;
+mod uploads;
 mod versions;
 
 use std::process::exit;
@@ -33,6 +39,7 @@
         "joined-versions" => versions::joined(has_trouble, &record),
         "lost-streams" => versions::lost(has_trouble, &record),
         "crashing-estimates" => hints::crash(has_trouble, &record),
+        "over-memory" => uploads::over_memory(has_trouble, &record),
         _ => Err(format!("there is no case {case}")),
     };
     let (text, code) = match outcome {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{read_body, read_head, respond};
-use crate::json::{Json, base64};
+use crate::json::{Json, base64, kebab};
+use crate::names;
 
 /// Table, part and key.
 type Key = (String, String, String);
@@ -42,7 +43,7 @@
         let mut map = BTreeMap::new();
         map.insert("table".into(), Json::Str(key.0.clone()));
         map.insert("part".into(), Json::Str(key.1.clone()));
-        map.insert("private-key".into(), Json::Str(key.2.clone()));
+        map.insert(kebab("private_key"), Json::Str(key.2.clone()));
         map.insert("ver".into(), Json::Num(row.ver as f64));
         match &row.value {
             Some(value) => map.insert("value".into(), Json::Str(value.clone())),
@@ -84,10 +85,10 @@
             let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
             let query = parse_query(query);
             let (status, answer) = match (head.method(), path) {
-                ("GET", "/trackfront/rows-get") => self.get(&query),
-                ("GET", "/trackfront/rows-parts") => self.parts(&query),
-                ("GET", "/trackfront/rows-feed") => self.feed(&query),
-                ("POST", "/trackfront/rows-tx") => self.transact(&body),
+                ("GET", names::ROWS_GET_PATH) => self.get(&query),
+                ("GET", names::ROWS_PARTS_PATH) => self.parts(&query),
+                ("GET", names::ROWS_FEED_PATH) => self.feed(&query),
+                ("POST", names::ROWS_TX_PATH) => self.transact(&body),
                 _ => ("404 Not Found", "{}".to_owned()),
             };
             thread::sleep(Duration::from_millis(4));
@@ -160,7 +161,7 @@
         };
         let key = |entry: &Json| -> Key {
             let text = |name: &str| entry.get(name).str().to_owned();
-            (text("table"), text("part"), text("private-key"))
+            (text("table"), text("part"), text(&kebab("private_key")))
         };
         let writes = || call.get("put").arr().iter().chain(call.get("remove").arr());
         if writes().any(|entry| matches!(entry.get("table").str(), "op" | "servers")) {
