Origins of streams outlast the boxes that relay them

Cause: which software began a stream was in memory alone, told to two boxes once, in one datagram, and only while two versions were seen. A box that knew nothing continued with any engine if its own list had one version, and refused if it had two: what it had not heard counted as what had not happened. The two are one design; a mend of either alone makes the other worse, so they go together.

Ruled out: lost replies of keepers (they had been restarted), a wrong version in an engine's row (the joined streams ran at engines of the new version).

Keepers by bucket are told from the first event on and again every 2 s while the stream runs and 20 s on; boxes that stop, or whose ranking changes, tell the next ones; boxes that start ask. The table has the versions of each service, and the streams while versions are mixed. A conclusion names its evidence: trackfront_core::serving::stream_origins::StreamEvidence. A stream is remembered from its last sign of life, not its first event; running ones are never dropped.

--- a/trackfront_core/src/serving/config.rs
+++ b/trackfront_core/src/serving/config.rs
@@ -272,6 +272,12 @@
 }
 
 impl ServingConfig {
+    /// Returns the services that answer with streams which clients may take up again.
+    pub fn resumable_services(&self) -> BTreeSet<&ServiceName> {
+        let resumable = self.routes.values().flatten().filter(|route| route.resumable);
+        resumable.flat_map(|route| &route.targets).map(|target| &target.service).collect()
+    }
+
     /// Validates and indexes a configuration.
     pub fn new(
         version: u64,
--- a/trackfront_core/src/serving/stream_origins/mod.rs
+++ b/trackfront_core/src/serving/stream_origins/mod.rs
@@ -1,22 +1,34 @@
 //! The software versions that began streams.
 //!
 //! What two versions of a server's software write does not fit together, so a stream may only be continued by the version
-//! that began it. A client that continues one names the attempt that brought its first event. Each box remembers the
-//! streams that it began to relay and those that other boxes told it.
+//! that began it. A client that continues one names the attempt that brought its first event. Boxes remember the streams
+//! that they relay ([`RelayedStreams`]) and those that others told them ([`StreamOrigins`]), and [`StreamEvidence`] decides
+//! what follows for a stream that none of them knows.
 
-use std::collections::{HashMap, VecDeque};
+mod evidence;
+mod history;
+mod relayed;
+
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{RequestId, ServiceName, SoftwareVersion};
+pub use evidence::{Lookup, StreamEvidence, StreamSoftware, UnknownCause};
+pub use history::{SoftwareHistory, SoftwareInUse};
+pub use relayed::RelayedStreams;
+
+use crate::ids::{RequestId, SoftwareVersion};
 use crate::units::Moment;
 
-/// How long a stream is remembered after its first event, and how long two versions of a service count as being in use
-/// after the last of one was seen. Longer than clients take up streams again.
+/// How long a stream is remembered after the last sign of life from the box that relays it, and how long two versions of a
+/// service count as being in use after the last of one was seen. Longer than clients take up streams again.
 pub const STREAM_TTL: Duration = Duration::from_secs(60);
 
-/// The most streams that are remembered, at about 60 bytes each.
+/// The number of groups of streams; the streams of a group have the same keepers and one row in the platform's table.
+pub const STREAM_BUCKETS: usize = 64;
+
+/// The most streams that are remembered besides those being relayed, at about 100 bytes each.
 const MAX_STREAMS: usize = 8_192;
 
 /// The short form of a version of a server's software.
@@ -43,6 +55,11 @@
         let hash = blake3::hash(attempt.as_str().as_bytes());
         Self(u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes")))
     }
+
+    /// Returns the group of the stream, less than [`STREAM_BUCKETS`].
+    pub fn bucket(self) -> usize {
+        (self.0 % STREAM_BUCKETS as u64) as usize
+    }
 }
 
 /// A stream and the software that began it.
@@ -54,25 +71,47 @@
     pub software: SoftwareId,
 }
 
-/// The streams that began within [`STREAM_TTL`].
+/// An origin, and how long ago the box that relays the stream last gave a sign of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgedOrigin {
+    /// The origin.
+    pub origin: StreamOrigin,
+    /// The age of the last sign.
+    pub age: Duration,
+}
+
+/// The streams of which there was a sign within [`STREAM_TTL`].
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     by_stream: HashMap<StreamId, (SoftwareId, Moment)>,
-    by_age: VecDeque<(StreamId, Moment)>,
+    by_age: BTreeSet<(Moment, StreamId)>,
 }
 
 impl StreamOrigins {
-    /// Records which software began a stream. The first record of a stream counts.
-    pub fn record(&mut self, origin: StreamOrigin, now: Moment) {
+    /// Records which software began a stream. The first software of a stream counts.
+    pub fn record(&mut self, origin: StreamOrigin, now: Moment) -> bool {
+        self.record_aged(AgedOrigin { origin, age: Duration::ZERO }, now)
+    }
+
+    /// Records which software began a stream, and how long ago there was a sign of it. The first software of a stream
+    /// counts, and its latest sign. Returns whether the stream is new.
+    pub fn record_aged(&mut self, aged: AgedOrigin, now: Moment) -> bool {
         self.forget_old(now);
-        if self.by_stream.contains_key(&origin.stream) {
-            return;
+        let StreamOrigin { stream, software } = aged.origin;
+        let at = now.before(aged.age);
+        let known = self.by_stream.get(&stream).copied();
+        if let Some((known_software, latest)) = known {
+            if known_software != software || latest >= at {
+                return false;
+            }
+            self.by_age.remove(&(latest, stream));
         }
-        if self.by_age.len() >= MAX_STREAMS {
+        self.by_age.insert((at, stream));
+        self.by_stream.insert(stream, (software, at));
+        if self.by_age.len() > MAX_STREAMS {
             self.drop_oldest();
         }
-        self.by_stream.insert(origin.stream, (origin.software, now));
-        self.by_age.push_back((origin.stream, now));
+        known.is_none()
     }
 
     /// Returns the software that began a stream, if that is known.
@@ -88,40 +127,24 @@
             .map(|(stream, (software, _))| StreamOrigin { stream: *stream, software: *software })
     }
 
+    /// Returns the streams of which there was a sign within `time`.
+    pub fn within(&self, time: Duration, now: Moment) -> impl Iterator<Item = AgedOrigin> {
+        self.by_stream.iter().filter_map(move |(stream, (software, at))| {
+            let origin = StreamOrigin { stream: *stream, software: *software };
+            let age = now.since(*at);
+            (age < time).then_some(AgedOrigin { origin, age })
+        })
+    }
+
     fn forget_old(&mut self, now: Moment) {
-        while self.by_age.front().is_some_and(|(_, at)| now.since(*at) >= STREAM_TTL) {
+        while self.by_age.first().is_some_and(|(at, _)| now.since(*at) >= STREAM_TTL) {
             self.drop_oldest();
         }
     }
 
     fn drop_oldest(&mut self) {
-        if let Some((stream, _)) = self.by_age.pop_front() {
+        if let Some((_, stream)) = self.by_age.pop_first() {
             self.by_stream.remove(&stream);
         }
     }
 }
-
-/// Which versions of its software each service was seen to use lately.
-#[derive(Debug, Default)]
-pub struct SoftwareInUse {
-    seen: HashMap<ServiceName, HashMap<SoftwareId, Moment>>,
-}
-
-impl SoftwareInUse {
-    /// Records the versions of a service's servers.
-    pub fn record(
-        &mut self,
-        service: &ServiceName,
-        versions: impl IntoIterator<Item = SoftwareId>,
-        now: Moment,
-    ) {
-        let seen = self.seen.entry(service.clone()).or_default();
-        seen.extend(versions.into_iter().map(|version| (version, now)));
-        seen.retain(|_, at| now.since(*at) < STREAM_TTL);
-    }
-
-    /// Returns whether a service uses several versions, or did so within [`STREAM_TTL`].
-    pub fn is_mixed(&self, service: &ServiceName) -> bool {
-        self.seen.get(service).is_some_and(|seen| seen.len() > 1)
-    }
-}
--- a/trackfront_core/src/units.rs
+++ b/trackfront_core/src/units.rs
@@ -65,6 +65,11 @@
     pub fn since(self, earlier: Moment) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
+
+    /// Returns the moment that is `duration` earlier, or the start of the clock if that is later.
+    pub fn before(self, duration: Duration) -> Moment {
+        Moment(self.0.saturating_sub(duration))
+    }
 }
 
 impl Add<Duration> for Moment {
--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -195,8 +195,9 @@
         }
     };
     let has_own_row = rows.iter().any(|row| row.key == own);
-    if !has_own_row {
-        node.set_new_to_store();
+    match has_own_row {
+        true => node.set_has_run_before(),
+        false => node.set_new_to_store(),
     }
     let is_small = rows.len() < NEIGHBOURS;
     if !is_small {
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -227,13 +227,19 @@
             Ok((Message::RoomReply(reply), _)) => room::handle_reply(&node, reply),
             Ok((Message::RoomRelease(release), _)) => room::handle_release(&node, ip, release),
             Ok((Message::StreamOrigins(origins), _)) => {
-                stream_origins::handle_origins(&node, &origins)
+                stream_origins::keepers::handle_origins(&node, &origins)
             }
             Ok((Message::StreamOriginRequest(request), _)) => {
-                stream_origins::handle_request(&node, &socket, ip, request)
+                stream_origins::lookup::handle_request(&node, &socket, ip, request)
             }
             Ok((Message::StreamOriginReply(reply), _)) => {
-                stream_origins::handle_reply(&node, reply)
+                stream_origins::lookup::handle_reply(&node, reply)
+            }
+            Ok((Message::KeptOrigins(origins), _)) => {
+                stream_origins::keepers::handle_kept(&node, &origins)
+            }
+            Ok((Message::KeptOriginsRequest, _)) => {
+                stream_origins::keepers::handle_kept_request(&node, ip)
             }
             Ok((Message::LoadRequest(request), _)) => {
                 engine_loads::handle_request(&node, &socket, ip, &request)
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -11,7 +11,7 @@
 use trackfront_core::serving::coordinated_load::{DeclaredWork, EngineLoad, LoadQuestion};
 use trackfront_core::serving::crashes::{BreakTimes, CrashReport};
 use trackfront_core::serving::load::{InFlight, RankInFlight};
-use trackfront_core::serving::stream_origins::{SoftwareId, StreamId, StreamOrigin};
+use trackfront_core::serving::stream_origins::{AgedOrigin, SoftwareId, StreamId, StreamOrigin};
 use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 
@@ -84,6 +84,32 @@
     LoadChange(LoadChange),
     /// When connections broke under the requests of [`Message::CrashReports`], which are sent before.
     BreakTimes(Vec<BreakTimes>),
+    /// The software that began streams, with the age of what is known, for a box that keeps that.
+    KeptOrigins(Vec<KeptOrigin>),
+    /// A question for all that the receiver knows of the streams that the sender keeps.
+    KeptOriginsRequest,
+}
+
+/// The software that began a stream, and how long ago the box that relays it gave a sign of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptOrigin {
+    /// The origin.
+    pub origin: StreamOrigin,
+    /// The age of the last sign, in seconds.
+    pub age_s: u16,
+}
+
+impl KeptOrigin {
+    /// Creates the message of an origin.
+    pub fn new(aged: AgedOrigin) -> Self {
+        let age_s = u16::try_from(aged.age.as_secs()).unwrap_or(u16::MAX);
+        Self { origin: aged.origin, age_s }
+    }
+
+    /// Returns the origin and its age.
+    pub fn aged(&self) -> AgedOrigin {
+        AgedOrigin { origin: self.origin, age: Duration::from_secs(u64::from(self.age_s)) }
+    }
 }
 
 /// A question to the coordinator of an engine's load.
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -183,6 +183,7 @@
     first_listing_over: watch::Sender<bool>,
     box_list_received: AtomicBool,
     new_to_store: AtomicBool,
+    has_run_before: AtomicBool,
     prefers_snapshots: AtomicBool,
     config_rows: Mutex<ConfigRows>,
     /// The era of the platform's store.
@@ -253,6 +254,7 @@
             first_listing_over: watch::Sender::new(false),
             box_list_received: AtomicBool::new(false),
             new_to_store: AtomicBool::new(false),
+            has_run_before: AtomicBool::new(false),
             prefers_snapshots: AtomicBool::new(false),
             config_rows: Mutex::default(),
             store_era: StoreEra::default(),
@@ -331,6 +333,16 @@
         self.new_to_store.load(Ordering::Relaxed)
     }
 
+    /// Records that the platform's store had a row of this box when it started.
+    pub fn set_has_run_before(&self) {
+        self.has_run_before.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this box is known to have run before its start. `false` also if the store could not be read.
+    pub fn has_run_before(&self) -> bool {
+        self.has_run_before.load(Ordering::Relaxed)
+    }
+
     /// Makes this box wait for snapshots from its peers, because they start together with it or are
     /// many.
     pub fn set_prefers_snapshots(&self) {
--- a/trackfrontd/src/serving/pipeline/software.rs
+++ b/trackfrontd/src/serving/pipeline/software.rs
@@ -2,10 +2,10 @@
 
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::request::{Continued, Refusal};
-use trackfront_core::serving::stream_origins::{StreamId, StreamOrigin};
+use trackfront_core::serving::stream_origins::{StreamId, StreamOrigin, StreamSoftware};
 
 use super::Job;
-use crate::serving::stream_origins::{self, StreamSoftware};
+use crate::serving::stream_origins::{RelayedStream, lookup};
 
 /// Why a stream is not continued.
 const UNKNOWN_ORIGIN: &str = "nobody knows which software began the stream";
@@ -18,29 +18,30 @@
             Continued::Named(attempt) => Some(StreamId::of(attempt)),
             Continued::Unnamed => None,
         };
-        let software = stream_origins::software_of(&self.node, &self.service, stream).await;
-        let request = &self.info.id;
-        log::info!(request:%, software:?; "stream continued for a client");
-        match software {
+        match lookup::software_of(&self.node, &self.info.id, &self.service, stream).await {
             StreamSoftware::Any => None,
             StreamSoftware::Version(software) => {
                 *self.software.lock() = Some(software);
                 None
             }
-            StreamSoftware::Unknown => {
+            StreamSoftware::Unknown(_) => {
                 let retry_after = self.spread(super::MIN_RETRY_AFTER);
                 Some(Refusal::NoServer { cause: UNKNOWN_ORIGIN, retry_after })
             }
         }
     }
 
-    /// Binds the request to the software of the server that sent its first event.
-    pub fn bind_software(&self, server: &KnownServer) {
-        let software = server.entry.software_id();
-        self.software.lock().get_or_insert(software);
-        if self.info.continues.is_none() && self.route.resumable {
-            let origin = StreamOrigin { stream: StreamId::of(&self.info.id), software };
-            stream_origins::stream_began(&self.node, &self.service, origin);
-        }
+    /// Binds the request to the software of the server that sent its first event. Returns the stream that this box relays
+    /// from now on, if the client may take it up again.
+    pub fn bind_software(&self, server: &KnownServer) -> Option<RelayedStream> {
+        let software = *self.software.lock().get_or_insert(server.entry.software_id());
+        let stream = match &self.info.continues {
+            None => StreamId::of(&self.info.id),
+            Some(Continued::Named(attempt)) => StreamId::of(attempt),
+            Some(Continued::Unnamed) => return None,
+        };
+        let origin = StreamOrigin { stream, software };
+        let node = self.node.clone();
+        self.route.resumable.then(|| RelayedStream::begin(node, &self.service, origin))
     }
 }
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -25,6 +25,7 @@
 use super::pipeline::{
     Attempts, BrokenAnswer, EndLog, Job, PlainAnswer, QuotaUnits, SendGuard, SendOutcome,
 };
+use super::stream_origins::RelayedStream;
 
 /// The multiple of the gap target for which a resumable stream may stay silent.
 const SILENCE_GAP_FACTOR: u32 = 4;
@@ -153,6 +154,8 @@
     tried: Vec<BackendId>,
     sends: u32,
     ended: bool,
+    /// The stream, if the client may take it up again. Other boxes are told of it for as long as this lives.
+    relayed: Option<RelayedStream>,
 }
 
 /// The next part of a stream.
@@ -183,6 +186,7 @@
         tried: attempts.servers.clone(),
         sends: attempts.sends,
         ended: false,
+        relayed: None,
     };
     let first = match events.next_piece().await {
         Next::Piece(first) => first,
@@ -228,7 +232,7 @@
         let expected_ms = self.guard.expected_ms();
         self.guard.record_first_event();
         let job = &self.job;
-        job.bind_software(self.guard.server());
+        self.relayed = job.bind_software(self.guard.server());
         let took = job.arrived.elapsed().as_secs_f64();
         let kind = job.route.kind.name();
         job.node.metrics.first_event.get_or_create(&KindLabel { kind }).observe(took);
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -39,6 +39,9 @@
 /// in progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// The time in which the last messages of a stopping node are sent.
+const HAND_OVER_TIME: Duration = Duration::from_millis(20);
+
 /// The interval at which old data is dropped and idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -91,7 +94,8 @@
     tasks.spawn(permits::send_requests(node.clone(), socket.clone()));
     tasks.spawn(room::run(node.clone(), socket.clone()));
     tasks.spawn(engine_loads::send_messages(node.clone(), socket.clone()));
-    tasks.spawn(stream_origins::send_messages(node.clone(), socket.clone()));
+    tasks.spawn(stream_origins::lookup::send_messages(node.clone(), socket.clone()));
+    tasks.spawn(stream_origins::maintain(node.clone()));
     tasks.spawn(gossip::receive_messages(node.clone(), socket));
     tasks.spawn(sweep(node.clone()));
     tasks.spawn(suspension::watch(node.clone()));
@@ -149,6 +153,7 @@
     node.set_stopping();
     node.digest_requested.notify_one();
     node.missing_item_added.notify_one();
+    stream_origins::keepers::hand_over(node);
     let lame_duck = LAME_DUCK_TIME.min(grace / 3);
     sleep(lame_duck).await;
     stop_clients.send_replace(true);
@@ -161,6 +166,8 @@
         let in_flight = node.metrics.in_flight.get();
         log::warn!(in_flight; "grace period over with requests in progress");
     }
+    stream_origins::keepers::hand_over(node);
+    sleep(HAND_OVER_TIME).await;
     placement.abort();
 }
 
@@ -185,7 +192,6 @@
         permits::sweep(&node, now);
         node.room.sweep(now);
         node.engine_loads.sweep(now);
-        stream_origins::look_at_services(&node);
     }
 }
 
--- a/trackfrontd/src/serving/short_names.rs
+++ b/trackfrontd/src/serving/short_names.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use trackfront_core::ids::{BackendId, HallName};
+use trackfront_core::ids::{BackendId, HallName, ServiceName};
 use trackfront_core::serving::config::ServingConfig;
 use trackfront_core::serving::request::ModelRef;
 
@@ -63,6 +63,11 @@
     short(hall.as_str().as_bytes())
 }
 
+/// Returns a service's short name.
+pub fn short_service(service: &ServiceName) -> u32 {
+    short(service.as_str().as_bytes())
+}
+
 /// Returns an item's short name.
 pub fn short_item(item: &ModelRef) -> u32 {
     let adapter = item.adapter.as_ref().map_or("", |adapter| adapter.as_str());
