Figures that no duration holds no longer end boxes

Cause: a decayed sum of times divided by a decayed sum of expected tokens, which vanishes when the expectations are 0; the quotient grows until Duration::from_secs_f64 panics, and any panic ends a box. Ruled out: a single absurd count; its product still fits.

Change: an answer without an expected length is not counted towards the time for a token. Parsed durations and sums of reports are bounded.

--- a/trackfront_adapters/src/http_client.rs
+++ b/trackfront_adapters/src/http_client.rs
@@ -18,6 +18,7 @@
 
 use crate::body_end::BodyEnd;
 use crate::keep_alive;
+use trackfront_core::units::secs_to_duration;
 
 /// The timeout for opening a connection, several times the latency to the farthest hall.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -41,7 +42,7 @@
 
 /// Returns the maximum transfer time of a body.
 pub(crate) fn transfer_time(bytes: usize) -> Duration {
-    Duration::from_secs_f64(bytes as f64 / MIN_RATE)
+    secs_to_duration(bytes as f64 / MIN_RATE)
 }
 
 /// The timeouts of an answer whose size depends on the deployment.
--- a/trackfront_bench/src/demand.rs
+++ b/trackfront_bench/src/demand.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use trackfront_core::ids::AccountName;
 use trackfront_core::tree::{Target, Tree};
+use trackfront_core::units::secs_to_duration;
 
 /// Requests a second at a load of 1, for each engine of the tree.
 const RATE_PER_ENGINE: f64 = 4.0;
@@ -184,7 +185,7 @@
     );
     let promise = policy.first_token_ms.value + policy.token_gap_ms.value * (tokens - 1);
     Arrival {
-        at: Duration::from_secs_f64(at),
+        at: secs_to_duration(at),
         name: name.to_string(),
         caller: caller(tree, &policy.callers.value),
         class: format!("{} priority {}", target.shard.service, policy.priority.value),
--- a/trackfront_bench/src/figures.rs
+++ b/trackfront_bench/src/figures.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use hdrhistogram::Histogram;
 use serde::Serialize;
+use trackfront_core::units::secs_to_duration;
 
 /// The significant digits of a histogram.
 const DIGITS: u8 = 3;
@@ -69,7 +70,7 @@
         Ok(fields.get(index).context("/proc/self/stat is short")?.parse()?)
     };
     // User and system time are the 14th and 15th fields, and three were cut off.
-    Ok(Duration::from_secs_f64((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND))
+    Ok(secs_to_duration((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND))
 }
 
 /// Prints figures as one JSON line.
--- a/trackfront_bench/src/repeat.rs
+++ b/trackfront_bench/src/repeat.rs
@@ -13,6 +13,7 @@
 use crate::cli::Repeat;
 use crate::figures::{Quantiles, Times, print};
 use crate::paused;
+use trackfront_core::units::secs_to_duration;
 
 /// Calls a second.
 const RATE: f64 = 250.0;
@@ -69,7 +70,7 @@
     let mut outage_until = Duration::ZERO;
     let mut jobs = Vec::new();
     for number in 0..calls {
-        tokio::time::sleep(Duration::from_secs_f64(1.0 / RATE)).await;
+        tokio::time::sleep(secs_to_duration(1.0 / RATE)).await;
         let now = start.elapsed();
         if now >= next_death {
             replace_one(&mut deployment, &mut rng)?;
--- a/trackfront_core/src/engine_load.rs
+++ b/trackfront_core/src/engine_load.rs
@@ -8,7 +8,7 @@
 
 use crate::estimate::{Line, Mean};
 use crate::fleet::EngineDigest;
-use crate::units::Moment;
+use crate::units::{Moment, secs_to_duration};
 
 /// The number of consecutive failures after which the circuit breaker of an engine opens.
 const FAILURES_TO_OPEN: u32 = 3;
@@ -205,8 +205,8 @@
         let first = wait + processing + gap;
         let whole = first + gap * (request.output_tokens - 1.0).max(0.0);
         Some(Estimate {
-            first: Duration::from_secs_f64(first / 1e6),
-            whole: Duration::from_secs_f64(whole / 1e6),
+            first: secs_to_duration(first / 1e6),
+            whole: secs_to_duration(whole / 1e6),
         })
     }
 
--- a/trackfront_core/src/routing.rs
+++ b/trackfront_core/src/routing.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{EngineEntry, Fleet};
 use crate::ids::{BackendId, HallName, ItemKey};
 use crate::prefix::{BLOCK_BYTES, PrefixIndex};
-use crate::units::Moment;
+use crate::units::{Moment, scaled};
 
 /// The latency to another hall in one direction.
 const OTHER_HALL_LATENCY: Duration = Duration::from_millis(1);
@@ -153,7 +153,7 @@
         match pick.estimate {
             Some(estimate)
                 if self.options.admission
-                    && estimate.whole > query.time_left.mul_f64(MAX_OVERRUN_FACTOR) =>
+                    && estimate.whole > scaled(query.time_left, MAX_OVERRUN_FACTOR) =>
             {
                 let overrun = estimate.whole.saturating_sub(query.time_left);
                 Err(Refusal::TooLate { retry_after: overrun.max(MIN_RETRY_DELAY) })
--- a/trackfront_core/src/serving/adapter_wait.rs
+++ b/trackfront_core/src/serving/adapter_wait.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::units::Moment;
+use crate::units::{Moment, secs_to_duration};
 
 /// The assumed time until a requested adapter is loaded, before any measurement: an order, the
 /// load, and the messages of both.
@@ -36,13 +36,13 @@
 impl AdapterWait {
     /// Returns how long a request waits for an adapter.
     pub fn longest(&self, now: Moment) -> Duration {
-        Duration::from_secs_f64(self.mean_s(now) * FACTOR)
+        secs_to_duration(self.mean_s(now) * FACTOR)
     }
 
     /// Records how long an adapter took, or how long it was awaited in vain.
     pub fn record(&mut self, took: Duration, now: Moment) {
         let mean = self.mean_s(now);
-        self.mean = Duration::from_secs_f64(mean + WEIGHT * (took.as_secs_f64() - mean));
+        self.mean = secs_to_duration(mean + WEIGHT * (took.as_secs_f64() - mean));
         self.measured_at = now;
     }
 
--- a/trackfront_core/src/serving/admission.rs
+++ b/trackfront_core/src/serving/admission.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::BackendId;
 use crate::serving::forecast::Chance;
-use crate::units::Moment;
+use crate::units::{Moment, scaled};
 
 /// The minimum probability of an answer in time for a request to be admitted. A request that is
 /// more likely to be late would also delay those queued behind it, and its client is better off
@@ -59,7 +59,7 @@
     /// is the number of this box's requests under way at the server: their answers will show what it can do.
     pub(super) fn rests_on_old_evidence(&self, own: u32) -> bool {
         match self.of_model {
-            true => self.wait <= self.limit.mul_f64(MAX_WAIT_SHARE),
+            true => self.wait <= scaled(self.limit, MAX_WAIT_SHARE),
             false => self.has_slot || own == 0,
         }
     }
--- a/trackfront_core/src/serving/choice/cost.rs
+++ b/trackfront_core/src/serving/choice/cost.rs
@@ -1,13 +1,12 @@
 //! The cost of a server for a request, by what this box itself knows.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::serving::affinity::PrefixIndex;
 use crate::serving::directory::KnownServer;
 use crate::serving::in_flight::LEAST_URGENT;
 use crate::serving::load::{InFlight, LoadTracker, ServerLoad};
-use crate::units::Moment;
+use crate::units::{Moment, millis_to_duration};
 
 use super::eligibility::Conditions;
 use super::{Candidate, Choice, Query};
@@ -101,7 +100,7 @@
         Choice {
             server: self.server.clone(),
             cached_tokens: self.cached_tokens,
-            estimate: Duration::from_secs_f64(self.estimate_ms / 1_000.0),
+            estimate: millis_to_duration(self.estimate_ms),
             waiting: self.waiting,
             requests: self.requests,
             at: now,
--- a/trackfront_core/src/serving/coordinated_choice.rs
+++ b/trackfront_core/src/serving/coordinated_choice.rs
@@ -12,6 +12,7 @@
 use crate::serving::choice::{Candidate, Choice};
 use crate::serving::coordinated_load::EngineLoad;
 use crate::serving::load::PACE_BOUNDS;
+use crate::units::millis_to_duration;
 
 /// The share of a stream's gap target that prompts may take up: the rest is for the engine's own steps.
 const GAP_MARGIN: f64 = 0.9;
@@ -125,7 +126,7 @@
             cost_ms = cost_ms.max(self.candidate.cost_ms);
             requests = requests.max(local.requests);
         }
-        let estimate = Duration::from_secs_f64(estimate_ms / 1_000.0);
+        let estimate = millis_to_duration(estimate_ms);
         let choice = Choice { estimate, requests, ..local.clone() };
         (cost_ms, CoordinatedChoice { choice, must_wait: self.must_wait() })
     }
--- a/trackfront_core/src/serving/decode_speed.rs
+++ b/trackfront_core/src/serving/decode_speed.rs
@@ -40,8 +40,12 @@
 }
 
 impl DecodeSpeeds {
-    /// Records that an answer with an expected length of `tokens` took `took_ms` after its first event.
+    /// Records that an answer with an expected length of `tokens` took `took_ms` after its first event. One of which no
+    /// length was expected says nothing of the time for a token.
     pub fn record(&mut self, model: &ModelName, tokens: u32, took_ms: f64) {
+        if tokens == 0 {
+            return;
+        }
         let tokens = f64::from(tokens);
         self.models.entry(model.clone()).or_default().record(tokens, took_ms);
         self.all.record(tokens, took_ms);
--- a/trackfront_core/src/serving/key_freshness.rs
+++ b/trackfront_core/src/serving/key_freshness.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use crate::store_version::StoreVersion;
-use crate::units::Moment;
+use crate::units::{Moment, scaled};
 
 /// The fraction of the bound reserved for the path from the last check to the wire, where a process
 /// with a limited CPU share can be delayed: 0.4 s of 5 s.
@@ -43,22 +43,22 @@
 impl RevocationTerms {
     /// Returns the age of the configuration up to which keys are accepted.
     pub fn max_age(self) -> Duration {
-        self.bound.mul_f64(1.0 - MARGIN_FRACTION)
+        scaled(self.bound, 1.0 - MARGIN_FRACTION)
     }
 
     /// Returns the interval between queries for the newest version.
     pub fn query_interval(self) -> Duration {
-        self.bound.mul_f64(QUERY_INTERVAL_FRACTION)
+        scaled(self.bound, QUERY_INTERVAL_FRACTION)
     }
 
     /// Returns the age from which boxes other than the hall's feed reader are queried as well.
     pub fn wider_query_age(self) -> Duration {
-        self.bound.mul_f64(WIDER_QUERY_FRACTION)
+        scaled(self.bound, WIDER_QUERY_FRACTION)
     }
 
     /// Returns the age from which a box that isn't the feed reader queries the store.
     pub fn store_query_age(self) -> Duration {
-        self.bound.mul_f64(STORE_QUERY_FRACTION)
+        scaled(self.bound, STORE_QUERY_FRACTION)
     }
 }
 
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -55,6 +55,9 @@
 /// The time in which the failure rate halves without requests.
 const FAILURE_RATE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// The most requests that a server's report can name. Larger counts are bogus, and sums stay far from overflow.
+const MAX_REPORTED: u32 = 1_000_000;
+
 /// The work that a request means for an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
@@ -128,7 +131,8 @@
             && now.since(at) < SERVER_REPORT_TTL
         {
             let since = self.own.requests().saturating_sub(own_then);
-            let requests = reported.running + reported.waiting + since;
+            let reported = reported.running.saturating_add(reported.waiting).min(MAX_REPORTED);
+            let requests = reported.saturating_add(since);
             total.add_unknown(requests.saturating_sub(total.requests()));
         }
         total
--- a/trackfront_core/src/serving/permits.rs
+++ b/trackfront_core/src/serving/permits.rs
@@ -13,7 +13,7 @@
 
 use crate::ids::BackendId;
 use crate::quota::{BoxId, rank_coordinators};
-use crate::units::Moment;
+use crate::units::{Moment, scaled, secs_to_duration};
 
 /// The fraction of a limit that the standby coordinator issues to boxes that get no answer from the coordinator.
 const STANDBY_FRACTION: f64 = 0.25;
@@ -92,7 +92,7 @@
             return self.at;
         }
         let intervals = self.at.since(now).as_secs_f64() / self.interval.as_secs_f64();
-        now + interval.mul_f64(intervals)
+        now + scaled(interval, intervals)
     }
 }
 
@@ -106,7 +106,7 @@
         max_wait: Duration,
         now: Moment,
     ) -> PermitAnswer {
-        let interval = Duration::from_secs_f64((1.0 / per_s).min(MAX_INTERVAL.as_secs_f64()));
+        let interval = secs_to_duration((1.0 / per_s).min(MAX_INTERVAL.as_secs_f64()));
         let next = self.next.entry(server).or_insert(NextPermit { at: now + interval, interval });
         let earliest = Moment(now.0.saturating_sub(CATCH_UP));
         let due = next.at(interval, now).max(earliest);
--- a/trackfront_core/src/serving/refusal_retries.rs
+++ b/trackfront_core/src/serving/refusal_retries.rs
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::units::Moment;
+use crate::units::{Moment, millis_to_duration};
 
 /// The fraction of a route's longest wait from which on a request counts as a first try: the waits of clients differ
 /// a little.
@@ -84,6 +84,6 @@
         if self.requests < MIN_REQUESTS || self.first_try_fraction < MIN_FIRST_TRY_FRACTION {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64((self.first_try_ms - left_ms).max(0.0) / 1_000.0)
+        millis_to_duration((self.first_try_ms - left_ms).max(0.0))
     }
 }
--- a/trackfront_core/src/units.rs
+++ b/trackfront_core/src/units.rs
@@ -54,6 +54,32 @@
     }
 }
 
+/// The longest duration that a measured or received figure can stand for. Moments and instants that are this far ahead can
+/// still be represented.
+pub const LONGEST_DURATION: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
+/// Converts a measured or received number of seconds to a duration. A negative number becomes zero. A number that is too
+/// large, or none at all (NaN), becomes [`LONGEST_DURATION`]: what takes an unknown time is not expected soon.
+///
+/// `Duration::from_secs_f64` panics for these, and the lints forbid it.
+pub fn secs_to_duration(seconds: f64) -> Duration {
+    match Duration::try_from_secs_f64(seconds) {
+        Ok(duration) => duration.min(LONGEST_DURATION),
+        Err(_) if seconds < 0.0 => Duration::ZERO,
+        Err(_) => LONGEST_DURATION,
+    }
+}
+
+/// Converts a number of milliseconds to a duration, as [`secs_to_duration`] does.
+pub fn millis_to_duration(millis: f64) -> Duration {
+    secs_to_duration(millis / 1_000.0)
+}
+
+/// Multiplies a duration, with the bounds of [`secs_to_duration`].
+pub fn scaled(duration: Duration, factor: f64) -> Duration {
+    secs_to_duration(duration.as_secs_f64() * factor)
+}
+
 /// A time on the local monotonic clock, relative to the start of that clock.
 ///
 /// The moments of two boxes cannot be compared, so none is sent to another process.
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -23,6 +23,7 @@
     mod directory_restored;
     mod events;
     mod fair_share;
+    mod figures;
     mod forecast;
     mod halls;
     mod key_freshness;
--- a/trackfront_core/tests/serving/admission.rs
+++ b/trackfront_core/tests/serving/admission.rs
@@ -20,7 +20,7 @@
 };
 use trackfront_core::serving::request::RequestInfo;
 use trackfront_core::serving::sampling::sample_servers;
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, millis_to_duration};
 
 use super::choice::TestView;
 use super::support::{at, entry, info, item, known};
@@ -317,7 +317,7 @@
             sent += 1;
             let choice = choose_among(&servers, &request, loads, at(now));
             let own_ms = loads.prefill_ms_per_token(&model) * f64::from(PROMPT_TOKENS);
-            let own_prefill = Duration::from_secs_f64(own_ms / 1_000.0);
+            let own_prefill = millis_to_duration(own_ms);
             let question = AdmissionQuestion {
                 server: &choice.server.entry.id,
                 boxes: 1,
--- a/trackfront_core/tests/serving/choice.rs
+++ b/trackfront_core/tests/serving/choice.rs
@@ -88,7 +88,15 @@
 }
 
 impl Case {
-    fn choose(&mut self) -> Result<Choice, NoChoice> {
+    pub fn loads(&mut self) -> &mut LoadTracker {
+        &mut self.loads
+    }
+
+    pub fn set_now(&mut self, now: u64) {
+        self.now = now;
+    }
+
+    pub fn choose(&mut self) -> Result<Choice, NoChoice> {
         self.choose_among(&known(self.servers.clone()))
     }
 
--- a/trackfront_core/tests/serving/coordinated_choice.rs
+++ b/trackfront_core/tests/serving/coordinated_choice.rs
@@ -9,6 +9,7 @@
 use trackfront_core::serving::coordinated_load::EngineLoad;
 
 use super::support::{at, entry, known};
+use trackfront_core::units::millis_to_duration;
 
 /// The gap target of the streams here.
 const GAP_TARGET_MS: u32 = 400;
@@ -20,7 +21,7 @@
     let choice = Choice {
         server: known(vec![entry(id, &["m"])]).remove(0),
         cached_tokens: 0,
-        estimate: Duration::from_secs_f64(own_prefill_ms / 1_000.0),
+        estimate: millis_to_duration(own_prefill_ms),
         waiting: 0,
         requests: 0,
         at: at(0),
--- a/trackfront_core/tests/serving/overload.rs
+++ b/trackfront_core/tests/serving/overload.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use trackfront_core::serving::overload::{ConnectionGate, GateChange, PROBE_INTERVAL};
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, millis_to_duration, secs_to_duration};
 
 use super::support::at;
 
@@ -27,7 +27,7 @@
             }
         }
         waiting = (waiting - capacity / 1_000.0).max(0.0);
-        let lag = Duration::from_secs_f64(waiting / capacity);
+        let lag = secs_to_duration(waiting / capacity);
         if u128::from(ms) % PROBE_INTERVAL.as_millis() == 0 {
             gate.record_lag(lag, now);
         }
@@ -181,7 +181,7 @@
     let mut gate = ConnectionGate::default();
     let mut clock = PausedClock { pauses, now: 0.0, period: 0.0, used: 0.0 };
     let request_ms = RUN_MS / PERIOD_MS * 1_000.0 / capacity;
-    let moment = |ms: f64| Moment(Duration::from_secs_f64(1.0 + ms / 1_000.0));
+    let moment = |ms: f64| Moment(secs_to_duration(1.0 + ms / 1_000.0));
     let (mut arrived, mut backlog, mut counts) = (0, VecDeque::new(), Counts::default());
     let mut probe_due = 0.0;
     while clock.now < PLAYED_MS {
@@ -213,7 +213,7 @@
             }
         }
         if clock.now >= probe_due {
-            let lag = Duration::from_secs_f64((clock.now - probe_due) / 1_000.0);
+            let lag = millis_to_duration(clock.now - probe_due);
             gate.record_lag(lag, moment(clock.now));
             let interval = gate.probe_interval(moment(clock.now));
             probe_due = clock.now + interval.as_secs_f64() * 1_000.0;
--- a/trackfront_standin/src/engine/memory.rs
+++ b/trackfront_standin/src/engine/memory.rs
@@ -9,7 +9,7 @@
 use trackfront_core::ids::ItemKey;
 use trackfront_core::order::{Action, Order};
 use trackfront_core::ports::{ReportedItem, ReportedState};
-use trackfront_core::units::Mib;
+use trackfront_core::units::{Mib, secs_to_duration};
 
 /// How long an unload takes.
 pub const UNLOAD_TIME: Duration = Duration::from_millis(20);
@@ -30,7 +30,7 @@
         Self {
             slots: Arc::new(Semaphore::new(slots)),
             next_start: Arc::new(Mutex::new(Instant::now())),
-            start_gap: Duration::from_secs_f64(1.0 / loads_per_second),
+            start_gap: secs_to_duration(1.0 / loads_per_second),
             ms_per_gib,
         }
     }
--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -24,6 +24,7 @@
 use super::node::ServingNode;
 use super::peer_socket::PeerSocket;
 use super::short_names::short_hall;
+use trackfront_core::units::scaled;
 
 /// The prefix of the keys of box rows, followed by the hall and the address.
 const ROW_PREFIX: &str = "box/";
@@ -112,11 +113,11 @@
     let position = rand::rng().random::<f64>();
     match start {
         Start::Joined => {}
-        Start::Returned { is_small: true } => sleep(SMALL_HALL_JITTER.mul_f64(position)).await,
+        Start::Returned { is_small: true } => sleep(scaled(SMALL_HALL_JITTER, position)).await,
         _ => {
             // Boxes of high capacity list first and send the list to the others.
             let capacity = node.settings.load().resources.capacity();
-            let jitter = FIRST_LISTING_JITTER.mul_f64(position) * capacity.delay_factor();
+            let jitter = scaled(FIRST_LISTING_JITTER, position) * capacity.delay_factor();
             let delay = FIRST_LISTING_DELAY + jitter;
             node.extend_discovery(delay);
             sleep(delay).await;
@@ -162,7 +163,7 @@
         let longest =
             RETRY_DELAY.saturating_mul(2u32.saturating_pow(self.retries)).min(MAX_RETRY_DELAY);
         self.retries += 1;
-        longest.mul_f64(rand::rng().random_range(0.5..1.0))
+        scaled(longest, rand::rng().random_range(0.5..1.0))
     }
 }
 
--- a/trackfrontd/src/serving/crashes/outbox.rs
+++ b/trackfrontd/src/serving/crashes/outbox.rs
@@ -15,7 +15,7 @@
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::crashes::CrashReport;
 use trackfront_core::serving::fingerprint::Fingerprint;
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, scaled};
 
 use super::coordinators_of;
 use crate::serving::messages::Message;
@@ -83,7 +83,7 @@
     /// Schedules the report to all boxes that a request's crashes no longer count, unless another
     /// box sends it first.
     pub fn add_clearance(&mut self, fingerprint: Fingerprint, now: Moment) {
-        let due = now + MAX_CLEARANCE_DELAY.mul_f64(rand::rng().random::<f64>());
+        let due = now + scaled(MAX_CLEARANCE_DELAY, rand::rng().random::<f64>());
         let pending_send =
             PendingSend { to_all: true, is_clearance: true, sends_left: SEND_ATTEMPTS, due };
         self.reports.entry(fingerprint).or_insert(pending_send);
--- a/trackfrontd/src/serving/feed_relay.rs
+++ b/trackfrontd/src/serving/feed_relay.rs
@@ -12,7 +12,7 @@
 use trackfront_core::serving::directory::{ChangeOrigin, ReceivedChanges, ServerChange};
 use trackfront_core::serving::halls::HallStatus;
 use trackfront_core::store_version::StoreVersion;
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, scaled};
 
 use super::follow;
 use super::messages::Message;
@@ -182,7 +182,7 @@
 
 /// Returns the silence after which a feed reader counts as lost.
 pub fn reader_timeout(drain: Duration) -> Duration {
-    drain.mul_f64(READER_TIMEOUT_FRACTION)
+    scaled(drain, READER_TIMEOUT_FRACTION)
 }
 
 /// Returns the additional time that the box of a rank in the succession waits before it reads the
@@ -190,7 +190,7 @@
 pub fn successor_delay(rank: usize, drain: Duration) -> Duration {
     let index = u32::try_from(rank.saturating_sub(1)).unwrap_or(u32::MAX);
     if index < TIMELY_SUCCESSORS {
-        let last = drain.mul_f64(TIMELY_SUCCESSORS_FRACTION - READER_TIMEOUT_FRACTION);
+        let last = scaled(drain, TIMELY_SUCCESSORS_FRACTION - READER_TIMEOUT_FRACTION);
         return last * index / (TIMELY_SUCCESSORS - 1);
     }
     LATE_SUCCESSOR_DELAY.saturating_mul(index.saturating_mul(index))
--- a/trackfrontd/src/serving/follow/feed_client.rs
+++ b/trackfrontd/src/serving/follow/feed_client.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ports::TableError;
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, scaled};
 
 use crate::serving::feed_relay::{
     FeedKind, HallPeers, hall_peers, reader_timeout, successor_delay,
@@ -199,7 +199,7 @@
     /// Returns a fraction of the drain time, but never so little that the store would be polled
     /// without a pause.
     pub fn drain_fraction(&self, fraction: f64) -> Duration {
-        self.drain().mul_f64(fraction).max(MIN_WAIT)
+        scaled(self.drain(), fraction).max(MIN_WAIT)
     }
 
     /// Returns the duration of the next long poll. If other boxes depend on this one, it ends
@@ -210,7 +210,7 @@
         }
         let remaining =
             reader_timeout(self.drain()).saturating_sub(self.silence().unwrap_or_default());
-        let longest = remaining.mul_f64(REMAINING_WAIT_FRACTION);
+        let longest = scaled(remaining, REMAINING_WAIT_FRACTION);
         self.drain_fraction(READER_WAIT_FRACTION).min(longest).max(MIN_WAIT)
     }
 }
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -30,7 +30,7 @@
 use trackfront_core::serving::retry_budget::RetryBudgets;
 use trackfront_core::serving::saturation::Saturation;
 use trackfront_core::store_version::StoreVersion;
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, scaled};
 
 use crate::quotas::Quotas;
 
@@ -456,12 +456,12 @@
     /// Returns the time after this box learned of a drain during which the server may still be sent
     /// requests that no other server can answer.
     pub fn drain_grace(&self) -> Duration {
-        self.settings.load().promises.drain().mul_f64(DRAIN_GRACE_FRACTION)
+        scaled(self.settings.load().promises.drain(), DRAIN_GRACE_FRACTION)
     }
 
     /// Returns the time after a server may have begun to drain from which it is sent nothing.
     pub fn drain_end(&self) -> Duration {
-        self.settings.load().promises.drain().mul_f64(DRAIN_END_FRACTION)
+        scaled(self.settings.load().promises.drain(), DRAIN_END_FRACTION)
     }
 
     /// Sets the metric that says whether a dependency is available.
--- a/trackfrontd/src/serving/notices/mod.rs
+++ b/trackfrontd/src/serving/notices/mod.rs
@@ -12,7 +12,7 @@
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::directory::KnownServer;
 use trackfront_core::serving::notices::{NamedLimit, NoticeChange, NoticeSource};
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, scaled};
 
 use super::node::ServingNode;
 
@@ -48,7 +48,7 @@
     let (id, now) = (&server.entry.id, node.now());
     let mut notice = head.notice;
     notice.back_off =
-        notice.back_off.map(|wait| wait.mul_f64(1.0 + BACK_OFF_JITTER * jitter_of(node, id)));
+        notice.back_off.map(|wait| scaled(wait, 1.0 + BACK_OFF_JITTER * jitter_of(node, id)));
     let changes = {
         let mut notices = node.notices.lock();
         if matches!(notice.brittle, NamedLimit::PerSecond(_)) {
--- a/trackfrontd/src/serving/peer_socket.rs
+++ b/trackfrontd/src/serving/peer_socket.rs
@@ -8,13 +8,13 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until};
 
 use super::messages::Message;
+use trackfront_core::units::secs_to_duration;
 
 /// The largest datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 32 * 1024;
@@ -86,7 +86,7 @@
 
     /// Waits until the link has room for another `length` bytes.
     async fn wait_for_room(&self, length: usize) {
-        let duration = |bytes: usize| Duration::from_secs_f64(bytes as f64 / self.bytes_per_second);
+        let duration = |bytes: usize| secs_to_duration(bytes as f64 / self.bytes_per_second);
         let now = Instant::now();
         let drained_at = {
             let mut drained_at = self.drained_at.lock();
--- a/trackfrontd/src/serving/pipeline/admission.rs
+++ b/trackfrontd/src/serving/pipeline/admission.rs
@@ -8,6 +8,7 @@
 use trackfront_core::serving::request::Refusal;
 
 use super::{Attempts, Chosen, Job};
+use trackfront_core::units::{millis_to_duration, scaled};
 
 /// The share of the target within which an answer must be likely for a retried request that is
 /// already late. In four pairs of days of 90 boxes with bursts, 4 to 12 in 100 more of
@@ -126,7 +127,7 @@
         let left = self.route.latency_target.saturating_sub(spent);
         match self.since_first_try.is_zero() {
             true => left,
-            false => left.max(self.route.latency_target.mul_f64(RETRY_TARGET_SHARE)),
+            false => left.max(scaled(self.route.latency_target, RETRY_TARGET_SHARE)),
         }
     }
 
@@ -142,7 +143,7 @@
             return Duration::ZERO;
         }
         let time_left = self.answer_by.saturating_duration_since(now);
-        time_left.mul_f64(LATE_DEADLINE_SHARE).min(self.route.latency_target * LATE_TARGETS)
+        scaled(time_left, LATE_DEADLINE_SHARE).min(self.route.latency_target * LATE_TARGETS)
     }
 
     /// Returns the expected time to the first event on an idle engine with so many tokens of the prompt in its cache; zero
@@ -153,7 +154,7 @@
         };
         let tokens = self.info.work(cached_tokens, self.rank()).prompt_tokens;
         let ms_per_token = self.node.loads.lock().prefill_ms_per_token(&item.model);
-        Duration::from_secs_f64(f64::from(tokens) * ms_per_token / 1_000.0)
+        millis_to_duration(f64::from(tokens) * ms_per_token)
     }
 
     /// Counts whether a server was free when the request arrived.
--- a/trackfrontd/src/serving/pipeline/coordinated.rs
+++ b/trackfrontd/src/serving/pipeline/coordinated.rs
@@ -16,6 +16,7 @@
 
 use super::{Attempts, Chosen, Job};
 use crate::serving::engine_loads::{self, DeclaredRequest};
+use trackfront_core::units::scaled;
 
 /// The share of its target for which a request waits for room at an engine. A client that is refused then can still come
 /// back while its answer is of use.
@@ -59,8 +60,8 @@
         attempts: &Attempts,
     ) -> Result<(), Refusal> {
         let now = self.request_time();
-        let wait = POLL_INTERVAL.mul_f64(rand::random_range(0.5..1.5));
-        let max_held = self.route.latency_target.mul_f64(MAX_HELD_SHARE);
+        let wait = scaled(POLL_INTERVAL, rand::random_range(0.5..1.5));
+        let max_held = scaled(self.route.latency_target, MAX_HELD_SHARE);
         let is_held_long = now + wait > self.arrived + max_held;
         if attempts.servers.is_empty() && !is_held_long && !self.node.is_stopping() {
             let left = self.time_for_first_event(now).min(self.answer_by - now);
--- a/trackfrontd/src/serving/pipeline/retry_after.rs
+++ b/trackfrontd/src/serving/pipeline/retry_after.rs
@@ -7,6 +7,7 @@
 use trackfront_core::serving::choice::NoChoice;
 
 use super::{Job, MIN_RETRY_AFTER, short_hash};
+use trackfront_core::units::scaled;
 
 /// The time until a model that no engine holds is usable, beyond the load itself: plans are made
 /// every 250 ms, another model is withdrawn for 150 ms, and the boxes are informed.
@@ -65,7 +66,7 @@
     /// Returns the retry-after time if the next free slot is `wait` away.
     pub fn retry_after_wait(&self, wait: Duration) -> Duration {
         let refused = self.node.saturation.lock().refused_fraction(&self.service, self.node.now());
-        self.spread(wait.max(MIN_RETRY_AFTER) + SATURATION_EXTRA_WAIT.mul_f64(refused))
+        self.spread(wait.max(MIN_RETRY_AFTER) + scaled(SATURATION_EXTRA_WAIT, refused))
     }
 
     /// Returns the shortest time in which an engine of the service could load the model: from its
@@ -87,6 +88,6 @@
     /// Lengthens a wait by up to half, depending on the request's identifier.
     pub(super) fn spread(&self, wait: Duration) -> Duration {
         let fraction = (short_hash(self.info.id.as_str()) % 1_000) as f64 / 1_000.0;
-        wait.mul_f64(1.0 + fraction / 2.0)
+        scaled(wait, 1.0 + fraction / 2.0)
     }
 }
--- a/trackfrontd/src/serving/restoration.rs
+++ b/trackfrontd/src/serving/restoration.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use trackfront_core::store_version::StoreVersion;
-use trackfront_core::units::Moment;
+use trackfront_core::units::{Moment, scaled};
 
 use super::boxes;
 use super::node::ServingNode;
@@ -114,7 +114,7 @@
         let box_row = written_at.is_some_and(|at| restored_at.since(at) < MAX_COPY_AGE);
         log::info!(quarantined, box_row; "writing again what the store may have lost");
         if box_row {
-            let delay = WRITE_SPREAD.mul_f64(rand::rng().random());
+            let delay = scaled(WRITE_SPREAD, rand::rng().random());
             sleep(delay).await;
             boxes::write_row_until_stored(&node).await;
         }
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -14,6 +14,7 @@
 use trackfront_core::serving::key_freshness::RevocationTerms;
 use trackfront_core::serving::orders::LoadRateTerms;
 use trackfront_core::serving::retry_budget::BudgetTerms;
+use trackfront_core::units::{millis_to_duration, secs_to_duration};
 
 /// Why a settings file is refused.
 #[derive(Debug, Error)]
@@ -228,19 +229,19 @@
         BudgetTerms {
             ratio: self.retry_ratio,
             slack: self.retry_slack,
-            window: Duration::from_secs_f64(self.retry_window_s),
+            window: secs_to_duration(self.retry_window_s),
         }
     }
 
     /// Returns the limit on loads from the weight store.
     pub fn loads(&self) -> LoadRateTerms {
-        let window = Duration::from_secs_f64(self.load_window_s);
+        let window = secs_to_duration(self.load_window_s);
         LoadRateTerms { window, overage: self.load_overage }
     }
 
     /// Returns the bound on the use of removed keys, if there is one.
     pub fn keys(&self) -> Option<RevocationTerms> {
-        let bound = Duration::from_secs_f64(self.key_end_ms / 1_000.0);
+        let bound = millis_to_duration(self.key_end_ms);
         (!bound.is_zero()).then_some(RevocationTerms { bound })
     }
 
@@ -251,22 +252,22 @@
 
     /// Returns the interval at which a server writes its row.
     pub fn heartbeat(&self) -> Duration {
-        Duration::from_secs_f64(self.heartbeat_ms / 1_000.0)
+        millis_to_duration(self.heartbeat_ms)
     }
 
     /// Returns the time that a draining server continues to serve.
     pub fn drain(&self) -> Duration {
-        Duration::from_secs_f64(self.drain_ms / 1_000.0)
+        millis_to_duration(self.drain_ms)
     }
 
     /// Returns the time from the signal to stop until the node has to exit.
     pub fn grace(&self) -> Duration {
-        Duration::from_secs_f64(self.grace_s)
+        secs_to_duration(self.grace_s)
     }
 
     /// Returns the shortest time between orders of two nodes to one engine.
     pub fn order_quiet(&self) -> Duration {
-        Duration::from_secs_f64(self.order_quiet_ms / 1_000.0)
+        millis_to_duration(self.order_quiet_ms)
     }
 
     /// Returns the first key with an invalid value, and the value.
--- a/trackfrontd/src/shared.rs
+++ b/trackfrontd/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::quotas::Quotas;
 use crate::settings::Place;
 use crate::shards::claims::ClaimRegistry;
+use trackfront_core::units::scaled;
 
 /// The fraction by which intervals vary at random, so that boxes do not act in step.
 const JITTER: f64 = 0.2;
@@ -132,6 +133,6 @@
     /// Sleeps for about `period`, with jitter.
     pub async fn sleep_about(&self, period: Duration) {
         let factor = self.rng.lock().random_range(1.0 - JITTER..1.0 + JITTER);
-        self.outside.clock.sleep(period.mul_f64(factor)).await;
+        self.outside.clock.sleep(scaled(period, factor)).await;
     }
 }
--- a/trackfrontd/tests/serving.rs
+++ b/trackfrontd/tests/serving.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use trackfront_core::units::scaled;
 use trackfrontd::serving::feed_relay::{reader_timeout, successor_delay};
 use trackfrontd::serving::log_queue;
 use trackfrontd::serving::settings::{BalancingSettings, ServingSettings};
@@ -140,6 +141,6 @@
     assert_eq!(reads_after(1), reader_timeout(drain), "the first successor does not wait longer");
     let waits: Vec<_> = (1..=8).map(reads_after).collect();
     assert!(waits.is_sorted(), "{waits:?}");
-    assert!(waits[7] <= drain.mul_f64(0.85) + Duration::from_millis(1), "{waits:?}");
+    assert!(waits[7] <= scaled(drain, 0.85) + Duration::from_millis(1), "{waits:?}");
     assert!(reads_after(9) > drain, "in an outage not all boxes call the store");
 }
