One bound on what a box holds of requests and answers

Cause: one body and one answer were bounded, their sum was not.

Change: a budget of a third of memory_mb. A body without room is read, dropped and refused as not run; a plain answer without room is passed on as its client reads, if its length is stated. A stream's unfinished event counts towards the budget and is bounded.

--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::stream;
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode, Version};
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use trackfront_core::serving::memory_budget::Reservation;
 
 use crate::keep_alive;
 use crate::resettable::{Reset, ResettableStream};
@@ -134,8 +135,56 @@
     match collected {
         Err(_) => Err(ReadBodyError::TooSlow),
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ReadBodyError::TooLarge),
-        Ok(Err(error)) => Err(ReadBodyError::Broken(error.to_string())),
+        Ok(Err(error)) => Err(read_error(error)),
+    }
+}
+
+/// Reads a complete body as [`read_body`] does, if there is room for it in `held`; `None` if not. What finds no room is
+/// read to its end and dropped, since few clients read an answer before they have sent their body.
+pub async fn read_body_into(
+    body: Incoming,
+    limit: usize,
+    time: Duration,
+    held: &mut Reservation,
+) -> Result<Option<Bytes>, ReadBodyError> {
+    let reading = async {
+        let mut body = Limited::new(body, limit);
+        let stated = body.size_hint().exact().map_or(0, |length| length as usize);
+        if stated > limit {
+            return Err(ReadBodyError::TooLarge);
+        }
+        if !held.try_grow(stated) {
+            drop_rest(body).await?;
+            return Ok(None);
+        }
+        let mut whole = BytesMut::with_capacity(stated);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(read_error)?.into_data() else { continue };
+            let more = (whole.len() + data.len()).saturating_sub(held.bytes());
+            if !held.try_grow(more) {
+                drop(whole);
+                drop_rest(body).await?;
+                return Ok(None);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(Some(whole.freeze()))
+    };
+    tokio::time::timeout(time, reading).await.unwrap_or(Err(ReadBodyError::TooSlow))
+}
+
+/// Reads and drops what is left of a body that there is no room for.
+async fn drop_rest(mut body: Limited<Incoming>) -> Result<(), ReadBodyError> {
+    while let Some(frame) = body.frame().await {
+        frame.map_err(read_error)?;
+    }
+    Ok(())
+}
+
+fn read_error(error: BodyError) -> ReadBodyError {
+    match error.is::<LengthLimitError>() {
+        true => ReadBodyError::TooLarge,
+        false => ReadBodyError::Broken(error.to_string()),
     }
 }
 
--- a/trackfront_adapters/src/serving_metrics.rs
+++ b/trackfront_adapters/src/serving_metrics.rs
@@ -104,6 +104,8 @@
     pub nodes: Gauge,
     /// Log lines that were dropped because the output was read too slowly.
     pub dropped_lines: Gauge,
+    /// The bytes of requests and answers that are held.
+    pub held_bytes: Gauge,
     /// Opened connections to servers.
     pub connections_opened: Gauge,
     /// Requests on reused connections.
@@ -145,6 +147,7 @@
             evacuated_halls: Gauge::default(),
             nodes: Gauge::default(),
             dropped_lines: Gauge::default(),
+            held_bytes: Gauge::default(),
             connections_opened: Gauge::default(),
             connections_reused: Gauge::default(),
         };
@@ -209,6 +212,8 @@
         registry.register("evacuated_halls", "Halls whose servers get nothing", evacuated);
         registry.register("nodes", "Nodes heard of lately", self.nodes.clone());
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
+        let help = "Bytes of requests and answers held";
+        registry.register("held_bytes", help, self.held_bytes.clone());
         let opened = self.connections_opened.clone();
         registry.register("connections_opened", "Connections to servers opened", opened);
         let reused = self.connections_reused.clone();
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -27,6 +27,7 @@
 pub mod in_flight;
 pub mod key_freshness;
 pub mod load;
+pub mod memory_budget;
 pub mod notices;
 pub mod orders;
 pub mod overload;
--- a/trackfront_core/tests/serving.rs
+++ b/trackfront_core/tests/serving.rs
@@ -29,6 +29,7 @@
     mod key_freshness;
     mod limited;
     mod load;
+    mod memory_budget;
     mod notices;
     mod orders;
     mod orders_random;
--- a/trackfrontd/src/serving/listeners.rs
+++ b/trackfrontd/src/serving/listeners.rs
@@ -113,6 +113,7 @@
     let counts = node.pool.counts();
     let metrics = &node.metrics;
     metrics.dropped_lines.set(log_queue.dropped() as i64);
+    metrics.held_bytes.set(node.memory.held() as i64);
     metrics.connections_opened.set(counts.opened as i64);
     metrics.connections_reused.set(counts.reused as i64);
     metrics.nodes.set(node.peers.lock().alive(node.now()).len() as i64 + 1);
--- a/trackfrontd/src/serving/mod.rs
+++ b/trackfrontd/src/serving/mod.rs
@@ -30,6 +30,7 @@
 pub mod lease;
 pub mod listeners;
 pub mod log_queue;
+mod long_relay;
 pub mod messages;
 pub mod missing_items;
 pub mod node;
--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -21,6 +21,7 @@
 use trackfront_core::serving::directory::{Directory, KnownServer};
 use trackfront_core::serving::halls::Evacuations;
 use trackfront_core::serving::load::LoadTracker;
+use trackfront_core::serving::memory_budget::MemoryBudget;
 use trackfront_core::serving::notices::NoticeTracker;
 use trackfront_core::serving::overload::ConnectionGate;
 use trackfront_core::serving::reach::ReachTracker;
@@ -123,6 +124,8 @@
     pub room: ServerRoom,
     /// The load of engines, as their coordinators know it.
     pub engine_loads: EngineLoads,
+    /// The bytes of requests and answers that this box holds.
+    pub memory: Arc<MemoryBudget>,
     /// Which software began the streams that clients may continue.
     pub stream_versions: StreamVersions,
     /// Prompt prefixes that engines have cached.
@@ -205,8 +208,10 @@
         // Random first numbers keep replies to an earlier process at this address apart, for
         // permits as well.
         let quotas = Quotas::new(box_id(settings.node.ip), rand::random());
+        let memory = MemoryBudget::new(settings.resources.held_bytes());
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
+            memory,
             pool: UpstreamPool::new(ports.clock.clone(), ports.connect.clone()),
             ports,
             metrics: ServingMetrics::default(),
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -31,11 +31,11 @@
 use parking_lot::Mutex;
 pub use permit::Chosen;
 use permit::{MAX_PERMITS_REFUSED, log_no_permit};
-pub use plain::{BrokenAnswer, PlainAnswer};
+pub use plain::{BrokenAnswer, LongAnswer, PlainAnswer, PlainRead, stated_length};
 pub use quarantine::Suspects;
 use quarantine::suspects;
 use tokio::time::Instant;
-use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body};
+use trackfront_adapters::http_server::{Abort, Body, ReadBodyError, read_body_into};
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::accounts::ClientAccount;
 use trackfront_core::ids::{BackendId, RequestId, ServiceName};
@@ -43,6 +43,7 @@
 use trackfront_core::serving::choice::UnavailableCause;
 use trackfront_core::serving::config::{Route, ServingConfig};
 use trackfront_core::serving::fingerprint::Fingerprint;
+use trackfront_core::serving::memory_budget::{HeldFor, Reservation};
 use trackfront_core::serving::request::{ModelRef, Refusal, RequestInfo};
 use trackfront_core::serving::stream_origins::SoftwareId;
 use trackfront_core::serving::urgency::{Standing, rank};
@@ -68,6 +69,12 @@
 /// The retry-after time of a box that has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
+/// The retry-after time of a box that has no room for a body: bodies are held until servers have answered.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Why a body is not taken.
+const NO_ROOM: &str = "the box holds as many bodies as it has memory for";
+
 /// An admitted request and its state while it is being served.
 pub struct Job {
     /// The state of this box.
@@ -92,6 +99,8 @@
     pub head: request::Parts,
     /// The complete body.
     pub body: Bytes,
+    /// The room that the body takes, for as long as the request lasts.
+    _held: Reservation,
     /// The time of arrival on the clock of timers; `arrived_at` is the same on the clock that also
     /// advances while the machine is suspended.
     pub arrived: Instant,
@@ -173,11 +182,17 @@
     let answer_by = deadline.map_or(timeout, |deadline| deadline.min(timeout)) - ANSWER_MARGIN;
     let time = answer_by.saturating_duration_since(arrived);
     let limit = config.limits.max_body_bytes;
-    let body = read_body(body, limit, time).await.map_err(|error| match error {
+    let mut held = node.memory.reserve(HeldFor::Body);
+    let body = read_body_into(body, limit, time, &mut held).await.map_err(|error| match error {
         ReadBodyError::TooLarge => Refusal::TooLarge { limit },
         ReadBodyError::TooSlow => Refusal::TooSlow,
         ReadBodyError::Broken(cause) => Refusal::BadRequest(cause),
     })?;
+    let no_room = || {
+        let retry_after = retry_after::spread(&info.id, NO_ROOM_RETRY_AFTER);
+        Refusal::NoServer { cause: NO_ROOM, retry_after }
+    };
+    let body = body.ok_or_else(no_room)?;
     let since_first_try = info.deadline.map_or(Duration::ZERO, |left| {
         node.refusal_retries.lock().record(&route.name, left, node.now())
     });
@@ -197,6 +212,7 @@
         prefixes,
         head,
         body,
+        _held: held,
         arrived,
         arrived_at,
         since_first_try,
--- a/trackfrontd/src/serving/pipeline/retry_after.rs
+++ b/trackfrontd/src/serving/pipeline/retry_after.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use trackfront_core::ids::RequestId;
 use trackfront_core::serving::choice::NoChoice;
 
 use super::{Job, MIN_RETRY_AFTER, short_hash};
@@ -87,7 +88,12 @@
 
     /// Lengthens a wait by up to half, depending on the request's identifier.
     pub(super) fn spread(&self, wait: Duration) -> Duration {
-        let fraction = (short_hash(self.info.id.as_str()) % 1_000) as f64 / 1_000.0;
-        scaled(wait, 1.0 + fraction / 2.0)
+        spread(&self.info.id, wait)
     }
 }
+
+/// Lengthens a wait by up to half, depending on a request's identifier.
+pub(super) fn spread(request: &RequestId, wait: Duration) -> Duration {
+    let fraction = (short_hash(request.as_str()) % 1_000) as f64 / 1_000.0;
+    scaled(wait, 1.0 + fraction / 2.0)
+}
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -21,15 +21,21 @@
 use trackfront_core::ids::BackendId;
 use trackfront_core::serving::events::EventScanner;
 use trackfront_core::serving::load::AttemptOutcome;
+use trackfront_core::serving::memory_budget::{HeldFor, Reservation};
 
+use super::long_relay;
 use super::pipeline::{
-    Attempts, BrokenAnswer, EndLog, Job, PlainAnswer, QuotaUnits, SendGuard, SendOutcome,
+    Attempts, BrokenAnswer, EndLog, Job, PlainAnswer, PlainRead, QuotaUnits, SendGuard,
+    SendOutcome, stated_length,
 };
 use super::stream_origins::RelayedStream;
 
 /// The multiple of the gap target for which a resumable stream may stay silent.
 const SILENCE_GAP_FACTOR: u32 = 4;
 
+/// The most bytes of one event. Events hold a few tokens; bytes without end are none.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Why an answer that ended with its connection is incomplete.
 const SERVER_ENDED: &str = "the server ended while it answered";
 
@@ -47,33 +53,40 @@
 struct LoggedBody {
     body: Body,
     end: EndLog,
+    /// The bytes left of a stated length. Nobody asks for the end of such a body.
+    left: Option<u64>,
 }
 
-/// Logs the end of a request at the end of its stream.
-fn log_stream_end(body: Body, end: EndLog) -> Body {
-    let pieces = stream::unfold(LoggedBody { body, end }, |mut logged| async move {
-        match logged.body.frame().await {
-            Some(Ok(frame)) => Some((Ok(frame), logged)),
-            Some(Err(error)) => {
-                logged.end.end("cut_off", &error.to_string());
-                Some((Err(error), logged))
-            }
-            None => {
-                logged.end.end("answered", "");
-                None
-            }
+impl LoggedBody {
+    async fn next(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let frame = self.body.frame().await;
+        if let (Some(Ok(frame)), Some(left)) = (&frame, &mut self.left) {
+            *left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len) as u64);
         }
-    });
-    StreamBody::new(pieces).boxed_unsync()
+        match &frame {
+            Some(Err(error)) => self.end.end("cut_off", &error.to_string()),
+            Some(Ok(_)) if self.left != Some(0) => {}
+            Some(Ok(_)) | None => self.end.end("answered", ""),
+        }
+        frame
+    }
 }
 
 /// Logs the end of an answered request: now, or at the end of its stream.
 pub fn log_end(response: Response<Body>, is_stream: bool, mut end: EndLog) -> Response<Body> {
-    if is_stream {
-        return response.map(|body| log_stream_end(body, end));
+    if !is_stream {
+        end.end("answered", "");
+        return response;
     }
-    end.end("answered", "");
-    response
+    let left = stated_length(response.headers());
+    response.map(|body| {
+        let logged = LoggedBody { body, end, left };
+        let pieces = stream::unfold(logged, |mut logged| async move {
+            let frame = logged.next().await?;
+            Some((frame, logged))
+        });
+        StreamBody::new(pieces).boxed_unsync()
+    })
 }
 
 /// Relays a server's answer, whose head was already read.
@@ -90,12 +103,15 @@
     relay_plain(job, answer, guard).await
 }
 
-async fn relay_plain(job: &Job, answer: UpstreamAnswer, mut guard: SendGuard) -> RelayOutcome {
+async fn relay_plain(job: &Arc<Job>, answer: UpstreamAnswer, mut guard: SendGuard) -> RelayOutcome {
     match job.read_plain(answer).await {
-        Ok(answer) if answer.end == BodyEnd::WithConnection => {
+        Ok(PlainRead::Whole(answer)) if answer.end == BodyEnd::WithConnection => {
             relay_unstated(job, answer, guard).await
         }
-        Ok(answer) => relay_whole(job, answer, guard),
+        Ok(PlainRead::Whole(answer)) => relay_whole(job, answer, guard),
+        Ok(PlainRead::Long(answer)) => {
+            RelayOutcome::Answer(long_relay::relay(job, *answer, guard), true)
+        }
         Err(broken) => {
             record_broken(&mut guard, broken);
             RelayOutcome::Broken(broken.cause())
@@ -132,7 +148,9 @@
 fn record_broken(guard: &mut SendGuard, broken: BrokenAnswer) {
     match broken {
         BrokenAnswer::Connection(_) => guard.record_broken_connection(),
-        BrokenAnswer::TimedOut(_) => guard.finish(AttemptOutcome::Failed),
+        BrokenAnswer::TimedOut(_) | BrokenAnswer::NoAnswer(_) => {
+            guard.finish(AttemptOutcome::Failed)
+        }
         BrokenAnswer::EndUnknown => guard.finish(AttemptOutcome::Answered),
     }
 }
@@ -150,6 +168,10 @@
     scanner: EventScanner,
     /// The bytes received after the last complete event.
     partial: BytesMut,
+    /// The room that these take.
+    partial_held: Reservation,
+    /// The number of bytes received after the last complete event, also if they were passed on.
+    event_bytes: usize,
     last_event: Option<String>,
     tried: Vec<BackendId>,
     sends: u32,
@@ -182,6 +204,8 @@
         response_end,
         scanner: EventScanner::default(),
         partial: BytesMut::new(),
+        partial_held: job.node.memory.reserve(HeldFor::Answer),
+        event_bytes: 0,
         last_event: None,
         tried: attempts.servers.clone(),
         sends: attempts.sends,
@@ -285,8 +309,9 @@
     /// Reads until there is a piece to forward: any bytes, or, for a resumable stream, complete
     /// events.
     async fn next_piece(&mut self) -> Next {
+        // Bytes that complete no event do not end a silence.
+        let until = self.silence_deadline();
         loop {
-            let until = self.silence_deadline();
             match timeout_at(self.job.timer(until), self.body.next()).await {
                 Err(_) if self.job.request_time() >= self.job.answer_by => {
                     return Next::Broken(BrokenAnswer::TimedOut("the stream did not end in time"));
@@ -301,11 +326,11 @@
                     return Next::Broken(BrokenAnswer::Connection("the stream broke off"));
                 }
                 Ok(None) => return self.end_of_body().await,
-                Ok(Some(Ok(piece))) => {
-                    if let Some(piece) = self.take_piece(piece) {
-                        return Next::Piece(piece);
-                    }
-                }
+                Ok(Some(Ok(piece))) => match self.take_piece(piece) {
+                    Ok(Some(piece)) => return Next::Piece(piece),
+                    Ok(None) => {}
+                    Err(broken) => return Next::Broken(broken),
+                },
             }
         }
     }
@@ -328,18 +353,36 @@
     }
 
     /// Returns what may be forwarded after a piece arrived: all of it, or, for a resumable stream, complete events.
-    fn take_piece(&mut self, piece: Bytes) -> Option<Bytes> {
+    fn take_piece(&mut self, piece: Bytes) -> Result<Option<Bytes>, BrokenAnswer> {
         let complete = self.scanner.read(&piece);
+        self.event_bytes = match complete {
+            Some(complete) => piece.len() - complete,
+            None => self.event_bytes.saturating_add(piece.len()),
+        };
+        if self.event_bytes > MAX_EVENT_BYTES {
+            return Err(self.endless_event());
+        }
         if !self.job.route.resumable {
-            return Some(piece);
+            return Ok(Some(piece));
         }
         let before = self.partial.len();
+        if !self.partial_held.try_grow(piece.len()) {
+            return Err(self.endless_event());
+        }
         self.partial.extend_from_slice(&piece);
-        let events = self.partial.split_to(before + complete?).freeze();
+        let Some(complete) = complete else { return Ok(None) };
+        let events = self.partial.split_to(before + complete).freeze();
+        self.partial_held.shrink(events.len());
         if let Some(id) = last_event_id(&events) {
             self.last_event = Some(id);
         }
-        Some(events)
+        Ok(Some(events))
+    }
+
+    fn endless_event(&self) -> BrokenAnswer {
+        let (request, server) = (&self.job.info.id, &self.guard.server().entry.id);
+        log::warn!(request:%, server:%, bytes = self.event_bytes; "event of a stream does not end");
+        BrokenAnswer::NoAnswer("an event of the stream does not end")
     }
 
     /// Continues the stream at another server. Returns whether that succeeded.
@@ -352,7 +395,9 @@
         if !allowed || job.may_crash_servers() {
             return false;
         }
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        self.partial_held.shrink(self.partial_held.bytes());
+        self.event_bytes = 0;
         // A silent stream may still be running; it must not run beside its continuation.
         self.body.close();
         if job.choose(&self.tried).is_err() || !job.take_retry() {
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -218,6 +218,7 @@
         }
         if changed {
             node.retry_budgets.lock().set_terms(settings.promises.budget());
+            node.memory.set_limit(settings.resources.held_bytes());
             node.settings.store(Arc::new(settings));
         }
         if changed || signalled {
--- a/trackfrontd/src/serving/settings.rs
+++ b/trackfrontd/src/serving/settings.rs
@@ -100,6 +100,11 @@
     pub address: SocketAddrV4,
 }
 
+const BYTES_PER_MB: f64 = 1_024.0 * 1_024.0;
+
+/// The fraction of the memory for the bytes of requests and answers.
+const HELD_FRACTION: f64 = 1.0 / 3.0;
+
 /// The resources that the node may use.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -124,6 +129,12 @@
     pub fn capacity(&self) -> CapacityClass {
         CapacityClass::new(self.cpu_share, self.link_mbps, self.memory_mb)
     }
+
+    /// Returns the most bytes of requests and answers that the node holds. A third of the memory is for what it knows of a
+    /// large deployment, and a third for buffers.
+    pub fn held_bytes(&self) -> usize {
+        (self.memory_mb * BYTES_PER_MB * HELD_FRACTION) as usize
+    }
 }
 
 /// The default share of a core: a whole one.
