Boxes that have just started wait for what is quarantined

What callers saw (a test): after all boxes were killed and started, a quarantined request that comes at once crashes 9 to 17 more servers.

Cause: an empty list of quarantined requests counted as none being quarantined; boxes answer after 33 ms and load the rows after 0.95 to 1.25 s.

Change: requests wait for the rows, and after 150 ms the box reads them itself.

--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -12,14 +12,13 @@
 use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use outbox::Outbox;
 pub use outbox::broadcast;
 use parking_lot::Mutex;
 pub use rows::{maintain_rows, snapshot};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_adapters::upstream::UpstreamError;
@@ -48,6 +47,10 @@
 /// The longest time that this look takes; the server counts as running then.
 const END_CHECK_TIME: Duration = Duration::from_millis(150);
 
+/// How long a request at a box that has just started waits for other boxes to tell what is quarantined; after that the box
+/// reads the platform's table.
+const OTHERS_TIME: Duration = Duration::from_millis(150);
+
 /// The number of boxes that count the crashes of one request. The count is lost if they are lost
 /// one after the other.
 const COORDINATORS: usize = 3;
@@ -66,7 +69,9 @@
     /// Requests that are no longer quarantined, whose rows may still be in the platform's table.
     rows_to_remove: Mutex<HashSet<Fingerprint>>,
     /// Whether this box has loaded the requests that were quarantined before it started.
-    is_loaded: AtomicBool,
+    loaded: watch::Sender<bool>,
+    /// Notified when a request waits for that.
+    load_wanted: Notify,
 }
 
 impl Crashes {
@@ -108,7 +113,20 @@
     }
 
     fn is_loaded(&self) -> bool {
-        self.is_loaded.load(Ordering::Relaxed)
+        *self.loaded.borrow()
+    }
+
+    /// Waits until this box has loaded the requests that were quarantined before it started, for `time` at most: it
+    /// serves without them if neither another box nor the platform's table tells. Returns whether it has.
+    pub async fn wait_loaded(&self, time: Duration) -> bool {
+        let mut loaded = self.loaded.subscribe();
+        let loading = async {
+            if timeout(OTHERS_TIME, loaded.wait_for(|is_loaded| *is_loaded)).await.is_err() {
+                self.load_wanted.notify_one();
+                let _ = loaded.wait_for(|is_loaded| *is_loaded).await;
+            }
+        };
+        timeout(time, loading).await.is_ok()
     }
 }
 
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -5,7 +5,6 @@
 //! boxes for quarantined requests, and reads the rows if none of them knows.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -57,7 +56,16 @@
 }
 
 /// Loads quarantined requests from other boxes, or from the platform's table if none of them knows.
+/// Loads the quarantined requests: as one of many boxes that start, or at once if requests wait for it.
 async fn load(node: &ServingNode) {
+    let (reports, from) = tokio::select! {
+        loaded = load_among_others(node) => loaded,
+        reports = load_when_wanted(node) => (reports, "the platform's table"),
+    };
+    apply_loaded(node, reports, from);
+}
+
+async fn load_among_others(node: &ServingNode) -> (Vec<CrashReport>, &'static str) {
     boxes::wait_for_box_list(node).await;
     // A box that knows no other box would take itself for the feed reader: of 90 boxes that start,
     // 90 would read.
@@ -67,17 +75,29 @@
     for round in 0.. {
         let others = boxes::likely_up(node);
         if let Some(reports) = exchange::fetch_crashes(node, &others).await {
-            return apply_loaded(node, reports, "another box");
+            return (reports, "another box");
         }
         let reads = feed_relay::hall_peers(node).is_reader() || round >= FEED_READER_ROUNDS;
         if reads {
             match read_rows(node).await {
-                Ok(reports) => return apply_loaded(node, reports, "the platform's table"),
+                Ok(reports) => return (reports, "the platform's table"),
                 Err(error) => log::info!(error:% = error; "quarantine rows not read"),
             }
         }
         sleep(ASK_INTERVAL).await;
     }
+    unreachable!("the rounds do not end")
+}
+
+async fn load_when_wanted(node: &ServingNode) -> Vec<CrashReport> {
+    loop {
+        node.crashes.load_wanted.notified().await;
+        match read_rows(node).await {
+            Ok(reports) => return reports,
+            Err(error) => log::info!(error:% = error; "quarantine rows not read"),
+        }
+        sleep(ASK_INTERVAL).await;
+    }
 }
 
 fn apply_loaded(node: &ServingNode, reports: Vec<CrashReport>, from: &'static str) {
@@ -87,7 +107,7 @@
         let mut tracker = node.crashes.tracker.lock();
         reports.iter().for_each(|report| tracker.load(report, now));
     }
-    node.crashes.is_loaded.store(true, Ordering::Relaxed);
+    node.crashes.loaded.send_replace(true);
     log::info!(from, held_off = count; "crashes known");
 }
 
--- a/trackfrontd/src/serving/pipeline/quarantine.rs
+++ b/trackfrontd/src/serving/pipeline/quarantine.rs
@@ -1,6 +1,7 @@
 //! What of a request may crash servers: the request as such and the parts of its prompt.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{PromptPart, Refusal};
@@ -11,6 +12,9 @@
 /// The most parts of a prompt that are tracked; of longer prompts the first ones.
 const MAX_PARTS: usize = 64;
 
+/// The longest time for which a request at a box that has just started waits until it is known what is quarantined.
+const MAX_LOAD_WAIT: Duration = Duration::from_millis(1_500);
+
 /// The most parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -54,6 +58,16 @@
         self.quarantined().all(|(suspect, _)| Some(suspect) == trial)
     }
 
+    /// Waits until it is known which requests were quarantined before this box started. That it has heard of none yet says
+    /// nothing.
+    pub(super) async fn wait_for_quarantine(&self) {
+        let left = self.answer_by.saturating_duration_since(self.request_time());
+        if !self.node.crashes.wait_loaded(MAX_LOAD_WAIT.min(left / 2)).await {
+            log::warn!(request:% = self.info.id, age_ms = self.node.age().as_millis() as u64;
+                "sent without knowing what is held off");
+        }
+    }
+
     /// Refuses a quarantined request, also one that was quarantined between two sends.
     pub(super) async fn check_quarantine(&self, attempts: &Attempts) -> Option<Refusal> {
         if self.may_pass_quarantine() {
