What a box has not heard at its start is no room and no budget

Change: requests that boxes or the server report at the first request count until they are returned or expire, and nothing is granted before other boxes can have been heard; without a list of the boxes there is no slack.

--- a/trackfront_core/src/serving/room.rs
+++ b/trackfront_core/src/serving/room.rs
@@ -83,6 +83,9 @@
     granted: HashMap<GrantId, Moment>,
     /// The waiting requests, and until when each waits.
     waiting: VecDeque<(GrantRequest, Moment)>,
+    /// Requests that were there before this coordinator knew the server, and until when they may be: grants of an earlier
+    /// coordinator, or of this box before it was started again.
+    inherited: Option<(usize, Moment)>,
     /// The room after a rejection, and when the rejection was.
     reduced: Option<(f64, Moment)>,
     used_at: Moment,
@@ -103,6 +106,12 @@
         most as usize
     }
 
+    /// Returns the number of grants that stand, inherited ones among them.
+    fn standing(&self, now: Moment) -> usize {
+        let inherited = self.inherited.filter(|(_, until)| now < *until);
+        self.granted.len() + inherited.map_or(0, |(count, _)| count)
+    }
+
     /// Drops expired grants, and returns the requests that have waited as long as they can.
     fn drop_expired(&mut self, now: Moment) -> Vec<GrantId> {
         self.granted.retain(|_, until| now < *until);
@@ -122,7 +131,7 @@
         let refused = self.drop_expired(now);
         let mut granted = Vec::new();
         while let Some((request, _)) = self.waiting.front().copied() {
-            if self.granted.len() >= self.most(request.slots, now) {
+            if self.standing(now) >= self.most(request.slots, now) {
                 break;
             }
             self.waiting.pop_front();
@@ -140,13 +149,24 @@
 }
 
 impl RoomIssuer {
-    /// Handles a request for room at a server.
-    pub fn request(&mut self, server: u32, request: GrantRequest, now: Moment) -> RoomAnswer {
-        let room = self.servers.entry(server).or_default();
+    /// Handles a request for room at a server, where `known` requests are as far as boxes have told. Those count until
+    /// they are returned, if this is the first request for the server here.
+    pub fn request(
+        &mut self,
+        server: u32,
+        request: GrantRequest,
+        known: usize,
+        now: Moment,
+    ) -> RoomAnswer {
+        let inherited = || ServerRoom {
+            inherited: (known > 0).then_some((known, now + request.max_time)),
+            ..ServerRoom::default()
+        };
+        let room = self.servers.entry(server).or_insert_with(inherited);
         room.used_at = now;
         room.granted.retain(|_, until| now < *until);
         let most = room.most(request.slots, now);
-        if room.granted.len() < most && room.waiting.is_empty() {
+        if room.standing(now) < most && room.waiting.is_empty() {
             room.granted.insert(request.id, now + request.max_time);
             return RoomAnswer::Granted;
         }
@@ -171,7 +191,7 @@
         };
         room.used_at = now;
         if was_rejected {
-            let standing = room.granted.len() as f64;
+            let standing = room.standing(now) as f64;
             let before = match room.reduced {
                 // Of requests that were rejected together only the first one counts.
                 Some((most, at)) if now.since(at) < CLOSED_TIME => most,
@@ -179,8 +199,14 @@
             };
             room.reduced = Some((before.max(1.0), now));
         }
-        room.granted.remove(&id);
+        let is_known = room.granted.remove(&id).is_some();
+        let waiting = room.waiting.len();
         room.waiting.retain(|(request, _)| request.id != id);
+        if !is_known && room.waiting.len() == waiting {
+            // It was granted before.
+            room.inherited =
+                room.inherited.and_then(|(count, until)| Some((count.checked_sub(1)?, until)));
+        }
         room.settle(now)
     }
 
--- a/trackfront_core/tests/serving/room.rs
+++ b/trackfront_core/tests/serving/room.rs
@@ -27,7 +27,7 @@
 fn filled() -> RoomIssuer {
     let mut issuer = RoomIssuer::default();
     for number in 0..9 {
-        assert_eq!(issuer.request(SERVER, request(number, 0), at(0)), RoomAnswer::Granted);
+        assert_eq!(issuer.request(SERVER, request(number, 0), 0, at(0)), RoomAnswer::Granted);
     }
     issuer
 }
@@ -36,9 +36,9 @@
 #[test]
 fn no_more_is_granted_than_there_are_slots() {
     let mut issuer = filled();
-    let answer = issuer.request(SERVER, request(9, 0), at(0));
+    let answer = issuer.request(SERVER, request(9, 0), 0, at(0));
     assert_eq!(answer, RoomAnswer::NotBefore(REFUSED_WAIT));
-    assert_eq!(issuer.request(SERVER, request(10, 100), at(0)), RoomAnswer::Waits);
+    assert_eq!(issuer.request(SERVER, request(10, 100), 0, at(0)), RoomAnswer::Waits);
     let settled = issuer.release(SERVER, id(3), false, at(50));
     assert_eq!(settled, Settled { granted: vec![id(10)], refused: Vec::new() });
 }
@@ -47,7 +47,7 @@
 #[test]
 fn request_that_waited_as_long_as_it_can_is_refused() {
     let mut issuer = filled();
-    issuer.request(SERVER, request(10, 100), at(0));
+    issuer.request(SERVER, request(10, 100), 0, at(0));
     assert_eq!(issuer.settle(at(99)), Settled::default());
     assert_eq!(issuer.settle(at(100)).refused, vec![id(10)]);
     assert!(!issuer.has_waiting());
@@ -57,7 +57,7 @@
 #[test]
 fn grant_whose_return_was_lost_ends() {
     let mut issuer = filled();
-    assert_eq!(issuer.request(SERVER, request(20, 0), at(5_000)), RoomAnswer::Granted);
+    assert_eq!(issuer.request(SERVER, request(20, 0), 0, at(5_000)), RoomAnswer::Granted);
 }
 
 /// Guards against rejections that go on at the rate of requests: after one, fewer are sent.
@@ -68,11 +68,11 @@
     // Others that were under way are rejected together with it.
     issuer.release(SERVER, id(1), true, at(20));
     (2..9).for_each(|number| drop(issuer.release(SERVER, id(number), false, at(30))));
-    let answer = issuer.request(SERVER, request(20, 0), at(200));
+    let answer = issuer.request(SERVER, request(20, 0), 0, at(200));
     assert_eq!(answer, RoomAnswer::NotBefore(REFUSED_WAIT));
     let granted = |issuer: &mut RoomIssuer, from: u32, ms: u64| {
         let answers =
-            (from..from + 20).map(|number| issuer.request(SERVER, request(number, 0), at(ms)));
+            (from..from + 20).map(|number| issuer.request(SERVER, request(number, 0), 0, at(ms)));
         answers.filter(|answer| *answer == RoomAnswer::Granted).count()
     };
     assert_eq!(granted(&mut issuer, 100, 400), 6, "three quarters of nine");
@@ -98,7 +98,7 @@
         }
         if ms % 4 == 0 {
             number += 1;
-            if issuer.request(SERVER, request(number, 150), at(ms)) == RoomAnswer::Granted {
+            if issuer.request(SERVER, request(number, 150), 0, at(ms)) == RoomAnswer::Granted {
                 granted.push(id(number));
             }
         }
@@ -119,3 +119,25 @@
     assert!(worst <= 3, "{worst} rejections in a second");
     assert!(served >= 600, "{served} of 1200");
 }
+
+/// Guards against a box that has just become the coordinator, or was started again, and takes a server for empty since it
+/// knows of no grants: twice the slots would be granted.
+#[test]
+fn requests_from_before_the_first_one_here_count_until_they_are_returned() {
+    let mut issuer = RoomIssuer::default();
+    assert_eq!(issuer.request(SERVER, request(0, 0), 7, at(0)), RoomAnswer::Granted);
+    assert_eq!(issuer.request(SERVER, request(1, 0), 8, at(0)), RoomAnswer::Granted);
+    assert_eq!(issuer.request(SERVER, request(2, 100), 9, at(0)), RoomAnswer::Waits);
+    let settled = issuer.release(SERVER, id(700), false, at(10));
+    assert_eq!(settled.granted, vec![id(2)], "a grant of an earlier coordinator was returned");
+    assert_eq!(
+        issuer.request(SERVER, request(3, 0), 9, at(20)),
+        RoomAnswer::NotBefore(REFUSED_WAIT)
+    );
+    issuer.release(SERVER, id(0), false, at(30));
+    assert_eq!(issuer.request(SERVER, request(4, 0), 9, at(40)), RoomAnswer::Granted);
+    // What was never returned has ended.
+    for number in 10..16 {
+        assert_eq!(issuer.request(SERVER, request(number, 0), 9, at(5_000)), RoomAnswer::Granted);
+    }
+}
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -265,6 +265,7 @@
 async fn serve(job: Arc<Job>, mut end: EndLog) -> Response<Body> {
     let node = job.node.clone();
     let mut attempts = Attempts::default();
+    job.wait_for_quarantine().await;
     let unknown_origin = job.find_software().await;
     let refusal = loop {
         if let Some(refusal) = unknown_origin {
@@ -393,7 +394,9 @@
     /// Takes a retry from the budget that all boxes share. Returns whether one was left.
     pub fn take_retry(&self) -> bool {
         let now = self.node.now();
-        let nodes = self.node.peers.lock().budget_box_count(now);
+        // A box that has not heard of all others would take their parts for its own.
+        let listed = self.node.are_boxes_listed();
+        let nodes = listed.then(|| self.node.peers.lock().budget_box_count(now));
         self.node.retry_budgets.lock().try_take(&self.service, nodes, now)
     }
 
--- a/trackfrontd/src/serving/room.rs
+++ b/trackfrontd/src/serving/room.rs
@@ -16,9 +16,11 @@
 use trackfront_core::serving::room::{
     GrantId, GrantRequest, REFUSED_WAIT, RoomAnswer, RoomIssuer, Settled,
 };
+use trackfront_core::units::Moment;
 
 use super::messages::{Message, RoomRelease, RoomReply, RoomRequest};
 use super::node::ServingNode;
+use super::peer::PEER_TIMEOUT;
 use super::peer_socket::PeerSocket;
 use super::permits;
 use super::quota::box_id;
@@ -58,7 +60,7 @@
     }
 
     /// Drops old state.
-    pub fn sweep(&self, now: trackfront_core::units::Moment) {
+    pub fn sweep(&self, now: Moment) {
         self.issuer.lock().forget_old(now);
     }
 }
@@ -218,7 +220,14 @@
         max_wait: Duration::from_millis(u64::from(request.max_wait_ms)),
         max_time: Duration::from_millis(u64::from(request.max_time_ms)),
     };
-    let answer = node.room.issuer.lock().request(request.server, grant, now);
+    // A box that has just started has not heard yet of the requests that others have at the server.
+    let answer = match node.age() < PEER_TIMEOUT {
+        true => RoomAnswer::NotBefore(REFUSED_WAIT),
+        false => {
+            let known = known_requests(node, request.server, now);
+            node.room.issuer.lock().request(request.server, grant, known, now)
+        }
+    };
     match answer {
         RoomAnswer::Granted => reply(node, id, true, Duration::ZERO),
         RoomAnswer::NotBefore(wait) => reply(node, id, false, wait),
@@ -226,6 +235,12 @@
     }
 }
 
+/// Returns the number of requests at a server, as far as boxes and the server have told.
+fn known_requests(node: &ServingNode, server: u32, now: Moment) -> usize {
+    let server = node.names.lock().server(server).cloned();
+    server.map_or(0, |server| node.loads.lock().server(&server).total(now).requests() as usize)
+}
+
 /// Handles a box's return of room.
 pub fn handle_release(node: &ServingNode, from: Ipv4Addr, release: RoomRelease) {
     apply_release(node, box_id(from), release);
--- a/trackfrontd/src/serving/stream_origins/lookup.rs
+++ b/trackfrontd/src/serving/stream_origins/lookup.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{sleep, timeout};
 use trackfront_core::ids::{RequestId, ServiceName};
 use trackfront_core::serving::stream_origins::{
     Lookup, STREAM_TTL, SoftwareHistory, SoftwareId, StreamEvidence, StreamId, StreamSoftware,
@@ -174,9 +174,8 @@
         || versions.send(asked.iter().map(|ip| (*ip, Message::StreamOriginRequest(request))));
     send();
     let mut result = Replies { found: None, asked: asked.len(), replied: 0 };
-    let start = Instant::now();
-    let again = sleep_until(start + ASK_AGAIN);
-    let end = sleep_until(start + REPLY_TIMEOUT);
+    let again = sleep(ASK_AGAIN);
+    let end = sleep(REPLY_TIMEOUT);
     tokio::pin!(again, end);
     let mut has_repeated = false;
     while result.found.is_none() && result.replied < result.asked {
