--- a/trackfront_core/src/serving/retry_budget.rs
+++ b/trackfront_core/src/serving/retry_budget.rs
@@ -88,12 +88,10 @@
         self.service(service).slot(slot_number).requests += 1;
     }
 
-    /// Takes one retry from the budget that this many boxes share; `None` if that is not known, which leaves what this
-    /// box's own requests allow. Returns whether there was one.
-    pub fn try_take(&mut self, service: &ServiceName, boxes: Option<usize>, now: Moment) -> bool {
+    /// Takes one retry from the budget that this many boxes share. Returns whether there was one.
+    pub fn try_take(&mut self, service: &ServiceName, boxes: usize, now: Moment) -> bool {
         let slot_number = self.slot_number(now);
-        let slack = boxes
-            .map_or(0.0, |boxes| self.terms.slack * SPENT_SLACK_FRACTION / boxes.max(1) as f64);
+        let slack = self.terms.slack * SPENT_SLACK_FRACTION / boxes.max(1) as f64;
         let ratio = self.terms.ratio * SPENT_RATIO_FRACTION;
         let budget = self.service(service);
         budget.slot(slot_number);
