--- a/trackfrontd/src/serving/stream_origins/lookup.rs
+++ b/trackfrontd/src/serving/stream_origins/lookup.rs
@@ -20,7 +20,7 @@
 use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
 
-/// The times of the questions to each keeper, after the first one; a datagram may be lost.
+/// The delay after which keepers that have not replied are asked once more; a datagram may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
 /// The longest wait for the keepers' replies.
--- a/trackfrontd/src/serving/stream_origins/rows.rs
+++ b/trackfrontd/src/serving/stream_origins/rows.rs
@@ -268,7 +268,7 @@
             Write { key: history_key(service), expect: history.expect, value: Some(value.into()) };
         let outcome = commit(node, vec![write]).await;
         log::info!(service:%, versions = history.row.versions().count(), outcome:?; "versions of a service written");
-        // The row is read again before its next change.
+        // After anything but a success the row is read again.
         let mut histories = node.stream_versions.rows.histories.lock().await;
         match outcome {
             CommitOutcome::Applied => {
