Boxes that have just started wait for servers' notices

Cause: no notice heard counted as no limit named; requests at a box that has just started went without a permit. Those that wait for what is quarantined went together, which made it worse. Ruled out: permits granted twice by a restarted coordinator.

Change: such requests wait until other boxes were asked for notices, 0.5 s at most.

--- a/trackfrontd/src/serving/node.rs
+++ b/trackfrontd/src/serving/node.rs
@@ -116,6 +116,8 @@
     pub cold: Mutex<ColdTracker>,
     /// Notices that servers gave in their responses.
     pub notices: Mutex<NoticeTracker>,
+    /// Whether the other boxes were asked for the notices that they know.
+    pub notices_fetched: watch::Sender<bool>,
     /// Notices that are yet to be sent to other boxes.
     pub notice_outbox: NoticeOutbox,
     /// Permits for servers that named a limit.
@@ -222,6 +224,7 @@
             loads: Mutex::default(),
             cold: Mutex::default(),
             notices: Mutex::default(),
+            notices_fetched: watch::Sender::new(false),
             notice_outbox: NoticeOutbox::default(),
             permits: ServerPermits::new(rand::random()),
             room: ServerRoom::new(rand::random()),
--- a/trackfrontd/src/serving/notices/broadcast.rs
+++ b/trackfrontd/src/serving/notices/broadcast.rs
@@ -232,15 +232,20 @@
 /// Loads the notices of other boxes when this one starts. If no other box answers, the servers'
 /// next answers bring them.
 pub async fn fetch_from_peers(node: Arc<ServingNode>) {
-    boxes::wait_for_box_list(&node).await;
+    fetch_notices(&node).await;
+    node.notices_fetched.send_replace(true);
+}
+
+async fn fetch_notices(node: &ServingNode) {
+    boxes::wait_for_box_list(node).await;
     for _ in 0..FETCH_ROUNDS {
-        let others = boxes::likely_up(&node);
+        let others = boxes::likely_up(node);
         // Notices refer to servers by short names, which this box can only resolve once it knows
         // the servers.
         if node.knows_servers()
-            && let Some(notices) = exchange::fetch_notices(&node, &others).await
+            && let Some(notices) = exchange::fetch_notices(node, &others).await
         {
-            return apply_notices(&node, &notices, "a copy of another box");
+            return apply_notices(node, &notices, "a copy of another box");
         }
         sleep(FETCH_RETRY_DELAY).await;
     }
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -266,6 +266,7 @@
     let node = job.node.clone();
     let mut attempts = Attempts::default();
     job.wait_for_quarantine().await;
+    job.wait_for_notices().await;
     let unknown_origin = job.find_software().await;
     let refusal = loop {
         if let Some(refusal) = unknown_origin {
--- a/trackfrontd/src/serving/pipeline/quarantine.rs
+++ b/trackfrontd/src/serving/pipeline/quarantine.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::timeout;
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{PromptPart, Refusal};
 
@@ -15,6 +16,9 @@
 /// The longest time for which a request at a box that has just started waits until it is known what is quarantined.
 const MAX_LOAD_WAIT: Duration = Duration::from_millis(1_500);
 
+/// The longest time for which it waits for servers' notices. After a start of all boxes nobody knows any.
+const MAX_NOTICES_WAIT: Duration = Duration::from_millis(500);
+
 /// The most parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -68,6 +72,14 @@
         }
     }
 
+    /// Waits until other boxes have told the servers' notices, such as limits. That this box has heard of none says nothing.
+    pub(super) async fn wait_for_notices(&self) {
+        let left = self.answer_by.saturating_duration_since(self.request_time());
+        let mut fetched = self.node.notices_fetched.subscribe();
+        let fetching = fetched.wait_for(|is_fetched| *is_fetched);
+        let _ = timeout(MAX_NOTICES_WAIT.min(left / 2), fetching).await;
+    }
+
     /// Refuses a quarantined request, also one that was quarantined between two sends.
     pub(super) async fn check_quarantine(&self, attempts: &Attempts) -> Option<Refusal> {
         if self.may_pass_quarantine() {
