--- a/trackfront_core/src/serving/coordinated_choice.rs
+++ b/trackfront_core/src/serving/coordinated_choice.rs
@@ -11,7 +11,7 @@
 use crate::serving::choice::cost::BATCHED_REQUEST_MS;
 use crate::serving::choice::{Candidate, Choice};
 use crate::serving::coordinated_load::EngineLoad;
-use crate::serving::load::PACE_BOUNDS;
+use crate::serving::server_load::PACE_BOUNDS;
 use crate::units::millis_to_duration;
 
 /// The share of a stream's gap target that prompts may take up: the rest is for the engine's own steps.
--- a/trackfront_core/src/serving/engine_speed.rs
+++ b/trackfront_core/src/serving/engine_speed.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::serving::load::{PACE_BOUNDS, PACE_TTL};
+use crate::serving::server_load::{PACE_BOUNDS, PACE_TTL};
 use crate::units::Moment;
 
 /// The bounds of the lasting slowness, as a factor on the usual time.
--- a/trackfront_core/src/serving/load.rs
+++ b/trackfront_core/src/serving/load.rs
@@ -1,4 +1,4 @@
-//! The load of each server as one box knows it.
+//! The load of all servers as one box knows it.
 //!
 //! Work is counted as time: the milliseconds that an engine needs for the prefill of a prompt, and those
 //! for which a request holds one of its slots, at the speeds measured for the model. A box knows its
@@ -9,27 +9,16 @@
 use std::time::Duration;
 
 use crate::ids::{BackendId, ModelName};
-use crate::serving::admission::{
-    Admission, AdmissionQuestion, MIN_CHANCE_IN_TIME, TRIAL_WEIGHT, Trials,
-};
+use crate::serving::admission::{Admission, AdmissionQuestion, MIN_CHANCE_IN_TIME, TRIAL_WEIGHT};
 use crate::serving::decode_speed::DecodeSpeeds;
 use crate::serving::forecast::Forecasts;
 pub use crate::serving::in_flight::{InFlight, RANKS, RankInFlight};
+pub use crate::serving::server_load::{ReportedLoad, ServerLoad};
 use crate::units::Moment;
 
 /// How long a peer's report of its requests is valid.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1_500);
 
-/// How long a server's report of its load is valid.
-const SERVER_REPORT_TTL: Duration = Duration::from_millis(1_000);
-
-/// How long a server's report of its pace is valid: the server shares its machine with others, so the
-/// pace changes many times a second.
-pub(super) const PACE_TTL: Duration = Duration::from_millis(400);
-
-/// The bounds of a pace, as a factor on the usual time.
-pub(super) const PACE_BOUNDS: (f64, f64) = (0.2, 10.0);
-
 /// The prefill time of one token until the first measurements replace it: ten tokens in a
 /// millisecond.
 const DEFAULT_PREFILL_MS_PER_TOKEN: f64 = 0.1;
@@ -43,21 +32,6 @@
 /// The bounds of the ratio of one measurement to the expected time.
 const RATIO_BOUNDS: (f64, f64) = (0.3, 3.0);
 
-/// How long a server gets no requests after its first failed connection. Doubles with each further one.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
-
-/// The longest time for which a server gets no requests after failed connections.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
-
-/// The weight of one request in the failure rate.
-const FAILURE_RATE_WEIGHT: f64 = 0.15;
-
-/// The time in which the failure rate halves without requests.
-const FAILURE_RATE_HALF_LIFE: Duration = Duration::from_secs(2);
-
-/// The most requests that a server's report can name. Larger counts are bogus, and sums stay far from overflow.
-const MAX_REPORTED: u32 = 1_000_000;
-
 /// The work that a request means for an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
@@ -69,19 +43,6 @@
     pub rank: u8,
 }
 
-/// The load that a server reports in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Running requests.
-    pub running: u32,
-    /// Requests in the server's queue.
-    pub waiting: u32,
-    /// The most requests that it runs at once.
-    pub slots: u32,
-    /// How long work takes there at this moment, in percent of the usual time; `None` if not reported.
-    pub pace: Option<u32>,
-}
-
 /// The outcome of one attempt of a request at a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -99,117 +60,6 @@
     Abandoned,
 }
 
-/// The load of one server.
-#[derive(Debug, Default)]
-pub struct ServerLoad {
-    own: InFlight,
-    /// The sum over the peers' valid reports.
-    peers: InFlight,
-    /// The latest report, when it arrived, and the box's own requests in flight then.
-    reported: Option<(ReportedLoad, Moment, u32)>,
-    connect_failures: u32,
-    paused_until: Option<Moment>,
-    unreachable_since: Option<Moment>,
-    replaced: bool,
-    failure_rate: f64,
-    failure_rate_at: Moment,
-    mean_call_ms: Option<f64>,
-    trials: Trials,
-}
-
-impl ServerLoad {
-    /// Returns the requests that this box has in flight at the server.
-    pub fn own(&self) -> InFlight {
-        self.own
-    }
-
-    /// Returns the known requests of all boxes in flight at the server.
-    pub fn total(&self, now: Moment) -> InFlight {
-        let mut total = self.own;
-        total.add(&self.peers);
-        if let Some((reported, at, own_then)) = self.reported
-            && now.since(at) < SERVER_REPORT_TTL
-        {
-            let since = self.own.requests().saturating_sub(own_then);
-            let reported = reported.running.saturating_add(reported.waiting).min(MAX_REPORTED);
-            let requests = reported.saturating_add(since);
-            total.add_unknown(requests.saturating_sub(total.requests()));
-        }
-        total
-    }
-
-    /// Returns the server's reported queue length; zero without a recent report.
-    pub fn waiting(&self, now: Moment) -> u32 {
-        match self.reported {
-            Some((reported, at, _)) if now.since(at) < SERVER_REPORT_TTL => reported.waiting,
-            _ => 0,
-        }
-    }
-
-    /// Returns the reported time that work takes there as a factor on the usual time; 1 without a recent
-    /// report.
-    pub fn pace(&self, now: Moment) -> f64 {
-        let (low, high) = PACE_BOUNDS;
-        match self.reported {
-            Some((ReportedLoad { pace: Some(pace), .. }, at, _)) if now.since(at) < PACE_TTL => {
-                (f64::from(pace) / 100.0).clamp(low, high)
-            }
-            _ => 1.0,
-        }
-    }
-
-    /// Returns whether the server gets no requests for now because connections to it failed.
-    pub fn is_paused(&self, now: Moment) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
-    }
-
-    /// Returns whether another incarnation of the server has replaced it.
-    pub fn is_replaced(&self) -> bool {
-        self.replaced
-    }
-
-    /// Returns since when the server has been unreachable.
-    pub fn unreachable_since(&self) -> Option<Moment> {
-        self.unreachable_since
-    }
-
-    /// Returns the fraction of recent requests that failed, from 0 to 1.
-    pub fn failure_rate(&self, now: Moment) -> f64 {
-        let elapsed = now.since(self.failure_rate_at).as_secs_f64();
-        self.failure_rate * 0.5f64.powf(elapsed / FAILURE_RATE_HALF_LIFE.as_secs_f64())
-    }
-
-    /// Returns the mean time of a call to a plain service in milliseconds; zero before any measurement,
-    /// so that an unmeasured server still gets requests.
-    pub fn mean_call_ms(&self) -> f64 {
-        self.mean_call_ms.unwrap_or(0.0)
-    }
-
-    fn record_result(&mut self, failed: bool, now: Moment) {
-        let rate = self.failure_rate(now);
-        self.failure_rate = rate + FAILURE_RATE_WEIGHT * (f64::from(u8::from(failed)) - rate);
-        self.failure_rate_at = now;
-    }
-
-    fn mark_unreachable(&mut self, now: Moment) {
-        let backoff = INITIAL_BACKOFF * 2u32.pow(self.connect_failures.min(6));
-        self.connect_failures += 1;
-        self.unreachable_since.get_or_insert(now);
-        self.paused_until = Some(now + backoff.min(MAX_BACKOFF));
-    }
-
-    fn mark_ended(&mut self, now: Moment) {
-        self.unreachable_since.get_or_insert(now);
-        self.paused_until = Some(now + MAX_BACKOFF);
-    }
-
-    fn mark_reachable(&mut self) {
-        self.connect_failures = 0;
-        self.paused_until = None;
-        self.unreachable_since = None;
-    }
-}
-
 /// A request that is counted in flight at a server until it is passed to [`LoadTracker::end`].
 #[derive(Debug)]
 pub struct TrackedRequest {
@@ -434,17 +284,13 @@
     /// Forgets that servers failed since `since`: the fault lay with this box's own links.
     pub fn forget_failures_since(&mut self, since: Moment) {
         for load in self.servers.values_mut() {
-            load.mark_reachable();
-            if load.failure_rate_at >= since {
-                load.failure_rate = 0.0;
-            }
+            load.forget_failures_since(since);
         }
     }
 
     /// Applies a server's report of its load.
     pub fn apply_report(&mut self, server: &BackendId, reported: ReportedLoad, now: Moment) {
-        let load = self.server(server);
-        load.reported = Some((reported, now, load.own.requests()));
+        self.server(server).apply_report(reported, now);
     }
 
     /// Applies a peer's report of its requests at all servers, which replaces its previous one.
--- a/trackfront_core/src/serving/mod.rs
+++ b/trackfront_core/src/serving/mod.rs
@@ -41,5 +41,6 @@
 pub mod room;
 pub mod sampling;
 pub mod saturation;
+mod server_load;
 pub mod stream_origins;
 pub mod urgency;
--- a/trackfrontd/src/serving/stream_origins/lookup.rs
+++ b/trackfrontd/src/serving/stream_origins/lookup.rs
@@ -119,7 +119,7 @@
     node: &ServingNode,
     service: &ServiceName,
 ) -> Option<(BTreeSet<SoftwareId>, SoftwareHistory)> {
-    let history = timeout(READ_TIMEOUT, rows::history(node, service)).await.ok()??;
+    let history = timeout(READ_TIMEOUT, rows::read_history(node, service)).await.ok()??;
     let now = node.now();
     look(node, service, now);
     let mut versions = node.stream_versions.in_use.lock().versions(service);
