Listings under way at a suspension are given up and made again

What callers saw: after a suspension of its machine a box applied the newest configuration 1.01 s late, 1 s is allowed. Found by dead_connections_to_the_store_do_not_delay_the_newest_configuration, which failed in three test runs beside other load, untraced at first; then 1 of 6 and 1 of 5 by hand. Cause: long polls of the store are given up when a suspension is noticed, the listing of all rows was not; one that began 2 ms before a suspension was on a dead connection and took its whole 900 ms (a line at each call showed it). Ruled out: the connections of the new stream rows; a late notice of the suspension (41 ms). Both listings now go through unless_suspended. 24 of 24 passed beside the same load.

--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -84,11 +84,11 @@
     has_hall_changes: bool,
 }
 
-/// Reads the operator's rows from the platform.
+/// Reads the operator's rows from the platform. Returns `None` if that failed, or the machine was suspended meanwhile.
 async fn read_rows(node: &Arc<ServingNode>, client: &mut FeedClient) -> Option<Position> {
     client.count("read_config");
     let asked_at = node.now();
-    match node.ports.knowledge.read_operator().await {
+    match client.unless_suspended(node.ports.knowledge.read_operator()).await? {
         Ok(Listing { rows, version }) => {
             client.record_success();
             let mut halls = Vec::new();
--- a/trackfrontd/src/serving/follow/feed_client.rs
+++ b/trackfrontd/src/serving/follow/feed_client.rs
@@ -155,8 +155,8 @@
         self.failures = 1;
     }
 
-    /// Awaits a long poll, or returns `None` if the machine was suspended meanwhile and everything
-    /// has to be fetched again.
+    /// Awaits a call to the store, or returns `None` if the machine was suspended meanwhile and everything has to be
+    /// fetched again. The call may be on a connection that the store has closed.
     pub async fn unless_suspended<T>(&mut self, call: impl Future<Output = T>) -> Option<T> {
         self.suspension.unless_suspended(call).await
     }
--- a/trackfrontd/src/serving/follow/servers.rs
+++ b/trackfrontd/src/serving/follow/servers.rs
@@ -36,7 +36,11 @@
     }
     loop {
         client.count("list_servers");
-        let listing = match node.ports.knowledge.list_servers().await {
+        let call = node.ports.knowledge.list_servers();
+        let Some(listing) = client.unless_suspended(call).await else {
+            continue;
+        };
+        let listing = match listing {
             Ok(listing) => listing,
             Err(error) => {
                 client.back_off(&error).await;
