Take back the one retry of boxes that have not listed the others

That is callers' loss for a budget that no run of processes has shown to be passed, so the mend goes.

--- a/trackfront_core/src/serving/retry_budget.rs
+++ b/trackfront_core/src/serving/retry_budget.rs
@@ -17,10 +17,6 @@
 /// The fraction of the slack that boxes spend; the rest covers boxes that are not known yet.
 const SPENT_SLACK_FRACTION: f64 = 0.6;
 
-/// The most slack that a box spends while it does not know how many boxes share it: one retry, so that a request at a box
-/// that has just started is not lost to the first server that refuses it.
-const UNSHARED_SLACK: f64 = 1.0;
-
 /// The number of slots in which a window is counted.
 const SLOTS: u32 = 20;
 
@@ -92,11 +88,10 @@
         self.service(service).slot(slot_number).requests += 1;
     }
 
-    /// Takes one retry from the budget that this many boxes share; `None` if the number is not known yet. Returns whether
-    /// there was one.
-    pub fn try_take(&mut self, service: &ServiceName, boxes: Option<usize>, now: Moment) -> bool {
+    /// Takes one retry from the budget that this many boxes share. Returns whether there was one.
+    pub fn try_take(&mut self, service: &ServiceName, boxes: usize, now: Moment) -> bool {
         let slot_number = self.slot_number(now);
-        let slack = self.own_slack(boxes);
+        let slack = self.terms.slack * SPENT_SLACK_FRACTION / boxes.max(1) as f64;
         let ratio = self.terms.ratio * SPENT_RATIO_FRACTION;
         let budget = self.service(service);
         budget.slot(slot_number);
@@ -109,15 +104,6 @@
         is_granted
     }
 
-    /// Returns this box's part of the slack.
-    fn own_slack(&self, boxes: Option<usize>) -> f64 {
-        let spent = self.terms.slack * SPENT_SLACK_FRACTION;
-        match boxes {
-            Some(boxes) => spent / boxes.max(1) as f64,
-            None => spent.min(UNSHARED_SLACK),
-        }
-    }
-
     fn service(&mut self, service: &ServiceName) -> &mut ServiceBudget {
         self.services.entry(service.clone()).or_default()
     }
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -395,9 +395,7 @@
     /// Takes a retry from the budget that all boxes share. Returns whether one was left.
     pub fn take_retry(&self) -> bool {
         let now = self.node.now();
-        // A box that has not heard of all others would take their parts for its own.
-        let is_listed = self.node.are_boxes_listed();
-        let nodes = is_listed.then(|| self.node.peers.lock().budget_box_count(now));
+        let nodes = self.node.peers.lock().budget_box_count(now);
         self.node.retry_budgets.lock().try_take(&self.service, nodes, now)
     }
 
