--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -387,29 +387,28 @@
 
     /// Continues the stream at another server. Returns whether that succeeded.
     async fn resume(&mut self, cause: &'static str) -> bool {
-        let job = self.job.clone();
-        let allowed = job.route.resumable
-            && self.sends < job.route.max_attempts
-            && job.request_time() < job.answer_by
-            && self.last_event.is_some();
-        if !allowed || job.may_crash_servers() {
-            return false;
+        let resumed = self.try_resume(cause).await;
+        if let Err(reason) = &resumed {
+            log::info!(request:% = self.job.info.id, cause, reason:%; "stream not continued");
         }
+        resumed.is_ok()
+    }
+
+    async fn try_resume(&mut self, cause: &'static str) -> Result<(), NotContinued> {
+        let job = self.job.clone();
+        self.check_resumable()?;
         self.partial = BytesMut::new();
         self.partial_held.shrink(self.partial_held.bytes());
         self.event_bytes = 0;
         // A silent stream may still be running; it must not run beside its continuation.
         self.body.close();
-        if job.choose(&self.tried).is_err() || !job.take_retry() {
-            return false;
+        job.choose(&self.tried).map_err(|_| NotContinued::NoServer)?;
+        if !job.take_retry() {
+            return Err(NotContinued::RetryBudget);
         }
-        let Ok(units) = job.request_units().await else {
-            return false;
-        };
+        let units = job.request_units().await.map_err(|_| NotContinued::Quota)?;
         // A permit expires soon, so it is requested last.
-        let Some(chosen) = job.choose_with_permit(&self.tried).await else {
-            return false;
-        };
+        let chosen = job.choose_with_permit(&self.tried).await.ok_or(NotContinued::NoServer)?;
         self.tried.push(chosen.choice.server.entry.id.clone());
         self.sends += 1;
         let after = self.last_event.clone();
@@ -427,11 +426,48 @@
                 self.body = answer.body;
                 self.scanner = EventScanner::default();
                 self.guard = *guard;
-                true
+                Ok(())
             }
-            _ => false,
+            _ => Err(NotContinued::SendFailed),
         }
     }
+
+    /// Checks whether the stream may be sent to another server at all.
+    fn check_resumable(&self) -> Result<(), NotContinued> {
+        let job = &self.job;
+        if !job.route.resumable || self.sends >= job.route.max_attempts {
+            Err(NotContinued::Route)
+        } else if job.request_time() >= job.answer_by {
+            Err(NotContinued::Deadline)
+        } else if self.last_event.is_none() {
+            Err(NotContinued::NoEvent)
+        } else if job.may_crash_servers() {
+            Err(NotContinued::Suspect)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+/// Why a broken stream is not continued at another server.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+enum NotContinued {
+    #[error("the route allows no further attempt")]
+    Route,
+    #[error("its time is over")]
+    Deadline,
+    #[error("none of its events has an identifier")]
+    NoEvent,
+    #[error("it may crash servers: the connections of several broke under it")]
+    Suspect,
+    #[error("no other server can continue it now")]
+    NoServer,
+    #[error("the retries of its service are spent")]
+    RetryBudget,
+    #[error("the quota of its client account is spent")]
+    Quota,
+    #[error("the server that was asked did not continue it")]
+    SendFailed,
 }
 
 /// Returns the identifier of the last event in `events` that has one.
