The first two boxes of a hall by the list read for it when all start

Ruled out: the waits for quarantine and notices (the code before them has the same), the store (20 ms).

Change: until a box knows who is up, the first two of its hall by the list read once they have the list, and the others ask these two first.

--- a/trackfrontd/src/serving/boxes.rs
+++ b/trackfrontd/src/serving/boxes.rs
@@ -255,17 +255,29 @@
 }
 
 /// Waits before another request for a snapshot that no peer had, and returns `true`. Returns
-/// `false` at once if the box should read from the platform: as its hall's feed reader, without
+/// `false` as soon as the box should read from the platform: as its hall's feed reader, without
 /// peers that may have the snapshot soon, or after waiting too long.
 pub async fn wait_for_snapshot(node: &ServingNode) -> bool {
-    let age = node.age();
-    let is_reader = node.peers.lock().hall_peers(node.is_store_lost(), node.now()).is_reader();
-    let must_read = is_reader && !node.is_discovering_peers();
-    if !node.prefers_snapshots() || must_read || age >= FIRST_START_WAIT + SNAPSHOT_WAIT {
-        return false;
+    let retry_at = node.now() + SNAPSHOT_RETRY_DELAY;
+    while !must_read(node) {
+        if node.now() >= retry_at {
+            return true;
+        }
+        sleep(CHECK_INTERVAL).await;
     }
-    sleep(SNAPSHOT_RETRY_DELAY).await;
-    true
+    false
+}
+
+/// Returns whether the box has to read from the platform what no peer had.
+fn must_read(node: &ServingNode) -> bool {
+    if !node.prefers_snapshots() || node.age() >= FIRST_START_WAIT + SNAPSHOT_WAIT {
+        return true;
+    }
+    if node.is_discovering_peers() {
+        // No box knows which others are up. If all have just started, all would wait for another.
+        return node.are_boxes_listed() && node.peers.lock().is_listed_first();
+    }
+    node.peers.lock().hall_peers(node.is_store_lost(), node.now()).is_reader()
 }
 
 /// Returns the boxes that are likely up, those of this hall first, for a box that has no other
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -55,7 +55,6 @@
     }
 }
 
-/// Loads quarantined requests from other boxes, or from the platform's table if none of them knows.
 /// Loads the quarantined requests: as one of many boxes that start, or at once if requests wait for it.
 async fn load(node: &ServingNode) {
     let (reports, from) = tokio::select! {
@@ -65,6 +64,7 @@
     apply_loaded(node, reports, from);
 }
 
+/// Loads quarantined requests from other boxes, or from the platform's table if none of them knows.
 async fn load_among_others(node: &ServingNode) -> (Vec<CrashReport>, &'static str) {
     boxes::wait_for_box_list(node).await;
     // A box that knows no other box would take itself for the feed reader: of 90 boxes that start,
--- a/trackfrontd/src/serving/peer_tracker.rs
+++ b/trackfrontd/src/serving/peer_tracker.rs
@@ -38,6 +38,9 @@
 /// 400 of their digests a second, whatever the size of the hall.
 const INTERVAL_PER_HALL_BOX: Duration = Duration::from_micros(2_500);
 
+/// The number of boxes that read for their hall before any box knows which others are up: two, as one may be down.
+const FIRST_READERS: usize = 2;
+
 /// The time for which a silent box still counts among those that share budgets.
 const BUDGET_SHARE_TIME: Duration = Duration::from_secs(120);
 
@@ -112,13 +115,21 @@
         let sort_key = |ip: &Ipv4Addr| {
             let peer = self.peers.get(ip);
             let is_in_hall = peer.is_some_and(|peer| peer.listing.hall == self.me.hall);
-            (!is_in_hall, peer.is_none_or(|peer| peer.last_digest_at.is_none()))
+            let has_digest = peer.is_some_and(|peer| peer.last_digest_at.is_some());
+            (!is_in_hall, !has_digest, peer.map(|peer| peer.listing.priority_key()))
         };
         let mut boxes = self.reachable(now);
         boxes.sort_by_key(sort_key);
         boxes
     }
 
+    /// Returns whether this box is one of the first of its hall by the list alone. While no box knows which others are up,
+    /// these read for their hall, and the others ask them first.
+    pub fn is_listed_first(&self) -> bool {
+        let first = self.halls.boxes_in(self.me.hall).iter().take(FIRST_READERS);
+        first.into_iter().any(|listed| listed.ip == self.me.ip)
+    }
+
     /// Records a digest of another box.
     pub fn record_digest(&mut self, ip: Ipv4Addr, digest: &Digest, now: Moment) {
         let peer = self.upsert(ListedBox { ip, hall: digest.hall, capacity: digest.capacity }, now);
--- a/trackfrontd/tests/peer_tracker.rs
+++ b/trackfrontd/tests/peer_tracker.rs
@@ -1,4 +1,4 @@
-//! The order in which a starting box asks others for snapshots.
+//! The order in which a starting box asks others for snapshots, and which box reads for the others.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -26,3 +26,24 @@
     let order = tracker.likely_up(now);
     assert_eq!(order, [ip(3), ip(1), ip(2), ip(5), ip(4)]);
 }
+
+/// Guards against boxes that have all just started and wait for each other: those that the others ask first read for all.
+#[test]
+fn boxes_that_are_asked_first_read_while_no_box_knows_which_are_up() {
+    let now = Moment(Duration::from_secs(100));
+    let ip = |last| Ipv4Addr::new(10, 0, 0, last);
+    let capacity = |last| match last {
+        3 => CapacityClass::new(64.0, 100_000.0, 1_000_000.0),
+        _ => CapacityClass::default(),
+    };
+    let listed = |last| ListedBox { ip: ip(last), hall: OWN_HALL, capacity: capacity(last) };
+    let readers = (1..=9).filter(|me| {
+        let mut tracker = PeerTracker::new(listed(*me));
+        (1..=9).for_each(|last| tracker.add_listed(listed(last), now));
+        let asked = tracker.likely_up(now);
+        let first: Vec<_> = [3, 1, 2].into_iter().filter(|other| other != me).map(ip).collect();
+        assert_eq!(asked[..2], first[..2]);
+        tracker.is_listed_first()
+    });
+    assert_eq!(readers.collect::<Vec<_>>(), [1, 3]);
+}
