--- a/trackfront_core/tests/serving/retry_budget.rs
+++ b/trackfront_core/tests/serving/retry_budget.rs
@@ -6,10 +6,13 @@
 
 const TERMS: BudgetTerms = BudgetTerms { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
 
+/// The terms of a fleet of 984 boxes.
+const FLEET_TERMS: BudgetTerms = BudgetTerms { slack: 1_040.0, ..TERMS };
+
 /// Returns the excess over the ratio, and the retries, in the worst window of ten seconds, when each of the boxes takes
 /// all the retries that it can for a minute and gets a request every `every_ms`. Each knows only itself until `listed_ms`.
-fn worst_window(boxes: usize, every_ms: u64, listed_ms: u64) -> (f64, f64) {
-    let mut budgets: Vec<_> = (0..boxes).map(|_| RetryBudgets::new(TERMS)).collect();
+fn worst_window(terms: BudgetTerms, boxes: usize, every_ms: u64, listed_ms: u64) -> (f64, f64) {
+    let mut budgets: Vec<_> = (0..boxes).map(|_| RetryBudgets::new(terms)).collect();
     let service = "s".into();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for ms in (0..60_000u64).step_by(10) {
@@ -36,7 +39,7 @@
 #[test]
 fn all_boxes_together_keep_the_budget_in_every_window() {
     for (boxes, every_ms) in [(1, 10), (6, 100), (9, 1_000), (91, 400)] {
-        let (over, retries) = worst_window(boxes, every_ms, 0);
+        let (over, retries) = worst_window(TERMS, boxes, every_ms, 0);
         assert!(over <= 52.0, "{boxes} boxes: {retries} retries, {over} over the ratio");
     }
 }
@@ -44,8 +47,11 @@
 /// Guards against boxes that start together and each take the slack of all, since none has heard of the others.
 #[test]
 fn boxes_that_do_not_know_each_other_keep_the_budget() {
-    let (over, retries) = worst_window(9, 1_000, 800);
-    assert!(over <= 52.0, "{retries} retries, {over} over the ratio");
+    for (terms, boxes, listed_ms) in [(TERMS, 9, 800), (TERMS, 30, 5_000), (FLEET_TERMS, 984, 800)]
+    {
+        let (over, retries) = worst_window(terms, boxes, 1_000, listed_ms);
+        assert!(over <= terms.slack, "{boxes} boxes: {retries} retries, {over} over the ratio");
+    }
 }
 
 #[test]
