--- a/trackfrontd/src/serving/config_freshness.rs
+++ b/trackfrontd/src/serving/config_freshness.rs
@@ -239,7 +239,7 @@
                     false => {
                         let era = StoreVersion::start_of(node.ports.knowledge.era().unwrap_or(0));
                         let newer = row.next().max(era);
-                        node.feed_state.lock().record_config_row(newer, None);
+                        node.feed_state.lock().record_config_row(newer, None, node.now());
                     }
                 }
             }
@@ -283,7 +283,7 @@
     let report = RowConfirmation { row: reply.row, age_ms: reply.age_ms };
     node.config_freshness.merge_report(report, sent_at);
     if reply.row > node.config_row() {
-        node.feed_state.lock().record_config_row(reply.row, Some(ip));
+        node.feed_state.lock().record_config_row(reply.row, Some(ip), node.now());
         node.feed_update_received.notify_waiters();
     }
 }
--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -252,16 +252,16 @@
     node: &ServingNode,
     boxes: &[Ipv4Addr],
     known: StoreVersion,
-) -> Option<StoredConfig> {
+) -> Option<(Ipv4Addr, StoredConfig)> {
     let path = format!("{CONFIG_PATH}{}", known.to_bits());
     let requested_at = node.now();
-    let Fetched { snapshot, confirmed_row } =
+    let Fetched { source, snapshot, confirmed_row } =
         fetch_first::<ConfigSnapshot>(node, boxes, &path).await?;
     if let Some(confirmed_row) = confirmed_row {
         node.config_freshness.merge_report(confirmed_row, requested_at);
     }
     follow::apply_hall_statuses(node, &snapshot.halls, follow::Source::OtherBox);
-    Some(StoredConfig { row_version: snapshot.row, config: Ok(snapshot.config) })
+    Some((source, StoredConfig { row_version: snapshot.row, config: Ok(snapshot.config) }))
 }
 
 /// Fetches the changes of the servers since version `known` from one of `boxes`.
@@ -297,6 +297,7 @@
 
 /// A snapshot from another box.
 struct Fetched<T> {
+    source: Ipv4Addr,
     snapshot: T,
     /// The row in force at that box, if it sent one.
     confirmed_row: Option<RowConfirmation>,
@@ -336,7 +337,11 @@
     match answer.status {
         StatusCode::OK => {
             let snapshot = unpack::<T, MAX_SNAPSHOT_BYTES>(&answer.body)?;
-            Ok(Fetched { snapshot, confirmed_row: parse_confirmed_row(&answer.headers) })
+            Ok(Fetched {
+                source: ip,
+                snapshot,
+                confirmed_row: parse_confirmed_row(&answer.headers),
+            })
         }
         StatusCode::NO_CONTENT => Err(SnapshotError::NothingNewer),
         other => Err(SnapshotError::BadStatus(other)),
--- a/trackfrontd/src/serving/feed_relay.rs
+++ b/trackfrontd/src/serving/feed_relay.rs
@@ -120,6 +120,8 @@
     config_at: Option<Moment>,
     config_row: StoreVersion,
     config_source: Option<Ipv4Addr>,
+    /// Since when a row is known of that is newer than the one examined last.
+    config_news_at: Option<Moment>,
     servers_at: Option<Moment>,
     servers_gap: Option<Gap>,
 }
@@ -151,13 +153,26 @@
 
     /// Records a configuration row that the hall was notified of by another box, `source`, or by
     /// this one.
-    pub fn record_config_row(&mut self, row: StoreVersion, source: Option<Ipv4Addr>) {
+    pub fn record_config_row(&mut self, row: StoreVersion, source: Option<Ipv4Addr>, now: Moment) {
+        if row > self.config_row && self.config_news_at.is_none() {
+            self.config_news_at = Some(now);
+        }
         if row >= self.config_row {
             self.config_row = row;
             self.config_source = source.or(self.config_source);
         }
     }
 
+    /// Records that this box has examined a configuration row. Returns since when it knew of that
+    /// row or an older one that it had not examined.
+    pub fn take_config_news(&mut self, examined: StoreVersion) -> Option<Moment> {
+        let known_since = self.config_news_at;
+        if examined >= self.config_row {
+            self.config_news_at = None;
+        }
+        known_since
+    }
+
     /// Returns the newest configuration row that the hall was notified of.
     pub fn config_row(&self) -> StoreVersion {
         self.config_row
@@ -218,7 +233,7 @@
         let (boxes, is_reader) = (hall.others.len(), hall.is_reader());
         log::info!(row, boxes, is_reader; "configuration row relayed to the hall");
     }
-    node.feed_state.lock().record_config_row(row, None);
+    node.feed_state.lock().record_config_row(row, None, node.now());
     // Halls go first, since few boxes would learn of them again when they fetch a configuration.
     // They are sent each time, so that the next datagram makes up for a lost one.
     let statuses = node.evacuations.lock().statuses();
@@ -295,7 +310,10 @@
         FeedUpdate::Config { row } => {
             let mut feed_state = node.feed_state.lock();
             feed_state.record(FeedKind::Config, now);
-            feed_state.record_config_row(row, Some(from_ip));
+            if row > feed_state.config_row() {
+                log::info!(row, by:% = from_ip, known = node.config_row(); "newer configuration row known");
+            }
+            feed_state.record_config_row(row, Some(from_ip), now);
         }
         FeedUpdate::Halls(statuses) => {
             follow::apply_hall_statuses(node, &statuses, follow::Source::OtherBox);
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -1,6 +1,7 @@
 //! Follows the rows that the operator writes: the configuration and the evacuated halls.
 
 use std::collections::HashSet;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use trackfront_core::ports::{Feed, Listing, OperatorUpdate, StoredConfig};
 use trackfront_core::serving::halls::HallStatus;
 use trackfront_core::store_version::StoreVersion;
+use trackfront_core::units::Moment;
 
 use super::Source;
 use super::feed_client::{FIRST_RETRY_DELAY, FeedClient};
@@ -67,12 +69,13 @@
     if known > StoreVersion::ZERO {
         sleep(REQUEST_STAGGER * hall_peers(node).rank as u32).await;
     }
-    let Some(stored) = exchange::fetch_config(node, &sources, known).await else {
+    let asked_at = node.now();
+    let Some((source, stored)) = exchange::fetch_config(node, &sources, known).await else {
         return false;
     };
-    apply(node, stored);
+    apply(node, stored, Call { asked_at, answered_by: Some(source) });
     // The hall was notified of this row already, since another box has it.
-    node.feed_state.lock().record_config_row(node.config_row(), None);
+    node.feed_state.lock().record_config_row(node.config_row(), None, node.now());
     node.config_row() > known
 }
 
@@ -97,7 +100,7 @@
                     OperatorUpdate::Hall(status) => halls.push(status),
                     OperatorUpdate::Config(stored) => {
                         let row = stored.row_version;
-                        apply(node, stored);
+                        apply(node, stored, Call { asked_at, answered_by: None });
                         node.config_freshness.confirm(row, asked_at);
                     }
                 }
@@ -132,6 +135,7 @@
             return;
         }
         client.count("follow_config");
+        let asked_at = node.now();
         let call = node.ports.knowledge.follow_operator(version, client.feed_wait());
         let Some(answer) = client.unless_suspended(call).await else {
             return;
@@ -143,7 +147,9 @@
                 let mut has_hall_changes = false;
                 for row in changes {
                     match row {
-                        OperatorUpdate::Config(stored) => apply(node, stored),
+                        OperatorUpdate::Config(stored) => {
+                            apply(node, stored, Call { asked_at, answered_by: None })
+                        }
                         OperatorUpdate::Hall(status) => {
                             has_hall_changes |=
                                 apply_hall_statuses(node, &[status], Source::Platform);
@@ -196,8 +202,16 @@
     !changed.is_empty()
 }
 
+/// The call that returned a configuration.
+#[derive(Clone, Copy)]
+struct Call {
+    asked_at: Moment,
+    /// The box that answered, or `None` for the store.
+    answered_by: Option<Ipv4Addr>,
+}
+
 /// Puts a stored configuration in force if it is valid and newer than the one in force.
-fn apply(node: &Arc<ServingNode>, stored: StoredConfig) {
+fn apply(node: &Arc<ServingNode>, stored: StoredConfig, call: Call) {
     if stored.row_version <= node.config_row() {
         return;
     }
@@ -222,7 +236,12 @@
             node.config.store(Some(Arc::new(config)));
             node.metrics.config_version.set(version as i64);
             node.servers_changed.notify_waiters();
-            log::info!(version, before, row, routes; "configuration in force");
+            let now = node.now();
+            let by = call.answered_by.map_or("store".to_owned(), |ip| ip.to_string());
+            let call_ms = now.since(call.asked_at).as_millis() as u64;
+            let known_since = node.feed_state.lock().take_config_news(row);
+            let known_ms = known_since.map(|since| now.since(since).as_millis() as u64);
+            log::info!(version, before, row, routes, by, call_ms, known_ms; "configuration in force");
             ConfigOutcome::InForce
         }
     };
