--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -289,7 +289,7 @@
     node: &ServingNode,
     boxes: &[Ipv4Addr],
     known: StoreVersion,
-) -> Option<(Ipv4Addr, StoredConfig)> {
+) -> Result<(Ipv4Addr, StoredConfig), NotFetched> {
     let path = format!("{CONFIG_PATH}{}", known.to_bits());
     let requested_at = node.now();
     let Fetched { source, snapshot, packed, confirmed_row } =
@@ -302,7 +302,7 @@
     let base = version_of(&snapshot.halls);
     *node.exchange.config.lock() =
         Some(PackedSnapshot { base, version: snapshot.row, bytes: packed });
-    Some((source, StoredConfig { row_version: snapshot.row, config: Ok(snapshot.config) }))
+    Ok((source, StoredConfig { row_version: snapshot.row, config: Ok(snapshot.config) }))
 }
 
 /// Fetches the changes of the servers since version `known` from one of `boxes`.
@@ -312,7 +312,7 @@
     known: StoreVersion,
 ) -> Option<ServersSnapshot> {
     let path = format!("{SERVERS_PATH}{}", known.to_bits());
-    Some(fetch_first(node, first(boxes), &path).await?.snapshot)
+    Some(fetch_first(node, first(boxes), &path).await.ok()?.snapshot)
 }
 
 /// Fetches the list of all boxes from `boxes`, asking all of them at once.
@@ -320,7 +320,7 @@
     let requests = boxes.iter().map(|ip| fetch_first(node, std::slice::from_ref(ip), BOXES_PATH));
     let mut answers: FuturesUnordered<_> = requests.collect();
     while let Some(answer) = answers.next().await {
-        if let Some(Fetched { snapshot, .. }) = answer {
+        if let Ok(Fetched { snapshot, .. }) = answer {
             return Some(snapshot);
         }
     }
@@ -329,12 +329,12 @@
 
 /// Fetches the quarantined requests from one of `boxes`.
 pub async fn fetch_crashes(node: &ServingNode, boxes: &[Ipv4Addr]) -> Option<Vec<CrashReport>> {
-    Some(fetch_first(node, first(boxes), CRASHES_PATH).await?.snapshot)
+    Some(fetch_first(node, first(boxes), CRASHES_PATH).await.ok()?.snapshot)
 }
 
 /// Fetches the servers' notices from one of `boxes`.
 pub async fn fetch_notices(node: &ServingNode, boxes: &[Ipv4Addr]) -> Option<Vec<NoticeRecord>> {
-    Some(fetch_first(node, first(boxes), NOTICES_PATH).await?.snapshot)
+    Some(fetch_first(node, first(boxes), NOTICES_PATH).await.ok()?.snapshot)
 }
 
 /// Returns the boxes that are asked.
@@ -342,6 +342,15 @@
     &boxes[..boxes.len().min(MAX_SOURCES)]
 }
 
+/// Why no box sent a snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotFetched {
+    /// A box that has it is handing out others.
+    Busy,
+    /// No box that was asked has it, as far as they answered.
+    NoneHasIt,
+}
+
 /// A snapshot from another box.
 struct Fetched<T> {
     source: Ipv4Addr,
@@ -358,9 +367,10 @@
     node: &ServingNode,
     boxes: &[Ipv4Addr],
     path: &str,
-) -> Option<Fetched<T>> {
+) -> Result<Fetched<T>, NotFetched> {
     let mut rest = boxes.iter();
     let mut requests = FuturesUnordered::new();
+    let mut failure = NotFetched::NoneHasIt;
     loop {
         if let Some(ip) = rest.next() {
             requests.push(fetch_logged(node, *ip, path));
@@ -368,9 +378,10 @@
         let has_rest = !rest.as_slice().is_empty();
         tokio::select! {
             answer = requests.next() => match answer {
-                Some(Some(fetched)) => return Some(fetched),
-                Some(None) => {}
-                None => return None,
+                Some(Ok(fetched)) => return Ok(fetched),
+                Some(Err(SnapshotError::Busy)) => failure = NotFetched::Busy,
+                Some(Err(_)) => {}
+                None => return Err(failure),
             },
             () = sleep(NEXT_SOURCE_DELAY), if has_rest => {}
         }
@@ -381,17 +392,16 @@
     node: &ServingNode,
     ip: Ipv4Addr,
     path: &str,
-) -> Option<Fetched<T>> {
+) -> Result<Fetched<T>, SnapshotError> {
     let started_at = node.now();
     let fetched = fetch(node, ip, path).await;
     let outcome = fetched.as_ref().err().map_or("taken".to_owned(), SnapshotError::to_string);
     log_fetch(ip, path, &outcome, started_at, node.now());
-    if let Err(SnapshotError::NothingNewer) = fetched
-        && path.starts_with(CONFIG_PATH)
-    {
+    let is_denied = matches!(fetched, Err(SnapshotError::NothingNewer));
+    if is_denied && path.starts_with(CONFIG_PATH) {
         node.peers.lock().deny_config(ip);
     }
-    fetched.ok()
+    fetched
 }
 
 fn log_fetch(ip: Ipv4Addr, path: &str, outcome: &str, started_at: Moment, now: Moment) {
--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use tokio::time::{sleep, timeout};
 use trackfront_core::ports::{Feed, Listing, OperatorUpdate, StoredConfig};
 use trackfront_core::serving::halls::HallStatus;
@@ -17,7 +18,7 @@
 use super::neighbours;
 use crate::serving::boxes;
 use crate::serving::config_rows::ConfigOutcome;
-use crate::serving::exchange;
+use crate::serving::exchange::{self, NotFetched};
 use crate::serving::feed_relay::{FeedKind, record_config_row, relay_operator_rows};
 use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
@@ -56,45 +57,78 @@
 /// Obtains the configuration from another box or from the store, whichever is faster. Returns `None` if that is to be
 /// tried again.
 async fn obtain(node: &Arc<ServingNode>, client: &mut FeedClient) -> Option<Position> {
-    let is_first = node.config.load().is_none();
-    let mut requests = pin!(async {
-        if !is_first {
-            neighbours::stagger(node).await;
-        }
-        take_snapshot(node, &first_sources(node)).await
-    });
-    let delay = if is_first { Duration::MAX } else { store_delay(node) };
-    let asked = timeout(delay, &mut requests).await;
+    if node.config.load().is_none() {
+        return obtain_first(node, client).await;
+    }
+    let mut from_boxes = pin!(take_known(node));
+    let asked = timeout(store_delay(node), &mut from_boxes).await;
     if asked == Ok(true) {
         return Some(Position::of_snapshot(node));
     }
-    if is_first && boxes::wait_for_snapshot(node).await {
-        return None;
-    }
-    let from_boxes = async {
+    let later_from_boxes = async {
         // Requests that are under way may still be answered.
-        if asked.is_ok() || !requests.await {
+        if asked.is_ok() || !from_boxes.await {
             neighbours::take_newer(node).await;
         }
     };
     tokio::select! {
-        () = from_boxes => Some(Position::of_snapshot(node)),
+        () = later_from_boxes => Some(Position::of_snapshot(node)),
         position = read_rows(node, client) => position,
     }
 }
 
-/// Returns the boxes that are asked for the configuration before the store.
-fn first_sources(node: &ServingNode) -> Vec<Ipv4Addr> {
+/// Takes a newer configuration from the boxes that are known to have one, or likely do. Returns `false` if none of those
+/// that were asked has it.
+async fn take_known(node: &Arc<ServingNode>) -> bool {
+    neighbours::stagger(node).await;
     let mut sources = neighbours::sources_in_hall(node);
     if sources.is_empty() {
         let notifier = node.feed_state.lock().config_source();
         sources = snapshot_sources(node, notifier);
     }
-    if sources.is_empty() && node.config_row() == StoreVersion::ZERO {
+    match take_snapshot(node, &sources).await {
+        Ok(()) => true,
+        Err(NotFetched::NoneHasIt) => false,
+        Err(NotFetched::Busy) => {
+            neighbours::take_newer(node).await;
+            true
+        }
+    }
+}
+
+/// Obtains the first configuration of this process, from another box if one is up.
+async fn obtain_first(node: &Arc<ServingNode>, client: &mut FeedClient) -> Option<Position> {
+    if take_first(node).await {
+        return Some(Position::of_snapshot(node));
+    }
+    if boxes::wait_for_snapshot(node).await {
+        return None;
+    }
+    tokio::select! {
+        () = neighbours::take_newer(node) => Some(Position::of_snapshot(node)),
+        position = read_rows(node, client) => position,
+    }
+}
+
+/// Takes the first configuration from another box. Those that are asked first may be handing it out to others that have
+/// just started; then any box is asked that may be up.
+async fn take_first(node: &Arc<ServingNode>) -> bool {
+    let notifier = node.feed_state.lock().config_source();
+    let mut sources = snapshot_sources(node, notifier);
+    if sources.is_empty() {
         sources = boxes::likely_up(node);
         sources.truncate(MAX_FIRST_SOURCES);
     }
-    sources
+    while let Err(failure) = take_snapshot(node, &sources).await {
+        if failure == NotFetched::NoneHasIt || node.age() >= store_delay(node) {
+            return false;
+        }
+        sleep(FIRST_RETRY_DELAY).await;
+        sources = boxes::likely_up(node);
+        sources.shuffle(&mut rand::rng());
+        sources.truncate(MAX_FIRST_SOURCES);
+    }
+    true
 }
 
 /// Returns how long other boxes may take to send the configuration before the store is read as well, counted from when
@@ -105,19 +139,24 @@
     time.saturating_sub(known_since.map_or(Duration::ZERO, |at| node.now().since(at)))
 }
 
-/// Requests the configuration from `sources`. Returns whether one of them had a newer one than this box.
-pub(super) async fn take_snapshot(node: &Arc<ServingNode>, sources: &[Ipv4Addr]) -> bool {
+/// Requests a newer configuration than this box's from `sources`.
+///
+/// # Errors
+///
+/// If none of them sent one.
+pub(super) async fn take_snapshot(
+    node: &Arc<ServingNode>,
+    sources: &[Ipv4Addr],
+) -> Result<(), NotFetched> {
     let known = node.config_row();
     let asked_at = node.now();
-    let Some((source, stored)) = exchange::fetch_config(node, sources, known).await else {
-        return false;
-    };
+    let (source, stored) = exchange::fetch_config(node, sources, known).await?;
     apply(node, stored, Call { asked_at, answered_by: Some(source) });
     if node.peers.lock().is_in_hall(source) {
         // The hall was notified of this row already, since another box has it.
         record_config_row(node, node.config_row(), None);
     }
-    node.config_row() > known
+    if node.config_row() > known { Ok(()) } else { Err(NotFetched::NoneHasIt) }
 }
 
 /// The result of reading the operator's rows or of fetching a snapshot.
--- a/trackfrontd/src/serving/follow/neighbours.rs
+++ b/trackfrontd/src/serving/follow/neighbours.rs
@@ -51,7 +51,7 @@
         let sources = wait_for_sources(node).await;
         stagger(node).await;
         // Another task may have put it in force meanwhile.
-        if node.config_row() > known || take_snapshot(node, &sources).await {
+        if node.config_row() > known || take_snapshot(node, &sources).await.is_ok() {
             return;
         }
         sleep(delay).await;
--- a/trackfrontd/tests/peer_tracker.rs
+++ b/trackfrontd/tests/peer_tracker.rs
@@ -3,10 +3,11 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use trackfront_core::store_version::StoreVersion;
 use trackfront_core::units::Moment;
 use trackfrontd::serving::delegates::{CapacityClass, ListedBox};
 use trackfrontd::serving::messages::Digest;
-use trackfrontd::serving::peer_tracker::PeerTracker;
+use trackfrontd::serving::peer_tracker::{ConfigHolders, PeerTracker};
 
 const OWN_HALL: u32 = 1;
 const OTHER_HALL: u32 = 2;
@@ -47,3 +48,29 @@
     });
     assert_eq!(readers.collect::<Vec<_>>(), [1, 3]);
 }
+
+/// Guards against a configuration that only its hall's feed reader is asked for: any box that has it in force, as its
+/// digests say, hands it out, for as long as it is alive and has not denied it.
+#[test]
+fn boxes_with_a_newer_configuration_in_force_are_asked_for_it() {
+    let now = Moment(Duration::from_secs(100));
+    let ip = |last| Ipv4Addr::new(10, 0, 0, last);
+    let listed = |last, hall| ListedBox { ip: ip(last), hall, capacity: CapacityClass::default() };
+    let row = StoreVersion::from_bits;
+    let mut tracker = PeerTracker::new(listed(9, OWN_HALL));
+    let digest =
+        |hall, config_row| Digest { hall, config_row: row(config_row), ..Digest::default() };
+    tracker.record_digest(ip(1), &digest(OWN_HALL, 7), now);
+    tracker.record_digest(ip(2), &digest(OWN_HALL, 5), now);
+    tracker.record_digest(ip(3), &digest(OTHER_HALL, 8), now);
+    let holders = tracker.config_holders(row(5), now);
+    assert_eq!(holders, ConfigHolders { in_hall: vec![ip(1)], elsewhere: vec![ip(3)] });
+    tracker.deny_config(ip(1));
+    tracker.record_digest(ip(1), &digest(OWN_HALL, 7), now);
+    assert!(tracker.config_holders(row(5), now).in_hall.is_empty());
+    tracker.record_digest(ip(1), &digest(OWN_HALL, 8), now);
+    assert_eq!(tracker.config_holders(row(5), now).in_hall, [ip(1)]);
+    assert_eq!(tracker.config_holders(row(8), now), ConfigHolders::default());
+    let later = now + Duration::from_secs(2);
+    assert_eq!(tracker.config_holders(row(5), later), ConfigHolders::default());
+}
