--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -302,6 +302,11 @@
             (change, tracker.is_quarantined(fingerprint), tracker.knows_cleared(report))
         };
         log_change(node, fingerprint, change, &from.to_string());
+        if change == SuspicionChange::Released && counts_crashes(node, fingerprint) {
+            // The box that released it may not have known of a row.
+            node.crashes.rows_to_remove.lock().insert(fingerprint);
+            node.crashes.quarantine_changed.notify_one();
+        }
         if knows_cleared {
             // Many boxes may know that; the first to send it does so for all.
             node.crashes.outbox.lock().add_clearance(fingerprint, node.now());
@@ -330,8 +335,13 @@
 /// Returns whether this box also informs all others of a quarantine that another box decided: the
 /// boxes that count the request's crashes do.
 fn must_forward(node: &ServingNode, change: SuspicionChange, fingerprint: Fingerprint) -> bool {
+    change == SuspicionChange::Quarantined && counts_crashes(node, fingerprint)
+}
+
+/// Returns whether this box is one of those that count a request's crashes.
+fn counts_crashes(node: &ServingNode, fingerprint: Fingerprint) -> bool {
     let me = node.settings.load().node.ip;
-    change == SuspicionChange::Quarantined && coordinators_of(node, fingerprint).contains(&me)
+    coordinators_of(node, fingerprint).contains(&me)
 }
 
 /// Merges the ended servers that another box reported.
