--- a/trackfrontd/src/serving/follow/config.rs
+++ b/trackfrontd/src/serving/follow/config.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::SliceRandom;
 use tokio::time::{sleep, timeout};
 use trackfront_core::ports::{Feed, Listing, OperatorUpdate, StoredConfig};
 use trackfront_core::serving::halls::HallStatus;
@@ -14,12 +13,11 @@
 use trackfront_core::units::{Moment, scaled};
 
 use super::Source;
-use super::feed_client::{FIRST_RETRY_DELAY, FeedClient, snapshot_sources};
+use super::feed_client::{FIRST_RETRY_DELAY, FeedClient};
 use super::neighbours;
 use crate::serving::boxes;
 use crate::serving::config_rows::ConfigOutcome;
-use crate::serving::exchange::{self, NotFetched};
-use crate::serving::feed_relay::{FeedKind, record_config_row, relay_operator_rows};
+use crate::serving::feed_relay::{FeedKind, relay_operator_rows};
 use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
 use crate::serving::quota;
@@ -28,9 +26,6 @@
 /// only the last of several changes in quick succession.
 const GATHER_DELAY: Duration = Duration::from_millis(250);
 
-/// The number of boxes that a starting box asks.
-const MAX_FIRST_SOURCES: usize = 2;
-
 /// The part of the time for a change after which a box that got the configuration from no other one reads the store. A
 /// configuration of 1 MB takes 0.9 s on an idle link of 10 Mbit/s.
 const STORE_DELAY_FRACTION: f64 = 0.4;
@@ -60,7 +55,7 @@
     if node.config.load().is_none() {
         return obtain_first(node, client).await;
     }
-    let mut from_boxes = pin!(take_known(node));
+    let mut from_boxes = pin!(neighbours::take_known(node));
     let asked = timeout(store_delay(node), &mut from_boxes).await;
     if asked == Ok(true) {
         return Some(Position::of_snapshot(node));
@@ -77,28 +72,9 @@
     }
 }
 
-/// Takes a newer configuration from the boxes that are known to have one, or likely do. Returns `false` if none of those
-/// that were asked has it.
-async fn take_known(node: &Arc<ServingNode>) -> bool {
-    neighbours::stagger(node).await;
-    let mut sources = neighbours::sources_in_hall(node);
-    if sources.is_empty() {
-        let notifier = node.feed_state.lock().config_source();
-        sources = snapshot_sources(node, notifier);
-    }
-    match take_snapshot(node, &sources).await {
-        Ok(()) => true,
-        Err(NotFetched::NoneHasIt) => false,
-        Err(NotFetched::Busy) => {
-            neighbours::take_newer(node).await;
-            true
-        }
-    }
-}
-
 /// Obtains the first configuration of this process, from another box if one is up.
 async fn obtain_first(node: &Arc<ServingNode>, client: &mut FeedClient) -> Option<Position> {
-    if take_first(node).await {
+    if neighbours::take_first(node, store_delay(node)).await {
         return Some(Position::of_snapshot(node));
     }
     if boxes::wait_for_snapshot(node).await {
@@ -110,27 +86,6 @@
     }
 }
 
-/// Takes the first configuration from another box. Those that are asked first may be handing it out to others that have
-/// just started; then any box is asked that may be up.
-async fn take_first(node: &Arc<ServingNode>) -> bool {
-    let notifier = node.feed_state.lock().config_source();
-    let mut sources = snapshot_sources(node, notifier);
-    if sources.is_empty() {
-        sources = boxes::likely_up(node);
-        sources.truncate(MAX_FIRST_SOURCES);
-    }
-    while let Err(failure) = take_snapshot(node, &sources).await {
-        if failure == NotFetched::NoneHasIt || node.age() >= store_delay(node) {
-            return false;
-        }
-        sleep(FIRST_RETRY_DELAY).await;
-        sources = boxes::likely_up(node);
-        sources.shuffle(&mut rand::rng());
-        sources.truncate(MAX_FIRST_SOURCES);
-    }
-    true
-}
-
 /// Returns how long other boxes may take to send the configuration before the store is read as well, counted from when
 /// this box knew that there was a newer one.
 fn store_delay(node: &ServingNode) -> Duration {
@@ -139,26 +94,6 @@
     time.saturating_sub(known_since.map_or(Duration::ZERO, |at| node.now().since(at)))
 }
 
-/// Requests a newer configuration than this box's from `sources`.
-///
-/// # Errors
-///
-/// If none of them sent one.
-pub(super) async fn take_snapshot(
-    node: &Arc<ServingNode>,
-    sources: &[Ipv4Addr],
-) -> Result<(), NotFetched> {
-    let known = node.config_row();
-    let asked_at = node.now();
-    let (source, stored) = exchange::fetch_config(node, sources, known).await?;
-    apply(node, stored, Call { asked_at, answered_by: Some(source) });
-    if node.peers.lock().is_in_hall(source) {
-        // The hall was notified of this row already, since another box has it.
-        record_config_row(node, node.config_row(), None);
-    }
-    if node.config_row() > known { Ok(()) } else { Err(NotFetched::NoneHasIt) }
-}
-
 /// The result of reading the operator's rows or of fetching a snapshot.
 struct Position {
     /// The version from which to follow the feed.
@@ -317,14 +252,15 @@
 
 /// The call that returned a configuration.
 #[derive(Clone, Copy)]
-struct Call {
-    asked_at: Moment,
+pub(super) struct Call {
+    /// When the call was made.
+    pub asked_at: Moment,
     /// The box that answered, or `None` for the store.
-    answered_by: Option<Ipv4Addr>,
+    pub answered_by: Option<Ipv4Addr>,
 }
 
 /// Puts a stored configuration in force if it is valid and newer than the one in force.
-fn apply(node: &Arc<ServingNode>, stored: StoredConfig, call: Call) {
+pub(super) fn apply(node: &Arc<ServingNode>, stored: StoredConfig, call: Call) {
     if stored.row_version <= node.config_row() {
         return;
     }
