--- a/trackfrontd/src/serving/exchange.rs
+++ b/trackfrontd/src/serving/exchange.rs
@@ -394,12 +394,13 @@
     path: &str,
 ) -> Result<Fetched<T>, SnapshotError> {
     let started_at = node.now();
+    let offered_row = node.peers.lock().config_row_of(ip);
     let fetched = fetch(node, ip, path).await;
     let outcome = fetched.as_ref().err().map_or("taken".to_owned(), SnapshotError::to_string);
     log_fetch(ip, path, &outcome, started_at, node.now());
     let is_denied = matches!(fetched, Err(SnapshotError::NothingNewer));
     if is_denied && path.starts_with(CONFIG_PATH) {
-        node.peers.lock().deny_config(ip);
+        node.peers.lock().deny_config(ip, offered_row);
     }
     fetched
 }
--- a/trackfrontd/src/serving/peer_tracker.rs
+++ b/trackfrontd/src/serving/peer_tracker.rs
@@ -167,10 +167,16 @@
         self.peers.get(&ip).is_some_and(|peer| peer.listing.hall == self.me.hall)
     }
 
-    /// Records that a box had no newer configuration to hand out, whatever its digest said.
-    pub fn deny_config(&mut self, ip: Ipv4Addr) {
+    /// Returns the row of the configuration in force at a box, as its last digest said.
+    pub fn config_row_of(&self, ip: Ipv4Addr) -> StoreVersion {
+        self.peers.get(&ip).map_or(StoreVersion::ZERO, |peer| peer.config_row)
+    }
+
+    /// Records that a box had no newer configuration to hand out, whatever its digest said. `row` is what it said when it
+    /// was asked; it may have a newer one by now.
+    pub fn deny_config(&mut self, ip: Ipv4Addr, row: StoreVersion) {
         if let Some(peer) = self.peers.get_mut(&ip) {
-            peer.denied_config_row = peer.config_row;
+            peer.denied_config_row = row;
         }
     }
 
--- a/trackfrontd/tests/peer_tracker.rs
+++ b/trackfrontd/tests/peer_tracker.rs
@@ -65,7 +65,7 @@
     tracker.record_digest(ip(3), &digest(OTHER_HALL, 8), now);
     let holders = tracker.config_holders(row(5), now);
     assert_eq!(holders, ConfigHolders { in_hall: vec![ip(1)], elsewhere: vec![ip(3)] });
-    tracker.deny_config(ip(1));
+    tracker.deny_config(ip(1), tracker.config_row_of(ip(1)));
     tracker.record_digest(ip(1), &digest(OWN_HALL, 7), now);
     assert!(tracker.config_holders(row(5), now).in_hall.is_empty());
     tracker.record_digest(ip(1), &digest(OWN_HALL, 8), now);
@@ -74,3 +74,20 @@
     let later = now + Duration::from_secs(2);
     assert_eq!(tracker.config_holders(row(5), later), ConfigHolders::default());
 }
+
+/// Guards against a box that is never asked again for a row that it got while it answered that it had nothing newer.
+#[test]
+fn denial_is_of_the_row_that_was_offered_when_the_box_was_asked() {
+    let now = Moment(Duration::from_secs(100));
+    let ip = |last| Ipv4Addr::new(10, 0, 0, last);
+    let listed = ListedBox { ip: ip(9), hall: OWN_HALL, capacity: CapacityClass::default() };
+    let row = StoreVersion::from_bits;
+    let mut tracker = PeerTracker::new(listed);
+    let digest =
+        |config_row| Digest { hall: OWN_HALL, config_row: row(config_row), ..Digest::default() };
+    tracker.record_digest(ip(1), &digest(5), now);
+    let offered = tracker.config_row_of(ip(1));
+    tracker.record_digest(ip(1), &digest(7), now);
+    tracker.deny_config(ip(1), offered);
+    assert_eq!(tracker.config_holders(row(5), now).in_hall, [ip(1)]);
+}
