--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -79,6 +79,9 @@
         let seen = call(address, text.as_bytes(), Duration::from_millis(self.deadline_ms + 500));
         let end = if seen.is_whole { "whole" } else { "not whole" };
         record.note(format!("{attempt} answered {} {end}", seen.status));
+        if seen.status == 200 && seen.is_whole {
+            record.served.lock().unwrap().insert(attempt.clone());
+        }
         (attempt, seen)
     }
 }
@@ -153,15 +156,33 @@
         self.record.crashes.lock().unwrap().len()
     }
 
-    /// Returns how many runs of what crashes engines began later than `contact-ms` after the crash of a number.
-    fn late_runs(&self, crash: usize) -> usize {
+    /// Returns the moment `contact-ms` after the crash of a number.
+    fn limit_after(&self, crash: usize) -> Option<Instant> {
         let mut crashes = self.record.crashes.lock().unwrap().clone();
         crashes.sort();
-        let Some(limit) = crashes.get(crash - 1).map(|at| *at + CONTACT) else { return 0 };
+        crashes.get(crash - 1).map(|(at, _)| *at + CONTACT)
+    }
+
+    /// Returns how many runs of what crashes engines began later than `contact-ms` after the crash of a number.
+    fn late_runs(&self, crash: usize) -> usize {
+        let Some(limit) = self.limit_after(crash) else { return 0 };
         let runs = self.record.runs.lock().unwrap();
         runs.iter().filter(|run| run.is_deadly && run.at > limit).count()
     }
 
+    /// Returns how many sound requests were running at the engines that crashed after that moment, and were not answered.
+    fn lost_beside(&self, crash: usize) -> usize {
+        let Some(limit) = self.limit_after(crash) else { return 0 };
+        let crashes = self.record.crashes.lock().unwrap();
+        let late: Vec<&String> =
+            crashes.iter().filter(|(at, _)| *at > limit).map(|(_, engine)| engine).collect();
+        let (runs, served) = (self.record.runs.lock().unwrap(), self.record.served.lock().unwrap());
+        let is_lost = |run: &&crate::record::Run| {
+            !run.is_deadly && late.contains(&&run.engine) && !served.contains(&run.attempt)
+        };
+        runs.iter().filter(is_lost).count()
+    }
+
     /// Stops the boxes with SIGTERM and starts them again, one after the other.
     fn roll(&mut self) {
         self.record.tell("rolling restart begins");
@@ -199,9 +220,23 @@
 fn poison_roll(folder: &Path, has_trouble: bool) -> Option<bool> {
     const BODY: &str = "a body that crashes its engine";
     let mut world = World::start(RUEDA, 4, "plain", 8)?;
-    let behaviour = Behaviour { deadly_body: Some(BODY.into()), ..Behaviour::default() };
-    world.set_behaviour(&behaviour);
+    let work = Some(Duration::from_millis(60));
+    world.set_behaviour(&Behaviour {
+        deadly_body: Some(BODY.into()),
+        work,
+        ..Behaviour::default()
+    });
     sleep(CONTACT + SLACK);
+    let stop = Arc::new(AtomicBool::new(false));
+    let addresses: Vec<String> = world.nodes.iter().map(Node::client_address).collect();
+    let request = |number: usize| Request::plain("/once/sound", &format!("sound {number}"));
+    let sound = send_sound(
+        addresses,
+        world.record.clone(),
+        stop.clone(),
+        Duration::from_millis(8),
+        request,
+    );
     let deadly = Request::plain("/once/cause", BODY);
     let mut sent = 0;
     for round in 0..3 {
@@ -220,28 +255,33 @@
             sleep(CONTACT + SLACK);
         }
     }
-    let late = world.late_runs(3);
-    let crashes = world.crashes();
-    world.record.tell(format!("{sent} tries, {crashes} crashes, {late} runs after the third crash and contact-ms; {ALLOWED} are allowed"));
+    stop.store(true, Ordering::SeqCst);
+    let _ = sound.join();
+    let (crashes, late, lost) = (world.crashes(), world.late_runs(3), world.lost_beside(3));
+    world.record.tell(format!(
+        "{sent} tries, {crashes} crashes, {late} runs after the third crash and contact-ms; {ALLOWED} are allowed; \
+         {lost} sound requests were lost with the engines that crashed then"
+    ));
     world.finish(folder);
     (crashes >= 3).then_some(late > ALLOWED)
 }
 
-/// Sends sound generations to the boxes that are up until `stop`, some a second.
+/// Sends sound requests to the boxes in turn until `stop`, some a second.
 fn send_sound(
     addresses: Vec<String>,
     record: Arc<Record>,
     stop: Arc<AtomicBool>,
-    parts: impl Fn(usize) -> String + Send + 'static,
+    pause: Duration,
+    request: impl Fn(usize) -> Request + Send + 'static,
 ) -> JoinHandle<()> {
     thread::spawn(move || {
         let mut sent = 0;
         while !stop.load(Ordering::SeqCst) {
             let (address, record) = (addresses[sent % addresses.len()].clone(), record.clone());
-            let request = Request::stream(&parts(sent));
+            let request = request(sent);
             thread::spawn(move || request.send(&address, &record));
             sent += 1;
-            sleep(Duration::from_millis(60));
+            sleep(pause);
         }
     })
 }
@@ -253,8 +293,14 @@
     world.set_behaviour(&behaviour);
     let addresses: Vec<String> = world.nodes.iter().map(Node::client_address).collect();
     let stop = Arc::new(AtomicBool::new(false));
-    let parts = |number: usize| format!("aa:300,{:x}:100", 0xb0 + number % 5);
-    let sound = send_sound(addresses.clone(), world.record.clone(), stop.clone(), parts);
+    let request = |number: usize| Request::stream(&format!("aa:300,{:x}:100", 0xb0 + number % 5));
+    let sound = send_sound(
+        addresses.clone(),
+        world.record.clone(),
+        stop.clone(),
+        Duration::from_millis(60),
+        request,
+    );
     sleep(Duration::from_secs(6));
     let send_deadly = |world: &World, to: usize, first: &str| {
         let (address, record) = (world.nodes[to].client_address(), world.record.clone());
@@ -287,9 +333,11 @@
     }
     stop.store(true, Ordering::SeqCst);
     let _ = sound.join();
-    let late = world.late_runs(5);
-    let crashes = world.crashes();
-    world.record.tell(format!("{number} requests with the part, {crashes} crashes, {late} runs after the fifth crash and contact-ms; {ALLOWED} are allowed"));
+    let (crashes, late, lost) = (world.crashes(), world.late_runs(5), world.lost_beside(5));
+    world.record.tell(format!(
+        "{number} requests with the part, {crashes} crashes, {late} runs after the fifth crash and contact-ms; {ALLOWED} are allowed; \
+         {lost} sound requests were lost with the engines that crashed then"
+    ));
     world.finish(folder);
     (crashes >= 5).then_some(late > ALLOWED)
 }
@@ -390,8 +438,13 @@
     let turns = turns.join(",");
     // Sound requests share all parts but the one.
     let shared = format!("aa:300,{turns}");
-    let sound =
-        send_sound(addresses.clone(), world.record.clone(), stop.clone(), move |_| shared.clone());
+    let sound = send_sound(
+        addresses.clone(),
+        world.record.clone(),
+        stop.clone(),
+        Duration::from_millis(60),
+        move |_| Request::stream(&shared),
+    );
     sleep(Duration::from_secs(4));
     let began = Instant::now();
     let mut number = 0;
@@ -404,9 +457,11 @@
     }
     stop.store(true, Ordering::SeqCst);
     let _ = sound.join();
-    let late = world.late_runs(5);
-    let crashes = world.crashes();
-    world.record.tell(format!("{number} requests with the part, {crashes} crashes, {late} runs after the fifth crash and contact-ms; {ALLOWED} are allowed"));
+    let (crashes, late, lost) = (world.crashes(), world.late_runs(5), world.lost_beside(5));
+    world.record.tell(format!(
+        "{number} requests with the part, {crashes} crashes, {late} runs after the fifth crash and contact-ms; {ALLOWED} are allowed; \
+         {lost} sound requests were lost with the engines that crashed then"
+    ));
     world.finish(folder);
     Some(late > ALLOWED)
 }
@@ -471,6 +526,8 @@
     const ALLOWED: usize = 3;
     /// The share of its answers: one in twenty.
     const EVERY: u64 = 20;
+    /// For how long.
+    const FOR_S: u64 = 6;
     let mut world = World::start(RUEDA, 4, "plain", 6)?;
     let work = Some(Duration::from_millis(60));
     world.set_behaviour(&Behaviour { work, ..Behaviour::default() });
@@ -482,17 +539,31 @@
         .collect();
     sleep(Duration::from_secs(5));
     let seconds = if has_trouble { "18446744073709551615" } else { "60" };
-    let odd = "i-0-1";
-    world
-        .record
-        .tell(format!("one in {EVERY} answers of {odd} says: Keep-Alive: timeout={seconds}"));
+    // Two of six engines.
+    let odd = ["i-0-1", "i-1-1"];
     let headers = Some((format!("keep-alive: timeout={seconds}\r\n"), EVERY));
-    *world.engines[0].behaviour.lock().unwrap() =
-        Behaviour { work, headers, ..Behaviour::default() };
+    let set = |headers: Option<(String, u64)>| {
+        let behaviour = Behaviour { work, headers, ..Behaviour::default() };
+        world
+            .engines
+            .iter()
+            .take(odd.len())
+            .for_each(|engine| *engine.behaviour.lock().unwrap() = behaviour.clone());
+    };
+    let text = format!("Keep-Alive: timeout={seconds}");
+    world.record.tell(format!("one in {EVERY} answers of {odd:?} says for {FOR_S} s: {text}"));
+    set(headers);
+    let mut is_over = false;
     let began = Instant::now();
     let mut ends = Vec::new();
     let mut away: Vec<(usize, Instant)> = Vec::new();
-    while began.elapsed() < Duration::from_secs(20) {
+    while began.elapsed() < Duration::from_secs(FOR_S + 6) {
+        if !is_over && began.elapsed() > Duration::from_secs(FOR_S) {
+            world.record.tell("that is over");
+            let behaviour = Behaviour { work, ..Behaviour::default() };
+            world.set_behaviour(&behaviour);
+            is_over = true;
+        }
         for node in &mut world.nodes {
             if let Some(status) = node.own_end() {
                 world.record.tell(format!("front-{} ends by itself: {status}", node.number));
@@ -516,7 +587,9 @@
         runs.iter().find(|run| run.attempt == attempt).map(|run| run.engine.clone())
     };
     let is_lost = |one: &&Kept| {
-        one.is_kept && !one.is_answered && ran_at(&one.attempt).is_some_and(|engine| engine != odd)
+        one.is_kept
+            && !one.is_answered
+            && ran_at(&one.attempt).is_some_and(|engine| !odd.contains(&engine.as_str()))
     };
     let lost = sent.iter().filter(is_lost).count();
     ends.sort_unstable();
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -1,5 +1,6 @@
 //! What was sent, answered and run.
 
+use std::collections::HashSet;
 use std::path::Path;
 use std::sync::Mutex;
 use std::time::Instant;
@@ -17,13 +18,21 @@
     began: Instant,
     lines: Mutex<Vec<(Instant, String)>>,
     pub runs: Mutex<Vec<Run>>,
-    pub crashes: Mutex<Vec<Instant>>,
+    /// The crashes, with the engines.
+    pub crashes: Mutex<Vec<(Instant, String)>>,
+    /// The attempts that got their whole answer with status 200.
+    pub served: Mutex<HashSet<String>>,
 }
 
 impl Default for Record {
     fn default() -> Self {
-        let (lines, runs, crashes) = (Mutex::default(), Mutex::default(), Mutex::default());
-        Self { began: Instant::now(), lines, runs, crashes }
+        Self {
+            began: Instant::now(),
+            lines: Mutex::default(),
+            runs: Mutex::default(),
+            crashes: Mutex::default(),
+            served: Mutex::default(),
+        }
     }
 }
 
@@ -51,7 +60,7 @@
 
     pub fn crash(&self, engine: &str) {
         self.tell(format!("{engine} crashes"));
-        self.crashes.lock().unwrap().push(Instant::now());
+        self.crashes.lock().unwrap().push((Instant::now(), engine.to_owned()));
     }
 
     pub fn write(&self, path: &Path) {
