--- a/review/standin-2/boxes.rs
+++ b/review/standin-2/boxes.rs
@@ -8,10 +8,14 @@
 use std::time::{Duration, Instant};
 
 use crate::http::call;
+use crate::names;
 
 /// The program of the deploy file, from the repository's root.
 const PROGRAM: &str = "target/release/trackfront-platform";
 
+/// The end of the path of the readiness check.
+const READINESS: &str = "/readiness";
+
 /// The ports of each box; each has its own address.
 const PORTS: [u16; 3] = [18_149, 18_141, 17_380];
 
@@ -114,7 +118,7 @@
         // The box ends with this process, however that ends.
         unsafe { command.pre_exec(end_with_parent) };
         let child = command
-            .env("TRACKFRONT_BOOT", &settings)
+            .env(names::SETTINGS_VARIABLE, &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a file"))
             .stderr(log)
@@ -132,7 +136,7 @@
 
     pub fn is_ready(&self) -> bool {
         let request = format!(
-            "GET /trackfront/readiness HTTP/1.1\r\nhost: {}\r\nconnection: close\r\n\r\n",
+            "GET /trackfront{READINESS} HTTP/1.1\r\nhost: {}\r\nconnection: close\r\n\r\n",
             self.ip
         );
         let address = format!("{}:{}", self.ip, PORTS[1]);
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -10,6 +10,8 @@
 use crate::boxes::{Machine, Node, RUEDA, RUEDA_NOW, free_network};
 use crate::engine::{Behaviour, Engine};
 use crate::http::{Connection, Seen, call};
+use crate::json::kebab;
+use crate::names::{ATTEMPT_ID, DEADLINE_MS, MODEL, PROMPT_PREFIX, TOKEN_COUNTS};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -63,15 +65,15 @@
     fn send(&self, address: &str, record: &Record) -> (String, Seen) {
         let attempt = format!("a{:07}", NUMBERS.fetch_add(1, Ordering::SeqCst));
         let mut text = format!(
-            "POST {} HTTP/1.1\r\nHost: host.example\r\nX-Trackfront-Attempt-Id: {attempt}\r\n\
-             X-Trackfront-Deadline-Ms: {}\r\nContent-Length: {}\r\n",
+            "POST {} HTTP/1.1\r\nHost: host.example\r\n{ATTEMPT_ID}: {attempt}\r\n\
+             {DEADLINE_MS}: {}\r\nContent-Length: {}\r\n",
             self.path,
             self.deadline_ms,
             self.body.len()
         );
         if self.model {
-            text.push_str("X-Trackfront-Model: m1\r\nX-Trackfront-Token-Counts: 440,6\r\n");
-            text.push_str(&format!("X-Trackfront-Prompt-Prefix: {}\r\n", self.prompt));
+            text.push_str(&format!("{MODEL}: m1\r\n{TOKEN_COUNTS}: 440,6\r\n"));
+            text.push_str(&format!("{PROMPT_PREFIX}: {}\r\n", self.prompt));
         }
         text.push_str("\r\n");
         text.push_str(&self.body);
@@ -89,8 +91,8 @@
 fn config() -> String {
     let route = |name: &str, kind: &str, service: &str, attempts: u32| {
         format!(
-            "{{\"name\":\"{name}\",\"host\":\"host.example\",\"path-prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
-             \"timeout-ms\":5000,\"target-latency-ms\":800,\"priority\":1,\"service\":\"{service}\",\
+            "{{\"name\":\"{name}\",\"host\":\"host.example\",\"path_prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
+             \"timeout-ms\":5000,\"target_latency_ms\":800,\"priority\":1,\"service\":\"{service}\",\
              \"max-attempts\":{attempts},\"sticky\":false,\"resumable\":false,\"target-gap-ms\":400}}"
         )
     };
@@ -103,7 +105,7 @@
         "\"health-path\":\"/health\",\"connection-limit\":360,\"protocol\":\"h1\",\"tls\":false";
     format!(
         "{{\"version\":1,\"routes\":[{}],\"services\":[{{\"name\":\"plain\",{service}}},\
-         {{\"name\":\"text\",{service},\"engine\":{{\"slots\":8,\"kv-cache-tokens\":100000,\"kv-token-bytes\":1,\
+         {{\"name\":\"text\",{service},\"engine\":{{\"slots\":8,\"kv_cache_tokens\":100000,\"kv-token-bytes\":1,\
          \"link-mbps\":1000.0,\"models\":[{{\"name\":\"m1\",\"weight-size-mb\":1000,\"load-time-s\":1.0,\
          \"adapters\":0,\"adapter-size-mb\":1.0,\"warm-up-s\":0.5,\"disk-load-s\":0.7}}],\
          \"weight-size-mb\":1100,\"adapter-slots\":1,\"loads-per-s\":1.0}}}}],\
@@ -127,7 +129,7 @@
             Engine::start(&ip, &format!("i-{number}"), service, &zone, &store, &record)
         };
         let engines = (0..engines).map(engine).collect();
-        store.put("op", "config", Some(&config()));
+        store.put("op", "config", Some(&kebab(&config())));
         let node = |number: usize| {
             let zone = format!("zone-{}", 1 + number % 3);
             Node::start(number, &network, &zone, &store.addresses[number], machine, &folder)
@@ -360,8 +362,8 @@
         let mut connection = Connection::new(stream);
         let attempt = format!("k{:07}", NUMBERS.fetch_add(1, Ordering::SeqCst));
         let text = format!(
-            "GET /safe/x HTTP/1.1\r\nHost: host.example\r\nX-Trackfront-Attempt-Id: {attempt}\r\n\
-             X-Trackfront-Deadline-Ms: 1500\r\n\r\n"
+            "GET /safe/x HTTP/1.1\r\nHost: host.example\r\n{ATTEMPT_ID}: {attempt}\r\n\
+             {DEADLINE_MS}: 1500\r\n\r\n"
         );
         connection.send(text.as_bytes()).ok()?;
         let head = connection.head().ok()?;
@@ -490,8 +492,8 @@
             while !stop.load(Ordering::SeqCst) {
                 let attempt = format!("a{:07}", NUMBERS.fetch_add(1, Ordering::SeqCst));
                 let text = format!(
-                    "POST /once/x HTTP/1.1\r\nHost: host.example\r\nX-Trackfront-Attempt-Id: {attempt}\r\n\
-                     X-Trackfront-Deadline-Ms: 5000\r\nContent-Length: 3\r\n\r\nabc"
+                    "POST /once/x HTTP/1.1\r\nHost: host.example\r\n{ATTEMPT_ID}: {attempt}\r\n\
+                     {DEADLINE_MS}: 5000\r\nContent-Length: 3\r\n\r\nabc"
                 );
                 record.note(format!(
                     "{attempt} sent to {address} on a {} connection",
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Head};
+use crate::names::{self, ATTEMPT_ID, INSTANCE_ID, NOT_EXECUTED, RESPONSE_SIGNATURE};
 use crate::record::{Record, Run};
 use crate::store::Store;
 
@@ -155,20 +156,19 @@
         let head = connection.head()?;
         let body = connection.body(&head)?;
         let id = self.id();
-        let attempt = head.header("x-trackfront-attempt-id").unwrap_or_default().to_owned();
-        let echo = format!("x-trackfront-attempt-id: {attempt}\r\n");
-        let expected = head.header("x-trackfront-expected-instance");
+        let attempt = head.header(names::ATTEMPT_ID).unwrap_or_default().to_owned();
+        let echo = format!("{ATTEMPT_ID}: {attempt}\r\n");
+        let expected = head.header(names::EXPECTED_INSTANCE);
         if expected.is_some_and(|expected| expected != id) {
-            let headers =
-                format!("{echo}x-trackfront-not-executed: 1\r\nx-trackfront-instance-id: {id}\r\n");
+            let headers = format!("{echo}{NOT_EXECUTED}: 1\r\n{INSTANCE_ID}: {id}\r\n");
             return connection.answer(421, &headers, "");
         }
         match head.first[1].as_str() {
             "/health" => {
-                let headers = format!("x-trackfront-instance-id: {id}\r\n");
+                let headers = format!("{INSTANCE_ID}: {id}\r\n");
                 return connection.answer(200, &headers, "");
             }
-            "/trackfront/report" => {
+            names::REPORT_PATH => {
                 let text = format!(
                     "{{\"stage\":\"both\",\"models\":{},\"busy\":false,\"sequence\":0,\"waiting\":0,\
                      \"running\":0,\"kv-used\":0,\"kv-total\":100000,\"handles\":0}}",
@@ -177,12 +177,12 @@
                 return connection.answer(200, "content-type: application/json\r\n", &text);
             }
             // These engines hold all that there is, so that no order is needed.
-            "/trackfront/order" => return connection.answer(400, "", ""),
+            names::ORDER_PATH => return connection.answer(400, "", ""),
             _ => {}
         }
-        let model = head.header("x-trackfront-model");
+        let model = head.header(names::MODEL);
         if self.has_model && model != Some(MODEL) {
-            return connection.answer(421, &format!("{echo}x-trackfront-not-executed: 1\r\n"), "");
+            return connection.answer(421, &format!("{echo}{NOT_EXECUTED}: 1\r\n"), "");
         }
         self.run(connection, &head, &body, &attempt, &id)
     }
@@ -196,7 +196,7 @@
         id: &str,
     ) -> io::Result<()> {
         let behaviour = self.behaviour.lock().unwrap().clone();
-        let prompt = head.header("x-trackfront-prompt-prefix").unwrap_or_default();
+        let prompt = head.header(names::PROMPT_PREFIX).unwrap_or_default();
         let parts: BTreeSet<&str> =
             prompt.split(',').filter_map(|part| part.split(':').next()).collect();
         let is_deadly = behaviour.deadly_body.is_some_and(|deadly| deadly.as_bytes() == body)
@@ -212,7 +212,7 @@
         }
         let number = self.answered.fetch_add(1, Ordering::SeqCst);
         let signed = format!(
-            "x-trackfront-attempt-id: {attempt}\r\nx-trackfront-response-signature: {id}.{attempt}\r\n{}",
+            "{ATTEMPT_ID}: {attempt}\r\n{RESPONSE_SIGNATURE}: {id}.{attempt}\r\n{}",
             behaviour
                 .headers
                 .filter(|(_, every)| number % every == 0)
@@ -221,7 +221,7 @@
         if !self.has_model {
             return connection.answer(200, &signed, &format!("the answer to {attempt}"));
         }
-        let counts = head.header("x-trackfront-token-counts").unwrap_or("1,1");
+        let counts = head.header(names::TOKEN_COUNTS).unwrap_or("1,1");
         let events =
             counts.split(',').nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(1);
         let text = format!(
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -173,3 +173,8 @@
         }
     }
 }
+
+/// Returns a name as the platform spells it.
+pub fn kebab(name: &str) -> String {
+    name.replace('_', "-")
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,13 +1,17 @@
 //! Plays a case of the review: boxes as processes between stand-ins for clients, engines and the platform.
 //!
 //! `standin CASE FOLDER` writes FOLDER/record.txt and ends with 1 if the rule was broken, 0 if it held, and 2 if the case
-//! could not run. With `TROUBLE=0` in the environment the disruption is left out.
+//! could not run. With `TROUBLE=0` in the environment the disruption is left out. The names of the platform's headers and
+//! paths are those of the project's own adapter.
 
 mod boxes;
 mod cases;
 mod engine;
 mod http;
 mod json;
+#[allow(dead_code)]
+#[path = "../../platform/src/names.rs"]
+mod names;
 mod record;
 mod store;
 
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Head};
-use crate::json::{Json, parse, quote};
+use crate::json::{Json, kebab, parse, quote};
+use crate::names;
 
 /// The table, the part and the key of a row.
 type Key = (String, String, String);
@@ -101,10 +102,10 @@
             .collect();
         thread::sleep(Duration::from_millis(4));
         match path {
-            "/trackfront/rows-get" => self.get(&query),
-            "/trackfront/rows-parts" => self.parts(&query),
-            "/trackfront/rows-feed" => self.feed(&query),
-            "/trackfront/rows-tx" => self.commit(&String::from_utf8_lossy(body), from),
+            names::ROWS_GET_PATH => self.get(&query),
+            names::ROWS_PARTS_PATH => self.parts(&query),
+            names::ROWS_FEED_PATH => self.feed(&query),
+            names::ROWS_TX_PATH => self.commit(&String::from_utf8_lossy(body), from),
             _ => (404, "{}".into()),
         }
     }
@@ -172,8 +173,9 @@
 
     fn commit(&self, body: &str, from: usize) -> (u16, String) {
         let Some(transaction) = parse(body) else { return (400, "{}".into()) };
-        let key =
-            |entry: &Json| (entry.text("table"), entry.text("part"), entry.text("private-key"));
+        let key = |entry: &Json| {
+            (entry.text("table"), entry.text("part"), entry.text(&kebab("private_key")))
+        };
         let conditions = transaction.list("expected-revision");
         let (put, remove) = (transaction.list("put"), transaction.list("remove"));
         if put.iter().chain(remove).any(|entry| entry.text("table") == "servers") {
@@ -218,7 +220,8 @@
         None => "\"gone\":true".into(),
     };
     let (table, part, key) = (quote(table), quote(part), quote(key));
-    format!("{{\"table\":{table},\"part\":{part},\"private-key\":{key},\"ver\":{ver},{rest}}}")
+    let name = kebab("private_key");
+    format!("{{\"table\":{table},\"part\":{part},\"{name}\":{key},\"ver\":{ver},{rest}}}")
 }
 
 fn decode(text: &str) -> String {
