--- a/trackfront_adapters/src/back_off.rs
+++ b/trackfront_adapters/src/back_off.rs
@@ -1,5 +1,7 @@
 //! The time for which a server that refuses a request asks for no further ones.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::time::Duration;
 
 use http::header::RETRY_AFTER;
--- a/trackfront_adapters/src/body_end.rs
+++ b/trackfront_adapters/src/body_end.rs
@@ -1,5 +1,7 @@
 //! Whether the end of an answer's body shows that it is complete.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::body::{Body, Incoming};
--- a/trackfront_adapters/src/head_limit.rs
+++ b/trackfront_adapters/src/head_limit.rs
@@ -2,6 +2,8 @@
 //!
 //! The HTTP library bounds one head, but skips any number of informational ones (1xx).
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -34,7 +36,7 @@
     }
 
     fn count(&self, bytes: usize) {
-        let add = |count: usize| (count != NOT_COUNTING).then(|| count + bytes);
+        let add = |count: usize| (count != NOT_COUNTING).then(|| count.saturating_add(bytes));
         let _ = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
@@ -70,7 +72,7 @@
         }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.limit.count(buffer.filled().len() - before);
+        self.limit.count(buffer.filled().len().saturating_sub(before));
         polled
     }
 }
--- a/trackfront_adapters/src/upstream.rs
+++ b/trackfront_adapters/src/upstream.rs
@@ -3,6 +3,8 @@
 //! A server processes a request until its connection is closed, so the connection of a cancelled request
 //! is closed at once. Errors state whether the request was sent.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -20,7 +22,7 @@
 use thiserror::Error;
 use tokio::task::AbortHandle;
 use trackfront_core::ports::Clock;
-use trackfront_core::units::Moment;
+use trackfront_core::units::{LONGEST_DURATION, Moment};
 
 use crate::body_end::BodyEnd;
 use crate::connect::{ByteStream, Connect};
@@ -133,6 +135,16 @@
     pub reused: u64,
 }
 
+impl PoolCounts {
+    fn count_opened(&mut self) {
+        self.opened = self.opened.saturating_add(1);
+    }
+
+    fn count_reused(&mut self) {
+        self.reused = self.reused.saturating_add(1);
+    }
+}
+
 /// A pool of connections to servers, by address.
 pub struct UpstreamPool {
     idle: IdleByAddress,
@@ -199,7 +211,7 @@
         loop {
             let mut connection = match self.take_idle(address, max_idle) {
                 Some(connection) => {
-                    self.counts.lock().reused += 1;
+                    self.counts.lock().count_reused();
                     connection
                 }
                 None => open().await?,
@@ -287,7 +299,7 @@
     /// Opens a connection to `address` within `time`.
     pub async fn open(&self, address: &str, time: Duration) -> Result<Connection, UpstreamError> {
         let connection = handshake(self.open_bytes(address, time).await?, None).await?;
-        self.counts.lock().opened += 1;
+        self.counts.lock().count_opened();
         Ok(connection)
     }
 
@@ -368,11 +380,16 @@
         return None;
     }
     let keep_alive = headers.get("keep-alive").and_then(|value| value.to_str().ok());
-    let seconds = keep_alive.and_then(|value| {
-        let mut words = value.split(',').map(str::trim);
-        words.find_map(|word| word.strip_prefix("timeout=")?.trim().parse::<u64>().ok())
-    });
-    Some(seconds.map(|seconds| now + Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)))
+    Some(keep_alive.and_then(stated_idle_time).map(|idle| now + idle.saturating_sub(IDLE_MARGIN)))
+}
+
+/// Parses how long a server keeps an idle connection open. A number that is too large to be meant, such as -1 as an unsigned
+/// number, is taken for [`LONGEST_DURATION`].
+fn stated_idle_time(keep_alive: &str) -> Option<Duration> {
+    let mut words = keep_alive.split(',').map(str::trim);
+    let seconds =
+        words.find_map(|word| word.strip_prefix("timeout=")?.trim().parse::<u64>().ok())?;
+    Some(Duration::from_secs(seconds).min(LONGEST_DURATION))
 }
 
 /// The pool to which a connection returns after its answer.
--- a/trackfront_core/src/units.rs
+++ b/trackfront_core/src/units.rs
@@ -29,8 +29,9 @@
 impl Add for Mib {
     type Output = Mib;
 
+    /// Adds; a sum that is too large to represent becomes the largest amount, which fits nowhere.
     fn add(self, other: Mib) -> Mib {
-        Mib(self.0 + other.0)
+        Mib(self.0.saturating_add(other.0))
     }
 }
 
@@ -44,7 +45,7 @@
 
 impl Sum for Mib {
     fn sum<I: Iterator<Item = Mib>>(iter: I) -> Mib {
-        Mib(iter.map(|mib| mib.0).sum())
+        iter.fold(Mib(0), Add::add)
     }
 }
 
@@ -101,8 +102,10 @@
 impl Add<Duration> for Moment {
     type Output = Moment;
 
+    /// Returns the moment that is `duration` later, or the last one that can be represented. The duration may stem from
+    /// another process, and a panic would end the box.
     fn add(self, duration: Duration) -> Moment {
-        Moment(self.0 + duration)
+        Moment(self.0.saturating_add(duration))
     }
 }
 
