--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -12,6 +12,7 @@
 mod report;
 mod suspect;
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -22,8 +23,9 @@
 use crate::serving::fingerprint::Fingerprint;
 use crate::units::Moment;
 
-/// The number of crashes after which a request is suspected and not sent to a second server in one try.
-const SUSPECT_AFTER_CRASHES: usize = 2;
+/// The number of crashes after which a request is suspected and not sent to a second server in one try. From then on the
+/// platform's store has a row of them.
+pub const SUSPECT_AFTER_CRASHES: usize = 2;
 
 /// How long a broken connection counts while its server is not known to have ended. A row expires within three
 /// heartbeats, 2.0 to 3.7 s.
@@ -378,10 +380,11 @@
         Some(&self.suspects.get(&fingerprint)?.report)
     }
 
-    /// Records that a quarantined request is in the platform's store.
-    pub fn set_stored(&mut self, fingerprint: Fingerprint) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.report.stored = true;
+    /// Records that the platform's store has a row of a request, of its quarantine or of the suspicion. It is none of the
+    /// quarantine if that has begun since.
+    pub fn set_stored(&mut self, stored: &CrashReport) {
+        if let Some(suspect) = self.suspects.get_mut(&stored.fingerprint) {
+            suspect.report.stored |= suspect.report.is_quarantined() == stored.is_quarantined();
         }
     }
 
@@ -398,7 +401,38 @@
             .filter_map(|suspect| Some((&suspect.report, suspect.quarantined_since?)))
     }
 
-    /// Drops expired entries. Returns the requests whose quarantine has ended.
+    /// Returns the requests that are suspected but not quarantined, at most `limit`: those with the most crashes first, and
+    /// of these the ones with the latest. Each is returned with the time at which this box learned of its last crash.
+    pub fn suspected(&self, limit: usize) -> Vec<(CrashReport, Moment)> {
+        let counted = self
+            .suspects
+            .values()
+            .filter(|suspect| suspect.quarantined_since.is_none() && suspect.report.crashes() > 0);
+        let mut counted: Vec<_> = counted.collect();
+        counted.sort_unstable_by_key(|suspect| {
+            Reverse((suspect.report.crashes(), suspect.last_crash, suspect.report.fingerprint))
+        });
+        let reported = |suspect: &Suspect| (suspect.report.clone(), suspect.last_crash);
+        counted.into_iter().take(limit).map(reported).collect()
+    }
+
+    /// Returns the suspicions that have a row in the platform's store and need none any more: crashes were cleared.
+    pub fn cleared_but_stored(&self) -> Vec<Fingerprint> {
+        let cleared = self.suspects.values().filter(|suspect| {
+            suspect.report.stored && suspect.report.crashes() < SUSPECT_AFTER_CRASHES
+        });
+        cleared.map(|suspect| suspect.report.fingerprint).collect()
+    }
+
+    /// Records that a request has no row in the platform's store.
+    pub fn set_not_stored(&mut self, fingerprint: Fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.report.stored = false;
+        }
+    }
+
+    /// Drops expired entries. Returns the requests whose quarantine has ended, and those whose suspicion has and which are
+    /// in the platform's store.
     pub fn forget_old(&mut self, now: Moment) -> Vec<CrashReport> {
         self.ended.retain(|_, at| now.since(*at) < ENDED_TTL);
         for breaks in self.breaks.values_mut() {
@@ -412,7 +446,11 @@
                 false
             }
             Some(_) => true,
-            None => now.since(suspect.last_crash) < SUSPICION_TTL,
+            None if now.since(suspect.last_crash) < SUSPICION_TTL => true,
+            None => {
+                over.extend(suspect.report.stored.then(|| suspect.report.clone()));
+                false
+            }
         });
         over
     }
--- a/trackfront_core/src/serving/crashes/report.rs
+++ b/trackfront_core/src/serving/crashes/report.rs
@@ -28,7 +28,7 @@
     pub crashed: BTreeSet<IncarnationId>,
     /// Those of them that no longer count, because the request was answered completely or released.
     pub excused: BTreeSet<IncarnationId>,
-    /// Whether the report is in the platform's store.
+    /// Whether the platform's store has a row of it: of the quarantine, or of the suspicion as long as there is none.
     pub stored: bool,
     /// Whether the crashes before the quarantine happened together, so that they may have had another cause.
     pub together: bool,
@@ -63,10 +63,14 @@
     /// Merges another report on the same request. Returns whether that changed the sets of incarnations.
     pub(super) fn merge(&mut self, other: &CrashReport) -> bool {
         let before = (self.crashed.clone(), self.excused.clone());
-        self.stored |= other.stored;
+        let was_quarantined = self.is_quarantined();
         self.together |= other.together;
         self.crashed.extend(&other.crashed);
         self.excused.extend(&other.excused);
+        // The row of a suspicion is none of the quarantine.
+        let is_quarantined = self.is_quarantined();
+        self.stored &= was_quarantined == is_quarantined;
+        self.stored |= other.stored && other.is_quarantined() == is_quarantined;
         while self.crashed.len() > MAX_INCARNATIONS {
             let excused = self.crashed.intersection(&self.excused).next().copied();
             let Some(incarnation) = excused.or_else(|| self.crashed.last().copied()) else {
--- a/trackfront_core/tests/serving/crashes.rs
+++ b/trackfront_core/tests/serving/crashes.rs
@@ -352,3 +352,36 @@
     tracker.forget_old(at(20_000) + Duration::from_secs(700));
     assert!(tracker.quarantined().next().is_none());
 }
+
+/// Guards against a quarantine without a row because the row of its suspicion is taken for one.
+#[test]
+fn row_of_a_suspicion_is_none_of_the_quarantine() {
+    let is_stored = |tracker: &CrashTracker| tracker.report(CAUSE).is_some_and(|it| it.stored);
+    let suspicion = CrashReport { stored: true, ..report(&[1, 2]) };
+    let mut tracker = CrashTracker::default();
+    tracker.apply_report(&suspicion, at(1_000));
+    assert!(is_stored(&tracker));
+    crash(&mut tracker, CAUSE, 3, 2_000);
+    assert!(tracker.is_quarantined(CAUSE) && !is_stored(&tracker));
+    tracker.apply_report(&suspicion, at(2_100));
+    tracker.set_stored(&suspicion);
+    assert!(!is_stored(&tracker));
+    tracker.set_stored(&report(&[1, 2, 3]));
+    assert!(is_stored(&tracker));
+}
+
+/// A box that restarts is told of those first that are nearest to a quarantine.
+#[test]
+fn requests_with_the_most_crashes_are_handed_on_first() {
+    let mut tracker = CrashTracker::default();
+    for number in 0..300u32 {
+        crash(&mut tracker, Fingerprint(u64::from(number)), number, 1_000 + u64::from(number));
+    }
+    crash(&mut tracker, Fingerprint(5), 1_005, 1_000);
+    (0..3).for_each(|crash_number| _ = crash(&mut tracker, CAUSE, 2_000 + crash_number, 5_000));
+    let handed_on = tracker.suspected(10);
+    assert_eq!(handed_on.len(), 10);
+    assert_eq!(handed_on[0].0.fingerprint, Fingerprint(5));
+    assert_eq!(handed_on[1].0.fingerprint, Fingerprint(299));
+    assert!(handed_on.iter().all(|(report, _)| report.fingerprint != CAUSE));
+}
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -4,9 +4,11 @@
 //! [`outbox`] sends it, [`rows`] stores quarantined requests in the platform's table and provides
 //! them to boxes that start; [`trackfront_core::serving::crashes`] makes the decisions.
 
+pub mod hand_on;
 pub mod operators;
 pub mod outbox;
 mod rows;
+mod suspicion;
 pub mod trials;
 
 use std::collections::HashSet;
@@ -14,10 +16,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use hand_on::hand_over;
 use outbox::Outbox;
 pub use outbox::broadcast;
 use parking_lot::Mutex;
 pub use rows::{maintain_rows, snapshot};
+pub use suspicion::store_before_answer;
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 use trackfront_adapters::serving_metrics::KindLabel;
@@ -25,7 +29,7 @@
 use trackfront_core::ids::{BackendId, RequestId};
 use trackfront_core::quota::{BoxId, rank_coordinators};
 use trackfront_core::serving::crashes::{
-    BreakTimes, CrashReport, CrashTracker, IncarnationId, SuspicionChange,
+    BreakTimes, CrashReport, CrashTracker, IncarnationId, SUSPECT_AFTER_CRASHES, SuspicionChange,
 };
 use trackfront_core::serving::directory::{KnownServer, ServerEntry};
 use trackfront_core::serving::fingerprint::Fingerprint;
@@ -51,8 +55,7 @@
 /// reads the platform's table.
 const OTHERS_TIME: Duration = Duration::from_millis(150);
 
-/// The number of boxes that count the crashes of one request. The count is lost if they are lost
-/// one after the other.
+/// The number of boxes that count the crashes of one request.
 const COORDINATORS: usize = 3;
 
 /// A box's state about requests that crash servers, and the reports that it has yet to send.
@@ -134,11 +137,22 @@
     IncarnationId(short_server(server))
 }
 
-/// Returns the boxes that count the crashes of a request; this box may be one of them.
+/// Returns the boxes that count the crashes of a request; this box may be one of them, unless it is stopping.
 fn coordinators_of(node: &ServingNode, fingerprint: Fingerprint) -> Vec<Ipv4Addr> {
-    let me = node.settings.load().node.ip;
-    let others = node.peers.lock().reachable(node.now());
-    let all = others.into_iter().chain([me]).map(box_id);
+    coordinators_among(&candidates(node), fingerprint)
+}
+
+/// Returns the boxes that may count crashes.
+fn candidates(node: &ServingNode) -> Vec<Ipv4Addr> {
+    let mut boxes = node.peers.lock().reachable(node.now());
+    if !node.is_stopping() || boxes.is_empty() {
+        boxes.push(node.settings.load().node.ip);
+    }
+    boxes
+}
+
+fn coordinators_among(boxes: &[Ipv4Addr], fingerprint: Fingerprint) -> Vec<Ipv4Addr> {
+    let all = boxes.iter().copied().map(box_id);
     let ranked = rank_coordinators(fingerprint.0 as u32 as usize, all);
     ranked.into_iter().take(COORDINATORS).map(|BoxId(bits)| Ipv4Addr::from_bits(bits)).collect()
 }
@@ -302,6 +316,7 @@
             (change, tracker.is_quarantined(fingerprint), tracker.knows_cleared(report))
         };
         log_change(node, fingerprint, change, &from.to_string());
+        note_row_due(node, change);
         if change == SuspicionChange::Released && counts_crashes(node, fingerprint) {
             // The box that released it may not have known of a row.
             node.crashes.rows_to_remove.lock().insert(fingerprint);
@@ -371,10 +386,18 @@
         _ => {
             node.crashes.outbox.lock().add_report(fingerprint, false, node.now());
             node.crashes.outbox_changed.notify_one();
+            note_row_due(node, change);
         }
     }
 }
 
+/// Wakes the task that writes rows if a suspicion gets one.
+fn note_row_due(node: &ServingNode, change: SuspicionChange) {
+    if matches!(change, SuspicionChange::Suspected(SUSPECT_AFTER_CRASHES..)) {
+        node.crashes.quarantine_changed.notify_one();
+    }
+}
+
 fn broadcast_report(node: &ServingNode, fingerprint: Fingerprint) {
     node.crashes.outbox.lock().add_report(fingerprint, true, node.now());
     node.crashes.outbox_changed.notify_one();
--- a/trackfrontd/src/serving/crashes/outbox.rs
+++ b/trackfrontd/src/serving/crashes/outbox.rs
@@ -17,7 +17,7 @@
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::units::{Moment, scaled};
 
-use super::coordinators_of;
+use super::{candidates, coordinators_among};
 use crate::serving::messages::Message;
 use crate::serving::node::ServingNode;
 use crate::serving::peer_socket::PeerSocket;
@@ -43,7 +43,7 @@
 const ENDED_REPEAT_GAP: Duration = Duration::from_millis(1_500);
 
 /// The most reports in one message; a report has 40 bytes on average.
-const REPORTS_PER_MESSAGE: usize = 64;
+pub(super) const REPORTS_PER_MESSAGE: usize = 64;
 
 /// The most ended servers in one message.
 const ENDED_PER_MESSAGE: usize = 256;
@@ -174,7 +174,7 @@
     if due.is_empty() {
         return;
     }
-    let me = node.settings.load().node.ip;
+    let (me, boxes) = (node.settings.load().node.ip, candidates(node));
     let mut for_all = Vec::new();
     let mut for_coordinators: BTreeMap<Ipv4Addr, Vec<CrashReport>> = BTreeMap::new();
     for (fingerprint, to_all) in due {
@@ -185,7 +185,8 @@
             for_all.push(report);
             continue;
         }
-        let others = coordinators_of(node, fingerprint).into_iter().filter(|ip| *ip != me);
+        let counting = coordinators_among(&boxes, fingerprint);
+        let others = counting.into_iter().filter(|ip| *ip != me);
         others.for_each(|ip| for_coordinators.entry(ip).or_default().push(report.clone()));
     }
     let all = node.peers.lock().reachable(now);
@@ -196,7 +197,7 @@
 }
 
 /// Sends reports, and when the connections broke. Parts of prompts get trials whenever that was.
-async fn send_reports(
+pub(super) async fn send_reports(
     node: &ServingNode,
     socket: &PeerSocket,
     reports: &[CrashReport],
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -1,8 +1,9 @@
-//! Stores quarantined requests in the platform's table, and loads them at boxes that start.
+//! Stores requests that crash servers in the platform's table, and loads them at boxes that start.
 //!
-//! Even if all boxes are killed at once, the clients of a request that crashes servers retry it. So
-//! each quarantined request has a small row; other requests have none. A box that starts asks other
-//! boxes for quarantined requests, and reads the rows if none of them knows.
+//! Even if all boxes are killed at once, the clients of a request that crashes servers retry it. So each request has a
+//! small row from its second crash on: one of the suspicion, and then one of the quarantine. A request that ran at one
+//! server that ended has none: of the hundreds that run beside a cause, hardly any recurs. A box that starts asks other
+//! boxes, and reads the rows if none of them knows.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,9 +13,10 @@
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_core::ids::{TxnId, draw_id};
 use trackfront_core::ports::{CommitOutcome, Expect, RowKey, TableError, Transaction, Write};
-use trackfront_core::serving::crashes::{CrashReport, MAX_TRIALS};
+use trackfront_core::serving::crashes::{CrashReport, MAX_TRIALS, SUSPECT_AFTER_CRASHES};
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::store_version::StoreVersion;
+use trackfront_core::units::Moment;
 
 use super::coordinators_of;
 use crate::serving::node::ServingNode;
@@ -26,6 +28,14 @@
 /// What the keys of trials have after the fingerprint, followed by the number of the trial.
 const TRIAL_SUFFIX: &str = ".trial-";
 
+/// What the keys of suspicions have after the fingerprint.
+const SUSPICION_SUFFIX: &str = ".suspect";
+
+/// The most requests, of those that are only suspected, that a starting box is told of, and the most rows of suspicions
+/// that a box writes at each check.
+const MAX_SUSPICIONS: usize = 256;
+const MAX_SUSPICION_WRITES: usize = 8;
+
 /// The interval at which a starting box asks other boxes for quarantined requests, and the number
 /// of rounds after which it reads the rows even if it isn't the feed reader of its hall. If every
 /// box read them at once, a start of all boxes would cost as many calls as there are boxes.
@@ -50,6 +60,7 @@
     loop {
         let _ = timeout(CHECK_INTERVAL, node.crashes.quarantine_changed.notified()).await;
         write_rows(&node).await;
+        write_suspicions(&node).await;
         forget_expired(&node);
         remove_rows(&node).await;
     }
@@ -111,11 +122,12 @@
     log::info!(from, held_off = count; "crashes known");
 }
 
-/// Returns the quarantined requests for a starting box; `None` if this box hasn't loaded them.
+/// Returns the quarantined and the suspected requests for a starting box; `None` if this box hasn't loaded them.
 pub fn snapshot(node: &ServingNode) -> Option<Vec<CrashReport>> {
-    let quarantined =
-        || node.crashes.all_quarantined().into_iter().map(|(report, _)| report).collect();
-    node.crashes.is_loaded().then(quarantined)
+    let quarantined = || node.crashes.all_quarantined().into_iter();
+    let suspected = || node.crashes.tracker.lock().suspected(MAX_SUSPICIONS);
+    let all = || quarantined().chain(suspected()).map(|(report, _)| report).collect();
+    node.crashes.is_loaded().then(all)
 }
 
 async fn read_rows(node: &ServingNode) -> Result<Vec<CrashReport>, TableError> {
@@ -156,6 +168,15 @@
     RowKey(format!("{ROW_PREFIX}{fingerprint}"))
 }
 
+fn suspicion_key(fingerprint: Fingerprint) -> RowKey {
+    RowKey(format!("{ROW_PREFIX}{fingerprint}{SUSPICION_SUFFIX}"))
+}
+
+/// Returns the version of rows that were written once.
+fn first_version(node: &ServingNode) -> StoreVersion {
+    StoreVersion::new(node.ports.table.era().unwrap_or(0), FIRST_COUNT)
+}
+
 fn trial_key(fingerprint: Fingerprint, number: u32) -> RowKey {
     RowKey(format!("{ROW_PREFIX}{fingerprint}{TRIAL_SUFFIX}{number}"))
 }
@@ -163,35 +184,90 @@
 /// Writes missing rows. The boxes that count a request's crashes try one after the other, until one
 /// has succeeded.
 async fn write_rows(node: &ServingNode) {
-    let me = node.settings.load().node.ip;
-    let now = node.now();
     for (report, since) in node.crashes.all_quarantined() {
-        let fingerprint = report.fingerprint;
-        let index = coordinators_of(node, fingerprint).iter().position(|ip| *ip == me);
-        let is_due = index.is_some_and(|index| now.since(since) >= WRITER_DELAY * index as u32);
-        if report.stored || !is_due {
-            continue;
-        }
-        let value = serde_json::to_vec(&report).expect("our own types always encode");
-        if commit(node, row_key(fingerprint), Expect::Absent, Some(value.into())).await {
-            log::info!(fingerprint:%; "held off request written down");
-            node.crashes.tracker.lock().set_stored(fingerprint);
-            node.crashes.outbox.lock().add_report(fingerprint, true, node.now());
-            if !node.crashes.tracker.lock().is_quarantined(fingerprint) {
-                // It was released while the row was being written.
-                node.crashes.rows_to_remove.lock().insert(fingerprint);
-            }
+        if !report.stored && is_writer(node, report.fingerprint, since) {
+            write_quarantine(node, &report).await;
         }
     }
 }
 
-/// Forgets requests whose quarantine expired. The first of the boxes that count a request's crashes removes its row.
+/// Writes the row of a quarantined request, and tells all boxes. That of its suspicion stays until both are removed.
+pub(super) async fn write_quarantine(node: &ServingNode, report: &CrashReport) {
+    let fingerprint = report.fingerprint;
+    if !write_report(node, row_key(fingerprint), report).await {
+        return;
+    }
+    log::info!(fingerprint:%; "held off request written down");
+    node.crashes.outbox.lock().add_report(fingerprint, true, node.now());
+    node.crashes.outbox_changed.notify_one();
+    if !node.crashes.tracker.lock().is_quarantined(fingerprint) {
+        // It was released while the row was being written.
+        node.crashes.rows_to_remove.lock().insert(fingerprint);
+    }
+}
+
+/// Returns whether this box is the next of those that count a request's crashes to write its row, `since` the crash.
+fn is_writer(node: &ServingNode, fingerprint: Fingerprint, since: Moment) -> bool {
+    let me = node.settings.load().node.ip;
+    let index = coordinators_of(node, fingerprint).iter().position(|ip| *ip == me);
+    index.is_some_and(|index| node.now().since(since) >= WRITER_DELAY * index as u32)
+}
+
+/// Writes a report, unless there is a row already. Returns whether the row is certain to exist.
+async fn write_report(node: &ServingNode, key: RowKey, report: &CrashReport) -> bool {
+    let value = serde_json::to_vec(report).expect("our own types always encode");
+    let is_stored = commit(node, key, Expect::Absent, Some(value.into())).await;
+    if is_stored {
+        node.crashes.tracker.lock().set_stored(report);
+    }
+    is_stored
+}
+
+/// Writes missing rows of suspicions, as [`write_rows`] does for quarantined requests, and removes those of which the
+/// crashes were cleared.
+async fn write_suspicions(node: &ServingNode) {
+    let suspected = node.crashes.tracker.lock().suspected(MAX_SUSPICIONS);
+    let due = suspected.into_iter().filter(|(report, since)| {
+        report.crashes() >= SUSPECT_AFTER_CRASHES
+            && !report.stored
+            && is_writer(node, report.fingerprint, *since)
+    });
+    for (report, _) in due.take(MAX_SUSPICION_WRITES) {
+        write_suspicion(node, &report).await;
+    }
+    let cleared = node.crashes.tracker.lock().cleared_but_stored();
+    for fingerprint in cleared.into_iter().take(MAX_SUSPICION_WRITES) {
+        node.crashes.tracker.lock().set_not_stored(fingerprint);
+        remove_suspicion(node, fingerprint).await;
+    }
+}
+
+/// Writes the row of a suspicion, and tells the boxes that count the crashes.
+pub(super) async fn write_suspicion(node: &ServingNode, report: &CrashReport) {
+    let fingerprint = report.fingerprint;
+    if write_report(node, suspicion_key(fingerprint), report).await {
+        log::info!(fingerprint:%, crashes = report.crashes(); "suspected request written down");
+        node.crashes.outbox.lock().add_report(fingerprint, false, node.now());
+        node.crashes.outbox_changed.notify_one();
+    }
+}
+
+/// Removes the row of a suspicion. If it stays, boxes that start count its crashes for as long as a suspicion lasts.
+async fn remove_suspicion(node: &ServingNode, fingerprint: Fingerprint) {
+    commit(node, suspicion_key(fingerprint), Expect::Version(first_version(node)), None).await;
+}
+
+/// Forgets requests whose quarantine or suspicion expired. The first of the boxes that count a request's crashes removes its
+/// row.
 fn forget_expired(node: &ServingNode) {
     let me = node.settings.load().node.ip;
     let expired = node.crashes.tracker.lock().forget_old(node.now());
     for report in expired {
         let fingerprint = report.fingerprint;
-        log::info!(fingerprint:%; "request quarantine expired");
+        match report.is_quarantined() {
+            true => log::info!(fingerprint:%; "request quarantine expired"),
+            false => log::info!(fingerprint:%; "suspicion expired"),
+        }
         if report.stored && coordinators_of(node, fingerprint).first() == Some(&me) {
             node.crashes.rows_to_remove.lock().insert(fingerprint);
         }
@@ -220,13 +296,13 @@
     is_removed
 }
 
-/// Removes the row of a request that is no longer quarantined, and those of its trials. If they stayed, starting boxes
+/// Removes the rows of a request that is no longer quarantined, and those of its trials. If they stayed, starting boxes
 /// would load them. Returns whether all are certain to be gone.
 async fn remove_row(node: &ServingNode, fingerprint: Fingerprint) -> bool {
-    let version = StoreVersion::new(node.ports.table.era().unwrap_or(0), FIRST_COUNT);
+    let version = first_version(node);
     let trials = (1..=MAX_TRIALS).map(|number| trial_key(fingerprint, number));
     let mut removed = true;
-    for key in trials.chain([row_key(fingerprint)]) {
+    for key in trials.chain([suspicion_key(fingerprint), row_key(fingerprint)]) {
         removed &= commit(node, key, Expect::Version(version), None).await;
     }
     if !removed {
--- a/trackfrontd/src/serving/gossip.rs
+++ b/trackfrontd/src/serving/gossip.rs
@@ -213,6 +213,9 @@
             }
             Ok((Message::QuotaReply(reply), _)) => quota::handle_reply(&node, ip, &reply),
             Ok((Message::CrashReports(reports), _)) => crashes::merge_reports(&node, ip, &reports),
+            Ok((Message::CrashReportsRequest, _)) => {
+                crashes::hand_on::handle_request(&node, &socket, ip)
+            }
             Ok((Message::BreakTimes(times), _)) => crashes::merge_break_times(&node, ip, &times),
             Ok((Message::ServersEnded(servers), _)) => crashes::merge_ended(&node, &servers),
             Ok((Message::Notices(batch), _)) => {
--- a/trackfrontd/src/serving/messages.rs
+++ b/trackfrontd/src/serving/messages.rs
@@ -88,6 +88,8 @@
     KeptOrigins(Vec<KeptOrigin>),
     /// A question for all that the receiver knows of the streams that the sender keeps.
     KeptOriginsRequest,
+    /// A question for [`Message::CrashReports`] on the requests whose crashes the sender counts.
+    CrashReportsRequest,
 }
 
 /// The software that began a stream, and how long ago the box that relays it gave a sign of it.
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -358,6 +358,9 @@
         close_if_stopping(&node, &mut response);
         return response;
     }
+    if attempts.may_have_run.is_some() {
+        job.store_crashes(&attempts.servers).await;
+    }
     if let Refusal::NoServer { cause, .. } = &refusal {
         node.metrics.refusals.get_or_create(&KindLabel { kind: cause }).inc();
     }
--- a/trackfrontd/src/serving/pipeline/quarantine.rs
+++ b/trackfrontd/src/serving/pipeline/quarantine.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use tokio::time::timeout;
+use trackfront_core::ids::BackendId;
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::serving::request::{PromptPart, Refusal};
 
 use super::{Attempts, Job};
+use crate::serving::crashes;
 use crate::serving::crashes::trials::Trial;
 
 /// The most parts of a prompt that are tracked; of longer prompts the first ones.
@@ -56,6 +58,14 @@
         self.suspects.iter().any(|suspect| self.node.crashes.is_suspect(*suspect, now))
     }
 
+    /// Waits until the crashes under a request that broke at several servers are stored, before its client hears of it.
+    /// `tried` are the servers that got it in this try.
+    pub async fn store_crashes(&self, tried: &[BackendId]) {
+        if self.may_crash_servers() {
+            crashes::store_before_answer(&self.node, &self.suspects, tried).await;
+        }
+    }
+
     /// Returns whether quarantine still allows the request to be sent.
     pub(super) fn may_pass_quarantine(&self) -> bool {
         let trial = self.trial.lock().as_ref().map(Trial::fingerprint);
--- a/trackfrontd/src/serving/response_relay.rs
+++ b/trackfrontd/src/serving/response_relay.rs
@@ -286,6 +286,7 @@
                 Next::Broken(broken) => {
                     record_broken(&mut self.guard, broken);
                     if !self.resume(broken.cause()).await {
+                        self.job.store_crashes(&self.tried).await;
                         self.ended = true;
                         return Some(Err(broken.cause().into()));
                     }
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -88,6 +88,7 @@
     tasks.spawn(quota::maintain_quotas(node.clone(), socket.clone()));
     tasks.spawn(crashes::broadcast(node.clone(), socket.clone()));
     tasks.spawn(crashes::maintain_rows(node.clone()));
+    tasks.spawn(crashes::hand_on::hand_on(node.clone(), socket.clone()));
     tasks.spawn(restoration::rewrite_lost_rows(node.clone()));
     tasks.spawn(notices::fetch_from_peers(node.clone()));
     tasks.spawn(notices::broadcast(node.clone(), socket.clone()));
@@ -154,6 +155,7 @@
     node.digest_requested.notify_one();
     node.missing_item_added.notify_one();
     stream_origins::keepers::hand_over(node);
+    crashes::hand_over(node);
     let lame_duck = LAME_DUCK_TIME.min(grace / 3);
     sleep(lame_duck).await;
     stop_clients.send_replace(true);
