--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -416,6 +416,15 @@
         counted.into_iter().take(limit).map(reported).collect()
     }
 
+    /// Returns the incarnations that ended under any of `suspects` and count.
+    pub fn ended_under(&self, suspects: &[Fingerprint]) -> Vec<IncarnationId> {
+        if self.suspects.is_empty() {
+            return Vec::new();
+        }
+        let reports = suspects.iter().filter_map(|suspect| self.report(*suspect));
+        reports.flat_map(|it| it.crashed.difference(&it.excused).copied()).collect()
+    }
+
     /// Returns the suspicions that have a row in the platform's store and need none any more: crashes were cleared.
     pub fn cleared_but_stored(&self) -> Vec<Fingerprint> {
         let cleared = self.suspects.values().filter(|suspect| {
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -38,7 +38,7 @@
 use super::node::ServingNode;
 use super::quota::box_id;
 use super::reach;
-use super::short_names::short_server;
+use super::short_names::{ShortNames, short_server};
 
 /// The delay after a broken connection before the server is probed; a process that ends no longer
 /// listens by then.
@@ -91,6 +91,12 @@
         self.tracker.lock().is_suspect(fingerprint, now)
     }
 
+    /// Returns the servers that ended under any of `suspects` and whose rows are still known.
+    pub fn ended_under(&self, suspects: &[Fingerprint], names: &ShortNames) -> Vec<BackendId> {
+        let ended = self.tracker.lock().ended_under(suspects);
+        ended.into_iter().filter_map(|IncarnationId(short)| names.server(short).cloned()).collect()
+    }
+
     /// Records that the rows of all quarantined requests may be lost, so that they are written
     /// again. Returns the number of rows.
     pub fn forget_stored_rows(&self) -> usize {
--- a/trackfrontd/src/serving/pipeline/choice.rs
+++ b/trackfrontd/src/serving/pipeline/choice.rs
@@ -1,5 +1,6 @@
 //! Chooses the server for a request from everything this box knows.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use trackfront_core::ids::BackendId;
@@ -73,6 +74,7 @@
     ) -> Result<T, NoChoice> {
         let node = &self.node;
         follow::drop_expired_rows(node);
+        let tried = &self.with_ended(tried)[..];
         let settings = node.settings.load();
         let evacuations = node.evacuations.lock();
         let query = Query {
@@ -151,6 +153,16 @@
         }
     }
 
+    /// Adds the servers that are known to have ended under the request, whose rows may be stale: another incarnation at the
+    /// same address would get the request, and if it crashes as well, that would not count.
+    fn with_ended<'a>(&self, tried: &'a [BackendId]) -> Cow<'a, [BackendId]> {
+        let ended = self.node.crashes.ended_under(&self.suspects, &self.node.names.lock());
+        match ended.is_empty() {
+            true => Cow::Borrowed(tried),
+            false => Cow::Owned(tried.iter().cloned().chain(ended).collect()),
+        }
+    }
+
     /// Returns the halls and regions in which the request may be served.
     fn allowed_halls<'a>(
         &'a self,
