--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -34,6 +34,7 @@
 use trackfront_core::serving::directory::{KnownServer, ServerEntry};
 use trackfront_core::serving::fingerprint::Fingerprint;
 use trackfront_core::units::Moment;
+use trials::TrialClaims;
 
 use super::node::ServingNode;
 use super::quota::box_id;
@@ -71,6 +72,7 @@
     quarantine_changed: Notify,
     /// Requests that are no longer quarantined, whose rows may still be in the platform's table.
     rows_to_remove: Mutex<HashSet<Fingerprint>>,
+    trial_claims: Mutex<TrialClaims>,
     /// Whether this box has loaded the requests that were quarantined before it started.
     loaded: watch::Sender<bool>,
     /// Notified when a request waits for that.
--- a/trackfrontd/src/serving/crashes/rows.rs
+++ b/trackfrontd/src/serving/crashes/rows.rs
@@ -155,13 +155,72 @@
     Ok(rows.len() as u32)
 }
 
-/// Stores that a trial of a request is made, so that boxes which start later know it. Returns whether the row is certain to
-/// exist.
-pub(super) async fn write_trial(node: &ServingNode, fingerprint: Fingerprint, number: u32) -> bool {
-    // Boxes of earlier versions read it as a report on a request without crashes.
-    let report = CrashReport::new(fingerprint);
-    let value = serde_json::to_vec(&report).expect("our own types always encode");
-    commit(node, trial_key(fingerprint, number), Expect::Absent, Some(value.into())).await
+/// What became of the row of a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TrialRow {
+    /// This transaction wrote it.
+    Written,
+    /// Another box made that trial.
+    Taken,
+    /// The store does not say, or a row of an earlier quarantine is in the way.
+    Unknown,
+}
+
+impl TrialRow {
+    /// Returns the name for logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            TrialRow::Written => "written",
+            TrialRow::Taken => "another box made it",
+            TrialRow::Unknown => "the store does not say",
+        }
+    }
+}
+
+/// Claims a trial of a quarantined request for the transaction `id`: whoever writes its row makes it, whichever box that is.
+/// The same transaction may be written again, if it is not known whether it was.
+pub(super) async fn claim_trial(
+    node: &ServingNode,
+    report: &CrashReport,
+    number: u32,
+    id: TxnId,
+) -> TrialRow {
+    node.metrics.store_calls.get_or_create(&KindLabel { kind: "write_crashes" }).inc();
+    let key = trial_key(report.fingerprint, number);
+    let value = Bytes::from(serde_json::to_vec(report).expect("our own types always encode"));
+    let write = |expect| Transaction {
+        id: id.clone(),
+        writes: vec![Write { key: key.clone(), expect, value: Some(value.clone()) }],
+    };
+    let table = &node.ports.table;
+    match table.commit(&write(Expect::Absent)).await {
+        CommitOutcome::Applied => return TrialRow::Written,
+        CommitOutcome::Conflict { .. } => {}
+        CommitOutcome::NotApplied(_) | CommitOutcome::Unknown(_) => return TrialRow::Unknown,
+    }
+    let Ok(Some(row)) = table.read(&key).await else {
+        return TrialRow::Unknown;
+    };
+    if row.written_by == id {
+        return TrialRow::Written;
+    }
+    if !is_of_earlier_quarantine(&row.value, report) {
+        return TrialRow::Taken;
+    }
+    match table.commit(&write(Expect::Version(row.version))).await {
+        CommitOutcome::Applied => TrialRow::Written,
+        _ => TrialRow::Unknown,
+    }
+}
+
+/// Returns whether the row of a trial stayed when its request was let go, before the present quarantine. Boxes of earlier
+/// versions name no crashes.
+fn is_of_earlier_quarantine(row: &[u8], report: &CrashReport) -> bool {
+    let Ok(tried) = serde_json::from_slice::<CrashReport>(row) else {
+        return false;
+    };
+    let mut counted = report.crashed.difference(&report.excused);
+    !tried.crashed.is_empty() && !counted.any(|incarnation| tried.crashed.contains(incarnation))
 }
 
 fn row_key(fingerprint: Fingerprint) -> RowKey {
@@ -262,6 +321,8 @@
 fn forget_expired(node: &ServingNode) {
     let me = node.settings.load().node.ip;
     let expired = node.crashes.tracker.lock().forget_old(node.now());
+    let is_quarantined = |fingerprint| node.crashes.tracker.lock().is_quarantined(fingerprint);
+    node.crashes.trial_claims.lock().retain(is_quarantined);
     for report in expired {
         let fingerprint = report.fingerprint;
         match report.is_quarantined() {
