--- a/trackfront_core/src/quota/mod.rs
+++ b/trackfront_core/src/quota/mod.rs
@@ -116,12 +116,35 @@
 /// Ranks the boxes as coordinators of a partition. Rendezvous hashing ensures that the loss of a box moves only the
 /// partitions that it coordinated.
 pub fn rank_coordinators(partition: usize, boxes: impl Iterator<Item = BoxId>) -> Vec<BoxId> {
-    let mut ranked: Vec<(u64, BoxId)> =
-        boxes.map(|id| (mix(((partition as u64) << 32) | u64::from(id.0)), id)).collect();
+    let mut ranked: Vec<(u64, BoxId)> = boxes.map(|id| (weight(partition, id), id)).collect();
     ranked.sort_unstable();
     ranked.into_iter().map(|(_, id)| id).collect()
 }
 
+/// Returns the first `count` of [`rank_coordinators`], without ranking the others.
+pub fn first_coordinators(
+    partition: usize,
+    boxes: impl Iterator<Item = BoxId>,
+    count: usize,
+) -> Vec<BoxId> {
+    let mut first: Vec<(u64, BoxId)> = Vec::with_capacity(count.saturating_add(1));
+    for id in boxes {
+        let ranked = (weight(partition, id), id);
+        if first.len() == count && first.last().is_none_or(|last| *last < ranked) {
+            continue;
+        }
+        let at = first.partition_point(|other| *other < ranked);
+        first.insert(at, ranked);
+        first.truncate(count);
+    }
+    first.into_iter().map(|(_, id)| id).collect()
+}
+
+/// Returns the key by which a box is ranked for a partition; the lowest comes first.
+fn weight(partition: usize, id: BoxId) -> u64 {
+    mix(((partition as u64) << 32) | u64::from(id.0))
+}
+
 /// Hashes a number with the SplitMix64 finalizer.
 fn mix(number: u64) -> u64 {
     let number = number.wrapping_add(0x9E37_79B9_7F4A_7C15);
--- a/trackfront_core/src/serving/crashes/mod.rs
+++ b/trackfront_core/src/serving/crashes/mod.rs
@@ -9,13 +9,15 @@
 //! well, so one crash proves little: a request is quarantined after [`MAX_CRASHES`], and a complete answer clears it of
 //! all earlier crashes.
 
+mod answers;
 mod report;
 mod suspect;
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
+use answers::{Answers, MAX_PART_ANSWERS, MAX_REQUEST_ANSWERS};
 pub use report::{BreakTimes, CrashReport, IncarnationId, MAX_CRASHES};
 pub use suspect::MAX_TRIALS;
 use suspect::Suspect;
@@ -35,9 +37,9 @@
 /// sent just before the server's end.
 const ANSWER_TRANSIT_TIME: Duration = Duration::from_millis(1_000);
 
-/// The most broken connections that are kept for one incarnation: more than the requests that run there at once, with the
-/// parts of their prompts.
-const MAX_BREAKS: usize = 2_048;
+/// The most parts of prompts that are kept for one incarnation whose connections broke, beside the requests: those of
+/// several of the longest prompts.
+const MAX_BREAKS: usize = 16_384;
 
 /// How long an ended incarnation is remembered, for broken connections that are noticed later.
 const ENDED_TTL: Duration = Duration::from_secs(30);
@@ -56,16 +58,12 @@
 /// How long a complete answer clears a part of prompts. A part that begins to crash engines may have been sound before.
 const PART_ANSWER_TTL: Duration = Duration::from_secs(10);
 
-/// The interval at which a complete answer to the same request or part is recorded anew.
-const ANSWER_REFRESH: Duration = Duration::from_secs(1);
+/// The most requests and parts that are suspected or quarantined, at about 300 bytes each: those of several of the longest
+/// prompts, of which each has some thousand parts.
+const MAX_SUSPECTS: usize = 16_384;
 
-/// The most complete answers that are remembered: a box answers some 15 requests a second, so 900 a minute, with a few
-/// parts each.
-const MAX_ANSWERS: usize = 8_192;
-
-/// The most requests that are suspected or quarantined, at about 300 bytes each; the one whose last crash is oldest is
-/// dropped first.
-const MAX_SUSPECTS: usize = 4_096;
+/// The fraction of them that is dropped once there are as many, those with the fewest crashes first, and of these the oldest.
+const DROPPED_DIVISOR: usize = 8;
 
 /// Tracks requests that crash servers, as one box knows them.
 #[derive(Debug, Default)]
@@ -75,9 +73,9 @@
     breaks: HashMap<IncarnationId, Vec<(Fingerprint, Moment)>>,
     /// Ended incarnations, and when this box learned of their end.
     ended: HashMap<IncarnationId, Moment>,
-    /// When requests were last answered completely, and the answers by age.
-    answered: HashMap<Fingerprint, Moment>,
-    answers: VecDeque<(Fingerprint, Moment)>,
+    /// The complete answers to requests, and those to parts. However many parts prompts have, the answers to requests stay.
+    answered_requests: Answers<MAX_REQUEST_ANSWERS>,
+    answered_parts: Answers<MAX_PART_ANSWERS>,
 }
 
 /// A change of the suspicion against a request.
@@ -105,13 +103,30 @@
         if self.has_ended(incarnation, now) {
             return self.record_crash(fingerprint, incarnation, now, now);
         }
+        if fingerprint.is_part() && self.was_answered(fingerprint, now) {
+            return SuspicionChange::Unchanged;
+        }
         let breaks = self.breaks.entry(incarnation).or_default();
-        if breaks.len() < MAX_BREAKS {
+        if breaks.len() < MAX_BREAKS || !fingerprint.is_part() {
             breaks.push((fingerprint, now));
         }
         SuspicionChange::Unchanged
     }
 
+    /// Records the same for a request and the parts of its prompt. Returns the changes.
+    pub fn connections_broke(
+        &mut self,
+        suspects: &[Fingerprint],
+        incarnation: IncarnationId,
+        now: Moment,
+    ) -> Vec<(Fingerprint, SuspicionChange)> {
+        let broke = |fingerprint: &Fingerprint| {
+            (*fingerprint, self.connection_broke(*fingerprint, incarnation, now))
+        };
+        let changes = suspects.iter().map(broke);
+        changes.filter(|(_, change)| *change != SuspicionChange::Unchanged).collect()
+    }
+
     /// Returns whether an incarnation of a server is known to have ended.
     pub fn has_ended(&self, incarnation: IncarnationId, now: Moment) -> bool {
         self.ended.get(&incarnation).is_some_and(|at| now.since(*at) < ENDED_TTL)
@@ -159,15 +174,20 @@
         if self.was_answered(fingerprint, now) {
             return SuspicionChange::Unchanged;
         }
-        self.suspect(fingerprint, now).add_break(incarnation, broke_at);
+        if !fingerprint.is_part() {
+            self.suspect(fingerprint, now).add_break(incarnation, broke_at);
+        }
         let mut report = CrashReport::new(fingerprint);
         report.crashed.insert(incarnation);
         self.apply_report(&report, now)
     }
 
     fn was_answered(&self, fingerprint: Fingerprint, now: Moment) -> bool {
-        let ttl = if fingerprint.is_part() { PART_ANSWER_TTL } else { ANSWER_TTL };
-        self.answered.get(&fingerprint).is_some_and(|at| now.since(*at) < ttl)
+        let (answers, ttl) = match fingerprint.is_part() {
+            true => (self.answered_parts.last(fingerprint), PART_ANSWER_TTL),
+            false => (self.answered_requests.last(fingerprint), ANSWER_TTL),
+        };
+        answers.is_some_and(|at| now.since(at) < ttl)
     }
 
     /// Applies the report of another box on a request. Its crashes are cleared if this box recently got a complete answer
@@ -250,39 +270,51 @@
     /// Returns what is known of a request, which is suspected from now on.
     fn suspect(&mut self, fingerprint: Fingerprint, now: Moment) -> &mut Suspect {
         if !self.suspects.contains_key(&fingerprint) {
-            self.evict_oldest();
+            self.drop_weakest();
         }
         self.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(fingerprint, now))
     }
 
-    /// Drops the suspect whose last crash is the oldest if there are as many as are kept.
-    fn evict_oldest(&mut self) {
+    /// Makes room for another suspect if there are as many as are kept: many of those with the fewest crashes are dropped at
+    /// once, since one crash may bring thousands.
+    fn drop_weakest(&mut self) {
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let oldest = self.suspects.values().min_by_key(|suspect| suspect.last_crash);
-        if let Some(fingerprint) = oldest.map(|suspect| suspect.report.fingerprint) {
-            self.suspects.remove(&fingerprint);
+        let standing = |suspect: &Suspect| {
+            let is_quarantined = suspect.quarantined_since.is_some();
+            (is_quarantined, suspect.report.crashes(), suspect.last_crash)
+        };
+        let all = self.suspects.iter().map(|(print, suspect)| (standing(suspect), *print));
+        let mut all: Vec<_> = all.collect();
+        let dropped = MAX_SUSPECTS / DROPPED_DIVISOR;
+        all.select_nth_unstable(dropped);
+        for (_, fingerprint) in &all[..dropped] {
+            self.suspects.remove(fingerprint);
         }
     }
 
     /// Records a complete answer to a request, which one that crashes its servers never gets. Returns the change.
     pub fn mark_answered(&mut self, fingerprint: Fingerprint, now: Moment) -> SuspicionChange {
-        let last = self.answered.get(&fingerprint);
-        if last.is_some_and(|at| now.since(*at) < ANSWER_REFRESH) {
-            return self.clear_suspicion(fingerprint, now);
-        }
-        self.answered.insert(fingerprint, now);
-        self.answers.push_back((fingerprint, now));
-        if self.answers.len() > MAX_ANSWERS
-            && let Some((first, at)) = self.answers.pop_front()
-            && self.answered.get(&first) == Some(&at)
-        {
-            self.answered.remove(&first);
+        match fingerprint.is_part() {
+            true => self.answered_parts.record(fingerprint, now),
+            false => self.answered_requests.record(fingerprint, now),
         }
         self.clear_suspicion(fingerprint, now)
     }
 
+    /// Records the same for a request and the parts of its prompt. Returns the changes.
+    pub fn mark_all_answered(
+        &mut self,
+        suspects: &[Fingerprint],
+        now: Moment,
+    ) -> Vec<(Fingerprint, SuspicionChange)> {
+        let answered =
+            |fingerprint: &Fingerprint| (*fingerprint, self.mark_answered(*fingerprint, now));
+        let changes = suspects.iter().map(answered);
+        changes.filter(|(_, change)| *change != SuspicionChange::Unchanged).collect()
+    }
+
     /// Clears a request of all its known crashes. Returns the change.
     pub fn clear_suspicion(&mut self, fingerprint: Fingerprint, now: Moment) -> SuspicionChange {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
@@ -298,6 +330,16 @@
         self.suspects.get(&fingerprint).is_some_and(|suspect| suspect.quarantined_since.is_some())
     }
 
+    /// Returns which of `suspects` are quarantined, and how many servers each crashed.
+    pub fn quarantined_among(&self, suspects: &[Fingerprint]) -> Vec<(Fingerprint, usize)> {
+        if self.suspects.is_empty() {
+            return Vec::new();
+        }
+        let known = suspects.iter().filter_map(|print| self.suspects.get(print));
+        let quarantined = known.filter(|suspect| suspect.quarantined_since.is_some());
+        quarantined.map(|known| (known.report.fingerprint, known.report.crashes())).collect()
+    }
+
     /// Applies the report on a quarantined request to a box that has just started. No trial starts until it is known how
     /// many were made.
     pub fn load(&mut self, report: &CrashReport, now: Moment) {
--- a/trackfrontd/src/serving/crashes/mod.rs
+++ b/trackfrontd/src/serving/crashes/mod.rs
@@ -17,8 +17,8 @@
 use std::time::Duration;
 
 pub use hand_on::hand_over;
-use outbox::Outbox;
 pub use outbox::broadcast;
+use outbox::{Outbox, Recipients};
 use parking_lot::Mutex;
 pub use rows::{maintain_rows, snapshot};
 pub use suspicion::store_before_answer;
@@ -27,7 +27,7 @@
 use trackfront_adapters::serving_metrics::KindLabel;
 use trackfront_adapters::upstream::UpstreamError;
 use trackfront_core::ids::{BackendId, RequestId};
-use trackfront_core::quota::{BoxId, rank_coordinators};
+use trackfront_core::quota::{BoxId, first_coordinators};
 use trackfront_core::serving::crashes::{
     BreakTimes, CrashReport, CrashTracker, IncarnationId, SUSPECT_AFTER_CRASHES, SuspicionChange,
 };
@@ -80,17 +80,15 @@
 }
 
 impl Crashes {
-    /// Returns how many servers a request crashed, if it is quarantined.
-    pub fn quarantined_crashes(&self, fingerprint: Fingerprint) -> Option<usize> {
-        let tracker = self.tracker.lock();
-        tracker
-            .is_quarantined(fingerprint)
-            .then(|| tracker.report(fingerprint).map_or(0, CrashReport::crashes))
+    /// Returns which of `suspects` are quarantined, and how many servers each crashed.
+    pub fn quarantined_among(&self, suspects: &[Fingerprint]) -> Vec<(Fingerprint, usize)> {
+        self.tracker.lock().quarantined_among(suspects)
     }
 
-    /// Returns whether a request is suspected of crashing servers.
-    pub fn is_suspect(&self, fingerprint: Fingerprint, now: Moment) -> bool {
-        self.tracker.lock().is_suspect(fingerprint, now)
+    /// Returns whether any of `suspects` is suspected of crashing servers.
+    pub fn is_any_suspect(&self, suspects: &[Fingerprint], now: Moment) -> bool {
+        let tracker = self.tracker.lock();
+        suspects.iter().any(|suspect| tracker.is_suspect(*suspect, now))
     }
 
     /// Returns the servers that ended under any of `suspects` and whose rows are still known.
@@ -161,8 +159,8 @@
 
 fn coordinators_among(boxes: &[Ipv4Addr], fingerprint: Fingerprint) -> Vec<Ipv4Addr> {
     let all = boxes.iter().copied().map(box_id);
-    let ranked = rank_coordinators(fingerprint.0 as u32 as usize, all);
-    ranked.into_iter().take(COORDINATORS).map(|BoxId(bits)| Ipv4Addr::from_bits(bits)).collect()
+    let first = first_coordinators(fingerprint.0 as u32 as usize, all, COORDINATORS);
+    first.into_iter().map(|BoxId(bits)| Ipv4Addr::from_bits(bits)).collect()
 }
 
 /// Records that the connection to a server broke while a request was in flight, and probes the
@@ -181,10 +179,8 @@
     }
     let now = node.now();
     let incarnation = incarnation_id(id);
-    for fingerprint in suspects {
-        let change = node.crashes.tracker.lock().connection_broke(*fingerprint, incarnation, now);
-        record(node, *fingerprint, change, request.as_str());
-    }
+    let changes = node.crashes.tracker.lock().connections_broke(suspects, incarnation, now);
+    record_all(node, &changes, request.as_str());
     let has_ended = node.crashes.tracker.lock().has_ended(incarnation, now);
     if !has_ended && node.crashes.probing.lock().insert(id.clone()) {
         tokio::spawn(probe(node.clone(), server.clone()));
@@ -257,9 +253,7 @@
 /// Records that a server's row was removed, or replaced by that of a later incarnation.
 pub fn server_left(node: &ServingNode, server: &BackendId) {
     let changes = node.crashes.tracker.lock().mark_ended(incarnation_id(server), node.now());
-    for (fingerprint, change) in changes {
-        record(node, fingerprint, change, server.as_str());
-    }
+    record_all(node, &changes, server.as_str());
 }
 
 /// Records that an incarnation of a server has ended, so that connections which broke there count
@@ -275,17 +269,13 @@
     if !was_known {
         log::info!(server:%, evidence, struck = changes.len(); "server ended");
     }
-    for (fingerprint, change) in changes {
-        record(node, fingerprint, change, server.as_str());
-    }
+    record_all(node, &changes, server.as_str());
 }
 
 /// Records that a request was answered completely, or for so long that `suspects` did not crash its server.
 pub fn request_completed(node: &ServingNode, suspects: &[Fingerprint]) {
-    for fingerprint in suspects {
-        let change = node.crashes.tracker.lock().mark_answered(*fingerprint, node.now());
-        record(node, *fingerprint, change, "it was answered whole");
-    }
+    let changes = node.crashes.tracker.lock().mark_all_answered(suspects, node.now());
+    record_all(node, &changes, "it was answered whole");
 }
 
 /// What became of an operator's release of a request.
@@ -331,8 +321,13 @@
             node.crashes.quarantine_changed.notify_one();
         }
         if knows_cleared {
-            // Many boxes may know that; the first to send it does so for all.
-            node.crashes.outbox.lock().add_clearance(fingerprint, node.now());
+            // Many boxes may know that; the first to send it does so for all. Of what is not quarantined, only the boxes
+            // that count and the one that blames it need to know.
+            let to = match report.is_quarantined() {
+                true => Recipients::All,
+                false => Recipients::CountingAnd(from),
+            };
+            node.crashes.outbox.lock().add_clearance(fingerprint, to, node.now());
             node.crashes.outbox_changed.notify_one();
         } else if is_quarantined
             && (!report.is_quarantined() || must_forward(node, change, fingerprint))
@@ -379,6 +374,13 @@
     }
 }
 
+/// Does what [`record`] does for each of some requests and parts of prompts.
+fn record_all(node: &ServingNode, changes: &[(Fingerprint, SuspicionChange)], by: &str) {
+    for (fingerprint, change) in changes {
+        record(node, *fingerprint, *change, by);
+    }
+}
+
 /// Logs what was learned about a request and informs the boxes that need to know.
 fn record(node: &ServingNode, fingerprint: Fingerprint, change: SuspicionChange, by: &str) {
     if change == SuspicionChange::Unchanged {
@@ -433,6 +435,8 @@
         SuspicionChange::Released => {
             log::warn!(fingerprint:%, is_part, crashes, by; "request let go");
         }
+        // A prompt may have thousands of parts, which all ran beside the cause.
+        SuspicionChange::Suspected(..SUSPECT_AFTER_CRASHES) if is_part => {}
         _ => log::info!(fingerprint:%, is_part, crashes, by; "servers crashed under request"),
     }
 }
--- a/trackfrontd/src/serving/crashes/outbox.rs
+++ b/trackfrontd/src/serving/crashes/outbox.rs
@@ -48,10 +48,25 @@
 /// The most ended servers in one message.
 const ENDED_PER_MESSAGE: usize = 256;
 
+/// The number of reports that wait from which on further ones are sent once: a crash may blame thousands of parts of
+/// prompts, and the same news comes again with the next crash and at the next refresh.
+const MANY_REPORTS: usize = 256;
+
+/// The boxes that get a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recipients {
+    /// Those that count the crashes of the request.
+    Counting,
+    /// Those, and another one.
+    CountingAnd(Ipv4Addr),
+    /// All boxes.
+    All,
+}
+
 /// A report that is sent several times.
 #[derive(Clone, Copy, Debug)]
 struct PendingSend {
-    to_all: bool,
+    to: Recipients,
     /// Whether this clears a request. Such a report is dropped once another box has sent the same.
     is_clearance: bool,
     sends_left: u32,
@@ -72,20 +87,26 @@
     /// Schedules the report on a request, for all boxes or for those that count its crashes.
     pub fn add_report(&mut self, fingerprint: Fingerprint, to_all: bool, now: Moment) {
         // A report for all boxes isn't narrowed down by a later one for some of them.
-        let was_for_all =
-            self.reports.get(&fingerprint).is_some_and(|pending_send| pending_send.to_all);
-        let to_all = to_all || was_for_all;
-        let pending_send =
-            PendingSend { to_all, is_clearance: false, sends_left: SEND_ATTEMPTS, due: now };
+        let before = self.reports.get(&fingerprint).map(|pending_send| pending_send.to);
+        let to = match before {
+            _ if to_all => Recipients::All,
+            Some(before) => before,
+            None => Recipients::Counting,
+        };
+        let sends_left = self.sends();
+        let pending_send = PendingSend { to, is_clearance: false, sends_left, due: now };
         self.reports.insert(fingerprint, pending_send);
     }
 
-    /// Schedules the report to all boxes that a request's crashes no longer count, unless another
-    /// box sends it first.
-    pub fn add_clearance(&mut self, fingerprint: Fingerprint, now: Moment) {
+    /// Returns how many times the next report is sent.
+    fn sends(&self) -> u32 {
+        if self.reports.len() < MANY_REPORTS { SEND_ATTEMPTS } else { 1 }
+    }
+
+    /// Schedules the report that a request's crashes no longer count, unless another box sends it first.
+    pub fn add_clearance(&mut self, fingerprint: Fingerprint, to: Recipients, now: Moment) {
         let due = now + scaled(MAX_CLEARANCE_DELAY, rand::rng().random::<f64>());
-        let pending_send =
-            PendingSend { to_all: true, is_clearance: true, sends_left: SEND_ATTEMPTS, due };
+        let pending_send = PendingSend { to, is_clearance: true, sends_left: self.sends(), due };
         self.reports.entry(fingerprint).or_insert(pending_send);
     }
 
@@ -120,12 +141,12 @@
         self.reports.is_empty() && self.ended.is_empty()
     }
 
-    /// Returns the requests whose reports are due, and whether each report goes to all boxes.
-    pub fn take_due(&mut self, now: Moment) -> Vec<(Fingerprint, bool)> {
+    /// Returns the requests whose reports are due, and the boxes that get each.
+    pub fn take_due(&mut self, now: Moment) -> Vec<(Fingerprint, Recipients)> {
         let mut due = Vec::new();
         self.reports.retain(|fingerprint, pending_send| {
             if pending_send.due <= now {
-                due.push((*fingerprint, pending_send.to_all));
+                due.push((*fingerprint, pending_send.to));
                 pending_send.sends_left -= 1;
                 pending_send.due = now + RESEND_INTERVAL;
             }
@@ -177,15 +198,24 @@
     let (me, boxes) = (node.settings.load().node.ip, candidates(node));
     let mut for_all = Vec::new();
     let mut for_coordinators: BTreeMap<Ipv4Addr, Vec<CrashReport>> = BTreeMap::new();
-    for (fingerprint, to_all) in due {
+    for (fingerprint, to) in due {
         let Some(report) = node.crashes.tracker.lock().report(fingerprint).cloned() else {
             continue;
         };
-        if to_all {
-            for_all.push(report);
-            continue;
+        let mut counting = match to {
+            Recipients::All => {
+                for_all.push(report);
+                continue;
+            }
+            Recipients::Counting | Recipients::CountingAnd(_) => {
+                coordinators_among(&boxes, fingerprint)
+            }
+        };
+        if let Recipients::CountingAnd(other) = to
+            && !counting.contains(&other)
+        {
+            counting.push(other);
         }
-        let counting = coordinators_among(&boxes, fingerprint);
         let others = counting.into_iter().filter(|ip| *ip != me);
         others.for_each(|ip| for_coordinators.entry(ip).or_default().push(report.clone()));
     }
--- a/trackfrontd/src/serving/crashes/suspicion.rs
+++ b/trackfrontd/src/serving/crashes/suspicion.rs
@@ -16,6 +16,9 @@
 /// taken the row.
 const MAX_HOLD: Duration = Duration::from_millis(200);
 
+/// The most rows that an answer waits for, that of the request first. The rest, parts of its prompt, is written later.
+const MAX_ROWS: usize = 4;
+
 /// The interval at which it is looked whether the servers are found to have ended.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -30,7 +33,8 @@
         while is_probing(node, tried) {
             sleep(LOOK_INTERVAL).await;
         }
-        for report in suspects.iter().filter_map(|suspect| unstored(node, *suspect)) {
+        let unstored = suspects.iter().filter_map(|suspect| unstored(node, *suspect));
+        for report in unstored.take(MAX_ROWS) {
             match report.is_quarantined() {
                 true => rows::write_quarantine(node, &report).await,
                 false => rows::write_suspicion(node, &report).await,
--- a/trackfrontd/src/serving/pipeline/quarantine.rs
+++ b/trackfrontd/src/serving/pipeline/quarantine.rs
@@ -1,5 +1,6 @@
 //! What of a request may crash servers: the request as such and the parts of its prompt.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,9 +13,6 @@
 use crate::serving::crashes;
 use crate::serving::crashes::trials::Trial;
 
-/// The most parts of a prompt that are tracked; of longer prompts the first ones.
-const MAX_PARTS: usize = 64;
-
 /// The longest time for which a request at a box that has just started waits until it is known what is quarantined.
 const MAX_LOAD_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -28,15 +26,13 @@
 pub type Suspects = Arc<[Fingerprint]>;
 
 /// Returns what of a request may crash servers. The last part of a prompt belongs to the request alone or to its session.
+/// The size of a head bounds their number, to some thousands.
 pub(super) fn suspects(request: Fingerprint, prompt: &[PromptPart]) -> Suspects {
     let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
-    let mut suspects = vec![request];
-    for part in shared.iter().take(MAX_PARTS).map(|part| Fingerprint::of_part(part.id)) {
-        if !suspects.contains(&part) {
-            suspects.push(part);
-        }
-    }
-    suspects.into()
+    let mut known = HashSet::with_capacity(shared.len());
+    let parts = shared.iter().filter(|part| known.insert(part.id));
+    let parts = parts.map(|part| Fingerprint::of_part(part.id));
+    std::iter::once(request).chain(parts).collect()
 }
 
 impl Job {
@@ -54,8 +50,7 @@
     /// Returns whether the request is suspected of having crashed the servers that ran it. It isn't
     /// sent to another server in the same try; by the time the client retries, more is known.
     pub fn may_crash_servers(&self) -> bool {
-        let now = self.node.now();
-        self.suspects.iter().any(|suspect| self.node.crashes.is_suspect(*suspect, now))
+        self.node.crashes.is_any_suspect(&self.suspects, self.node.now())
     }
 
     /// Waits until the crashes under a request that broke at several servers are stored, before its client hears of it.
@@ -69,7 +64,7 @@
     /// Returns whether quarantine still allows the request to be sent.
     pub(super) fn may_pass_quarantine(&self) -> bool {
         let trial = self.trial.lock().as_ref().map(Trial::fingerprint);
-        self.quarantined().all(|(suspect, _)| Some(suspect) == trial)
+        self.quarantined().iter().all(|(suspect, _)| Some(*suspect) == trial)
     }
 
     /// Waits until it is known which requests were quarantined before this box started. That it has heard of none yet says
@@ -95,7 +90,7 @@
         if self.may_pass_quarantine() {
             return None;
         }
-        let mut quarantined = self.quarantined();
+        let mut quarantined = self.quarantined().into_iter();
         let (suspect, servers) = quarantined.next()?;
         let may_try = attempts.servers.is_empty() && quarantined.next().is_none();
         if may_try && let Some(trial) = Trial::start(&self.node, suspect).await {
@@ -110,9 +105,7 @@
     }
 
     /// Returns what of the request is quarantined, and how many servers each crashed.
-    fn quarantined(&self) -> impl Iterator<Item = (Fingerprint, usize)> {
-        self.suspects.iter().filter_map(|suspect| {
-            Some((*suspect, self.node.crashes.quarantined_crashes(*suspect)?))
-        })
+    fn quarantined(&self) -> Vec<(Fingerprint, usize)> {
+        self.node.crashes.quarantined_among(&self.suspects)
     }
 }
