--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -23,7 +24,7 @@
 use trackfront_core::serving::memory_budget::Reservation;
 
 use crate::keep_alive;
-use crate::resettable::{Reset, ResettableStream};
+use crate::resettable::{OpenEnd, ResettableStream};
 
 /// The maximum number of headers of a request, more than any client library sends.
 const MAX_HEADERS: usize = 64;
@@ -262,11 +263,11 @@
     let _ = stream.set_nodelay(true);
     keep_alive::enable(&stream);
     let stream = ResettableStream::new(stream);
-    let reset = stream.reset();
+    let open_end = stream.open_end();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (version, reset) = (request.version(), reset.clone());
+        let (version, open_end) = (request.version(), open_end.clone());
         let answering = handler(request);
-        async move { answering.await.map(|response| reset_if_broken(response, version, reset)) }
+        async move { answering.await.map(|response| reset_unless_ended(response, version, open_end)) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -286,11 +287,33 @@
     }
 }
 
-/// Resets the connection if the body breaks off and would end with it, because it would look complete otherwise.
-fn reset_if_broken(response: Response<Body>, version: Version, reset: Reset) -> Response<Body> {
-    let ends_with_connection = [version, response.version()].contains(&Version::HTTP_10);
-    if !ends_with_connection {
+/// Makes any end of the connection a reset until the body has ended well, if the body ends with the connection: it would look
+/// complete otherwise, whether it breaks off or the process ends.
+fn reset_unless_ended(
+    response: Response<Body>,
+    version: Version,
+    open_end: OpenEnd,
+) -> Response<Body> {
+    let may_end_with_connection = [version, response.version()].contains(&Version::HTTP_10);
+    let has_length = response.headers().contains_key(header::CONTENT_LENGTH)
+        || response.body().size_hint().exact().is_some();
+    // Nobody asks for the end of a body whose length is known.
+    if !may_end_with_connection || has_length {
         return response;
     }
-    response.map(|body| body.map_err(move |error| reset.request(error)).boxed_unsync())
+    open_end.begin();
+    response.map(|mut body| {
+        let frames = stream::poll_fn(move |context| {
+            let polled = Pin::new(&mut body).poll_frame(context);
+            match polled {
+                Poll::Ready(Some(Err(cause))) => Poll::Ready(Some(Err(open_end.break_off(cause)))),
+                Poll::Ready(None) => {
+                    open_end.end();
+                    Poll::Ready(None)
+                }
+                other => other,
+            }
+        });
+        StreamBody::new(frames).boxed_unsync()
+    })
 }
