--- a/trackfrontd/src/serving/pipeline/exit.rs
+++ b/trackfrontd/src/serving/pipeline/exit.rs
@@ -3,6 +3,8 @@
 //! What cannot be expected to end before the box exits is refused as not run: any other box can serve it. What is under way
 //! then is answered all the same, since a connection that is closed without an answer tells its client nothing.
 
+use std::time::Duration;
+
 use trackfront_core::serving::choice::Choice;
 use trackfront_core::serving::request::Refusal;
 use trackfront_core::units::millis_to_duration;
@@ -21,11 +23,31 @@
         let Some(left) = self.node.exit.time_left() else {
             return true;
         };
-        let decode_ms = match &self.info.model {
-            Some(item) => self.node.loads.lock().decode_ms(&item.model, self.info.output_tokens),
-            None => 0.0,
+        let after_first_event = match &self.info.model {
+            Some(item) => {
+                let decode_ms =
+                    self.node.loads.lock().decode_ms(&item.model, self.info.output_tokens);
+                millis_to_duration(decode_ms)
+            }
+            None => Duration::ZERO,
         };
-        choice.estimate.saturating_add(millis_to_duration(decode_ms)) < left
+        let expected = choice.estimate.max(self.usual_call_time());
+        expected.saturating_add(after_first_event) < left
+    }
+
+    /// Returns how long calls take at the servers of a plain service where that was measured; zero for a service of models.
+    /// The chosen server may be one of which this box knows nothing.
+    fn usual_call_time(&self) -> Duration {
+        if self.info.model.is_some() {
+            return Duration::ZERO;
+        }
+        let directory = self.node.directory.lock();
+        let mut loads = self.node.loads.lock();
+        let servers = directory.of_service(&self.service).iter();
+        let measured = servers.map(|server| loads.server(&server.entry.id).mean_call_ms());
+        let measured: Vec<f64> = measured.filter(|ms| *ms > 0.0).collect();
+        let mean_ms = measured.iter().sum::<f64>() / measured.len().max(1) as f64;
+        millis_to_duration(mean_ms)
     }
 
     /// Refuses a request that can't be expected to end before this box exits. Its client finds another box.
