--- a/trackfront_adapters/src/http_server.rs
+++ b/trackfront_adapters/src/http_server.rs
@@ -16,7 +16,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -24,6 +23,7 @@
 use trackfront_core::serving::memory_budget::Reservation;
 
 use crate::keep_alive;
+use crate::open_connections::{OpenConnection, OpenConnections};
 use crate::resettable::{OpenEnd, ResettableStream};
 
 /// The maximum number of headers of a request, more than any client library sends.
@@ -38,6 +38,9 @@
 /// The default maximum number of concurrent connections. More wait in the backlog.
 const MAX_CONNECTIONS: usize = 8_192;
 
+/// One in this many connections is kept free for new ones, by closing those that have rested longest.
+const FREE_DIVISOR: usize = 16;
+
 /// The minimum size of the buffer for heads in the HTTP library.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
@@ -211,11 +214,15 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<Body>, Abort>> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
+    let open = OpenConnections::default();
     // The connections belong to this task, so they are closed if it is aborted.
     let mut connections = JoinSet::new();
     loop {
-        let has_slot = connections.len() < limits().connections;
+        let most = limits().connections;
+        let has_slot = connections.len() < most;
+        if connections.len() >= most - most / FREE_DIVISOR {
+            open.close_longest_resting();
+        }
         let accepted = tokio::select! {
             accepted = listener.accept(), if has_slot => accepted,
             Some(_) = connections.join_next() => continue,
@@ -224,8 +231,7 @@
         match accepted {
             Ok((stream, _)) if !admit() => reset(stream),
             Ok((stream, _)) => {
-                let watcher = graceful.watcher();
-                connections.spawn(serve_connection(stream, limits(), handler.clone(), watcher));
+                connections.spawn(serve_connection(stream, limits(), handler.clone(), open.add()));
             }
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
@@ -235,7 +241,8 @@
         }
     }
     drop(listener);
-    graceful.shutdown().await;
+    open.close_all();
+    while connections.join_next().await.is_some() {}
 }
 
 /// Resets a connection before anything is read from it.
@@ -255,7 +262,7 @@
     stream: TcpStream,
     limits: ServerLimits,
     handler: H,
-    watcher: hyper_util::server::graceful::Watcher,
+    open: OpenConnection,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<Body>, Abort>> + Send + 'static,
@@ -264,10 +271,15 @@
     keep_alive::enable(&stream);
     let stream = ResettableStream::new(stream);
     let open_end = stream.open_end();
+    let requests = open.requests();
     let service = service_fn(move |request: Request<Incoming>| {
         let (version, open_end) = (request.version(), open_end.clone());
+        let open_request = requests.begin();
         let answering = handler(request);
-        async move { answering.await.map(|response| reset_unless_ended(response, version, open_end)) }
+        async move {
+            let response = reset_unless_ended(answering.await?, version, open_end);
+            Ok::<_, Abort>(open_request.until_written(response))
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -282,7 +294,15 @@
         .max_header_list_size(limits.head_bytes as u32)
         .max_concurrent_streams(MAX_STREAMS);
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    if let Err(error) = watcher.watch(connection).await {
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = open.close_asked() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("a connection ended early: {error}");
     }
 }
--- a/trackfront_adapters/src/lib.rs
+++ b/trackfront_adapters/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod keep_alive;
 pub mod key;
 pub mod metrics;
+mod open_connections;
 pub mod peers;
 pub mod plain;
 pub mod platform;
