--- a/trackfrontd/src/serving/exit.rs
+++ b/trackfrontd/src/serving/exit.rs
@@ -3,14 +3,16 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep;
+use trackfront_core::ports::Clock;
+use trackfront_core::units::Moment;
 
 /// The time before its exit at which a stopping box gives the last answers, so that they are sent.
 const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
 /// When this box exits, once that is known.
 #[derive(Debug)]
-pub struct Exit(watch::Sender<Option<Instant>>);
+pub struct Exit(watch::Sender<Option<Moment>>);
 
 impl Default for Exit {
     fn default() -> Self {
@@ -20,24 +22,22 @@
 
 impl Exit {
     /// Sets when this box exits.
-    pub fn set(&self, at: Instant) {
+    pub fn set(&self, at: Moment) {
         self.0.send_replace(Some(at));
     }
 
     /// Returns the time until the last answers; `None` unless the box is stopping.
-    pub fn time_left(&self) -> Option<Duration> {
+    pub fn time_left(&self, now: Moment) -> Option<Duration> {
         let exits_at = (*self.0.borrow())?;
-        Some(exits_at.saturating_duration_since(Instant::now()).saturating_sub(LAST_ANSWER_MARGIN))
+        Some(exits_at.since(now).saturating_sub(LAST_ANSWER_MARGIN))
     }
 
     /// Waits until the last answers are due, if the box ever stops.
-    pub async fn answers_due(&self) {
-        let mut exits_at = self.0.subscribe();
-        let Ok(exits_at) = exits_at.wait_for(Option::is_some).await.map(|at| *at) else {
-            return std::future::pending().await;
-        };
-        if let Some(exits_at) = exits_at {
-            sleep_until(exits_at - LAST_ANSWER_MARGIN).await;
+    pub async fn answers_due(&self, clock: &dyn Clock) {
+        // The sender lives as long as this.
+        let _ = self.0.subscribe().wait_for(Option::is_some).await;
+        if let Some(time_left) = self.time_left(clock.now()) {
+            sleep(time_left).await;
         }
     }
 }
--- a/trackfrontd/src/serving/pipeline/exit.rs
+++ b/trackfrontd/src/serving/pipeline/exit.rs
@@ -20,7 +20,7 @@
 impl Job {
     /// Returns whether the request can be expected to end at the chosen server before this box exits.
     pub(super) fn is_expected_before_exit(&self, choice: &Choice) -> bool {
-        let Some(left) = self.node.exit.time_left() else {
+        let Some(left) = self.node.exit.time_left(self.node.now()) else {
             return true;
         };
         let after_first_event = match &self.info.model {
--- a/trackfrontd/src/serving/pipeline/mod.rs
+++ b/trackfrontd/src/serving/pipeline/mod.rs
@@ -268,7 +268,7 @@
     let mut attempts = Attempts::default();
     let served = tokio::select! {
         served = send_until_answered(&job, &mut attempts) => served,
-        () = node.exit.answers_due() => Err(job.end_at_exit(&attempts)),
+        () = node.exit.answers_due(&*node.ports.clock) => Err(job.end_at_exit(&attempts)),
     };
     let refusal = match served {
         Ok((response, is_stream)) => {
--- a/trackfrontd/src/serving/run.rs
+++ b/trackfrontd/src/serving/run.rs
@@ -152,7 +152,7 @@
     let in_flight = node.metrics.in_flight.get();
     log::info!(in_flight, grace_ms = grace.as_millis() as u64; "stopping");
     node.set_stopping();
-    node.exit.set(Instant::now() + grace.saturating_sub(EXIT_MARGIN));
+    node.exit.set(node.now() + grace.saturating_sub(EXIT_MARGIN));
     node.digest_requested.notify_one();
     node.missing_item_added.notify_one();
     stream_origins::keepers::hand_over(node);
